Pass the Idempotency-Key on to the worker

The bytes under strace: a client's POST carried the header, the request to the worker did not, and the worker answered 400 as to a request no client had sent. Ruled out by the same trace: method, path, X-Txn and body were unchanged.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -240,6 +240,7 @@
             forward: Forward {
                 uri,
                 txn: txn.clone(),
+                idempotency_key: head.headers.get("idempotency-key").cloned(),
                 content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
                 method: head.method,
                 body,
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -19,6 +19,7 @@
     pub method: Method,
     pub uri: Uri,
     pub txn: header::HeaderValue,
+    pub idempotency_key: Option<header::HeaderValue>,
     pub content_type: Option<header::HeaderValue>,
     pub body: Bytes,
 }
@@ -157,6 +158,9 @@
             let headers = request.headers_mut();
             headers.insert(header::HOST, header::HeaderValue::from_static("backend.local"));
             headers.insert("x-txn", what.txn.clone());
+            if let Some(key) = &what.idempotency_key {
+                headers.insert("idempotency-key", key.clone());
+            }
             if let Ok(wait) = header::HeaderValue::try_from(format!("{wait:.3}")) {
                 headers.insert("x-remaining", wait);
             }
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -37,6 +37,17 @@
     assert_eq!(first, second, "on the connection that was kept");
 }
 
+#[test]
+fn the_key_of_a_keyed_request_goes_on() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (mut setup, _discovery) = Setup::new(&[&worker]);
+    setup.settings["Classes"][1]["Effect"] = json!("deduplicated");
+    let node = setup.start();
+    let key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211";
+    assert_eq!(node.ask(&Ask::submit("k").with("Idempotency-Key", key)).status(), 200);
+    assert_eq!(worker.request().1.header("idempotency-key"), key);
+}
+
 #[test]
 fn two_gateways_hold_one_quota_and_refuse_with_advice() {
     let worker = Worker::start(Does::Serves("ok"));
