Follow a changed configuration at SIGHUP instead of ending

Now discovery and the counter's lines move to the new addresses; a line first reads the answers it owes.

--- a/src/bin/yardspur/counter.rs
+++ b/src/bin/yardspur/counter.rs
@@ -16,7 +16,7 @@
 use tokio::{
     io::AsyncReadExt,
     net::{TcpStream, tcp::OwnedWriteHalf},
-    sync::Notify,
+    sync::{Notify, watch},
 };
 use weirusher::{Event, Status};
 
@@ -46,6 +46,8 @@
     socket: Option<Rc<OwnedWriteHalf>>,
     calls: VecDeque<Call>,
     started: bool,
+    /// The counter is elsewhere now: this connection only ends what it has begun.
+    leaving: bool,
     wake: Rc<Notify>,
 }
 
@@ -57,7 +59,9 @@
     /// Writes what the socket takes; `false`: the connection is broken.
     fn flush(&mut self) -> bool {
         let Some(socket) = &self.socket else { return true };
-        for call in self.calls.iter_mut().filter(|c| c.written < c.text.len()) {
+        let leaving = self.leaving;
+        let due = |c: &&mut Call| c.written < c.text.len() && (c.written > 0 || !leaving);
+        for call in self.calls.iter_mut().filter(due) {
             while call.written < call.text.len() {
                 match socket.try_write(&call.text[call.written..]) {
                     Ok(n) => call.written += n,
@@ -70,13 +74,20 @@
         true
     }
 
+    /// The socket has not taken all that it should.
     fn unwritten(&self) -> bool {
-        self.calls.back().is_some_and(|c| c.written < c.text.len())
+        let due = |c: &Call| c.written < c.text.len() && (c.written > 0 || !self.leaving);
+        self.calls.iter().rev().any(due)
+    }
+
+    /// An answer that somebody waits for is still to come on this connection.
+    fn owed(&self) -> bool {
+        self.calls.iter().any(|c| c.written > 0 && !c.reported)
     }
 }
 
 pub struct Counter {
-    addr: SocketAddr,
+    addr: watch::Sender<SocketAddr>,
     limit: Duration,
     lines: RefCell<Vec<Line>>,
     numbers: std::cell::Cell<u64>,
@@ -103,7 +114,12 @@
 impl Counter {
     pub fn new(addr: SocketAddr, limit: Duration) -> Self {
         let lines = RefCell::new((0..LINES).map(|_| Line::default()).collect());
-        Self { addr, limit, lines, numbers: Default::default() }
+        Self { addr: watch::Sender::new(addr), limit, lines, numbers: Default::default() }
+    }
+
+    /// From now on the counter is at `addr`: each line connects there once its answers have come.
+    pub fn move_to(&self, addr: SocketAddr) {
+        self.addr.send_if_modified(|now| std::mem::replace(now, addr) != addr);
     }
 
     /// Connects the first line.
@@ -160,6 +176,10 @@
                 return;
             }
             call.reported = true;
+            if line.leaving {
+                line.wake.notify_one();
+            }
+            let call = &line.calls[at];
             let (name, spent) = (call.name, call.since.elapsed());
             let status = if call.written == 0 {
                 // Not a byte has gone out, and none will: nothing is added.
@@ -194,10 +214,15 @@
 
     /// The line's connection is gone or never came up: its calls end, each by how far it had been written.
     fn broken(&self, index: usize, hub: &Rc<Hub>) {
-        let calls = {
+        let calls: VecDeque<Call> = {
             let line = &mut self.lines.borrow_mut()[index];
             line.socket = None;
-            std::mem::take(&mut line.calls)
+            // A connection that was left keeps what it has not begun for the next one.
+            let leaving = std::mem::take(&mut line.leaving);
+            let kept = |c: &Call| leaving && c.written == 0 && !c.reported;
+            let (kept, ended) = std::mem::take(&mut line.calls).into_iter().partition(kept);
+            line.calls = kept;
+            ended
         };
         for call in calls.into_iter().filter(|c| !c.reported) {
             let whole = call.written == call.text.len();
@@ -223,20 +248,27 @@
 /// Keeps one line connected for good.
 async fn keep(index: usize, hub: Rc<Hub>) {
     let Some(counter) = hub.counter() else { return };
+    let mut addr = counter.addr.subscribe();
     let (mut wait, mut well) = (BACKOFF.0, true);
     loop {
-        let end = match tokio::time::timeout(counter.limit * 5, TcpStream::connect(counter.addr)).await {
-            Ok(Ok(socket)) => run(counter, index, socket, &hub, &mut wait).await,
+        let now = *addr.borrow_and_update();
+        let end = match tokio::time::timeout(counter.limit * 5, TcpStream::connect(now)).await {
+            Ok(Ok(socket)) => run(counter, index, socket, &hub, &mut wait, &mut addr).await,
             Ok(Err(e)) => e,
             Err(_) => ErrorKind::TimedOut.into(),
         };
+        let moved = *addr.borrow() != now;
         counter.broken(index, &hub);
+        if moved {
+            (wait, well) = (BACKOFF.0, true);
+            continue;
+        }
         if well {
             eprintln!("yardspur: counter: {end}");
         }
         // One complaint a silence: the wait is back at its first value once an answer has come.
         well = wait == BACKOFF.0;
-        tokio::time::sleep(wait).await;
+        tokio::select! { () = tokio::time::sleep(wait) => {}, _ = addr.changed() => {} }
         wait = (wait * 2).min(BACKOFF.1);
         // What was called meanwhile is still unwritten and goes out with the new connection, or expires.
     }
@@ -249,6 +281,7 @@
     socket: TcpStream,
     hub: &Rc<Hub>,
     wait: &mut Duration,
+    addr: &mut watch::Receiver<SocketAddr>,
 ) -> io::Error {
     if let Err(e) = socket.set_nodelay(true) {
         return e;
@@ -271,6 +304,9 @@
             if line.overdue(STUCK) {
                 return ErrorKind::TimedOut.into();
             }
+            if line.leaving && !line.owed() {
+                return ErrorKind::NotConnected.into();
+            }
             line.unwritten()
         };
         let came = tokio::select! {
@@ -281,6 +317,7 @@
             },
             () = wake.notified() => continue,
             _ = ping.tick() => { counter.ping(index); continue }
+            Ok(()) = addr.changed() => { counter.lines.borrow_mut()[index].leaving = true; continue }
         };
         match came {
             Ok(0) => return ErrorKind::UnexpectedEof.into(),
--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::{Request, StatusCode, Uri, header};
 use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::sync::watch;
 use weirusher::{Lifecycle, ListKind, Server};
 
 /// How long discovery may hold a watch: short, as what it could not tell counts as told soon after.
@@ -39,8 +40,19 @@
     }
 }
 
-/// Follows discovery for good.
-pub async fn follow(addr: SocketAddr, hub: Rc<Hub>) {
+/// Follows discovery for good, wherever it is at the time.
+pub async fn follow(mut addr: watch::Receiver<SocketAddr>, hub: Rc<Hub>) {
+    loop {
+        let now = *addr.borrow_and_update();
+        tokio::select! {
+            () = follow_at(now, &hub) => {}
+            // Another agent's versions need not be the old one's: what follows begins with the whole list.
+            moved = addr.changed() => if moved.is_err() { return },
+        }
+    }
+}
+
+async fn follow_at(addr: SocketAddr, hub: &Rc<Hub>) {
     let (mut link, mut version, mut wait, mut trouble) = (None, None, BACKOFF.0, None);
     loop {
         match call(addr, &mut link, version).await {
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -12,11 +12,12 @@
 use clients::Clients;
 use config::{Config, ConfigError};
 use gateway::Hub;
-use std::{fmt, io, process::ExitCode, rc::Rc, time::Duration};
+use std::{fmt, io, net::SocketAddr, process::ExitCode, rc::Rc, time::Duration};
 use tokio::{
     net::TcpListener,
     runtime::LocalOptions,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
+    sync::watch,
     time::{Instant, sleep, sleep_until, timeout_at},
 };
 use weirusher::SettingsError;
@@ -59,15 +60,17 @@
 async fn run(config: Config) -> Result<(), NodeError> {
     let mut term = signal(SignalKind::terminate()).map_err(NodeError::System)?;
     let mut int = signal(SignalKind::interrupt()).map_err(NodeError::System)?;
+    let hangup = signal(SignalKind::hangup()).map_err(NodeError::System)?;
     let listener = TcpListener::bind(config.listen).await.map_err(NodeError::Listen)?;
     let bound = listener.local_addr().map_err(NodeError::Listen)?;
     let name = config.name.clone();
     // An attempt may be out for each client, so both get the same.
     let share = (config.sockets - OTHERS) / 2;
-    let discovery = config.discovery;
+    let (discovery_at, discovery) = watch::channel(config.discovery);
     let hub = Hub::new(config, share).map_err(NodeError::Settings)?;
     hub.start_counter();
     let discovery = tokio::task::spawn_local(discovery::follow(discovery, hub.clone()));
+    let reloads = tokio::task::spawn_local(reload(hangup, discovery_at, hub.clone()));
     let timers = tokio::task::spawn_local(hub.clone().run_timers());
     let sweeps = tokio::task::spawn_local(sweep(hub.clone()));
     let clients = Clients::new(hub.clone(), share);
@@ -80,6 +83,7 @@
         _ = discovery => return Err(NodeError::Part("discovery")),
         _ = timers => return Err(NodeError::Part("timers")),
         _ = sweeps => return Err(NodeError::Part("idle connections")),
+        _ = reloads => return Err(NodeError::Part("the configuration")),
     }
     eprintln!("yardspur: {name} stops with {} in hand", hub.in_hand());
     drain(&hub, &clients, listener).await;
@@ -107,6 +111,24 @@
     }
 }
 
+/// At each SIGHUP reads the configuration again and goes where it says that discovery and the counter are now;
+/// all else in it holds until the next start. One that can't be read changes nothing.
+async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, hub: Rc<Hub>) {
+    while hangup.recv().await.is_some() {
+        match Config::load() {
+            Ok(config) => {
+                eprintln!("yardspur: configuration read again: discovery at {}", config.discovery);
+                discovery
+                    .send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
+                if let (Some(counter), Some(addr)) = (hub.counter(), config.counter) {
+                    counter.move_to(addr);
+                }
+            }
+            Err(error) => eprintln!("yardspur: the old configuration stays: {error}"),
+        }
+    }
+}
+
 async fn sweep(hub: Rc<Hub>) {
     loop {
         sleep(SWEEP).await;
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -6,6 +6,7 @@
     collections::{BTreeMap, HashMap},
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::{
         Arc, Condvar, Mutex,
@@ -402,13 +403,19 @@
 
 static NUMBERS: AtomicU64 = AtomicU64::new(1);
 
-pub fn run(config: &str) -> Child {
+fn config_file() -> PathBuf {
     let number = NUMBERS.fetch_add(1, Ordering::Relaxed);
-    let name = format!("yardspur-test-{}-{number}.json", std::process::id());
-    let path = std::env::temp_dir().join(name);
-    std::fs::write(&path, config).expect("a writable folder for temporary files");
+    std::env::temp_dir().join(format!("yardspur-test-{}-{number}.json", std::process::id()))
+}
+
+pub fn run(config: &str) -> Child {
+    run_with(&config_file(), config)
+}
+
+fn run_with(path: &Path, config: &str) -> Child {
+    std::fs::write(path, config).expect("a writable folder for temporary files");
     Command::new(env!("CARGO_BIN_EXE_yardspur"))
-        .env("NODE_CONFIG", &path)
+        .env("NODE_CONFIG", path)
         .stdin(Stdio::null())
         .stderr(Stdio::piped())
         .spawn()
@@ -419,6 +426,7 @@
     pub addr: SocketAddr,
     pub child: Child,
     pub log: Receiver<String>,
+    config: PathBuf,
 }
 
 /// What a node is started with; the fields stand at what most tests want.
@@ -453,11 +461,12 @@
     }
 
     pub fn start(&self) -> Node {
-        let mut child = run(&self.config().to_string());
+        let config = config_file();
+        let mut child = run_with(&config, &self.config().to_string());
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let (tell, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
-        let mut node = Node { addr: "127.0.0.1:0".parse().expect("an address"), child, log };
+        let mut node = Node { addr: "127.0.0.1:0".parse().expect("an address"), child, log, config };
         let line = node.says("listens on ");
         node.addr = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("what it bound");
         node
@@ -475,12 +484,22 @@
         }
     }
 
-    pub fn terminate(&self) {
+    fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let sent = Command::new("kill").args(["-TERM", &pid]).status().expect("kill runs");
+        let sent = Command::new("kill").args([name, &pid]).status().expect("kill runs");
         assert!(sent.success());
     }
 
+    pub fn terminate(&self) {
+        self.signal("-TERM");
+    }
+
+    /// Puts `config` in the place of its configuration and tells it so.
+    pub fn reload(&self, config: &str) {
+        std::fs::write(&self.config, config).expect("the file it was started with");
+        self.signal("-HUP");
+    }
+
     pub fn exit(&mut self) -> ExitStatus {
         let start = Instant::now();
         loop {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -351,6 +351,32 @@
     assert_eq!(node.ask(&Ask::new("b")).body, b"new");
 }
 
+#[test]
+fn after_sighup_discovery_and_the_counter_are_where_the_new_configuration_says() {
+    let (old, new) = (Worker::start(Does::Serves("old")), Worker::start(Does::Serves("new")));
+    let (counter, moved) = (Counter::start(Counts::Well), Counter::start(Counts::Well));
+    let (mut setup, _discovery) = Setup::new(&[&old]);
+    setup.counter = Some(counter.addr);
+    let mut node = setup.start();
+    assert_eq!(node.ask(&Ask::new("a").with("X-Plan", "pieni")).body, b"old");
+    counter.call();
+    let (next, discovery) = Setup::new(&[&new]);
+    node.reload("{");
+    // Ended by the signal, it never says so.
+    node.says("the old configuration stays");
+    assert_eq!(node.ask(&Ask::new("b")).body, b"old");
+    setup.discovery = next.discovery;
+    setup.counter = Some(moved.addr);
+    node.reload(&setup.config().to_string());
+    node.says("configuration read again");
+    discovery.told(1);
+    let customer = "00000000000000c5";
+    let ask = Ask::new("c").with("X-Plan", "pieni").with("X-Customer", customer);
+    assert_eq!(node.ask(&ask).body, b"new", "the new list is followed");
+    moved.call();
+    assert!(node.child.try_wait().expect("a child").is_none(), "it goes on");
+}
+
 #[test]
 fn after_sigterm_what_is_in_hand_is_answered_and_the_end_is_clean() {
     let gate = Arc::new(Gate::default());
