Replace a stuck line to the counter after four call limits

Under strace the counter's connections fell silent one by one while new ones were answered in 4 ms. A line was only looked at when woken, so it kept its place for 2 to 4 s; with all four stuck hardly a call was answered from 9 to 13 s, and customers with quota left were refused. Ruled out: busy answers (none seen) and a slow counter (the median stayed at 4 ms).

--- a/src/bin/yardspur/counter.rs
+++ b/src/bin/yardspur/counter.rs
@@ -24,8 +24,9 @@
 pub const LINES: usize = 4;
 /// Between pings, well under the shortest idle time after which the counter closes.
 const PING: Duration = Duration::from_secs(2);
-/// A line that owes an answer for longer is given up: its far end is gone.
-const STUCK: Duration = Duration::from_secs(2);
+/// A line that owes an answer for so many of a call's time limits is given up: its far end is gone. Few, as
+/// the other lines may get stuck too, and nobody waits for its answers any more.
+const STUCK_LIMITS: u32 = 4;
 /// First and longest wait between two connections.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(20), Duration::from_secs(1));
 /// Longest answer line.
@@ -295,19 +296,20 @@
     };
     let (mut read, mut buffer) = (Vec::new(), [0; 4096]);
     let mut ping = tokio::time::interval(PING);
+    let stuck = counter.limit * STUCK_LIMITS;
     loop {
-        let unwritten = {
+        let (unwritten, given_up) = {
             let line = &mut counter.lines.borrow_mut()[index];
             if !line.flush() {
                 return ErrorKind::BrokenPipe.into();
             }
-            if line.overdue(STUCK) {
+            if line.overdue(stuck) {
                 return ErrorKind::TimedOut.into();
             }
             if line.leaving && !line.owed() {
                 return ErrorKind::NotConnected.into();
             }
-            line.unwritten()
+            (line.unwritten(), line.calls.front().map(|c| c.since + stuck))
         };
         let came = tokio::select! {
             came = reader.read(&mut buffer) => came,
@@ -316,7 +318,9 @@
                 Err(e) => return e,
             },
             () = wake.notified() => continue,
-            _ = ping.tick() => { counter.ping(index); continue }
+            () = tokio::time::sleep_until(given_up.unwrap_or_else(Instant::now).into()), if given_up.is_some() => continue,
+            // One that owes an answer is not idle.
+            _ = ping.tick(), if given_up.is_none() => { counter.ping(index); continue }
             Ok(()) = addr.changed() => { counter.lines.borrow_mut()[index].leaving = true; continue }
         };
         match came {
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -298,6 +298,19 @@
     assert!(served > 0 && connections.len() > 1, "{served} served, calls on {connections:?}");
 }
 
+#[test]
+fn a_stuck_connection_to_the_counter_is_replaced_before_it_would_idle() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let counter = Counter::start(Counts::FirstIsStuck);
+    let (mut setup, _discovery) = Setup::new(&[&worker]);
+    setup.counter = Some(counter.addr);
+    let _node = setup.start();
+    let next = || counter.calls.recv_timeout(LIMIT).expect("a ping");
+    assert_eq!(next(), (0, "ping".to_owned()));
+    // A line that owes an answer sends no more pings: the next is its replacement's.
+    assert_eq!(next(), (1, "ping".to_owned()));
+}
+
 #[test]
 fn the_line_to_the_counter_is_kept_from_idling_out() {
     let worker = Worker::start(Does::Serves("ok"));
