Do not take a call cut off by its connection for a crowded counter

Half the sends on sev6648 went off the count because the calls' budget was spent: 185 answers were garbled, each ended its line and with it the calls on it, and each such end cut the rate of calls to 0.6 of what it was. Of 307 calls without an answer 290 ended long before their time limit, which rules out a crowded counter. Such an end no longer moves the rate.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -27,6 +27,8 @@
 const HOLD_SHARE: f64 = 0.4;
 /// Share of the counter's time limit past which an answer shows a crowded counter.
 const CROWDED_SHARE: f64 = 0.6;
+/// Share of the counter's time limit under which a call without an answer was cut off, not timed out.
+const CUT_SHARE: f64 = 0.95;
 /// Calls a second to the counter: at least (trials while it is quiet), and at the start over all gateways.
 const CALLS: (f64, f64) = (1.0, 600.0);
 /// Calls that may be saved up, at least, and in seconds of the rate.
@@ -659,6 +661,9 @@
     /// The counter's speed moves the rate of calls, as a gateway of many has less than one out: a crowded
     /// counter works in vain on calls that nobody waits for. A silent one gets trial calls only.
     fn pace_calls(&mut self, status: Status, spent: f64) {
+        if status == Status::Timeout && spent < CUT_SHARE * self.set.count_limit {
+            return; // Its connection broke first: that says nothing of how crowded the counter is.
+        }
         let quick = status == Status::Ok && spent < CROWDED_SHARE * self.set.count_limit;
         let (root, slow, lost) = CALLS_STEP;
         if !quick && self.now - spent >= self.slowed {
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -121,3 +121,31 @@
     rig.outcome(&job, 0, &server, Status::Ok);
     assert_eq!(sends(&counter.ask(&mut rig, "k")).len(), 1, "one has ended");
 }
+
+#[test]
+fn a_call_cut_off_by_its_connection_is_no_sign_of_a_crowded_counter() {
+    // How many of as many customers, each with one request, get the counter asked after calls went wrong so.
+    let asked_after = |spent: f64| {
+        let mut rig = Rig::new(settings());
+        let mut asked = 0;
+        for i in 0..400 {
+            rig.now += 0.02;
+            let mut request = request(&format!("j{i}"), rig.now);
+            request.customer = format!("c{i}").into();
+            let out = rig.event(Event::Request(request));
+            asked += counts(&out).len();
+            for (counter, _) in counts(&out) {
+                let status = if i % 4 == 0 { Status::Timeout } else { Status::Ok };
+                let spent = if i % 4 == 0 { spent } else { 0.002 };
+                rig.event(Event::Counted { counter, status, total: 1.0, spent });
+            }
+            for (job, server) in sends(&out) {
+                rig.outcome(&job, 0, &server, Status::Ok);
+            }
+        }
+        asked
+    };
+    let limit = settings().count_limit;
+    assert_eq!(asked_after(0.1 * limit), 400, "every customer is asked for");
+    assert!(asked_after(limit) < 200, "calls that time out slow it down");
+}
