Go past the even share of an open cap where the others leave room

Past the share one more now goes if the others, by Little's law, probably leave room. Ruled out: spent leases (107 carriers) and a full fleet (no such refusal). Tried first and dropped: a count of what is out on the counter, which lost calls leave wrong.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,6 +41,9 @@
 const PRESSED_AIM: f64 = 0.08;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
+/// Chance of passing an open cap that a send may run, over one and what passing it costs: the other half of the
+/// worth is what a refused client's next try may still earn.
+const OPEN_RISK: f64 = 0.5;
 /// Share of the bound that second copies and what is beyond quotas may fill: none in a slow fleet.
 const SPARE_ROOM: f64 = 0.5;
 /// Further attempts per first send, and how many may be saved up: too few to feed an overload.
@@ -615,16 +618,36 @@
         }
         let drawn = if off_count || plan.ceiling_rate > 0.0 { units } else { 0.0 };
         customer.share.level = (customer.share.level - drawn).max(0.0);
-        // An open cap: each gateway holds an even share of it, one at least.
-        let share = (plan.open / customer.spread).max(1);
-        if plan.open == 0 || customer.open < share {
+        if plan.open == 0 || self.under_open_cap(&key, &plan) {
             self.send_first(id);
         } else {
-            customer.lease += units; // Not sent, so not spent.
+            self.customers.get_mut(&key).expect("seen above").lease += units; // Not sent, so not spent.
             self.end(&id, self.latency);
         }
     }
 
+    /// An open cap holds over all gateways, and nobody tells what is out at the others. An even share, one at
+    /// least, is each one's own. Past that one more goes where it probably fits: by Little's law the others
+    /// have out what their part of the rate, or of a demand like the one here, keeps out for an answer's time.
+    fn under_open_cap(&self, key: &CustomerId, plan: &Plan) -> bool {
+        let customer = &self.customers[key];
+        if customer.open < (plan.open / customer.spread).max(1) {
+            return true;
+        }
+        let others = f64::from(customer.spread - 1);
+        let rate = (plan.rate / f64::from(customer.spread)).max(customer.demand.level / DEMAND_MEMORY);
+        // Until an answer has come, as slow as may be.
+        let latency = if self.latency > 0.0 { self.latency } else { self.aim() };
+        let mean = others * rate * latency;
+        // The chance that they leave no room, were theirs to come by chance.
+        let (mut term, mut fits) = ((-mean).exp(), 0.0);
+        for out in 0..plan.open.saturating_sub(customer.open) {
+            fits += term;
+            term *= mean / f64::from(out + 1);
+        }
+        1.0 - fits < OPEN_RISK / (1.0 + plan.overrun_cost)
+    }
+
     fn ask(&mut self, key: &CustomerId, plan: &Plan) {
         let (window, _) = window(plan, key, self.now);
         let customer = self.customers.get_mut(key).expect("asked for known customers only");
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -107,6 +107,28 @@
     assert_eq!(counts(&out).len(), 1, "an old lease covers nothing: the count is asked");
 }
 
+#[test]
+fn past_its_share_of_an_open_cap_a_gateway_goes_where_the_others_leave_room() {
+    // How many of six at once go under a cap of four at one of two gateways, as quickly as answers come.
+    let out_at_once = |spent: f64| {
+        let mut s = settings();
+        s.plans.push(s.plans[0].clone());
+        s.plans[0].open = 4;
+        s.classes[0].aim = 20.0; // So that no such answer is slow.
+        let (mut rig, mut counter) = (Rig::new(s), Counter::default());
+        let mut other = request("other", rig.now);
+        (other.plan, other.customer) = (1, "other".into());
+        for (job, server) in sends(&rig.event(Event::Request(other))) {
+            let (attempt, status, over, settled, load) = (0, Status::Ok, true, None, Load::default());
+            rig.event(Event::Outcome { job, attempt, server, status, spent, over, settled, load });
+        }
+        let asks = (0..6).flat_map(|i| counter.ask(&mut rig, &format!("j{i}")));
+        sends(&asks.collect::<Vec<_>>()).len()
+    };
+    assert_eq!(out_at_once(0.004), 4, "answers come fast, so the other has next to nothing out");
+    assert_eq!(out_at_once(0.5), 2, "in half a second the other fills its share");
+}
+
 #[test]
 fn an_open_cap_is_an_even_share_of_it() {
     let mut s = settings();
