--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,7 +41,7 @@
 const PRESSED_AIM: f64 = 0.08;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
-/// Chance of passing an open cap that a send may run, over one and what passing it costs: the other half of the
+/// Chance of passing an open cap that a send may run, over one and what passing costs: the other half of its
 /// worth is what a refused client's next try may still earn.
 const OPEN_RISK: f64 = 0.5;
 /// Share of the bound that second copies and what is beyond quotas may fill: none in a slow fleet.
@@ -628,7 +628,7 @@
 
     /// An open cap holds over all gateways, and nobody tells what is out at the others. An even share, one at
     /// least, is each one's own. Past that one more goes where it probably fits: by Little's law the others
-    /// have out what their part of the rate, or of a demand like the one here, keeps out for an answer's time.
+    /// have out what their part of the rate, or a demand like the one here, keeps out for an answer's time.
     fn under_open_cap(&self, key: &CustomerId, plan: &Plan) -> bool {
         let customer = &self.customers[key];
         if customer.open < (plan.open / customer.spread).max(1) {
