Judge a full fleet by answers' time over that of an idle one

The mark is now also 1.6 times the least that the middle answer took of late. Ruled out: the counter (calls unspent, levels known) and lost answers.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -39,6 +39,8 @@
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before less is let in: the rest is for swings.
 const PRESSED_AIM: f64 = 0.08;
+/// And times as long as answers take while little waits: work that itself takes long does not press.
+const PRESSED_IDLE: f64 = 1.6;
 /// Share of the aim after which a second copy may go out.
 const HEDGE_AIM: f64 = 0.4;
 /// Chance of passing an open cap that a send may run, over one and what passing costs: the other half of its
@@ -56,6 +58,8 @@
 const RATE_MEMORY: f64 = 3.0;
 /// Seconds over which the most that a server carried, and what went off the count, is forgotten: a warm-up.
 const PEAK_MEMORY: f64 = 20.0;
+/// How much slower than the middle answer's time the least of it forgets.
+const IDLE_GAIN: f64 = 0.02;
 /// Weight of a new value in a mean.
 const GAIN: f64 = 0.15;
 /// Share of attempts without an answer in time from which they count as slow answers, not as lost ones.
@@ -215,6 +219,8 @@
     latency: f64,
     /// The middle answer's time: lost answers and sick servers do not move it, a slow fleet does.
     typical: f64,
+    /// The least that it was of late: an answer's time while little waits.
+    idle: f64,
     /// Share of the attempts of late that had no answer in time.
     lost: f64,
     inflight: f64,
@@ -395,6 +401,14 @@
         if status == Status::Ok || self.lost > LOST_MOST {
             let typical = if self.typical == 0.0 { spent } else { self.typical };
             self.typical = typical * (spent.max(1e-3) / typical).powf(gain);
+            // It rises slowly, for a fleet that has become slower for good.
+            let rise = (IDLE_GAIN * gain).min(1.0);
+            self.idle = if self.idle == 0.0 {
+                self.typical
+            } else {
+                self.idle * (self.typical / self.idle).powf(rise)
+            };
+            self.idle = self.idle.min(self.typical);
         }
         self.beside += gain * (beside - self.beside);
     }
@@ -404,7 +418,8 @@
     /// few are out. A fraction lets in by chance, so that many gateways of little load keep it together.
     fn room(&mut self, share: f64) -> bool {
         let least = LEAST_OUT * self.names.len() as f64 / f64::from(self.set.gateways);
-        let ease = (PRESSED_AIM * self.aim() / self.typical.max(1e-3)).min(LIMIT_GROWTH);
+        let pressed = (PRESSED_AIM * self.aim()).max(PRESSED_IDLE * self.idle);
+        let ease = (pressed / self.typical.max(1e-3)).min(LIMIT_GROWTH);
         let mean = (self.beside + least) * ease;
         let fade = (1.0 - 1.0 / ease + (1.0 + mean).powi(-2)).clamp(0.0, 1.0);
         self.inflight + self.draw() <= share * (mean + fade * (1.0 + SWING * mean.sqrt()))
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -120,3 +120,23 @@
     let turned_away = refused_when_lost(8);
     assert!(turned_away >= 30, "{turned_away} turned away at once when eight in ten time out");
 }
+
+#[test]
+fn work_that_itself_takes_long_is_no_sign_of_a_full_fleet() {
+    // How many of six at once are sent after answers that took so long.
+    let sent_after = |answers: &[f64]| {
+        let mut s = settings();
+        s.plans[0].rate = 0.0; // No quota: the fleet alone decides.
+        let mut rig = Rig::new(s);
+        for (i, &spent) in answers.iter().enumerate() {
+            rig.now += 0.05;
+            for (job, server) in sends(&rig.ask(&format!("a{i}"))) {
+                let (attempt, status, over, settled, load) = (0, Status::Ok, true, None, Load::default());
+                rig.event(Event::Outcome { job, attempt, server, status, spent, over, settled, load });
+            }
+        }
+        (0..6).map(|i| sends(&rig.ask(&format!("b{i}"))).len()).sum::<usize>()
+    };
+    assert_eq!(sent_after(&[0.15; 40]), 6, "as long as ever: nothing waits");
+    assert!(sent_after(&[[0.15; 40], [0.6; 40]].concat()) < 6, "four times as long: much waits");
+}
