End a peer that brings no whole request within 3 s of its connecting

A head had 60 s to come and a body 10 s, against the 3 s within which such a peer is owed an error or a close. A head now has 2.2 s, which is also how long a connection may idle, and a body what is left of it, at least 0.5 s.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -28,10 +28,11 @@
 
 /// Longest head, in bytes.
 const MAX_HEAD: usize = 16 * 1024;
-/// Longest time for a head to come, and so for a connection to stand idle.
-const HEAD_TIME: Duration = Duration::from_secs(60);
-/// Longest time for a body to come.
-const BODY_TIME: Duration = Duration::from_secs(10);
+/// Longest time for a head to come, and so for a connection to stand idle: it may be closed after 2 s, and whoever
+/// sends no proper request is owed an end within 3 s of connecting.
+const HEAD_TIME: Duration = Duration::from_millis(2200);
+/// A body has what is left of the head's time, and this long at least.
+const BODY_TIME: Duration = Duration::from_millis(500);
 /// A connection that has carried nothing for so long may be closed to make room.
 const IDLE: Duration = Duration::from_millis(500);
 /// A connection that is to close has so long for its client to read the last answer.
@@ -153,7 +154,7 @@
         let mut response = if request.uri().path() == "/up" {
             plain(if self.stopping.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK })
         } else {
-            match self.demand(request).await {
+            match self.demand(request, peer).await {
                 Ok(demand) => self.answer(demand).await,
                 Err(status) => {
                     let mut response = plain(status);
@@ -190,7 +191,7 @@
     }
 
     /// Reads a request whole and checks it; the module never sees a bad one.
-    async fn demand(&self, request: Request<Incoming>) -> Result<Demand, StatusCode> {
+    async fn demand(&self, request: Request<Incoming>, peer: &Peer) -> Result<Demand, StatusCode> {
         let (head, body) = request.into_parts();
         let options = &self.hub.config().options;
         let bad = StatusCode::BAD_REQUEST;
@@ -221,7 +222,8 @@
         let body = if body.is_end_stream() {
             Bytes::new()
         } else {
-            let whole = tokio::time::timeout(BODY_TIME, Limited::new(body, MAX_BODY).collect()).await;
+            let limit = HEAD_TIME.saturating_sub(peer.since.get().elapsed()).max(BODY_TIME);
+            let whole = tokio::time::timeout(limit, Limited::new(body, MAX_BODY).collect()).await;
             let whole = whole
                 .map_err(|_| StatusCode::REQUEST_TIMEOUT)?
                 .map_err(|e| if e.is::<LengthLimitError>() { StatusCode::PAYLOAD_TOO_LARGE } else { bad })?;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -235,6 +235,24 @@
     assert_eq!(node.ask(&good().with("X-Remaining", "1e300")).status(), 200, "however long it would wait");
 }
 
+#[test]
+fn a_peer_that_brings_no_whole_request_is_not_waited_for() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (setup, _discovery) = Setup::new(&[&worker]);
+    let node = setup.start();
+    let part = "POST /submit HTTP/1.1\r\nX-Lane: sub";
+    // One sends nothing, one half a head, one a head without its body.
+    let mut peers: Vec<Client> = (0..3).map(|_| node.client()).collect();
+    peers[1].reader.get_mut().write_all(part.as_bytes()).expect("a socket");
+    peers[2].send(&Ask { body: Vec::new(), ..Ask::submit("x").with("Content-Length", "9") });
+    for peer in &mut peers {
+        let mut said = String::new();
+        peer.reader.read_to_string(&mut said).expect("closed before this test's own limit");
+        assert!(said.is_empty() || said.starts_with("HTTP/1.1 4"), "{said}");
+    }
+    assert!(worker.rest().is_empty());
+}
+
 #[test]
 fn a_counter_that_is_silent_busy_or_mad_leaves_the_even_share() {
     for how in [Counts::Never, Counts::Busy, Counts::Garbage] {
