--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -24,7 +24,7 @@
     net::{TcpListener, TcpStream},
     sync::Notify,
 };
-use weirusher::JobId;
+use weirusher::{Effect, JobId};
 
 /// Longest head, in bytes.
 const MAX_HEAD: usize = 16 * 1024;
@@ -197,9 +197,7 @@
         let bad = StatusCode::BAD_REQUEST;
         let lane = text(&head.headers, "x-lane").ok_or(bad)?;
         let class = options.classes.iter().position(|c| c == lane).ok_or(bad)?;
-        if head.uri.path().split('/').nth(1) != Some(lane)
-            || !matches!(head.method, Method::GET | Method::POST)
-        {
+        if head.uri.path().split('/').nth(1) != Some(lane) {
             return Err(bad);
         }
         let plan = text(&head.headers, "x-plan").ok_or(bad)?;
@@ -211,7 +209,20 @@
         let remaining = text(&head.headers, "x-remaining").and_then(number_from).ok_or(bad)?;
         let quota = text(&head.headers, "x-quota").and_then(Quota::parse).ok_or(bad)?;
         let gateways = options.settings.gateways;
-        let txn = head.headers.get("x-txn").filter(|t| !t.is_empty() && t.len() <= 256).ok_or(bad)?;
+        let txn = text(&head.headers, "x-txn").filter(|t| !t.is_empty() && t.len() <= 256).ok_or(bad)?;
+        let txn = HeaderValue::from_str(txn).map_err(|_| bad)?;
+        let key = head.headers.get("idempotency-key").cloned();
+        // The class decides the method, and whether there is a key: what differs is no client's request.
+        let proper = match options.settings.classes.get(class).map(|c| c.effect) {
+            Some(Effect::Safe) => head.method == Method::GET && body.is_end_stream(),
+            Some(Effect::Keyed { .. }) => {
+                head.method == Method::POST && text(&head.headers, "idempotency-key").is_some()
+            }
+            _ => head.method == Method::POST && key.is_none(),
+        };
+        if !proper {
+            return Err(bad);
+        }
         if number >= CUSTOMERS || quota.first >= gateways || !(1..=gateways).contains(&quota.spread) {
             return Err(bad);
         }
@@ -241,8 +252,8 @@
             repeat: head.headers.get("x-resent").is_some_and(|v| v == "1"),
             forward: Forward {
                 uri,
-                txn: txn.clone(),
-                idempotency_key: head.headers.get("idempotency-key").cloned(),
+                txn,
+                idempotency_key: key,
                 content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
                 method: head.method,
                 body,
