--- /dev/null
+++ b/src/bin/yardspur/admin.rs
@@ -0,0 +1,108 @@
+//! The second address: the operators' calls, one a connection.
+
+use crate::{clients::Clients, gateway::Hub};
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1::Builder, service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use percent_encoding::percent_decode_str;
+use std::{cell::RefCell, collections::VecDeque, convert::Infallible, rc::Rc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::AbortHandle,
+};
+
+/// Connections at most. At the edge the one that has been open longest goes: a call takes milliseconds, so
+/// that is one that completes none.
+pub const SEATS: usize = 8;
+/// Longest time for a call to come, and for its answer to be read.
+const PATIENCE: Duration = Duration::from_secs(3);
+/// Longest head, in bytes: hyper's least.
+const MAX_HEAD: usize = 8 * 1024;
+/// Pause after the system had no descriptor left.
+const PAUSE: Duration = Duration::from_millis(20);
+
+pub struct Admin {
+    hub: Rc<Hub>,
+    clients: Rc<Clients>,
+}
+
+impl Admin {
+    pub fn new(hub: Rc<Hub>, clients: Rc<Clients>) -> Rc<Self> {
+        Rc::new(Self { hub, clients })
+    }
+
+    /// Takes calls for good.
+    pub async fn serve(self: Rc<Self>, listener: TcpListener) {
+        let seats: RefCell<VecDeque<AbortHandle>> = RefCell::default();
+        loop {
+            match listener.accept().await {
+                Ok((socket, _)) => {
+                    let mut seats = seats.borrow_mut();
+                    seats.retain(|s| !s.is_finished());
+                    if seats.len() >= SEATS {
+                        seats.pop_front().iter().for_each(AbortHandle::abort);
+                    }
+                    let connection = tokio::time::timeout(PATIENCE, self.clone().connection(socket));
+                    seats.push_back(tokio::task::spawn_local(connection).abort_handle());
+                }
+                Err(e) => {
+                    eprintln!("yardspur: second address: {e}");
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    async fn connection(self: Rc<Self>, socket: TcpStream) {
+        let _ = socket.set_nodelay(true);
+        let service = service_fn(|request: Request<Incoming>| {
+            let status = self.call(request.method(), request.uri().path());
+            let mut response = Response::new(String::new());
+            *response.status_mut() = status;
+            std::future::ready(Ok::<_, Infallible>(response))
+        });
+        let mut builder = Builder::new();
+        builder.timer(TokioTimer::new()).keep_alive(false).max_buf_size(MAX_HEAD);
+        // How a caller goes is its own affair.
+        let _ = builder.serve_connection(TokioIo::new(socket), service).await;
+    }
+
+    fn call(&self, method: &Method, path: &str) -> StatusCode {
+        let (wanted, status) = match path.strip_prefix("/control/") {
+            Some("ready") => (Method::GET, None),
+            Some("out-of-service") => (Method::POST, Some(true)),
+            Some("in-service") => (Method::POST, Some(false)),
+            Some(rest) => return self.worker(method, rest),
+            None => return StatusCode::NOT_FOUND,
+        };
+        if method != wanted {
+            return StatusCode::METHOD_NOT_ALLOWED;
+        }
+        if let Some(away) = status {
+            eprintln!("yardspur: clients are {}", if away { "sent away" } else { "taken again" });
+            self.clients.send_away(away);
+        }
+        if path == "/control/ready" && self.clients.stops() {
+            return StatusCode::SERVICE_UNAVAILABLE;
+        }
+        StatusCode::OK
+    }
+
+    /// `workers/ID/offline` and `workers/ID/online`.
+    fn worker(&self, method: &Method, path: &str) -> StatusCode {
+        let call = path.strip_prefix("workers/").and_then(|rest| rest.rsplit_once('/'));
+        let (id, out) = match call {
+            Some((id, "offline")) => (id, true),
+            Some((id, "online")) => (id, false),
+            _ => return StatusCode::NOT_FOUND,
+        };
+        if method != Method::POST {
+            return StatusCode::METHOD_NOT_ALLOWED;
+        }
+        let known = percent_decode_str(id).decode_utf8().is_ok_and(|id| self.hub.set_aside(&id, out));
+        let what = if out { "offline" } else { "online" };
+        eprintln!("yardspur: worker {id:?} {what}: {}", if known { "done" } else { "no list has named it" });
+        if known { StatusCode::OK } else { StatusCode::NOT_FOUND }
+    }
+}
--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -37,6 +37,8 @@
 const IDLE: Duration = Duration::from_millis(500);
 /// A connection that is to close has so long for its client to read the last answer.
 const UNREAD: Duration = Duration::from_secs(1);
+/// Between looks for idle connections while clients are sent away.
+const SHED: Duration = Duration::from_millis(100);
 /// Pause at the edge of the budget, and after the system had no descriptor left.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Highest customer number, exclusive.
@@ -50,6 +52,13 @@
     close: Notify,
 }
 
+impl Peer {
+    /// One that has just come, or just had its answer, may have a request on its way.
+    fn idle(&self) -> bool {
+        !self.busy.get() && self.since.get().elapsed() > IDLE
+    }
+}
+
 pub struct Clients {
     hub: Rc<Hub>,
     peers: RefCell<FnvHashMap<u64, Rc<Peer>>>,
@@ -58,13 +67,18 @@
     /// A connection has ended.
     freed: Notify,
     stopping: Cell<bool>,
+    /// The operators send clients away, for a while.
+    away: Cell<bool>,
+    /// Idle connections are being closed.
+    shedding: Cell<bool>,
 }
 
 impl Clients {
     /// `budget` connections at most.
     pub fn new(hub: Rc<Hub>, budget: usize) -> Rc<Self> {
-        let (numbers, freed, stopping) = (Cell::new(0), Notify::new(), Cell::new(false));
-        Rc::new(Self { hub, peers: RefCell::default(), numbers, budget, freed, stopping })
+        let (numbers, freed) = (Cell::new(0), Notify::new());
+        let [stopping, away, shedding] = [const { Cell::new(false) }; 3];
+        Rc::new(Self { hub, peers: RefCell::default(), numbers, budget, freed, stopping, away, shedding })
     }
 
     /// From now on every answer closes its connection and `/up` says no.
@@ -72,6 +86,32 @@
         self.stopping.set(true);
     }
 
+    pub fn stops(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Sends clients away, or ends that: meanwhile `/up` says no, each answer closes its connection, and
+    /// idle ones are closed.
+    pub fn send_away(self: &Rc<Self>, away: bool) {
+        self.away.set(away);
+        if away && !self.shedding.replace(true) {
+            tokio::task::spawn_local(self.clone().shed());
+        }
+    }
+
+    async fn shed(self: Rc<Self>) {
+        while self.away.get() {
+            self.peers.borrow().values().filter(|p| p.idle()).for_each(|p| p.close.notify_one());
+            tokio::time::sleep(SHED).await;
+        }
+        self.shedding.set(false);
+    }
+
+    /// Answers close their connections.
+    fn closing(&self) -> bool {
+        self.stopping.get() || self.away.get()
+    }
+
     /// Closes each connection now if it is idle, else after the answer in hand.
     pub fn close(&self) {
         self.peers.borrow().values().for_each(|p| p.close.notify_one());
@@ -110,9 +150,7 @@
 
     fn close_longest_idle(&self) {
         let peers = self.peers.borrow();
-        // One that has just come, or just had its answer, may have a request on its way.
-        let idle = |p: &&Rc<Peer>| !p.busy.get() && p.since.get().elapsed() > IDLE;
-        if let Some(peer) = peers.values().filter(idle).min_by_key(|p| p.since.get()) {
+        if let Some(peer) = peers.values().filter(|p| p.idle()).min_by_key(|p| p.since.get()) {
             peer.close.notify_one();
         }
     }
@@ -152,7 +190,7 @@
         // Also when the client goes and this is dropped half way.
         let _busy = Busy(peer.clone());
         let mut response = if request.uri().path() == "/up" {
-            plain(if self.stopping.get() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK })
+            plain(if self.closing() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK })
         } else {
             match self.demand(request, peer).await {
                 Ok(demand) => self.answer(demand).await,
@@ -165,7 +203,7 @@
                 }
             }
         };
-        if self.stopping.get() {
+        if self.closing() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response
--- a/src/bin/yardspur/config.rs
+++ b/src/bin/yardspur/config.rs
@@ -42,6 +42,7 @@
     seed: String,
     limits: Limits,
     counter: Option<SocketAddr>,
+    admin: Option<SocketAddr>,
     known: List,
     settings: Value,
 }
@@ -55,6 +56,8 @@
     /// Descriptors that the process may hold.
     pub sockets: usize,
     pub counter: Option<SocketAddr>,
+    /// Where the operators' calls are taken, if anywhere.
+    pub admin: Option<SocketAddr>,
     pub known: Vec<Entry>,
     pub options: Options,
 }
@@ -65,6 +68,7 @@
     Unreadable(std::io::Error),
     Malformed(serde_json::Error),
     BadSeed,
+    BadAdmin,
     BadTime(&'static str),
     TooFewSockets(usize),
     Options(OptionsError),
@@ -77,6 +81,7 @@
             Self::Unreadable(e) => write!(f, "the configuration can't be read: {e}"),
             Self::Malformed(e) => write!(f, "the configuration is malformed: {e}"),
             Self::BadSeed => f.write_str("the configuration's seed is not a hexadecimal number"),
+            Self::BadAdmin => f.write_str("NODE_ADMIN is no address"),
             Self::BadTime(key) => write!(f, "Options.Limits.{key} is not a usable time"),
             Self::TooFewSockets(n) => {
                 write!(f, "{n} sockets are too few: {} at least", Config::LEAST_SOCKETS)
@@ -93,7 +98,13 @@
     /// Reads the file that `NODE_CONFIG` names.
     pub fn load() -> Result<Self, ConfigError> {
         let path = std::env::var_os("NODE_CONFIG").ok_or(ConfigError::NoPath)?;
-        Self::read(&std::fs::read(path).map_err(ConfigError::Unreadable)?)
+        let mut config = Self::read(&std::fs::read(path).map_err(ConfigError::Unreadable)?)?;
+        // This process's own: a file may serve two while one takes over from the other.
+        if let Some(admin) = std::env::var_os("NODE_ADMIN").filter(|a| !a.is_empty()) {
+            let admin = admin.to_str().and_then(|a| a.parse().ok()).ok_or(ConfigError::BadAdmin)?;
+            config.admin = Some(admin);
+        }
+        Ok(config)
     }
 
     fn read(text: &[u8]) -> Result<Self, ConfigError> {
@@ -114,6 +125,7 @@
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::BadSeed)?,
             sockets: file.limits.sockets,
             counter: file.counter,
+            admin: file.admin,
             known: file.known.servers,
             options,
         })
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -245,6 +245,16 @@
         self.sweep();
     }
 
+    /// Takes a worker out by hand, or puts it back; `false`: no list has ever named it.
+    pub fn set_aside(&self, id: &str, out: bool) -> bool {
+        let known = self.gateway.borrow_mut().set_aside(self.clock.now(), id, out);
+        let addr = self.addrs.borrow().get(id).copied();
+        if let (true, Some(addr)) = (known && out, addr) {
+            self.workers.close_idle(addr);
+        }
+        known
+    }
+
     /// Takes a client's request; its final answer comes by the receiver.
     pub fn take(self: &Rc<Self>, demand: Demand) -> (JobId, oneshot::Receiver<Answer>) {
         self.jobs.set(self.jobs.get() + 1);
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -1,6 +1,7 @@
 //! yardspur: the gateway on real sockets. Reads the configuration, wires the parts and ends in good order.
 #![forbid(unsafe_code)]
 
+mod admin;
 mod clients;
 mod config;
 mod counter;
@@ -9,6 +10,7 @@
 mod link;
 mod workers;
 
+use admin::Admin;
 use clients::Clients;
 use config::{Config, ConfigError};
 use gateway::Hub;
@@ -34,6 +36,8 @@
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors beside clients and workers: the standard three, runtime, signals, listener, discovery, counter.
 const OTHERS: usize = 24 + counter::LINES;
+/// And those of a second address.
+const ADMIN: usize = 1 + admin::SEATS;
 
 #[derive(Debug)]
 enum NodeError {
@@ -65,7 +69,11 @@
     let bound = listener.local_addr().map_err(NodeError::Listen)?;
     let name = config.name.clone();
     // An attempt may be out for each client, so both get the same.
-    let share = (config.sockets - OTHERS) / 2;
+    let share = (config.sockets - OTHERS - config.admin.map_or(0, |_| ADMIN)) / 2;
+    let admin = match config.admin {
+        Some(addr) => Some(TcpListener::bind(addr).await.map_err(NodeError::Listen)?),
+        None => None,
+    };
     let (discovery_at, discovery) = watch::channel(config.discovery);
     let hub = Hub::new(config, share).map_err(NodeError::Settings)?;
     hub.start_counter();
@@ -74,6 +82,12 @@
     let timers = tokio::task::spawn_local(hub.clone().run_timers());
     let sweeps = tokio::task::spawn_local(sweep(hub.clone()));
     let clients = Clients::new(hub.clone(), share);
+    if let Some(listener) = admin {
+        if let Ok(at) = listener.local_addr() {
+            eprintln!("yardspur: {name} takes the operators' calls on {at}");
+        }
+        tokio::task::spawn_local(Admin::new(hub.clone(), clients.clone()).serve(listener));
+    }
     eprintln!("yardspur: {name} listens on {bound}");
     tokio::select! {
         () = clients.accept(&listener) => {}
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -85,6 +85,11 @@
         });
     }
 
+    /// Closes the idle connections to one worker.
+    pub fn close_idle(&self, addr: SocketAddr) {
+        self.idle.borrow_mut().remove(&addr);
+    }
+
     fn take(&self, addr: SocketAddr) -> Option<Pooled> {
         let mut idle = self.idle.borrow_mut();
         let links = idle.get_mut(&addr)?;
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,7 +5,7 @@
 //! counter is quiet an even share of rate and burst decides. The rest: rules, server choice, attempts.
 
 use crate::interface::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::Hasher;
 
 // ---- Tuned constants: unit and reason beside each; all else is scaled from the settings. ----
@@ -197,7 +197,9 @@
     now: Time,
     out: Vec<Action>,
     rng: Option<fastrand::Rng>,
-    /// Running servers, to draw from.
+    /// Servers that the operators have taken out by hand. No list puts one back.
+    aside: BTreeSet<ServerId>,
+    /// Running servers that are not aside, to draw from.
     names: Vec<ServerId>,
     /// Where in the list, from 0 to 1, this gateway's own servers begin.
     phase: f64,
@@ -356,7 +358,32 @@
             }
             host.running = entry.lifecycle == Lifecycle::Running;
         }
-        self.names = self.servers.iter().filter(|(_, h)| h.running).map(|(id, _)| id.clone()).collect();
+        self.name_running();
+    }
+
+    fn name_running(&mut self) {
+        let usable = |(id, h): &(&ServerId, &Host)| h.running && !self.aside.contains(*id);
+        self.names = self.servers.iter().filter(usable).map(|(id, _)| id.clone()).collect();
+    }
+
+    /// Takes a server out by hand (`out`), or puts it back, until told otherwise; saying so again changes
+    /// nothing. `false`: no list has ever named it.
+    pub fn set_aside(&mut self, now: Time, id: &str, out: bool) -> bool {
+        self.now = now;
+        let phase = self.draw();
+        let latency = self.latency;
+        let Some((id, _)) = self.servers.get_key_value(id) else { return false };
+        let id = id.clone();
+        let changed = if out { self.aside.insert(id.clone()) } else { self.aside.remove(&id) };
+        if let (true, false, Some(host)) = (changed, out, self.servers.get_mut(&id)) {
+            // It may have restarted untold while it was out: a new life, which begins now at the latest.
+            let Host { zone, cell, inflight, running, .. } = *host;
+            let cold = Store { level: phase, at: now };
+            *host = Host { zone, cell, inflight, running, cold, latency, ..Host::default() };
+            (host.cold_since, host.out_for) = (now, EJECT.0);
+        }
+        self.name_running();
+        true
     }
 
     /// Learns from an attempt's end. Slow, failing and vanished servers all show here, whatever the cause.
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -1,5 +1,6 @@
 //! What stands round the gateway in its tests: workers, a counter and discovery on loopback sockets, and the
 //! built program itself. All wait on events, with limits far beyond what any of it takes.
+#![allow(dead_code)]
 
 use serde_json::{Value, json};
 use std::{
@@ -424,6 +425,8 @@
 
 pub struct Node {
     pub addr: SocketAddr,
+    /// Where it takes the operators' calls; port 0: nowhere.
+    pub admin: SocketAddr,
     pub child: Child,
     pub log: Receiver<String>,
     config: PathBuf,
@@ -436,6 +439,8 @@
     pub discovery: SocketAddr,
     pub counter: Option<SocketAddr>,
     pub sockets: usize,
+    /// It has a second address.
+    pub admin: bool,
 }
 
 impl Setup {
@@ -446,14 +451,22 @@
         let discovery = Discovery::start(&entries);
         let addr = discovery.addr;
         (
-            Self { settings: settings(), known: entries, discovery: addr, counter: None, sockets: 256 },
+            Self {
+                settings: settings(),
+                known: entries,
+                discovery: addr,
+                counter: None,
+                sockets: 256,
+                admin: false,
+            },
             discovery,
         )
     }
 
     pub fn config(&self) -> Value {
+        let admin = self.admin.then_some("127.0.0.1:0");
         json!({
-            "name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.to_string(),
+            "name": "n0", "admin": admin, "listen": "127.0.0.1:0", "discovery": self.discovery.to_string(),
             "seed": "8c1f30d27a5be964", "counter": self.counter.map(|c| c.to_string()),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": {"version": 0, "full": true, "servers": self.known}, "settings": self.settings,
@@ -466,9 +479,14 @@
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let (tell, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
-        let mut node = Node { addr: "127.0.0.1:0".parse().expect("an address"), child, log, config };
+        let nowhere = "127.0.0.1:0".parse().expect("an address");
+        let mut node = Node { addr: nowhere, admin: nowhere, child, log, config };
+        let at = |line: String| line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        if self.admin {
+            node.admin = at(node.says("takes the operators' calls on "));
+        }
         let line = node.says("listens on ");
-        node.addr = line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("what it bound");
+        node.addr = at(line);
         node
     }
 }
@@ -517,6 +535,19 @@
         Client { reader: BufReader::new(socket) }
     }
 
+    /// One of the operators' calls; the answer's status.
+    pub fn call(&self, line: &str) -> u16 {
+        let mut socket = TcpStream::connect(self.admin).expect("it listens");
+        socket.set_read_timeout(Some(LIMIT)).expect("a socket");
+        write!(socket, "{line} HTTP/1.1\r\nHost: n0\r\n\r\n").expect("a socket");
+        read_message(&mut BufReader::new(socket)).expect("an answer").status()
+    }
+
+    /// Descriptors that it holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("a process").count()
+    }
+
     /// One request on a connection of its own.
     pub fn ask(&self, ask: &Ask) -> Message {
         self.client().ask(ask)
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -140,3 +140,36 @@
     assert_eq!(sent_after(&[0.15; 40]), 6, "as long as ever: nothing waits");
     assert!(sent_after(&[[0.15; 40], [0.6; 40]].concat()) < 6, "four times as long: much waits");
 }
+
+#[test]
+fn a_server_out_by_hand_stays_out_whatever_the_list_and_is_cold_when_back() {
+    let mut free = settings();
+    free.plans = vec![Plan::default()];
+    let mut rig = Rig::new(free);
+    assert!(!rig.gateway.set_aside(rig.now, "nonesuch", true), "never listed");
+    assert!(!rig.gateway.set_aside(rig.now, "nonesuch", false));
+    for id in ["a", "b"] {
+        assert!(rig.gateway.set_aside(rig.now, id, true) && rig.gateway.set_aside(rig.now, id, true));
+    }
+    // Listed anew, restarted, drained and back.
+    for (lifecycle, started) in
+        [(Lifecycle::Running, 99.0), (Lifecycle::Draining, 99.0), (Lifecycle::Running, 99.5)]
+    {
+        rig.list(ListKind::Changes, vec![server("a", lifecycle, started)]);
+    }
+    for i in 0..6 {
+        assert!(sends(&rig.ask(&format!("j{i}"))).iter().all(|(_, s)| &**s == "c"));
+    }
+    assert!(rig.gateway.set_aside(rig.now, "a", false), "one call back ends it");
+    assert!(rig.gateway.set_aside(rig.now, "c", false), "one that is not out is left as it is");
+    let mut used = std::collections::BTreeMap::<_, u32>::new();
+    for i in 0..60 {
+        rig.now += 0.05;
+        for (job, server) in sends(&rig.ask(&format!("k{i}"))) {
+            *used.entry(server.to_string()).or_default() += 1;
+            rig.outcome(&job, 0, &server, Status::Ok);
+        }
+    }
+    assert!(used.get("a").is_some_and(|n| *n * 2 < used["c"]), "used, but as a cold one: {used:?}");
+    assert!(!used.contains_key("b"));
+}
