--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -231,7 +231,7 @@
     /// Reads a request whole and checks it; the module never sees a bad one.
     async fn demand(&self, request: Request<Incoming>, peer: &Peer) -> Result<Demand, StatusCode> {
         let (head, body) = request.into_parts();
-        let options = &self.hub.config().options;
+        let options = self.hub.options();
         let bad = StatusCode::BAD_REQUEST;
         let lane = text(&head.headers, "x-lane").ok_or(bad)?;
         let class = options.classes.iter().position(|c| c == lane).ok_or(bad)?;
@@ -278,6 +278,9 @@
                 .map_err(|e| if e.is::<LengthLimitError>() { StatusCode::PAYLOAD_TOO_LARGE } else { bad })?;
             whole.to_bytes()
         };
+        // The settings may have changed while the body came: its class may stand elsewhere, or be gone.
+        let class =
+            self.hub.options().classes.iter().position(|c| *c == options.classes[class]).ok_or(bad)?;
         Ok(Demand {
             class,
             plan,
--- a/src/bin/yardspur/config.rs
+++ b/src/bin/yardspur/config.rs
@@ -60,6 +60,8 @@
     pub admin: Option<SocketAddr>,
     pub known: Vec<Entry>,
     pub options: Options,
+    /// The file as it was read: one that replaces it must hold what it held.
+    text: Value,
 }
 
 #[derive(Debug)]
@@ -72,6 +74,10 @@
     BadTime(&'static str),
     TooFewSockets(usize),
     Options(OptionsError),
+    /// The named key stood in the file before, and now does not, or holds another kind of value.
+    Missing(String),
+    /// The named list is empty, or does not begin as it did: its positions are in use.
+    Moved(&'static str),
 }
 
 impl fmt::Display for ConfigError {
@@ -86,6 +92,8 @@
             Self::TooFewSockets(n) => {
                 write!(f, "{n} sockets are too few: {} at least", Config::LEAST_SOCKETS)
             }
+            Self::Missing(key) => write!(f, "the configuration lacks {key}, or it is of another kind"),
+            Self::Moved(key) => write!(f, "the configuration's {key} may only grow at their end"),
             Self::Options(e) => write!(f, "the configuration's settings: {e}"),
         }
     }
@@ -107,8 +115,27 @@
         Ok(config)
     }
 
+    /// Reads the file that has come in this one's place, and checks all of it against this one.
+    pub fn reload(&self) -> Result<Self, ConfigError> {
+        let next = Self::load()?;
+        if let Some(key) = missing(&self.text, &next.text) {
+            return Err(ConfigError::Missing(key));
+        }
+        if next.options.classes.is_empty() {
+            return Err(ConfigError::Moved("classes"));
+        }
+        if !next.options.plans.starts_with(&self.options.plans) {
+            return Err(ConfigError::Moved("plans"));
+        }
+        if !next.options.zones.starts_with(&self.options.zones) {
+            return Err(ConfigError::Moved("zones"));
+        }
+        Ok(next)
+    }
+
     fn read(text: &[u8]) -> Result<Self, ConfigError> {
-        let file: File = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
+        let text: Value = serde_json::from_slice(text).map_err(ConfigError::Malformed)?;
+        let file = File::deserialize(&text).map_err(ConfigError::Malformed)?;
         let options = Options::read(&file.settings).map_err(ConfigError::Options)?;
         let usable = |v: f64| v > 0.0 && v <= 3600.0;
         let times = [("ConnIdle", options.conn_idle), ("ConnectTimeout", options.connect_timeout)];
@@ -128,6 +155,57 @@
             admin: file.admin,
             known: file.known.servers,
             options,
+            text,
         })
     }
 }
+
+/// The first key of `old` that `new` lacks or holds as another kind of value, at any depth. Of a list's
+/// entries each new one needs what every old one had.
+fn missing(old: &Value, new: &Value) -> Option<String> {
+    let within =
+        |key: &str, inner: String| if inner.is_empty() { key.to_owned() } else { format!("{key}.{inner}") };
+    match (old, new) {
+        (Value::Null, _) => None,
+        (Value::Object(old), Value::Object(new)) => old.iter().find_map(|(key, value)| {
+            let found = missing(value, new.get(key).unwrap_or(&Value::Null))?;
+            Some(within(key, found))
+        }),
+        (Value::Array(old), Value::Array(new)) => {
+            let first = old.first()?;
+            let common = match first {
+                Value::Object(keys) => {
+                    let everywhere = |key: &str| old.iter().all(|e| e.get(key).is_some());
+                    Value::Object(
+                        keys.iter()
+                            .filter(|(k, _)| everywhere(k))
+                            .map(|(k, v)| (k.clone(), v.clone()))
+                            .collect(),
+                    )
+                }
+                other => other.clone(),
+            };
+            new.iter().find_map(|entry| missing(&common, entry))
+        }
+        (old, new) => (std::mem::discriminant(old) != std::mem::discriminant(new)).then(String::new),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use serde_json::json;
+
+    #[test]
+    fn a_key_that_is_gone_or_of_another_kind_is_found_at_any_depth() {
+        let old = json!({"a": {"b": 1, "c": null}, "list": [{"x": 1, "odd": 2}, {"x": 2}], "on": true});
+        let lacks = |new: Value| missing(&old, &new);
+        assert_eq!(lacks(old.clone()), None);
+        assert_eq!(lacks(json!({"a": {"b": 2.5}, "list": [{"x": 3}], "on": false, "new": 1})), None);
+        assert_eq!(lacks(json!({"a": {"b": 1}, "list": []})), Some("on".into()));
+        assert_eq!(lacks(json!({"a": {}, "list": [], "on": true})), Some("a.b".into()));
+        assert_eq!(lacks(json!({"a": {"b": "1"}, "list": [], "on": true})), Some("a.b".into()));
+        assert_eq!(lacks(json!({"a": {"b": 1}, "list": [{"x": 1}, {}], "on": true})), Some("list.x".into()));
+        assert_eq!(lacks(json!([])), Some(String::new()));
+    }
+}
--- a/src/bin/yardspur/counter.rs
+++ b/src/bin/yardspur/counter.rs
@@ -6,7 +6,7 @@
 
 use crate::gateway::Hub;
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::VecDeque,
     io::{self, ErrorKind},
     net::SocketAddr,
@@ -89,9 +89,9 @@
 
 pub struct Counter {
     addr: watch::Sender<SocketAddr>,
-    limit: Duration,
+    limit: Cell<Duration>,
     lines: RefCell<Vec<Line>>,
-    numbers: std::cell::Cell<u64>,
+    numbers: Cell<u64>,
 }
 
 /// An answer of the counter.
@@ -115,7 +115,7 @@
 impl Counter {
     pub fn new(addr: SocketAddr, limit: Duration) -> Self {
         let lines = RefCell::new((0..LINES).map(|_| Line::default()).collect());
-        Self { addr: watch::Sender::new(addr), limit, lines, numbers: Default::default() }
+        Self { addr: watch::Sender::new(addr), limit: Cell::new(limit), lines, numbers: Default::default() }
     }
 
     /// From now on the counter is at `addr`: each line connects there once its answers have come.
@@ -123,6 +123,11 @@
         self.addr.send_if_modified(|now| std::mem::replace(now, addr) != addr);
     }
 
+    /// From now on a call is given up after `limit`.
+    pub fn retune(&self, limit: Duration) {
+        self.limit.set(limit);
+    }
+
     /// Connects the first line.
     pub fn start(&self, hub: &Rc<Hub>) {
         self.lines.borrow_mut()[0].started = true;
@@ -140,7 +145,7 @@
             Call { name: Some(name), number, since: Instant::now(), text, written: 0, reported: false };
         let mut lines = self.lines.borrow_mut();
         let waits = |l: &Line| l.calls.iter().any(|c| c.name == Some(name) && !c.reported);
-        let free = |l: &Line| !l.overdue(self.limit);
+        let free = |l: &Line| !l.overdue(self.limit.get());
         let chosen = lines
             .iter()
             .position(waits)
@@ -253,7 +258,7 @@
     let (mut wait, mut well) = (BACKOFF.0, true);
     loop {
         let now = *addr.borrow_and_update();
-        let end = match tokio::time::timeout(counter.limit * 5, TcpStream::connect(now)).await {
+        let end = match tokio::time::timeout(counter.limit.get() * 5, TcpStream::connect(now)).await {
             Ok(Ok(socket)) => run(counter, index, socket, &hub, &mut wait, &mut addr).await,
             Ok(Err(e)) => e,
             Err(_) => ErrorKind::TimedOut.into(),
@@ -296,7 +301,7 @@
     };
     let (mut read, mut buffer) = (Vec::new(), [0; 4096]);
     let mut ping = tokio::time::interval(PING);
-    let stuck = counter.limit * STUCK_LIMITS;
+    let stuck = counter.limit.get() * STUCK_LIMITS;
     loop {
         let (unwritten, given_up) = {
             let line = &mut counter.lines.borrow_mut()[index];
--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -1,7 +1,7 @@
 //! Follows the list of workers: one watch after another, the whole list after any doubt.
 
 use crate::{
-    config::{Config, Entry, List},
+    config::{Entry, List},
     gateway::Hub,
     link::Link,
 };
@@ -110,14 +110,14 @@
 }
 
 /// An entry in the module's terms; `None` where its state is unknown.
-pub fn server(entry: &Entry, config: &Config) -> Option<Server> {
+pub fn server(entry: &Entry, zones: &[String]) -> Option<Server> {
     let lifecycle = match entry.state.as_str() {
         "SERVING" => Lifecycle::Running,
         "DRAINING" => Lifecycle::Draining,
         "DELETED" => Lifecycle::Gone,
         _ => return None,
     };
-    let zone = config.options.zones.iter().position(|z| *z == entry.zone);
+    let zone = zones.iter().position(|z| *z == entry.zone);
     Some(Server {
         id: entry.id.as_str().into(),
         zone: zone.map_or(u32::MAX, |z| z as u32),
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -22,7 +22,7 @@
     task::AbortHandle,
 };
 use weirusher::{
-    Action, Event, Gateway, JobId, ListKind, Load, Request, ServerId, SettingsError, Status, Time,
+    Action, Event, Gateway, JobId, ListKind, Load, Options, Request, ServerId, SettingsError, Status, Time,
 };
 
 /// The longest time that a client may name, in seconds: more is cut to it.
@@ -134,7 +134,7 @@
 }
 
 pub struct Hub {
-    config: Config,
+    options: RefCell<Rc<Options>>,
     clock: Clock,
     gateway: RefCell<Gateway>,
     events: RefCell<VecDeque<Event>>,
@@ -152,15 +152,11 @@
 }
 
 impl Hub {
-    pub fn new(config: Config, worker_budget: usize) -> Result<Rc<Self>, SettingsError> {
+    pub fn new(config: &Config, worker_budget: usize) -> Result<Rc<Self>, SettingsError> {
         let gateway = Gateway::new(config.options.settings.clone(), config.seed)?;
         let limit = Duration::from_secs_f64(config.options.settings.count_limit);
         let counter = config.counter.filter(|_| config.options.settings.has_counter);
-        let workers = Workers::new(
-            worker_budget,
-            Duration::from_secs_f64(config.options.conn_idle),
-            Duration::from_secs_f64(config.options.connect_timeout),
-        );
+        let workers = Workers::new(worker_budget, &config.options);
         let hub = Rc::new(Self {
             clock: Clock::new(),
             gateway: RefCell::new(gateway),
@@ -175,9 +171,9 @@
             serving: RefCell::default(),
             workers,
             counter: counter.map(|addr| Counter::new(addr, limit)),
-            config,
+            options: RefCell::new(Rc::new(config.options.clone())),
         });
-        hub.list(ListKind::Stale, hub.config.known.clone());
+        hub.list(ListKind::Stale, config.known.clone());
         Ok(hub)
     }
 
@@ -193,8 +189,19 @@
         self.open.borrow().values().filter(|o| o.answer.is_some()).count()
     }
 
-    pub fn config(&self) -> &Config {
-        &self.config
+    pub fn options(&self) -> Rc<Options> {
+        self.options.borrow().clone()
+    }
+
+    /// Puts other settings in the place of the present ones, all of them or, with an error, none.
+    pub fn retune(&self, options: Options) -> Result<(), SettingsError> {
+        self.gateway.borrow_mut().retune(options.settings.clone())?;
+        self.workers.retune(&options);
+        if let Some(counter) = &self.counter {
+            counter.retune(Duration::from_secs_f64(options.settings.count_limit));
+        }
+        self.options.replace(Rc::new(options));
+        Ok(())
     }
 
     pub fn counter(&self) -> Option<&Counter> {
@@ -222,14 +229,14 @@
 
     /// News of the workers. Names are mapped to addresses here, which are each gateway's own.
     pub fn list(self: &Rc<Self>, kind: ListKind, entries: Vec<Entry>) {
-        let mut servers = Vec::with_capacity(entries.len());
+        let (mut servers, options) = (Vec::with_capacity(entries.len()), self.options());
         {
             let (mut addrs, mut serving) = (self.addrs.borrow_mut(), self.serving.borrow_mut());
             if kind != ListKind::Changes {
                 serving.clear();
             }
             for entry in entries {
-                let Some(server) = discovery::server(&entry, &self.config) else { continue };
+                let Some(server) = discovery::server(&entry, &options.zones) else { continue };
                 if let Ok(addr) = entry.addr.parse() {
                     addrs.insert(server.id.clone(), addr);
                 }
@@ -353,7 +360,7 @@
             Action::Count { counter, amount, ttl } => match &self.counter {
                 Some(client) => {
                     let number = client.call(self, counter, amount, ttl);
-                    let limit = self.config.options.settings.count_limit;
+                    let limit = self.options.borrow().settings.count_limit;
                     self.set_timer(now + limit, Due::Count(number));
                 }
                 None => {
@@ -431,7 +438,7 @@
 
     fn probe(self: &Rc<Self>, server: ServerId) {
         let addr = self.addrs.borrow().get(&server).copied();
-        let (hub, limit) = (self.clone(), Duration::from_secs_f64(self.config.options.connect_timeout));
+        let (hub, limit) = (self.clone(), Duration::from_secs_f64(self.options.borrow().connect_timeout));
         tokio::task::spawn_local(async move {
             let probed = match addr {
                 Some(addr) => tokio::time::timeout(limit, hub.workers.probe(addr)).await.ok(),
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -75,10 +75,10 @@
         None => None,
     };
     let (discovery_at, discovery) = watch::channel(config.discovery);
-    let hub = Hub::new(config, share).map_err(NodeError::Settings)?;
+    let hub = Hub::new(&config, share).map_err(NodeError::Settings)?;
     hub.start_counter();
     let discovery = tokio::task::spawn_local(discovery::follow(discovery, hub.clone()));
-    let reloads = tokio::task::spawn_local(reload(hangup, discovery_at, hub.clone()));
+    let reloads = tokio::task::spawn_local(reload(hangup, config, discovery_at, hub.clone()));
     let timers = tokio::task::spawn_local(hub.clone().run_timers());
     let sweeps = tokio::task::spawn_local(sweep(hub.clone()));
     let clients = Clients::new(hub.clone(), share);
@@ -125,18 +125,27 @@
     }
 }
 
-/// At each SIGHUP reads the configuration again and goes where it says that discovery and the counter are now;
-/// all else in it holds until the next start. One that can't be read changes nothing.
-async fn reload(mut hangup: Signal, discovery: watch::Sender<SocketAddr>, hub: Rc<Hub>) {
+/// At each SIGHUP reads the configuration again and checks it whole. Then its settings hold, and discovery and
+/// the counter are where it says; all else in it holds until the next start. A bad one changes nothing.
+async fn reload(mut hangup: Signal, mut config: Config, discovery: watch::Sender<SocketAddr>, hub: Rc<Hub>) {
     while hangup.recv().await.is_some() {
-        match Config::load() {
-            Ok(config) => {
-                eprintln!("yardspur: configuration read again: discovery at {}", config.discovery);
-                discovery
-                    .send_if_modified(|now| std::mem::replace(now, config.discovery) != config.discovery);
-                if let (Some(counter), Some(addr)) = (hub.counter(), config.counter) {
+        let next = config.reload().map_err(NodeError::Config);
+        let taken = next.and_then(|next| {
+            hub.retune(next.options.clone()).map_err(NodeError::Settings)?;
+            Ok(next)
+        });
+        match taken {
+            Ok(next) => {
+                let classes = next.options.classes.join(", ");
+                eprintln!(
+                    "yardspur: configuration read again: discovery at {}, classes {classes}",
+                    next.discovery
+                );
+                discovery.send_if_modified(|now| std::mem::replace(now, next.discovery) != next.discovery);
+                if let (Some(counter), Some(addr)) = (hub.counter(), next.counter) {
                     counter.move_to(addr);
                 }
+                config = next;
             }
             Err(error) => eprintln!("yardspur: the old configuration stays: {error}"),
         }
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -11,7 +11,7 @@
     rc::Rc,
     time::{Duration, Instant},
 };
-use weirusher::{Load, Status};
+use weirusher::{Load, Options, Status};
 
 /// What goes on to a worker.
 #[derive(Debug, Clone)]
@@ -65,22 +65,31 @@
     idle: RefCell<FnvHashMap<SocketAddr, Vec<Pooled>>>,
     open: Rc<Cell<usize>>,
     budget: usize,
-    keep: Duration,
-    connect: Duration,
+    keep: Cell<Duration>,
+    connect: Cell<Duration>,
 }
 
 impl Workers {
-    /// `budget` connections at most, none kept idle for `idle_limit`, none waited for past `connect`.
-    pub fn new(budget: usize, idle_limit: Duration, connect: Duration) -> Self {
+    /// `budget` connections at most.
+    pub fn new(budget: usize, options: &Options) -> Self {
+        let (keep, connect) = Default::default();
+        let workers = Self { idle: RefCell::default(), open: Rc::default(), budget, keep, connect };
+        workers.retune(options);
+        workers
+    }
+
+    /// From now on keeps none idle for the options' limit, and waits for none past their time.
+    pub fn retune(&self, options: &Options) {
+        let idle_limit = Duration::from_secs_f64(options.conn_idle);
         // A worker closes at its limit, and a request that crosses that is lost: close well before.
-        let keep = idle_limit.saturating_sub(Duration::from_secs(2)).max(idle_limit / 2);
-        Self { idle: RefCell::default(), open: Rc::default(), budget, keep, connect }
+        self.keep.set(idle_limit.saturating_sub(Duration::from_secs(2)).max(idle_limit / 2));
+        self.connect.set(Duration::from_secs_f64(options.connect_timeout));
     }
 
     /// Closes idle connections that are dead or due; keeps none to workers that `wanted` does not name.
     pub fn sweep(&self, wanted: impl Fn(&SocketAddr) -> bool) {
         self.idle.borrow_mut().retain(|addr, links| {
-            links.retain_mut(|p| p.since.elapsed() < self.keep && p.link.ready());
+            links.retain_mut(|p| p.since.elapsed() < self.keep.get() && p.link.ready());
             !links.is_empty() && wanted(addr)
         });
     }
@@ -96,7 +105,7 @@
         loop {
             // The last one used first: the rest stay idle and go. A dead one is dropped here, unreported.
             let mut pooled = links.pop()?;
-            if pooled.since.elapsed() < self.keep && pooled.link.ready() {
+            if pooled.since.elapsed() < self.keep.get() && pooled.link.ready() {
                 return Some(pooled);
             }
         }
@@ -123,7 +132,7 @@
     async fn fresh(&self, addr: SocketAddr) -> Result<Pooled, Status> {
         // No descriptor left says nothing of the worker: the attempt was never sent.
         let slot = self.slot().ok_or(Status::Moot)?;
-        let link = Link::open(addr, self.connect).await.map_err(|_| Status::ConnectFailed)?;
+        let link = Link::open(addr, self.connect.get()).await.map_err(|_| Status::ConnectFailed)?;
         Ok(Pooled { link, since: Instant::now(), _slot: slot })
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -167,6 +167,8 @@
     NoGateways,
     /// This gateway's number is not below the count of gateways.
     MeOutOfRange,
+    /// Plans were removed while their customers' quotas are in use.
+    PlansRemoved,
     /// The named figure is negative, infinite or not a number.
     BadNumber(&'static str),
 }
@@ -176,6 +178,7 @@
         match self {
             Self::NoGateways => f.write_str("there are no gateways"),
             Self::MeOutOfRange => f.write_str("this gateway's number is out of range"),
+            Self::PlansRemoved => f.write_str("plans can't be removed while in use"),
             Self::BadNumber(name) => write!(f, "{name} is not a usable number"),
         }
     }
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -102,6 +102,10 @@
 #[derive(Debug)]
 struct Job {
     request: Request,
+    /// The rules that it came under: they hold for it whatever the settings say later.
+    class: Class,
+    max_attempts: usize,
+    second_copies: bool,
     arrived: Time,
     attempts: Vec<Attempt>,
     over: bool,
@@ -285,6 +289,21 @@
         Ok(Self { set: settings, flows, phase, rng, call_rate, further: FURTHER.1, ..Self::default() })
     }
 
+    /// Puts other settings in the place of the present ones: all of them, or none with an error. Requests
+    /// that are open keep their class's rules, so classes may come, go and move; plans may only be added.
+    ///
+    /// # Errors
+    /// Settings that no gateway can work with, or that this one can't change to.
+    pub fn retune(&mut self, settings: Settings) -> Result<(), SettingsError> {
+        check(&settings)?;
+        if settings.plans.len() < self.set.plans.len() {
+            return Err(SettingsError::PlansRemoved);
+        }
+        self.flows.resize(settings.plans.len(), Default::default());
+        self.set = settings;
+        Ok(())
+    }
+
     /// Takes one event at `now` and appends what is to be done, in order.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
@@ -505,11 +524,11 @@
 
     /// Rule 2: `None`: no further attempt may go out; `Some(None)`: anywhere; else only to that group.
     fn anchor(&self, job: &Job) -> Option<Option<(Group, u32, u32)>> {
-        if job.out() > 0 && !self.set.second_copies {
+        if job.out() > 0 && !job.second_copies {
             return None;
         }
         let Some(first) = job.attempts.iter().find(|a| a.ran != Ran::Never) else { return Some(None) };
-        match self.set.classes[job.request.class].effect {
+        match job.class.effect {
             Effect::Safe => Some(None),
             Effect::Unsafe => None,
             Effect::Keyed { group, window } => {
@@ -531,9 +550,17 @@
             && (request.units.is_finite() && request.units >= 0.0)
             && request.expires > self.now + 2.0 * self.hold() + 4.0 * self.set.step;
         let full = self.jobs.len() >= self.set.max_open as usize;
-        let (arrived, attempts) = (self.now, Vec::new());
-        let copy = request.clone();
-        self.jobs.insert(id.clone(), Job { request: copy, arrived, attempts, over: false, streaming: false });
+        let job = Job {
+            request: request.clone(),
+            class: self.set.classes.get(request.class).cloned().unwrap_or_default(),
+            max_attempts: self.set.max_attempts as usize,
+            second_copies: self.set.second_copies,
+            arrived: self.now,
+            attempts: Vec::new(),
+            over: false,
+            streaming: false,
+        };
+        self.jobs.insert(id.clone(), job);
         if !known || full {
             return self.end(&id, 0.0);
         }
@@ -835,10 +862,10 @@
     /// Begins an attempt where the rules and a server's bound allow one.
     fn send(&mut self, id: &JobId) -> bool {
         let Some(mut job) = self.jobs.remove(id) else { return false };
-        let class = self.set.classes[job.request.class].clone();
+        let class = &job.class;
         let useful = if class.late_worth > 0.0 { f64::INFINITY } else { job.arrived + class.aim };
         let timeout = (useful - 2.0 * self.set.step).min(job.request.expires) - self.now;
-        let tries = job.attempts.len() < self.set.max_attempts as usize;
+        let tries = job.attempts.len() < job.max_attempts;
         let server = if tries && timeout > 0.0 && !job.over { self.choose(&job) } else { None };
         if let Some(server) = &server {
             let host = self.servers.get_mut(server).expect("chosen from the list");
@@ -852,7 +879,7 @@
             self.out.push(Action::Send { job: id.clone(), server: server.clone(), timeout });
             job.attempts.push(Attempt { server: server.clone(), sent: self.now, ran: Ran::Out });
             let delay = (HEDGE_AIM * class.aim).max(3.0 * self.latency);
-            if self.set.second_copies && delay < timeout {
+            if job.second_copies && delay < timeout {
                 self.set_timer(self.now + delay, Due::Hedge(id.clone()));
             }
         }
@@ -897,10 +924,10 @@
     fn end(&mut self, id: &JobId, retry_after: f64) {
         let Some(job) = self.jobs.get(id).filter(|j| !j.over) else { return };
         let clean = job.attempts.iter().all(|a| a.ran == Ran::Never);
-        let harmless = match self.set.classes.get(job.request.class).map(|c| c.effect) {
-            Some(Effect::Unsafe) => clean,
-            Some(Effect::Keyed { group, .. }) => clean || group == Group::All,
-            _ => true,
+        let harmless = match job.class.effect {
+            Effect::Unsafe => clean,
+            Effect::Keyed { group, .. } => clean || group == Group::All,
+            Effect::Safe => true,
         };
         if harmless {
             let most = if self.set.retry_after { self.set.max_retry_after } else { 0.0 };
--- a/src/options.rs
+++ b/src/options.rs
@@ -29,6 +29,8 @@
 pub enum OptionsError {
     /// The named key does not hold a number.
     NotANumber(String),
+    /// The named key holds a number that is not above 0.
+    NotAboveZero(&'static str),
     /// A class has an effect of an unknown name.
     UnknownEffect,
 }
@@ -37,6 +39,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotANumber(key) => write!(f, "Options.{key} is not a number"),
+            Self::NotAboveZero(key) => write!(f, "Options.{key} is not above 0"),
             Self::UnknownEffect => f.write_str("Options.Classes.Effect is unknown"),
         }
     }
@@ -70,6 +73,9 @@
 
 fn class(value: &Value) -> Result<Class, OptionsError> {
     let keys = Keys(value);
+    if keys.num("Deadline", 1.0)? <= 0.0 {
+        return Err(OptionsError::NotAboveZero("Classes.Deadline"));
+    }
     let mut class = Class::default();
     class.aim = keys.num("Slo", class.aim)?;
     class.late_worth = keys.num("LateWorth", 0.0)?;
@@ -126,6 +132,9 @@
         s.may_cancel = limits.flag("Cancelling");
         s.second_copies = limits.flag("SecondCopies");
         s.max_attempts = limits.num("SendCap", 1.0)? as u32;
+        if s.max_attempts == 0 {
+            return Err(OptionsError::NotAboveZero("Limits.SendCap"));
+        }
         s.max_open = limits.num("OpenCap", f64::from(u32::MAX))? as u32;
         s.retry_after = limits.flag("RetryAfter");
         s.max_retry_after = limits.num("MaxRetryAfter", s.max_retry_after)?;
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -412,6 +412,73 @@
     assert!(node.child.try_wait().expect("a child").is_none(), "it goes on");
 }
 
+#[test]
+fn a_bad_configuration_at_sighup_changes_nothing_at_all() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (mut setup, _discovery) = Setup::new(&[&worker]);
+    let node = setup.start();
+    let good = setup.config().to_string();
+    // Whatever else a bad file says, such as other classes and another discovery, must not be taken in.
+    setup.settings["Classes"][0]["Name"] = json!("other");
+    setup.discovery = worker.addr;
+    let changed = |change: &dyn Fn(&mut serde_json::Value)| {
+        let mut config = setup.config();
+        change(&mut config);
+        config.to_string()
+    };
+    let without = |at: &'static str, key: &'static str| {
+        changed(&|c| drop(c.pointer_mut(at).and_then(|o| o.as_object_mut()).expect("an object").remove(key)))
+    };
+    let with = |at: &'static str, value: serde_json::Value| {
+        changed(&|c| *c.pointer_mut(at).expect("a key") = value.clone())
+    };
+    let bad = [
+        String::new(),
+        good[..good.len() / 2].to_owned(),
+        without("/settings", "Plans"),
+        without("/settings/Limits", "SendCap"),
+        without("/settings/Rules", "Cold"),
+        without("/settings/Classes/1", "Deadline"),
+        without("", "limits"),
+        with("/settings/Classes/0/Deadline", json!(0)),
+        with("/settings/Classes/1/Deadline", json!(-1.5)),
+        with("/settings/Limits/SendCap", json!(0)),
+        with("/settings/Classes", json!([])),
+        with("/settings/Plans/1/Name", json!("renamed")),
+        with("/settings/Step", json!("soon")),
+    ];
+    for config in &bad {
+        node.reload(config);
+        node.says("the old configuration stays");
+        assert_eq!(node.ask(&Ask::new("a")).status(), 200, "{config}");
+        assert_eq!(node.ask(&Ask::new("b").with("X-Lane", "other")).status(), 400);
+    }
+}
+
+#[test]
+fn new_settings_hold_from_sighup_on_and_open_requests_keep_the_old_rules() {
+    let gate = Arc::new(Gate::default());
+    let worker = Worker::start(Does::WaitsAndResets(gate.clone()));
+    let (mut setup, _discovery) = Setup::new(&[&worker]);
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&Ask::submit("open"));
+    worker.request();
+    let mut new = setup.settings["Classes"][0].clone();
+    new["Name"] = json!("submit_new");
+    // The unsafe class is gone, and a safe one stands in its place.
+    setup.settings["Classes"][1] = new;
+    node.reload(&setup.config().to_string());
+    node.says("configuration read again");
+    gate.open();
+    assert_eq!(client.answer().map(|a| a.status()), Some(502), "it may have run, so it is not refused");
+    worker.now(Does::Serves("ok"));
+    let mut ask = Ask::new("new").with("X-Lane", "submit_new");
+    ask.line = "GET /submit_new HTTP/1.1".into();
+    assert_eq!(node.ask(&ask).status(), 200);
+    assert_eq!(node.ask(&Ask::submit("old")).status(), 400, "no client's request any more");
+}
+
 #[test]
 fn after_sigterm_what_is_in_hand_is_answered_and_the_end_is_clean() {
     let gate = Arc::new(Gate::default());
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -41,3 +41,48 @@
     assert!(rig.outcome("never", 0, &"nowhere".into(), Status::Reset).is_empty());
     assert!(rig.event(Event::Left { job: "never".into() }).is_empty());
 }
+
+#[test]
+fn a_change_of_settings_is_all_or_nothing() {
+    let mut rig = Rig::new(settings());
+    let mut bad = settings();
+    (bad.plans[0].rate, bad.max_open) = (f64::NAN, 0);
+    assert_eq!(rig.gateway.retune(bad), Err(SettingsError::BadNumber("rate")));
+    let mut fewer = settings();
+    (fewer.plans, fewer.max_open) = (Vec::new(), 0);
+    assert_eq!(rig.gateway.retune(fewer), Err(SettingsError::PlansRemoved));
+    assert_eq!(sends(&rig.ask("still")).len(), 1, "nothing of either is in force");
+    let mut full = settings();
+    full.max_open = 0;
+    assert_eq!(rig.gateway.retune(full), Ok(()));
+    assert_eq!(refused(&rig.ask("now")), 1);
+}
+
+#[test]
+fn an_open_request_keeps_the_rules_it_came_under_wherever_its_class_stands_now() {
+    let mut old = settings();
+    old.plans = vec![Plan::default()];
+    old.classes = vec![Class::default(), Class::default()];
+    (old.classes[0].effect, old.max_attempts) = (Effect::Unsafe, 2);
+    let mut rig = Rig::new(old.clone());
+    let open = |rig: &mut Rig, job: &str, class: usize| {
+        let mut request = request(job, rig.now);
+        request.class = class;
+        sends(&rig.event(Event::Request(request))).remove(0).1
+    };
+    let (once, safe) = (open(&mut rig, "once", 0), open(&mut rig, "safe", 1));
+    // What was first is gone, what was second stands first, and one attempt is all that there is now.
+    let mut new = old;
+    (new.classes, new.max_attempts) = (vec![Class::default()], 1);
+    assert_eq!(rig.gateway.retune(new), Ok(()));
+    let out = rig.outcome("once", 0, &once, Status::Reset);
+    assert_eq!((sends(&out).len(), failed(&out)), (0, 1), "it is still one that runs once");
+    assert_eq!(
+        sends(&rig.outcome("safe", 0, &safe, Status::Reset)).len(),
+        1,
+        "and this has its second attempt"
+    );
+    let server = open(&mut rig, "later", 0);
+    let out = rig.outcome("later", 0, &server, Status::Reset);
+    assert_eq!((sends(&out).len(), refused(&out)), (0, 1), "which a later one has not");
+}
