--- a/src/bin/yardspur/admin.rs
+++ b/src/bin/yardspur/admin.rs
@@ -1,6 +1,6 @@
 //! The second address: the operators' calls, one a connection.
 
-use crate::{clients::Clients, gateway::Hub};
+use crate::{clients::Clients, gateway::Hub, handover::Word};
 use hyper::{
     Method, Request, Response, StatusCode, body::Incoming, server::conn::http1::Builder, service::service_fn,
 };
@@ -83,7 +83,7 @@
             eprintln!("yardspur: clients are {}", if away { "sent away" } else { "taken again" });
             self.clients.send_away(away);
         }
-        if path == "/control/ready" && self.clients.stops() {
+        if path == "/control/ready" && !self.clients.ready() {
             return StatusCode::SERVICE_UNAVAILABLE;
         }
         StatusCode::OK
@@ -100,9 +100,13 @@
         if method != Method::POST {
             return StatusCode::METHOD_NOT_ALLOWED;
         }
-        let known = percent_decode_str(id).decode_utf8().is_ok_and(|id| self.hub.set_aside(&id, out));
-        let what = if out { "offline" } else { "online" };
-        eprintln!("yardspur: worker {id:?} {what}: {}", if known { "done" } else { "no list has named it" });
+        let known = percent_decode_str(id).decode_utf8().is_ok_and(|id| {
+            let known = self.hub.set_aside(&id, out);
+            if known {
+                self.hub.tell(Word::Hand { id: id.into_owned(), out });
+            }
+            known
+        });
         if known { StatusCode::OK } else { StatusCode::NOT_FOUND }
     }
 }
--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -22,7 +22,7 @@
 };
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::Notify,
+    sync::{Notify, watch},
 };
 use weirusher::{Effect, JobId};
 
@@ -63,7 +63,13 @@
     hub: Rc<Hub>,
     peers: RefCell<FnvHashMap<u64, Rc<Peer>>>,
     numbers: Cell<u64>,
-    budget: usize,
+    budget: Cell<usize>,
+    /// Connections are accepted.
+    accepting: watch::Sender<bool>,
+    /// The process began to accept.
+    begun: Cell<bool>,
+    /// Another process has taken over for good.
+    left: Cell<bool>,
     /// A connection has ended.
     freed: Notify,
     stopping: Cell<bool>,
@@ -77,8 +83,9 @@
     /// `budget` connections at most.
     pub fn new(hub: Rc<Hub>, budget: usize) -> Rc<Self> {
         let (numbers, freed) = (Cell::new(0), Notify::new());
-        let [stopping, away, shedding] = [const { Cell::new(false) }; 3];
-        Rc::new(Self { hub, peers: RefCell::default(), numbers, budget, freed, stopping, away, shedding })
+        let [stopping, away, shedding, begun, left] = [const { Cell::new(false) }; 5];
+        let (peers, budget, accepting) = (RefCell::default(), Cell::new(budget), watch::Sender::new(true));
+        Rc::new(Self { hub, peers, numbers, budget, accepting, begun, left, freed, stopping, away, shedding })
     }
 
     /// From now on every answer closes its connection and `/up` says no.
@@ -86,30 +93,76 @@
         self.stopping.set(true);
     }
 
-    pub fn stops(&self) -> bool {
-        self.stopping.get()
+    /// This process takes clients.
+    pub fn ready(&self) -> bool {
+        self.begun.get() && !self.stopping.get() && *self.accepting.borrow()
+    }
+
+    /// From now on `budget` connections at most; those beyond it stay.
+    pub fn set_budget(&self, budget: usize) {
+        self.budget.set(budget);
+    }
+
+    /// Accepts no more: another process of this gatekeeper is about to.
+    pub fn hand_over(&self) {
+        self.accepting.send_replace(false);
+    }
+
+    /// That one serves: clients go to it as their connections end.
+    pub fn leave(self: &Rc<Self>) {
+        self.left.set(true);
+        self.shed();
+    }
+
+    /// That one has ended: this one accepts again.
+    pub fn take_back(&self) {
+        self.left.set(false);
+        self.accepting.send_replace(true);
+    }
+
+    /// Waits until another process has taken over and no client is left here.
+    pub async fn all_left(&self) {
+        while !self.left.get() || self.connections() > 0 {
+            self.freed.notified().await;
+        }
+    }
+
+    pub fn sends_away(&self) -> bool {
+        self.away.get()
     }
 
     /// Sends clients away, or ends that: meanwhile `/up` says no, each answer closes its connection, and
     /// idle ones are closed.
     pub fn send_away(self: &Rc<Self>, away: bool) {
         self.away.set(away);
-        if away && !self.shedding.replace(true) {
-            tokio::task::spawn_local(self.clone().shed());
-        }
+        self.shed();
     }
 
-    async fn shed(self: Rc<Self>) {
-        while self.away.get() {
-            self.peers.borrow().values().filter(|p| p.idle()).for_each(|p| p.close.notify_one());
-            tokio::time::sleep(SHED).await;
+    /// Closes idle connections while answers close theirs.
+    fn shed(self: &Rc<Self>) {
+        if !self.closing() || self.shedding.replace(true) {
+            return;
         }
-        self.shedding.set(false);
+        let clients = self.clone();
+        tokio::task::spawn_local(async move {
+            while clients.closing() {
+                clients.peers.borrow().values().filter(|p| p.idle()).for_each(|p| p.close.notify_one());
+                // One that waits for all to leave looks again.
+                clients.freed.notify_waiters();
+                tokio::time::sleep(SHED).await;
+            }
+            clients.shedding.set(false);
+        });
     }
 
     /// Answers close their connections.
     fn closing(&self) -> bool {
-        self.stopping.get() || self.away.get()
+        self.stopping.get() || self.away.get() || self.left.get()
+    }
+
+    /// Whether the front is to send clients. One that has handed over speaks for the process that serves.
+    fn up(&self) -> bool {
+        !self.away.get() && (self.left.get() || !self.stopping.get())
     }
 
     /// Closes each connection now if it is idle, else after the answer in hand.
@@ -128,15 +181,26 @@
 
     /// Accepts for good.
     pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        let mut open = self.accepting.subscribe();
+        self.begun.set(true);
         loop {
-            if self.connections() >= self.budget {
+            if !*open.borrow_and_update() {
+                let _ = open.changed().await;
+                continue;
+            }
+            if self.connections() >= self.budget.get() {
                 // At the edge the connection that has stood idle longest makes room; if none has, new ones
                 // wait unaccepted until one ends or has.
                 self.close_longest_idle();
                 let _ = tokio::time::timeout(PAUSE, self.one_ended()).await;
                 continue;
             }
-            match listener.accept().await {
+            let accepted = tokio::select! {
+                biased;
+                _ = open.changed() => continue,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
                 Ok((socket, _)) => self.serve(socket),
                 Err(e) => {
                     // No descriptor, or the client went at once: never a reason to spin or to stop.
@@ -190,7 +254,7 @@
         // Also when the client goes and this is dropped half way.
         let _busy = Busy(peer.clone());
         let mut response = if request.uri().path() == "/up" {
-            plain(if self.closing() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK })
+            plain(if !self.up() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK })
         } else {
             match self.demand(request, peer).await {
                 Ok(demand) => self.answer(demand).await,
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -2,9 +2,11 @@
 //! carries out the actions. It decides nothing.
 
 use crate::{
+    clients::Clients,
     config::{Config, Entry},
     counter::Counter,
     discovery,
+    handover::Word,
     workers::{Ending, Forward, Trace, Workers, may_have_run},
 };
 use bytes::Bytes;
@@ -12,17 +14,18 @@
 use std::{
     cell::{Cell, RefCell},
     cmp::Ordering,
-    collections::{BinaryHeap, VecDeque},
+    collections::{BTreeMap, BinaryHeap, VecDeque},
     net::SocketAddr,
     rc::Rc,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 use tokio::{
-    sync::{Notify, oneshot},
+    sync::{Notify, mpsc, oneshot},
     task::AbortHandle,
 };
 use weirusher::{
-    Action, Event, Gateway, JobId, ListKind, Load, Options, Request, ServerId, SettingsError, Status, Time,
+    Action, CustomerId, Event, Gateway, JobId, ListKind, Load, Options, Request, ServerId, SettingsError,
+    State, Status, Time,
 };
 
 /// The longest time that a client may name, in seconds: more is cut to it.
@@ -149,14 +152,18 @@
     serving: RefCell<FnvHashSet<ServerId>>,
     workers: Workers,
     counter: Option<Counter>,
+    /// Descriptors for clients and for workers together.
+    share: usize,
+    /// The line to the other process of this gatekeeper, while there are two.
+    beside: RefCell<Option<mpsc::UnboundedSender<Word>>>,
 }
 
 impl Hub {
-    pub fn new(config: &Config, worker_budget: usize) -> Result<Rc<Self>, SettingsError> {
+    pub fn new(config: &Config, share: usize) -> Result<Rc<Self>, SettingsError> {
         let gateway = Gateway::new(config.options.settings.clone(), config.seed)?;
         let limit = Duration::from_secs_f64(config.options.settings.count_limit);
         let counter = config.counter.filter(|_| config.options.settings.has_counter);
-        let workers = Workers::new(worker_budget, &config.options);
+        let workers = Workers::new(share / 2, &config.options);
         let hub = Rc::new(Self {
             clock: Clock::new(),
             gateway: RefCell::new(gateway),
@@ -171,6 +178,8 @@
             serving: RefCell::default(),
             workers,
             counter: counter.map(|addr| Counter::new(addr, limit)),
+            share,
+            beside: RefCell::default(),
             options: RefCell::new(Rc::new(config.options.clone())),
         });
         hub.list(ListKind::Stale, config.known.clone());
@@ -259,9 +268,69 @@
         if let (true, Some(addr)) = (known && out, addr) {
             self.workers.close_idle(addr);
         }
+        let what = if out { "offline" } else { "online" };
+        eprintln!("yardspur: worker {id:?} {what}: {}", if known { "done" } else { "no list has named it" });
         known
     }
 
+    // ---- Two processes of one gatekeeper ----
+
+    /// Gives up all that is known and granted, with the workers' addresses. Connections to workers are no
+    /// longer kept, and no more are held than clients that may need one.
+    pub fn hand_over(&self) -> (State, BTreeMap<ServerId, SocketAddr>) {
+        self.workers.keep_none(true);
+        let state = self.gateway.borrow_mut().hand_over(self.clock.now());
+        (state, self.addrs.borrow().iter().map(|(id, addr)| (id.clone(), *addr)).collect())
+    }
+
+    pub fn take_back(&self) {
+        self.beside.take();
+        self.workers.keep_none(false);
+        self.gateway.borrow_mut().take_back(self.clock.now());
+    }
+
+    pub fn take_over(&self, state: State, addrs: BTreeMap<ServerId, SocketAddr>) {
+        self.gateway.borrow_mut().take_over(state);
+        self.addrs.borrow_mut().extend(addrs);
+    }
+
+    /// Descriptors that this process holds, or may hold yet once it has handed over.
+    pub fn holds(&self, clients: &Clients) -> usize {
+        let clients = clients.connections();
+        // A client's request may need a worker's connection.
+        crate::OTHERS + crate::ADMIN + clients + self.workers.open().max(clients)
+    }
+
+    /// The other process holds so many descriptors: this one has the rest.
+    pub fn others_hold(&self, clients: &Clients, held: usize) {
+        let budget = self.share.saturating_sub(held) / 2;
+        self.workers.set_budget(budget);
+        clients.set_budget(budget);
+    }
+
+    pub fn attempts_out(&self) -> Vec<(CustomerId, u32)> {
+        self.gateway.borrow().attempts_out()
+    }
+
+    pub fn out_elsewhere(&self, out: &[(CustomerId, u32)]) {
+        self.gateway.borrow_mut().out_elsewhere(out);
+    }
+
+    /// What the other process is to be told from now on.
+    pub fn listen_to_calls(&self) -> mpsc::UnboundedReceiver<Word> {
+        let (tell, words) = mpsc::unbounded_channel();
+        self.beside.replace(Some(tell));
+        words
+    }
+
+    /// Tells the other process, if there is one.
+    pub fn tell(&self, word: Word) {
+        if let Some(beside) = &*self.beside.borrow() {
+            // One that has gone needs to hear nothing.
+            let _ = beside.send(word);
+        }
+    }
+
     /// Takes a client's request; its final answer comes by the receiver.
     pub fn take(self: &Rc<Self>, demand: Demand) -> (JobId, oneshot::Receiver<Answer>) {
         self.jobs.set(self.jobs.get() + 1);
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -1,5 +1,5 @@
 //! yardspur: the gateway on real sockets. Reads the configuration, wires the parts and ends in good order.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod admin;
 mod clients;
@@ -7,6 +7,7 @@
 mod counter;
 mod discovery;
 mod gateway;
+mod handover;
 mod link;
 mod workers;
 
@@ -14,7 +15,7 @@
 use clients::Clients;
 use config::{Config, ConfigError};
 use gateway::Hub;
-use std::{fmt, io, net::SocketAddr, process::ExitCode, rc::Rc, time::Duration};
+use std::{fmt, io, net::SocketAddr, os::fd::FromRawFd, process::ExitCode, rc::Rc, time::Duration};
 use tokio::{
     net::TcpListener,
     runtime::LocalOptions,
@@ -32,6 +33,8 @@
 const ANSWER_BY: Duration = Duration::from_millis(3300);
 /// By then the process has ended.
 const END_BY: Duration = Duration::from_millis(3500);
+/// One that has handed over stays so long after its last client.
+const LAST_CALLS: Duration = Duration::from_millis(100);
 /// Between looks for idle connections that are due.
 const SWEEP: Duration = Duration::from_secs(1);
 /// Descriptors beside clients and workers: the standard three, runtime, signals, listener, discovery, counter.
@@ -61,15 +64,29 @@
     }
 }
 
+/// The clients' listening socket: the platform's, where `NODE_LISTEN_FD` names its descriptor, else a new one.
+async fn listen(config: &Config) -> io::Result<(TcpListener, bool)> {
+    let Some(fd) = std::env::var_os("NODE_LISTEN_FD").filter(|fd| !fd.is_empty()) else {
+        return Ok((TcpListener::bind(config.listen).await?, false));
+    };
+    // The standard three are not the platform's to give for this.
+    let fd = fd.to_str().and_then(|fd| fd.parse().ok()).filter(|fd: &i32| *fd > 2);
+    let fd = fd.ok_or_else(|| io::Error::other("NODE_LISTEN_FD is no descriptor"))?;
+    // SAFETY: the platform opened it for this process alone to own. This runs once, and nothing else knows it.
+    #[allow(unsafe_code)]
+    let listener = unsafe { std::net::TcpListener::from_raw_fd(fd) };
+    listener.set_nonblocking(true)?;
+    Ok((TcpListener::from_std(listener)?, true))
+}
+
 async fn run(config: Config) -> Result<(), NodeError> {
     let mut term = signal(SignalKind::terminate()).map_err(NodeError::System)?;
     let mut int = signal(SignalKind::interrupt()).map_err(NodeError::System)?;
     let hangup = signal(SignalKind::hangup()).map_err(NodeError::System)?;
-    let listener = TcpListener::bind(config.listen).await.map_err(NodeError::Listen)?;
+    let (listener, inherited) = listen(&config).await.map_err(NodeError::Listen)?;
     let bound = listener.local_addr().map_err(NodeError::Listen)?;
     let name = config.name.clone();
-    // An attempt may be out for each client, so both get the same.
-    let share = (config.sockets - OTHERS - config.admin.map_or(0, |_| ADMIN)) / 2;
+    let share = config.sockets - OTHERS - config.admin.map_or(0, |_| ADMIN);
     let admin = match config.admin {
         Some(addr) => Some(TcpListener::bind(addr).await.map_err(NodeError::Listen)?),
         None => None,
@@ -81,7 +98,16 @@
     let reloads = tokio::task::spawn_local(reload(hangup, config, discovery_at, hub.clone()));
     let timers = tokio::task::spawn_local(hub.clone().run_timers());
     let sweeps = tokio::task::spawn_local(sweep(hub.clone()));
-    let clients = Clients::new(hub.clone(), share);
+    // An attempt may be out for each client, so both get the same.
+    let clients = Clients::new(hub.clone(), share / 2);
+    let place = handover::place(inherited);
+    if let Some(place) = &place {
+        if let Some(link) = handover::take_over(place, &hub, &clients).await {
+            eprintln!("yardspur: {name} takes over from the process before it");
+            tokio::task::spawn_local(link.follow(hub.clone(), clients.clone()));
+        }
+        tokio::task::spawn_local(handover::offer(place.clone(), hub.clone(), clients.clone()));
+    }
     if let Some(listener) = admin {
         if let Ok(at) = listener.local_addr() {
             eprintln!("yardspur: {name} takes the operators' calls on {at}");
@@ -93,6 +119,12 @@
         () = clients.accept(&listener) => {}
         _ = term.recv() => {}
         _ = int.recv() => {}
+        () = clients.all_left() => {
+            // What the counter was told last has gone out by then.
+            sleep(LAST_CALLS).await;
+            eprintln!("yardspur: {name} has handed over and leaves");
+            return Ok(());
+        }
         // These end by a panic only; without one of them, being started anew is better than going on.
         _ = discovery => return Err(NodeError::Part("discovery")),
         _ = timers => return Err(NodeError::Part("timers")),
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -64,7 +64,9 @@
 pub struct Workers {
     idle: RefCell<FnvHashMap<SocketAddr, Vec<Pooled>>>,
     open: Rc<Cell<usize>>,
-    budget: usize,
+    budget: Cell<usize>,
+    /// None is kept idle.
+    none: Cell<bool>,
     keep: Cell<Duration>,
     connect: Cell<Duration>,
 }
@@ -72,8 +74,9 @@
 impl Workers {
     /// `budget` connections at most.
     pub fn new(budget: usize, options: &Options) -> Self {
-        let (keep, connect) = Default::default();
-        let workers = Self { idle: RefCell::default(), open: Rc::default(), budget, keep, connect };
+        let (none, keep, connect) = Default::default();
+        let budget = Cell::new(budget);
+        let workers = Self { idle: RefCell::default(), open: Rc::default(), budget, none, keep, connect };
         workers.retune(options);
         workers
     }
@@ -94,6 +97,24 @@
         });
     }
 
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// From now on `budget` connections at most; those beyond it end with their attempts.
+    pub fn set_budget(&self, budget: usize) {
+        self.budget.set(budget);
+    }
+
+    /// Whether no connection is kept idle any more.
+    pub fn keep_none(&self, none: bool) {
+        self.none.set(none);
+        if none {
+            self.idle.borrow_mut().clear();
+        }
+    }
+
     /// Closes the idle connections to one worker.
     pub fn close_idle(&self, addr: SocketAddr) {
         self.idle.borrow_mut().remove(&addr);
@@ -112,7 +133,7 @@
     }
 
     fn put(&self, addr: SocketAddr, mut pooled: Pooled) {
-        if pooled.link.ready() {
+        if !self.none.get() && self.open.get() <= self.budget.get() && pooled.link.ready() {
             pooled.since = Instant::now();
             self.idle.borrow_mut().entry(addr).or_default().push(pooled);
         }
@@ -120,7 +141,7 @@
 
     /// A place for one more connection; at the edge the connection that has stood idle longest makes room.
     fn slot(&self) -> Option<Slot> {
-        if self.open.get() >= self.budget {
+        if self.open.get() >= self.budget.get() {
             let mut idle = self.idle.borrow_mut();
             let longest = idle.values_mut().filter(|l| !l.is_empty()).min_by_key(|l| l[0].since)?;
             longest.remove(0);
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -5,6 +5,7 @@
 //! counter is quiet an even share of rate and burst decides. The rest: rules, server choice, attempts.
 
 use crate::interface::*;
+use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::hash::Hasher;
 
@@ -119,7 +120,7 @@
 }
 
 /// A token bucket: `level` at `at`.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
 struct Store {
     level: f64,
     at: Time,
@@ -133,7 +134,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Serialize, Deserialize)]
 struct Customer {
     plan: usize,
     spread: u32,
@@ -148,10 +149,16 @@
     /// The quota's store as the count last showed it.
     level: Option<Store>,
     window: u64,
+    #[serde(skip)]
     asking: Option<u64>,
+    #[serde(skip)]
     late: bool,
+    #[serde(skip)]
     held: VecDeque<JobId>,
+    #[serde(skip)]
     open: u32,
+    /// Attempts out at the process that this one takes over from.
+    elsewhere: u32,
     touched: Time,
 }
 
@@ -178,12 +185,13 @@
     Sweep,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 struct Host {
     zone: u32,
     cell: u32,
     running: bool,
     cold_since: Time,
+    #[serde(skip)]
     inflight: f64,
     latency: f64,
     heard: Time,
@@ -194,6 +202,29 @@
     cold: Store,
 }
 
+/// What a gateway knows and has granted, for the process that takes over from it. Its form is the module's own
+/// affair: whoever carries it from one to the other only keeps it whole.
+#[derive(Debug, Default, Serialize, Deserialize)]
+pub struct State {
+    servers: BTreeMap<ServerId, Host>,
+    aside: BTreeSet<ServerId>,
+    customers: BTreeMap<CustomerId, Customer>,
+    phase: f64,
+    tokens: Store,
+    call_rate: f64,
+    stake: f64,
+    flows: Vec<(Store, Store)>,
+    slowed: Time,
+    sent_units: Store,
+    carried: Store,
+    latency: f64,
+    typical: f64,
+    idle: f64,
+    lost: f64,
+    beside: f64,
+    further: f64,
+}
+
 /// The decisions of one gateway.
 #[derive(Debug, Default)]
 pub struct Gateway {
@@ -232,6 +263,8 @@
     inflight: f64,
     beside: f64,
     further: f64,
+    /// Another process has taken over: only what is in hand or comes all the same is ended here.
+    leaving: bool,
 }
 
 fn hash(parts: &[&[u8]]) -> u64 {
@@ -304,6 +337,85 @@
         Ok(())
     }
 
+    /// Gives up what this gateway knows and has granted to another process of the same gatekeeper, so that the
+    /// two grant nothing twice. From then on it spends nothing that the counter has not granted it anew, and
+    /// sends nothing to a cold server, until [`Gateway::take_back`].
+    pub fn hand_over(&mut self, now: Time) -> State {
+        self.leaving = true;
+        let handed = |(id, c): (&CustomerId, &mut Customer)| {
+            let taken = Customer {
+                plan: c.plan,
+                spread: c.spread,
+                turn: c.turn,
+                lease: std::mem::take(&mut c.lease),
+                owed: std::mem::take(&mut c.owed),
+                demand: c.demand,
+                share: std::mem::replace(&mut c.share, Store { level: 0.0, at: now }),
+                level: c.level,
+                window: c.window,
+                touched: c.touched,
+                elsewhere: c.open + c.elsewhere,
+                ..Customer::default()
+            };
+            (id.clone(), taken)
+        };
+        State {
+            servers: self.servers.clone(),
+            aside: self.aside.clone(),
+            customers: self.customers.iter_mut().map(handed).collect(),
+            phase: self.phase,
+            tokens: self.tokens,
+            call_rate: self.call_rate,
+            stake: self.stake,
+            flows: self.flows.clone(),
+            slowed: self.slowed,
+            sent_units: self.sent_units,
+            carried: self.carried,
+            latency: self.latency,
+            typical: self.typical,
+            idle: self.idle,
+            lost: self.lost,
+            beside: self.beside,
+            further: self.further,
+        }
+    }
+
+    /// The process that took over has ended: this one grants again, beginning with nothing in its stores.
+    pub fn take_back(&mut self, now: Time) {
+        self.leaving = false;
+        self.customers.values_mut().for_each(|c| c.share = Store { level: 0.0, at: now });
+    }
+
+    /// Goes on from where another process of the same gatekeeper has come to.
+    pub fn take_over(&mut self, mut state: State) {
+        state.customers.retain(|_, c| c.plan < self.set.plans.len());
+        state.customers.values_mut().for_each(|c| c.spread = c.spread.clamp(1, self.set.gateways));
+        state.flows.resize(self.set.plans.len(), Default::default());
+        // What both know of a server, the other process has learned.
+        self.servers.append(&mut state.servers);
+        (self.aside, self.customers, self.flows) = (state.aside, state.customers, state.flows);
+        (self.phase, self.tokens, self.call_rate) = (state.phase, state.tokens, state.call_rate.max(CALLS.0));
+        (self.stake, self.slowed, self.sent_units) = (state.stake, state.slowed, state.sent_units);
+        (self.carried, self.latency, self.typical) = (state.carried, state.latency, state.typical);
+        (self.idle, self.lost, self.beside) = (state.idle, state.lost, state.beside);
+        self.further = state.further;
+        self.name_running();
+    }
+
+    /// Attempts out, by customer.
+    pub fn attempts_out(&self) -> Vec<(CustomerId, u32)> {
+        let out = self.customers.iter().filter(|(_, c)| c.open + c.elsewhere > 0);
+        out.map(|(id, c)| (id.clone(), c.open + c.elsewhere)).collect()
+    }
+
+    /// Attempts that are still out at the process that this one took over from.
+    pub fn out_elsewhere(&mut self, out: &[(CustomerId, u32)]) {
+        self.customers.values_mut().for_each(|c| c.elsewhere = 0);
+        for (id, n) in out {
+            self.customers.get_mut(id).into_iter().for_each(|c| c.elsewhere = *n);
+        }
+    }
+
     /// Takes one event at `now` and appends what is to be done, in order.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
@@ -484,6 +596,9 @@
         if host.cold_since <= 0.0 || age >= self.set.cold {
             return f64::INFINITY;
         }
+        if self.leaving {
+            return 0.0;
+        }
         let warmth = self.set.cold_from + (1.0 - self.set.cold_from) * (age / self.set.cold).max(0.0);
         let rate = warmth * (self.set.fall_multiple * COLD_SHARE).min(1.0) * self.carried.level;
         host.cold.refill(self.now, rate, (rate * self.set.fall / 2.0).max(1.0))
@@ -626,6 +741,9 @@
     /// even where one holds less than a request. Under a ceiling it is a share of what stands between ceiling
     /// and quota, as the count may have granted the whole quota already (rule 5).
     fn share_covers(&mut self, key: &CustomerId, plan: &Plan, units: f64) -> bool {
+        if self.leaving {
+            return false;
+        }
         let most = self.set.max_units.max(1.0);
         let customer = self.customers.get_mut(key).expect("asked for known customers only");
         let (mut rate, mut burst) = (plan.rate, plan.burst);
@@ -700,7 +818,8 @@
     /// have out what their part of the rate, or a demand like the one here, keeps out for an answer's time.
     fn under_open_cap(&self, key: &CustomerId, plan: &Plan) -> bool {
         let customer = &self.customers[key];
-        if customer.open < (plan.open / customer.spread).max(1) {
+        let open = customer.open + customer.elsewhere;
+        if open < (plan.open / customer.spread).max(1) {
             return true;
         }
         let others = f64::from(customer.spread - 1);
@@ -710,7 +829,7 @@
         let mean = others * rate * latency;
         // The chance that they leave no room, were theirs to come by chance.
         let (mut term, mut fits) = ((-mean).exp(), 0.0);
-        for out in 0..plan.open.saturating_sub(customer.open) {
+        for out in 0..plan.open.saturating_sub(open) {
             fits += term;
             term *= mean / f64::from(out + 1);
         }
@@ -722,7 +841,7 @@
         let customer = self.customers.get_mut(key).expect("asked for known customers only");
         let need: f64 = customer.held.iter().map(|id| self.jobs[id].request.units).sum();
         let demand = customer.demand.level / DEMAND_MEMORY;
-        let mut spare = demand * BLOCK_SPAN;
+        let mut spare = if self.leaving { 0.0 } else { demand * BLOCK_SPAN };
         if let Some(mut level) = customer.level {
             spare = spare.min(level.refill(self.now, plan.rate, plan.burst) / f64::from(customer.spread));
         }
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -7,6 +7,7 @@
     collections::{BTreeMap, HashMap},
     io::{BufRead, BufReader, Read, Write},
     net::{SocketAddr, TcpListener, TcpStream},
+    os::fd::OwnedFd,
     path::{Path, PathBuf},
     process::{Child, Command, ExitStatus, Stdio},
     sync::{
@@ -409,6 +410,13 @@
     std::env::temp_dir().join(format!("yardspur-test-{}-{number}.json", std::process::id()))
 }
 
+/// An empty folder of a test's own.
+pub fn folder() -> PathBuf {
+    let folder = config_file().with_extension("d");
+    std::fs::create_dir(&folder).expect("a writable folder for temporary files");
+    folder
+}
+
 pub fn run(config: &str) -> Child {
     run_with(&config_file(), config)
 }
@@ -475,7 +483,28 @@
 
     pub fn start(&self) -> Node {
         let config = config_file();
-        let mut child = run_with(&config, &self.config().to_string());
+        let child = run_with(&config, &self.config().to_string());
+        self.node(child, config)
+    }
+
+    /// Starts it with `listener` as its inherited descriptor 4 and `folder` as its `$TMPDIR`.
+    pub fn start_on(&self, listener: &TcpListener, folder: &Path) -> Node {
+        let config = config_file();
+        std::fs::write(&config, self.config().to_string()).expect("a writable folder for temporary files");
+        let listener = listener.try_clone().expect("a descriptor");
+        let child = Command::new("sh")
+            .args(["-c", "exec \"$0\" 4<&0 </dev/null", env!("CARGO_BIN_EXE_yardspur")])
+            .env("NODE_CONFIG", &config)
+            .env("NODE_LISTEN_FD", "4")
+            .env("TMPDIR", folder)
+            .stdin(OwnedFd::from(listener))
+            .stderr(Stdio::piped())
+            .spawn()
+            .expect("the program starts");
+        self.node(child, config)
+    }
+
+    fn node(&self, mut child: Child, config: PathBuf) -> Node {
         let stderr = BufReader::new(child.stderr.take().expect("piped"));
         let (tell, log) = channel();
         thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
--- /dev/null
+++ b/tests/handover.rs
@@ -0,0 +1,101 @@
+//! What one process of a gateway hands over to another, as text on the way.
+
+mod common;
+use common::*;
+use weirusher::*;
+
+fn carried(state: &State) -> State {
+    let text = serde_json::to_string(state).expect("a state can be written");
+    serde_json::from_str(&text).expect("and read")
+}
+
+/// Hands all that `old` knows to a process that has just been started.
+fn successor(old: &mut Rig, settings: Settings) -> Rig {
+    let state = old.gateway.hand_over(old.now);
+    let mut new = Rig::new(settings);
+    new.now = old.now;
+    new.gateway.take_over(carried(&state));
+    new
+}
+
+#[test]
+fn the_two_together_grant_a_quota_once() {
+    let mut counter = Counter::default();
+    let mut old = Rig::new(settings());
+    let before = counter.ask_many(&mut old, "a", 12);
+    assert!(before >= 10, "{before}");
+    let mut new = successor(&mut old, settings());
+    // The counter is silent from now on: only what was leased, and the even share that is left, is granted.
+    let ask = |rig: &mut Rig, tag: &str| {
+        (0..30).filter(|i| !sends(&rig.ask(&format!("{tag}{i}"))).is_empty()).count()
+    };
+    let (kept, handed) = (ask(&mut old, "old"), ask(&mut new, "new"));
+    assert_eq!(kept, 0, "the old one has nothing left to grant");
+    assert!(before + handed <= 20, "{before} and {handed} of a burst of 20");
+    old.gateway.take_back(old.now);
+    old.now += 0.5;
+    // Those that it held for the counter's answer are waited for no longer.
+    let timers = old.actions.clone().into_iter().filter_map(|a| match a {
+        Action::Timer { token, .. } => Some(token),
+        _ => None,
+    });
+    let sent: usize = timers.map(|token| sends(&old.event(Event::Timer { token })).len()).sum();
+    assert!((1..=3).contains(&sent), "{sent}: it grants its share of what has come in since, and no more");
+}
+
+#[test]
+fn attempts_out_at_the_old_process_count_at_the_new_one() {
+    let mut s = settings();
+    s.plans = vec![plan(100.0, 100.0)];
+    (s.plans[0].open, s.plans[0].overrun_cost, s.has_counter, s.gateways) = (1, 0.8, false, 1);
+    let mut old = Rig::new(s.clone());
+    let mut request = request("out", old.now);
+    request.spread = 1;
+    assert_eq!(sends(&old.event(Event::Request(request.clone()))).len(), 1);
+    let mut new = successor(&mut old, s);
+    request.job = "second".into();
+    assert_eq!(refused(&new.event(Event::Request(request.clone()))), 1, "one may be out, and one is");
+    assert_eq!(old.gateway.attempts_out(), [("c".into(), 1)]);
+    new.gateway.out_elsewhere(&[]);
+    request.job = "third".into();
+    assert_eq!(sends(&new.event(Event::Request(request))).len(), 1);
+}
+
+#[test]
+fn servers_stay_out_drained_or_cold() {
+    let mut free = settings();
+    free.plans = vec![Plan::default()];
+    let mut old = Rig::new(free.clone());
+    assert!(old.gateway.set_aside(old.now, "a", true));
+    let started = old.now - 1.0;
+    old.list(
+        ListKind::Changes,
+        vec![server("b", Lifecycle::Draining, 0.0), server("d", Lifecycle::Running, started)],
+    );
+    let mut new = successor(&mut old, free);
+    for rig in [&mut old, &mut new] {
+        rig.actions.clear();
+        (0..20).for_each(|i| drop(rig.ask(&format!("j{i}"))));
+    }
+    let to = |rig: &Rig, id: &str| sends(&rig.actions).iter().filter(|(_, s)| &**s == id).count();
+    assert_eq!((to(&new, "a"), to(&new, "b"), to(&old, "d")), (0, 0, 0), "one of them warms it up");
+    assert!(to(&new, "d") * 4 < to(&new, "c"), "{} and {}", to(&new, "d"), to(&new, "c"));
+    assert!(!new.gateway.set_aside(new.now, "nonesuch", true) && new.gateway.set_aside(new.now, "a", false));
+}
+
+#[test]
+fn a_state_of_other_settings_is_taken_as_far_as_it_fits() {
+    let mut more = settings();
+    more.plans = vec![plan(10.0, 20.0); 3];
+    let mut old = Rig::new(more);
+    let mut third = request("third", old.now);
+    third.plan = 2;
+    old.event(Event::Request(third));
+    let mut one = settings();
+    one.gateways = 1;
+    let mut new = successor(&mut old, one);
+    assert_eq!(refused(&new.ask("a")), 0, "it goes on as if it had not met it");
+    for broken in ["", "{}", "null", "{\"servers\":7}"] {
+        assert!(serde_json::from_str::<State>(broken).is_err());
+    }
+}
