--- a/src/logic.rs
+++ b/src/logic.rs
@@ -202,8 +202,8 @@
     cold: Store,
 }
 
-/// What a gateway knows and has granted, for the process that takes over from it. Its form is the module's own
-/// affair: whoever carries it from one to the other only keeps it whole.
+/// What a gateway knows and has granted, for the process that takes over from it. Its form is the module's
+/// own affair: whoever carries it from one to the other only keeps it whole.
 #[derive(Debug, Default, Serialize, Deserialize)]
 pub struct State {
     servers: BTreeMap<ServerId, Host>,
@@ -337,9 +337,9 @@
         Ok(())
     }
 
-    /// Gives up what this gateway knows and has granted to another process of the same gatekeeper, so that the
-    /// two grant nothing twice. From then on it spends nothing that the counter has not granted it anew, and
-    /// sends nothing to a cold server, until [`Gateway::take_back`].
+    /// Gives up what this gateway knows and has granted to another process of the same gatekeeper, so that
+    /// the two grant nothing twice. From then on it spends nothing that the counter has not granted it anew,
+    /// and sends nothing to a cold server, until [`Gateway::take_back`].
     pub fn hand_over(&mut self, now: Time) -> State {
         self.leaving = true;
         let handed = |(id, c): (&CustomerId, &mut Customer)| {
