Leave only if the process that took over is still there, and let its test hold a client

The test failed once in twelve: an old process without a client left within 100 ms of the new one's word, whether or not that one had been killed meanwhile. Ruled out first: a lost wake-up of the shared listening socket, as the process that should have answered was a zombie.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -120,10 +120,18 @@
         self.accepting.send_replace(true);
     }
 
-    /// Waits until another process has taken over and no client is left here.
-    pub async fn all_left(&self) {
-        while !self.left.get() || self.connections() > 0 {
-            self.freed.notified().await;
+    /// Waits until another process has taken over, and no client has been left here for `settled`.
+    pub async fn all_left(&self, settled: Duration) {
+        loop {
+            let gone = || self.left.get() && self.connections() == 0;
+            while !gone() {
+                self.freed.notified().await;
+            }
+            tokio::time::sleep(settled).await;
+            // The other one may have ended meanwhile, and this one be needed again.
+            if gone() {
+                return;
+            }
         }
     }
 
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -119,9 +119,8 @@
         () = clients.accept(&listener) => {}
         _ = term.recv() => {}
         _ = int.recv() => {}
-        () = clients.all_left() => {
-            // What the counter was told last has gone out by then.
-            sleep(LAST_CALLS).await;
+        // What the counter was told last has gone out by then.
+        () = clients.all_left(LAST_CALLS) => {
             eprintln!("yardspur: {name} has handed over and leaves");
             return Ok(());
         }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -104,6 +104,13 @@
     let (setup, _discovery) = setup(&[&worker]);
     let platform = Platform::new();
     let old = platform.start(&setup);
+    // One that has a client left does not leave.
+    let gate = Arc::new(Gate::default());
+    worker.now(Does::Waits(gate));
+    let mut held = old.client();
+    held.send(&Ask::new("held"));
+    worker.request();
+    worker.now(Does::Serves("ok"));
     let back = || {
         old.says("takes clients again");
         assert_eq!((old.call("GET /control/ready"), old.ask(&Ask::new("a")).status()), (200, 200));
