--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -1,26 +1,27 @@
 //! The HTTP server: takes requests apart, hands them over, writes the answers.
 
 use crate::{
+    body::{self, Unread},
     gateway::{Answer, Demand, Hub},
-    link::MAX_BODY,
     workers::Forward,
 };
-use bytes::Bytes;
 use fnv::FnvHashMap;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::{
-    HeaderMap, Method, Request, Response, StatusCode, body::Body, body::Incoming, header,
-    header::HeaderValue, server::conn::http1::Builder, service::service_fn,
+    HeaderMap, Method, Request, Response, StatusCode, body::Incoming, header, header::HeaderValue,
+    server::conn::http1::Builder, service::service_fn,
 };
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::{
     cell::{Cell, RefCell},
     convert::Infallible,
-    pin::pin,
+    io::{self, IoSlice},
+    pin::{Pin, pin},
     rc::Rc,
+    task::{Context, Poll},
     time::{Duration, Instant},
 };
 use tokio::{
+    io::{AsyncRead, AsyncWrite, ReadBuf},
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
 };
@@ -28,11 +29,18 @@
 
 /// Longest head, in bytes.
 const MAX_HEAD: usize = 16 * 1024;
-/// Longest time for a head to come, and so for a connection to stand idle: it may be closed after 2 s, and whoever
-/// sends no proper request is owed an end within 3 s of connecting.
-const HEAD_TIME: Duration = Duration::from_millis(2200);
-/// A body has what is left of the head's time, and this long at least.
+/// Longest time for a head to come, from its first byte on: a slow client takes 2 s.
+const HEAD_TIME: Duration = Duration::from_millis(2600);
+/// Whoever sends no proper request is owed an end within 3 s of connecting.
+const FIRST_TIME: Duration = Duration::from_millis(2800);
+/// Longest time for a connection to stand idle: it may be closed after 2 s.
+const IDLE_TIME: Duration = Duration::from_millis(2200);
+/// A body has what is left of the first head's time, and this long at least, beside the time of its bytes.
 const BODY_TIME: Duration = Duration::from_millis(500);
+/// Between looks at a connection that has a request in hand.
+const BUSY_TIME: Duration = Duration::from_secs(1);
+/// An answer of which its client takes nothing for so long is given up.
+const UNTAKEN: Duration = Duration::from_secs(30);
 /// A connection that has carried nothing for so long may be closed to make room.
 const IDLE: Duration = Duration::from_millis(500);
 /// A connection that is to close has so long for its client to read the last answer.
@@ -49,13 +57,93 @@
     /// A request on it is in hand.
     busy: Cell<bool>,
     since: Cell<Instant>,
+    /// It has carried a request.
+    used: Cell<bool>,
+    /// When the first byte came of a head that is still coming.
+    head: Cell<Option<Instant>>,
+    /// When its client last took something.
+    taken: Cell<Instant>,
     close: Notify,
 }
 
 impl Peer {
+    fn new() -> Self {
+        let now = Instant::now();
+        let [busy, used] = [const { Cell::new(false) }; 2];
+        let (since, head, taken) = (Cell::new(now), Cell::new(None), Cell::new(now));
+        Self { busy, since, used, head, taken, close: Notify::new() }
+    }
+
     /// One that has just come, or just had its answer, may have a request on its way.
     fn idle(&self) -> bool {
-        !self.busy.get() && self.since.get().elapsed() > IDLE
+        !self.busy.get() && self.head.get().is_none() && self.since.get().elapsed() > IDLE
+    }
+
+    /// Waits until it is to be closed for bringing nothing, or for taking nothing.
+    async fn overdue(&self) {
+        loop {
+            let until = match (self.busy.get(), self.head.get()) {
+                (true, _) => (self.taken.get() + UNTAKEN).max(Instant::now() + BUSY_TIME),
+                (false, Some(head)) if self.used.get() => head + HEAD_TIME,
+                (false, None) if self.used.get() => self.since.get() + IDLE_TIME,
+                (false, _) => self.since.get() + FIRST_TIME,
+            };
+            if until <= Instant::now() {
+                return;
+            }
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+}
+
+/// A client's socket, which notes when a head begins to come and when something is taken.
+struct Watched {
+    socket: TcpStream,
+    peer: Rc<Peer>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        to: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = to.filled().len();
+        let done = Pin::new(&mut self.socket).poll_read(cx, to);
+        if to.filled().len() > before && !self.peer.busy.get() && self.peer.head.get().is_none() {
+            self.peer.head.set(Some(Instant::now()));
+        }
+        done
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.socket).poll_write(cx, from);
+        if done.is_ready() {
+            self.peer.taken.set(Instant::now());
+        }
+        done
+    }
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        from: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut self.socket).poll_write_vectored(cx, from);
+        if done.is_ready() {
+            self.peer.taken.set(Instant::now());
+        }
+        done
+    }
+    fn is_write_vectored(&self) -> bool {
+        self.socket.is_write_vectored()
+    }
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_flush(cx)
+    }
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.socket).poll_shutdown(cx)
     }
 }
 
@@ -230,8 +318,7 @@
     fn serve(self: &Rc<Self>, socket: TcpStream) {
         let number = self.numbers.get();
         self.numbers.set(number + 1);
-        let peer =
-            Rc::new(Peer { busy: Cell::new(false), since: Cell::new(Instant::now()), close: Notify::new() });
+        let peer = Rc::new(Peer::new());
         self.peers.borrow_mut().insert(number, peer.clone());
         let clients = self.clone();
         tokio::task::spawn_local(async move {
@@ -244,23 +331,29 @@
                 async move { Ok::<_, Infallible>(clients.handle(request, &peer).await) }
             });
             let mut builder = Builder::new();
-            builder.timer(TokioTimer::new()).header_read_timeout(HEAD_TIME).max_buf_size(MAX_HEAD);
-            builder.auto_date_header(false);
-            let mut connection = pin!(builder.serve_connection(TokioIo::new(socket), service));
+            builder.max_buf_size(MAX_HEAD).auto_date_header(false);
+            let watched = Watched { socket, peer: peer.clone() };
+            let mut connection = pin!(builder.serve_connection(TokioIo::new(watched), service));
             tokio::select! {
                 // How a client's connection ends is no news: its request, if any, says so when dropped.
                 _ = connection.as_mut() => return,
+                () = peer.overdue() => return,
                 () = peer.close.notified() => connection.as_mut().graceful_shutdown(),
             }
             // One whose client does not read its answer must not keep its place for good.
-            while tokio::time::timeout(UNREAD, connection.as_mut()).await.is_err() && peer.busy.get() {}
+            while tokio::time::timeout(UNREAD, connection.as_mut()).await.is_err()
+                && (peer.busy.get() || peer.head.get().is_some())
+                && peer.taken.get().elapsed() < UNTAKEN
+            {}
         });
     }
 
-    async fn handle(self: &Rc<Self>, request: Request<Incoming>, peer: &Rc<Peer>) -> Response<Full<Bytes>> {
+    async fn handle(self: &Rc<Self>, request: Request<Incoming>, peer: &Rc<Peer>) -> Response<body::Answer> {
         peer.busy.set(true);
+        peer.head.set(None);
+        peer.taken.set(Instant::now());
         // Also when the client goes and this is dropped half way.
-        let _busy = Busy(peer.clone());
+        let busy = Busy(peer.clone());
         let mut response = if request.uri().path() == "/up" {
             plain(if !self.up() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK })
         } else {
@@ -278,16 +371,18 @@
         if self.closing() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
+        peer.taken.set(Instant::now());
+        response.body_mut().hold(busy);
         response
     }
 
-    async fn answer(&self, demand: Demand) -> Response<Full<Bytes>> {
+    async fn answer(&self, demand: Demand) -> Response<body::Answer> {
         let (job, receiver) = self.hub.take(demand);
         let mut waiting = Waiting { hub: &self.hub, job: &job, answered: false };
         let answer = receiver.await;
         waiting.answered = true;
         match answer {
-            Ok(Answer::Served(body)) => Response::new(Full::new(body)),
+            Ok(Answer::Served(body)) => Response::new(body),
             Ok(Answer::Refused(retry_after)) => {
                 let mut response = plain(StatusCode::TOO_MANY_REQUESTS);
                 let advice = HeaderValue::try_from(format!("{retry_after:.3}"));
@@ -324,7 +419,7 @@
         let key = head.headers.get("idempotency-key").cloned();
         // The class decides the method, and whether there is a key: what differs is no client's request.
         let proper = match options.settings.classes.get(class).map(|c| c.effect) {
-            Some(Effect::Safe) => head.method == Method::GET && body.is_end_stream(),
+            Some(Effect::Safe) => head.method == Method::GET,
             Some(Effect::Keyed { .. }) => {
                 head.method == Method::POST && text(&head.headers, "idempotency-key").is_some()
             }
@@ -337,19 +432,21 @@
             return Err(bad);
         }
         let uri = head.uri.path_and_query().cloned().ok_or(bad)?.into();
-        if body.size_hint().lower() > MAX_BODY as u64 {
-            return Err(StatusCode::PAYLOAD_TOO_LARGE);
-        }
-        let body = if body.is_end_stream() {
-            Bytes::new()
-        } else {
-            let limit = HEAD_TIME.saturating_sub(peer.since.get().elapsed()).max(BODY_TIME);
-            let whole = tokio::time::timeout(limit, Limited::new(body, MAX_BODY).collect()).await;
-            let whole = whole
-                .map_err(|_| StatusCode::REQUEST_TIMEOUT)?
-                .map_err(|e| if e.is::<LengthLimitError>() { StatusCode::PAYLOAD_TOO_LARGE } else { bad })?;
-            whole.to_bytes()
+        // Its time is counted from connecting for the first, as bad peers' is.
+        let head_time = if peer.used.get() { Duration::ZERO } else { FIRST_TIME };
+        let grace = head_time.saturating_sub(peer.since.get().elapsed()).max(BODY_TIME);
+        let (pool, drains) = (self.hub.pool(), self.hub.drains());
+        let (body, upload) = match body::gather(body, pool, grace, drains).await {
+            Ok(body::Request::Whole(gathered)) => (Some(gathered), None),
+            Ok(body::Request::Streams(upload)) => (None, Some(upload)),
+            Err(Unread::TooSlow) => return Err(StatusCode::REQUEST_TIMEOUT),
+            Err(Unread::TooLong) => return Err(StatusCode::PAYLOAD_TOO_LARGE),
+            Err(Unread::Broken) => return Err(bad),
         };
+        if head.method == Method::GET && !body.as_ref().is_some_and(body::Gathered::is_empty) {
+            return Err(bad);
+        }
+        peer.used.set(true);
         // The settings may have changed while the body came: its class may stand elsewhere, or be gone.
         let class =
             self.hub.options().classes.iter().position(|c| *c == options.classes[class]).ok_or(bad)?;
@@ -370,13 +467,14 @@
                 content_type: head.headers.get(header::CONTENT_TYPE).cloned(),
                 method: head.method,
                 body,
+                upload: RefCell::new(upload),
             },
         })
     }
 }
 
-fn plain(status: StatusCode) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::default());
+fn plain(status: StatusCode) -> Response<body::Answer> {
+    let mut response = Response::new(body::Answer::empty());
     *response.status_mut() = status;
     response
 }
--- a/src/bin/yardspur/config.rs
+++ b/src/bin/yardspur/config.rs
@@ -30,6 +30,7 @@
 
 #[derive(Debug, Deserialize)]
 struct Limits {
+    memory_mb: f64,
     sockets: usize,
 }
 
@@ -55,6 +56,8 @@
     pub seed: u64,
     /// Descriptors that the process may hold.
     pub sockets: usize,
+    /// Bytes that it may use.
+    pub memory: usize,
     pub counter: Option<SocketAddr>,
     /// Where the operators' calls are taken, if anywhere.
     pub admin: Option<SocketAddr>,
@@ -151,6 +154,7 @@
             discovery: file.discovery,
             seed: u64::from_str_radix(&file.seed, 16).map_err(|_| ConfigError::BadSeed)?,
             sockets: file.limits.sockets,
+            memory: (file.limits.memory_mb.max(0.0) * f64::from(1 << 20)) as usize,
             counter: file.counter,
             admin: file.admin,
             known: file.known.servers,
--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -1,12 +1,11 @@
 //! Follows the list of workers: one watch after another, the whole list after any doubt.
 
 use crate::{
+    body::Sent,
     config::{Entry, List},
     gateway::Hub,
     link::Link,
 };
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::{Request, StatusCode, Uri, header};
 use std::{fmt, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::sync::watch;
@@ -96,10 +95,10 @@
         Some(v) => (format!("/discovery/hosts?from={v}&hold_ms={}", HOLD.as_millis()), HOLD),
         None => ("/discovery/hosts".to_owned(), Duration::ZERO),
     };
-    let mut request = Request::new(Full::<Bytes>::default());
+    let mut request = Request::new(Sent::empty());
     *request.uri_mut() = Uri::try_from(path).map_err(|_| Fault::Unreadable)?;
     request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("backend.local"));
-    let answer = tokio::time::timeout(hold + PATIENCE, link.exchange(request, 0)).await;
+    let answer = tokio::time::timeout(hold + PATIENCE, link.exchange(request)).await;
     let (parts, body) = answer.map_err(|_| Fault::Silent)?.map_err(|_| Fault::Broken)?;
     if parts.status != StatusCode::OK {
         return Err(Fault::Status(parts.status));
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -2,15 +2,16 @@
 //! carries out the actions. It decides nothing.
 
 use crate::{
+    body::{self, Gathered, Piece, Pool},
     clients::Clients,
     config::{Config, Entry},
     counter::Counter,
     discovery,
     handover::Word,
-    workers::{Ending, Forward, Trace, Workers, may_have_run},
+    workers::{Caller, Ending, Forward, Trace, Workers, may_have_run},
 };
-use bytes::Bytes;
 use fnv::{FnvHashMap, FnvHashSet};
+use hyper::body::Incoming;
 use std::{
     cell::{Cell, RefCell},
     cmp::Ordering,
@@ -28,6 +29,9 @@
     State, Status, Time,
 };
 
+/// One over the share of the memory that may hold gathered bodies: there may be two processes.
+const GATHER_SHARE: usize = 10;
+
 /// The longest time that a client may name, in seconds: more is cut to it.
 const LONGEST: f64 = 3600.0;
 
@@ -35,16 +39,14 @@
 const LAST_RESORT: f64 = 0.004;
 
 /// The one final answer to a client.
-#[derive(Debug)]
 pub enum Answer {
-    Served(Bytes),
+    Served(body::Answer),
     /// With the advice to stay away for so many seconds; 0: none.
     Refused(f64),
     Failed,
 }
 
 /// A request as a client brings it, in the terms of the settings.
-#[derive(Debug)]
 pub struct Demand {
     pub class: usize,
     pub plan: usize,
@@ -60,6 +62,10 @@
 struct Attempt {
     server: ServerId,
     sent: Time,
+    /// How long it may take, from when the request's last byte has come.
+    wait: f64,
+    /// When its answer began to go to the client: nothing from here ends it any more.
+    answers: Option<Time>,
     trace: Trace,
     task: AbortHandle,
 }
@@ -67,6 +73,8 @@
 struct Open {
     answer: Option<oneshot::Sender<Answer>>,
     forward: Rc<Forward>,
+    /// The client is still sending, and will wait so long from the last byte on.
+    sending: Option<f64>,
     expires: Time,
     /// By number; `None` once it has ended.
     attempts: Vec<Option<Attempt>>,
@@ -136,6 +144,33 @@
     }
 }
 
+/// An attempt, as whoever carries it out sees it.
+struct Out {
+    hub: Rc<Hub>,
+    job: JobId,
+    number: u32,
+}
+
+impl Caller for Out {
+    fn begun(&self) {
+        self.hub.post(Event::Unrepeatable { job: self.job.clone() });
+    }
+
+    fn answers(&self, gathered: Gathered, length: Option<u64>) -> Option<mpsc::Sender<Piece>> {
+        let (pieces, rest) = mpsc::channel(1);
+        {
+            let mut table = self.hub.open.borrow_mut();
+            let open = table.get_mut(&self.job)?;
+            let attempt = open.attempts.get_mut(self.number as usize)?.as_mut()?;
+            let answer = open.answer.take()?;
+            attempt.answers = Some(self.hub.clock.now());
+            let _ = answer.send(Answer::Served(body::Answer::streams(gathered, rest, length)));
+        }
+        self.hub.post(Event::FirstByte { job: self.job.clone() });
+        Some(pieces)
+    }
+}
+
 pub struct Hub {
     options: RefCell<Rc<Options>>,
     clock: Clock,
@@ -154,6 +189,10 @@
     counter: Option<Counter>,
     /// Descriptors for clients and for workers together.
     share: usize,
+    /// What may be gathered of bodies.
+    pool: Pool,
+    /// Bodies that nobody wants any more.
+    drains: mpsc::UnboundedSender<Incoming>,
     /// The line to the other process of this gatekeeper, while there are two.
     beside: RefCell<Option<mpsc::UnboundedSender<Word>>>,
 }
@@ -164,6 +203,8 @@
         let limit = Duration::from_secs_f64(config.options.settings.count_limit);
         let counter = config.counter.filter(|_| config.options.settings.has_counter);
         let workers = Workers::new(share / 2, &config.options);
+        let (drains, unwanted) = mpsc::unbounded_channel();
+        tokio::task::spawn_local(body::drain(unwanted));
         let hub = Rc::new(Self {
             clock: Clock::new(),
             gateway: RefCell::new(gateway),
@@ -179,6 +220,8 @@
             workers,
             counter: counter.map(|addr| Counter::new(addr, limit)),
             share,
+            pool: Pool::new(config.memory / GATHER_SHARE),
+            drains,
             beside: RefCell::default(),
             options: RefCell::new(Rc::new(config.options.clone())),
         });
@@ -213,6 +256,14 @@
         Ok(())
     }
 
+    pub fn pool(&self) -> &Pool {
+        &self.pool
+    }
+
+    pub fn drains(&self) -> &mpsc::UnboundedSender<Incoming> {
+        &self.drains
+    }
+
     pub fn counter(&self) -> Option<&Counter> {
         self.counter.as_ref()
     }
@@ -335,10 +386,17 @@
     pub fn take(self: &Rc<Self>, demand: Demand) -> (JobId, oneshot::Receiver<Answer>) {
         self.jobs.set(self.jobs.get() + 1);
         let job: JobId = self.jobs.get().to_string().into();
-        let expires = self.clock.now() + demand.remaining.min(LONGEST);
+        let remaining = demand.remaining.min(LONGEST);
         let (answer, receiver) = oneshot::channel();
         let forward = Rc::new(demand.forward);
-        let open = Open { answer: Some(answer), forward, expires, attempts: Vec::new() };
+        let sending = forward.upload.borrow_mut().as_mut().map(|upload| {
+            let (hub, job) = (Rc::downgrade(self), job.clone());
+            upload.on_end(move || hub.upgrade().iter().for_each(|hub| hub.sent(&job)));
+            remaining
+        });
+        // A request's time runs from its last byte on.
+        let expires = self.clock.now() + if sending.is_some() { LONGEST } else { remaining };
+        let open = Open { answer: Some(answer), forward, sending, expires, attempts: Vec::new() };
         self.open.borrow_mut().insert(job.clone(), open);
         // After the time-outs that are cut to the same moment: the module's own answer comes first.
         self.set_timer(expires + LAST_RESORT, Due::Deadline(job.clone()));
@@ -356,6 +414,24 @@
         (job, receiver)
     }
 
+    /// The last byte of a request has come that was taken before: its time begins.
+    fn sent(&self, job: &JobId) {
+        let now = self.clock.now();
+        let mut due = Vec::new();
+        if let Some(open) = self.open.borrow_mut().get_mut(job) {
+            let Some(remaining) = open.sending.take() else { return };
+            open.expires = now + remaining;
+            due.push((open.expires + LAST_RESORT, Due::Deadline(job.clone())));
+            for (number, attempt) in open.attempts.iter_mut().enumerate() {
+                if let Some(attempt) = attempt {
+                    attempt.sent = now;
+                    due.push((now + attempt.wait.min(remaining), Due::Attempt(job.clone(), number as u32)));
+                }
+            }
+        }
+        due.into_iter().for_each(|(at, due)| self.set_timer(at, due));
+    }
+
     /// The client is gone before its answer.
     pub fn left(self: &Rc<Self>, job: &JobId) {
         let waiting = self.open.borrow_mut().get_mut(job).is_some_and(|o| o.answer.take().is_some());
@@ -378,10 +454,10 @@
         let mut table = self.open.borrow_mut();
         let Some(open) = table.get_mut(job) else { return };
         let Some(attempt) = open.attempts.get_mut(number as usize).and_then(Option::take) else { return };
-        let answer = if ending.status == Status::Ok { open.answer.take() } else { None };
-        if let Some(answer) = answer {
+        let answer = ending.body.and_then(|body| Some((body, open.answer.take()?)));
+        if let Some((body, answer)) = answer {
             // A receiver that is gone belongs to a client that is gone, and says so itself.
-            let _ = answer.send(Answer::Served(ending.body));
+            let _ = answer.send(Answer::Served(body::Answer::whole(body)));
         }
         let over = open.answer.is_none();
         drop(table);
@@ -391,7 +467,7 @@
             attempt: number,
             server: attempt.server,
             status: ending.status,
-            spent: (self.clock.now() - attempt.sent).max(0.0),
+            spent: (attempt.answers.unwrap_or_else(|| self.clock.now()) - attempt.sent).max(0.0),
             over,
             settled: None,
             load: ending.load,
@@ -404,7 +480,7 @@
             let table = self.open.borrow();
             let attempt =
                 table.get(job).and_then(|o| o.attempts.get(number as usize)).and_then(Option::as_ref);
-            attempt.map(|a| {
+            attempt.filter(|a| a.answers.is_none()).map(|a| {
                 a.task.abort();
                 may_have_run(&a.trace)
             })
@@ -412,7 +488,7 @@
         if let Some(may_have_run) = stopped {
             // Not written whole: it was never sent, whatever ended it.
             let status = if may_have_run { status } else { Status::Moot };
-            self.ended(job, number, Ending { status, body: Bytes::new(), load: Load::default() });
+            self.ended(job, number, Ending::of(status));
         }
     }
 
@@ -494,15 +570,18 @@
         };
         let (hub, trace, forward) = (self.clone(), Trace::default(), open.forward.clone());
         let task = tokio::task::spawn_local({
-            let (job, trace) = (job.clone(), trace.clone());
+            let (out, trace) = (Out { hub, job: job.clone(), number }, trace.clone());
             async move {
-                let ending = hub.workers.attempt(addr, &forward, wait, &trace).await;
-                hub.ended(&job, number, ending);
+                let ending = out.hub.workers.attempt(addr, &forward, wait, &trace, &out.hub.pool, &out).await;
+                out.hub.ended(&out.job, number, ending);
             }
         });
-        open.attempts.push(Some(Attempt { server, sent: now, trace, task: task.abort_handle() }));
+        let (sending, task) = (open.sending.is_some(), task.abort_handle());
+        open.attempts.push(Some(Attempt { server, sent: now, wait, answers: None, trace, task }));
         drop(table);
-        self.set_timer(now + wait, Due::Attempt(job, number));
+        if !sending {
+            self.set_timer(now + wait, Due::Attempt(job, number));
+        }
     }
 
     fn probe(self: &Rc<Self>, server: ServerId) {
@@ -511,7 +590,7 @@
         tokio::task::spawn_local(async move {
             let probed = match addr {
                 Some(addr) => tokio::time::timeout(limit, hub.workers.probe(addr)).await.ok(),
-                None => Some(Ending { status: Status::Moot, body: Bytes::new(), load: Load::default() }),
+                None => Some(Ending::of(Status::Moot)),
             };
             let (status, load) = probed.map_or((Status::Timeout, Load::default()), |p| (p.status, p.load));
             hub.post(Event::Probed { server, status, load });
@@ -535,11 +614,12 @@
         match due {
             Due::Module(_) => false,
             Due::Count(number) => self.counter.as_ref().is_none_or(|c| !c.waits(*number)),
-            Due::Attempt(job, number) => self
-                .open
-                .borrow()
-                .get(job)
-                .is_none_or(|o| o.attempts.get(*number as usize).is_none_or(Option::is_none)),
+            Due::Attempt(job, number) => {
+                let open = self.open.borrow();
+                let attempt =
+                    open.get(job).and_then(|o| o.attempts.get(*number as usize)).and_then(Option::as_ref);
+                attempt.is_none_or(|a| a.answers.is_some())
+            }
             Due::Deadline(job) => self.open.borrow().get(job).is_none_or(|o| o.answer.is_none()),
         }
     }
--- a/src/bin/yardspur/link.rs
+++ b/src/bin/yardspur/link.rs
@@ -3,10 +3,12 @@
 //! The connection has no task of its own: whoever holds it drives it, so dropping it closes the socket at
 //! once, and nothing can be sent again behind the holder's back.
 
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use crate::body::Sent;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{Builder, Connection, SendRequest};
-use hyper::{Request, http::response::Parts};
+use hyper::{Request, Response, http::response::Parts};
 use hyper_util::rt::TokioIo;
 use std::{
     cell::Cell,
@@ -23,36 +25,63 @@
     net::TcpStream,
 };
 
-/// Most bytes of a body, either way.
-pub const MAX_BODY: usize = 64 * 1024;
+/// Most bytes of a body that is read whole.
+const MAX_BODY: usize = 4 << 20;
+/// Most bytes that a connection buffers either way, and longest head.
+const BUFFER: usize = 16 * 1024;
 
 /// How much of the present request has been written to the socket.
 #[derive(Debug, Default)]
 pub struct Progress {
-    body: Cell<usize>,
-    written: Cell<usize>,
-    /// Bytes of the whole request, known from the first write on, which begins with the whole head.
-    whole: Cell<Option<usize>>,
+    /// Bytes of its body; `None`: it goes in chunks.
+    body: Cell<Option<u64>>,
+    written: Cell<u64>,
+    /// Bytes of the head, known from the first write on, which begins with the whole of it.
+    head: Cell<Option<u64>>,
+    /// The body's last chunk has been made.
+    ended: Cell<bool>,
+    /// All has been written that there was to write since then.
+    flushed: Cell<bool>,
 }
 
 impl Progress {
-    fn begin(&self, body: usize) {
+    fn begin(&self, body: Option<u64>) {
         self.body.set(body);
         self.written.set(0);
-        self.whole.set(None);
+        self.head.set(None);
+        self.ended.set(false);
+        self.flushed.set(false);
     }
 
     /// The last byte has been handed to the socket: the server may have begun.
     pub fn sent_whole(&self) -> bool {
-        self.whole.get().is_some_and(|whole| self.written.get() >= whole)
+        match (self.head.get(), self.body.get()) {
+            (Some(head), Some(body)) => self.written.get() >= head + body,
+            (Some(_), None) => self.flushed.get(),
+            (None, _) => false,
+        }
+    }
+
+    pub fn written(&self) -> u64 {
+        self.written.get()
+    }
+
+    /// A body in chunks has come to its end: what is written from now on ends with the last chunk.
+    pub fn end(&self) {
+        self.ended.set(true);
     }
 
     fn offered(&self, bytes: &[u8]) {
-        if self.whole.get().is_none() {
+        if self.head.get().is_none() {
             let head = bytes.windows(4).position(|w| w == b"\r\n\r\n").map_or(bytes.len(), |at| at + 4);
-            self.whole.set(Some(head + self.body.get()));
+            self.head.set(Some(head as u64));
         }
     }
+
+    fn took(&self, n: usize, offered: usize) {
+        self.written.set(self.written.get() + n as u64);
+        self.flushed.set(self.ended.get() && n == offered);
+    }
 }
 
 /// A socket that counts what it takes. It offers no vectored writes, so that hyper hands over the head, and
@@ -77,7 +106,7 @@
         self.progress.offered(from);
         let done = Pin::new(&mut self.socket).poll_write(cx, from);
         if let Poll::Ready(Ok(n)) = done {
-            self.progress.written.set(self.progress.written.get() + n);
+            self.progress.took(n, from.len());
         }
         done
     }
@@ -101,8 +130,9 @@
 }
 
 pub struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    driver: Pin<Box<Connection<TokioIo<Counted>, Full<Bytes>>>>,
+    sender: SendRequest<Sent>,
+    driver: Pin<Box<Connection<TokioIo<Counted>, Sent>>>,
+    over: bool,
     progress: Rc<Progress>,
 }
 
@@ -113,8 +143,14 @@
         socket.set_nodelay(true)?;
         let progress = Rc::new(Progress::default());
         let io = TokioIo::new(Counted { socket, progress: progress.clone() });
-        let (sender, driver) = Builder::new().handshake(io).await.map_err(io::Error::other)?;
-        Ok(Self { sender, driver: Box::pin(driver), progress })
+        let (sender, driver) = Builder::new()
+            .max_buf_size(BUFFER)
+            .allow_obsolete_multiline_headers_in_responses(true)
+            .allow_spaces_after_header_name_in_responses(true)
+            .handshake(io)
+            .await
+            .map_err(io::Error::other)?;
+        Ok(Self { sender, driver: Box::pin(driver), over: false, progress })
     }
 
     /// What is known of the request now under way, also once this connection is gone.
@@ -125,32 +161,19 @@
     /// Takes in what has happened on the idle connection; whether it can carry a request.
     pub fn ready(&mut self) -> bool {
         let mut cx = Context::from_waker(Waker::noop());
-        self.driver.as_mut().poll(&mut cx).is_pending() && self.sender.is_ready()
-    }
-
-    /// Sends one request and reads the whole answer.
-    pub async fn exchange(
-        &mut self,
-        request: Request<Full<Bytes>>,
-        body: usize,
-    ) -> Result<(Parts, Bytes), Failure> {
-        self.progress.begin(body);
-        let sending = self.sender.try_send_request(request);
-        let mut answer = pin!(async {
-            let response = match sending.await {
-                Ok(response) => response,
-                Err(mut error) => return Err(error.take_message().is_some()),
-            };
-            let (parts, body) = response.into_parts();
-            let body = Limited::new(body, MAX_BODY).collect().await.map_err(|_| false)?;
-            Ok((parts, body.to_bytes()))
-        });
-        let mut over = false;
+        !self.over && self.driver.as_mut().poll(&mut cx).is_pending() && self.sender.is_ready()
+    }
+
+    /// Sends one request and reads its answer's head.
+    pub async fn send(&mut self, request: Request<Sent>) -> Result<Response<Incoming>, Failure> {
+        self.progress.begin(request.body().size_hint().exact());
+        let mut sending = pin!(self.sender.try_send_request(request));
+        let (driver, over) = (&mut self.driver, &mut self.over);
         let result = poll_fn(|cx| {
-            over = over || self.driver.as_mut().poll(cx).is_ready();
-            match answer.as_mut().poll(cx) {
-                Poll::Ready(result) => Poll::Ready(result),
-                Poll::Pending if over => Poll::Ready(Err(false)),
+            *over = *over || driver.as_mut().poll(cx).is_ready();
+            match sending.as_mut().poll(cx) {
+                Poll::Ready(result) => Poll::Ready(result.map_err(|mut e| e.take_message().is_some())),
+                Poll::Pending if *over => Poll::Ready(Err(false)),
                 Poll::Pending => Poll::Pending,
             }
         })
@@ -165,4 +188,44 @@
             }
         })
     }
+
+    /// The next piece of an answer's body; `None` at its end.
+    pub async fn piece(&mut self, body: &mut Incoming) -> Result<Option<Bytes>, Failure> {
+        loop {
+            let mut frame = body.frame();
+            let (driver, over) = (&mut self.driver, &mut self.over);
+            let frame = poll_fn(|cx| {
+                *over = *over || driver.as_mut().poll(cx).is_ready();
+                match Pin::new(&mut frame).poll(cx) {
+                    Poll::Pending if *over => Poll::Ready(Some(Err(Failure::Reset))),
+                    Poll::Pending => Poll::Pending,
+                    Poll::Ready(frame) => Poll::Ready(frame.map(|f| f.map_err(|_| Failure::Reset))),
+                }
+            })
+            .await;
+            match frame.transpose()?.map(|f| f.into_data()) {
+                None => return Ok(None),
+                Some(Ok(data)) => return Ok(Some(data)),
+                Some(Err(_trailers)) => {}
+            }
+        }
+    }
+
+    /// Sends one request without a body and reads the whole answer.
+    pub async fn exchange(&mut self, request: Request<Sent>) -> Result<(Parts, Bytes), Failure> {
+        let (parts, mut body) = self.send(request).await?.into_parts();
+        Ok((parts, self.whole(&mut body).await?))
+    }
+
+    /// Reads a whole body.
+    pub async fn whole(&mut self, body: &mut Incoming) -> Result<Bytes, Failure> {
+        let mut whole = BytesMut::new();
+        while let Some(data) = self.piece(body).await? {
+            if whole.len() + data.len() > MAX_BODY {
+                return Err(Failure::Reset);
+            }
+            whole.extend_from_slice(&data);
+        }
+        Ok(whole.freeze())
+    }
 }
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -2,6 +2,7 @@
 #![deny(unsafe_code)]
 
 mod admin;
+mod body;
 mod clients;
 mod config;
 mod counter;
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -1,40 +1,66 @@
 //! Attempts and probes: connections to the workers, kept and reused, and how each exchange ended.
 
-use crate::link::{Failure, Link, Progress};
-use bytes::Bytes;
+use crate::{
+    body::{Gathered, Piece, Pool, Sent, Upload},
+    link::{Failure, Link, Progress},
+};
 use fnv::FnvHashMap;
-use http_body_util::Full;
-use hyper::{HeaderMap, Method, Request, StatusCode, Uri, header};
+use hyper::{
+    HeaderMap, Method, Request, Response, StatusCode, Uri,
+    body::{Body, Incoming},
+    header,
+};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
+    pin::pin,
     rc::Rc,
     time::{Duration, Instant},
 };
+use tokio::sync::mpsc;
 use weirusher::{Load, Options, Status};
 
+/// A worker that has begun an answer and says nothing for so long gives no more of it.
+const SILENT: Duration = Duration::from_secs(10);
+/// How long the beginning of an answer of unknown length is kept back: one that breaks before can still be
+/// made good elsewhere.
+const KEPT_BACK: Duration = Duration::from_millis(100);
+
+/// Most bytes of an answer that are read only to keep its connection.
+const PASSED_OVER: u64 = 16 * 1024;
+
 /// What goes on to a worker.
-#[derive(Debug, Clone)]
 pub struct Forward {
     pub method: Method,
     pub uri: Uri,
     pub txn: header::HeaderValue,
     pub idempotency_key: Option<header::HeaderValue>,
     pub content_type: Option<header::HeaderValue>,
-    pub body: Bytes,
+    /// The whole body, where it was gathered.
+    pub body: Option<Gathered>,
+    /// Where it was not: it can be taken once.
+    pub upload: RefCell<Option<Upload>>,
+}
+
+/// What a worker's exchange leads to for whoever asked for it.
+pub trait Caller {
+    /// From here on the request is no longer held in full.
+    fn begun(&self);
+    /// The answer goes to the client from here on, in pieces after `gathered`; `None`: it has had one.
+    fn answers(&self, gathered: Gathered, length: Option<u64>) -> Option<mpsc::Sender<Piece>>;
 }
 
 /// How an attempt or probe ended.
-#[derive(Debug)]
 pub struct Ending {
     pub status: Status,
-    pub body: Bytes,
+    /// A whole answer.
+    pub body: Option<Gathered>,
     pub load: Load,
 }
 
 impl Ending {
-    fn of(status: Status) -> Self {
-        Self { status, body: Bytes::new(), load: Load::default() }
+    pub fn of(status: Status) -> Self {
+        Self { status, body: None, load: Load::default() }
     }
 }
 
@@ -157,26 +183,25 @@
         Ok(Pooled { link, since: Instant::now(), _slot: slot })
     }
 
-    /// One exchange. Nothing is sent a second time: only a kept connection on which not one byte was written
-    /// is replaced by another.
-    async fn exchange(
+    /// Sends one request and reads its answer's head. Nothing is sent a second time: only a kept connection on
+    /// which not one byte was written is replaced by another.
+    async fn send(
         &self,
         addr: SocketAddr,
         trace: &Trace,
-        build: impl Fn() -> Request<Full<Bytes>>,
-        body: usize,
-    ) -> Result<(StatusCode, HeaderMap, Bytes), Status> {
+        build: impl Fn(&Rc<Progress>) -> Option<Request<Sent>>,
+    ) -> Result<(Pooled, Response<Incoming>), Status> {
         loop {
             let (mut pooled, kept) = match self.take(addr) {
                 Some(pooled) => (pooled, true),
                 None => (self.fresh(addr).await?, false),
             };
-            *trace.borrow_mut() = Some(pooled.link.progress());
-            match pooled.link.exchange(build(), body).await {
-                Ok((parts, bytes)) => {
-                    self.put(addr, pooled);
-                    return Ok((parts.status, parts.headers, bytes));
-                }
+            let progress = pooled.link.progress();
+            // A body that went with a connection is not there for another.
+            let request = build(&progress).ok_or(Status::ConnectFailed)?;
+            *trace.borrow_mut() = Some(progress);
+            match pooled.link.send(request).await {
+                Ok(response) => return Ok((pooled, response)),
                 Err(Failure::Unsent) if kept => {}
                 Err(Failure::Unsent | Failure::Partial) => return Err(Status::ConnectFailed),
                 Err(Failure::Reset) => return Err(Status::Reset),
@@ -185,9 +210,25 @@
     }
 
     /// Sends `what` to the worker at `addr` once; `wait` tells it how long the gateway will wait.
-    pub async fn attempt(&self, addr: SocketAddr, what: &Forward, wait: f64, trace: &Trace) -> Ending {
-        let build = || {
-            let mut request = Request::new(Full::new(what.body.clone()));
+    pub async fn attempt(
+        &self,
+        addr: SocketAddr,
+        what: &Forward,
+        wait: f64,
+        trace: &Trace,
+        pool: &Pool,
+        caller: &impl Caller,
+    ) -> Ending {
+        let build = |progress: &Rc<Progress>| {
+            let body = match &what.body {
+                Some(gathered) => Sent::Whole(Some(gathered.whole())),
+                None => {
+                    let upload = what.upload.borrow_mut().take()?;
+                    caller.begun();
+                    Sent::Streams(Box::new(upload), progress.clone())
+                }
+            };
+            let mut request = Request::new(body);
             *request.method_mut() = what.method.clone();
             *request.uri_mut() = what.uri.clone();
             let headers = request.headers_mut();
@@ -202,41 +243,140 @@
             if let Some(kind) = &what.content_type {
                 headers.insert(header::CONTENT_TYPE, kind.clone());
             }
-            request
+            Some(request)
+        };
+        let sent = tokio::select! {
+            sent = self.send(addr, trace, build) => sent,
+            // The time of a body that still comes is its client's, so a worker that reads no more has its own.
+            () = stuck(trace), if what.body.is_none() => Err(Status::ConnectFailed),
         };
-        let (status, headers, body) = match self.exchange(addr, trace, build, what.body.len()).await {
+        let (pooled, response) = match sent {
             Ok(answer) => answer,
             Err(status) => return Ending::of(status),
         };
-        let turned_away = headers.get("x-turned-away").is_some_and(|v| v == "1");
-        let status = match status.as_u16() {
-            200 => Status::Ok,
-            503 | 504 if turned_away => Status::Full,
-            _ => Status::Error,
+        let (parts, body) = response.into_parts();
+        let turned_away = parts.headers.get("x-turned-away").is_some_and(|v| v == "1");
+        let load = load_of(&parts.headers);
+        let ending = match parts.status.as_u16() {
+            200 => self.serve(addr, pooled, body, pool, caller).await,
+            503 | 504 if turned_away => self.pass_over(addr, pooled, body, Status::Full).await,
+            _ => self.pass_over(addr, pooled, body, Status::Error).await,
         };
-        let load = headers.get("x-pressure").and_then(|v| v.to_str().ok()).map(report).unwrap_or_default();
-        Ending { status, body, load }
+        Ending { load, ..ending }
+    }
+
+    /// Reads an answer that says enough by its head, and keeps the connection if there is little of it.
+    async fn pass_over(
+        &self,
+        addr: SocketAddr,
+        mut pooled: Pooled,
+        mut body: Incoming,
+        status: Status,
+    ) -> Ending {
+        if body.size_hint().upper().is_some_and(|n| n <= PASSED_OVER) {
+            let rest = async { while let Ok(Some(_)) = pooled.link.piece(&mut body).await {} };
+            if tokio::time::timeout(KEPT_BACK, rest).await.is_ok() {
+                self.put(addr, pooled);
+            }
+        }
+        Ending::of(status)
+    }
+
+    /// Reads an answer: whole while it is short, else passes it on as it comes.
+    async fn serve(
+        &self,
+        addr: SocketAddr,
+        mut pooled: Pooled,
+        mut body: Incoming,
+        pool: &Pool,
+        caller: &impl Caller,
+    ) -> Ending {
+        let length = body.size_hint().exact();
+        let mut gathered = Gathered::new(pool);
+        let long = length.is_some_and(|n| usize::try_from(n).is_ok_and(|n| !gathered.fits(n)));
+        let mut patience = pin!(tokio::time::sleep(KEPT_BACK));
+        while !long && gathered.fits(1) {
+            let piece = tokio::select! {
+                biased;
+                piece = pooled.link.piece(&mut body) => piece,
+                () = patience.as_mut(), if length.is_none() => break,
+            };
+            match piece {
+                Ok(Some(data)) => gathered.push(data),
+                Ok(None) => {
+                    self.put(addr, pooled);
+                    return Ending { body: Some(gathered), ..Ending::of(Status::Ok) };
+                }
+                Err(_) => return Ending::of(Status::Reset),
+            }
+        }
+        let Some(client) = caller.answers(gathered, length) else { return Ending::of(Status::Cancelled) };
+        loop {
+            let piece = tokio::select! {
+                piece = tokio::time::timeout(SILENT, pooled.link.piece(&mut body)) => piece,
+                () = client.closed() => return Ending::of(Status::Cancelled),
+            };
+            let piece = match piece {
+                Ok(Ok(Some(data))) => Piece::Data(data),
+                Ok(Ok(None)) => {
+                    self.put(addr, pooled);
+                    // A client that has gone says so itself.
+                    let _ = client.send(Piece::End).await;
+                    return Ending::of(Status::Ok);
+                }
+                Ok(Err(_)) | Err(_) => return Ending::of(Status::Reset),
+            };
+            if client.send(piece).await.is_err() {
+                return Ending::of(Status::Cancelled);
+            }
+        }
     }
 
     /// Asks the worker how it is.
     pub async fn probe(&self, addr: SocketAddr) -> Ending {
-        let build = || {
-            let mut request = Request::new(Full::default());
+        let build = |_: &Rc<Progress>| {
+            let mut request = Request::new(Sent::empty());
             *request.uri_mut() = Uri::from_static("/metrics/load");
             request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("backend.local"));
-            request
+            Some(request)
+        };
+        let (mut pooled, response) = match self.send(addr, &Trace::default(), build).await {
+            Ok(answer) => answer,
+            Err(status) => return Ending::of(status),
         };
-        match self.exchange(addr, &Trace::default(), build, 0).await {
-            Ok((StatusCode::OK, _, body)) => {
+        let (parts, mut body) = response.into_parts();
+        if parts.status != StatusCode::OK {
+            return self.pass_over(addr, pooled, body, Status::Error).await;
+        }
+        match pooled.link.whole(&mut body).await {
+            Ok(body) => {
+                self.put(addr, pooled);
                 let load = std::str::from_utf8(&body).map(report).unwrap_or_default();
-                Ending { status: Status::Ok, body, load }
+                Ending { load, ..Ending::of(Status::Ok) }
             }
-            Ok(_) => Ending::of(Status::Error),
-            Err(status) => Ending::of(status),
+            Err(_) => Ending::of(Status::Reset),
         }
     }
 }
 
+/// Waits until a connection has taken nothing for a while of a request that is not yet written whole.
+async fn stuck(trace: &Trace) {
+    let written = || trace.borrow().as_ref().map(|p| p.written());
+    let mut before = written();
+    loop {
+        tokio::time::sleep(SILENT).await;
+        let now = written();
+        if now == before && !may_have_run(trace) {
+            return;
+        }
+        before = now;
+    }
+}
+
+fn load_of(headers: &HeaderMap) -> Load {
+    headers.get("x-pressure").and_then(|v| v.to_str().ok()).map(report).unwrap_or_default()
+}
+
 /// A load report, such as `TEXT inflight=7, util=0.61`; what can't be read is left out.
 fn report(text: &str) -> Load {
     let mut load = Load::default();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -292,7 +292,12 @@
     },
     /// A request arrived; it is owed one final answer.
     Request(Request),
-    /// A streamed answer began.
+    /// What a client sent is no longer held in full: it can't be sent again.
+    Unrepeatable {
+        /// The request.
+        job: JobId,
+    },
+    /// An answer began to go to its client: the attempt ends with it.
     FirstByte {
         /// The request.
         job: JobId,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -110,7 +110,10 @@
     arrived: Time,
     attempts: Vec<Attempt>,
     over: bool,
+    /// Its answer goes to the client already.
     streaming: bool,
+    /// It is no longer held in full, so the attempt that is out is its last.
+    once: bool,
 }
 
 impl Job {
@@ -422,6 +425,7 @@
         match event {
             Event::List { kind, servers } => self.list(kind, servers),
             Event::Request(request) => self.request(request),
+            Event::Unrepeatable { job } => self.jobs.get_mut(&job).into_iter().for_each(|j| j.once = true),
             Event::FirstByte { job } => self.jobs.get_mut(&job).into_iter().for_each(|j| j.streaming = true),
             Event::Outcome { job, attempt, server, status, spent, over, settled, load: _ } => {
                 self.observe(&server, status, spent);
@@ -674,6 +678,7 @@
             attempts: Vec::new(),
             over: false,
             streaming: false,
+            once: false,
         };
         self.jobs.insert(id.clone(), job);
         if !known || full {
@@ -984,7 +989,7 @@
         let class = &job.class;
         let useful = if class.late_worth > 0.0 { f64::INFINITY } else { job.arrived + class.aim };
         let timeout = (useful - 2.0 * self.set.step).min(job.request.expires) - self.now;
-        let tries = job.attempts.len() < job.max_attempts;
+        let tries = !job.once && job.attempts.len() < job.max_attempts;
         let server = if tries && timeout > 0.0 && !job.over { self.choose(&job) } else { None };
         if let Some(server) = &server {
             let host = self.servers.get_mut(server).expect("chosen from the list");
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -157,3 +157,19 @@
     rig.now += 0.1;
     assert_eq!(sends(&rig.ask("after")).len(), 1);
 }
+
+#[test]
+fn what_is_not_held_in_full_has_no_second_copy_and_no_further_attempt() {
+    let mut rig = Rig::new(plain(Effect::Safe));
+    let (_, server) = sends(&rig.ask("j")).remove(0);
+    assert!(rig.event(Event::Unrepeatable { job: "j".into() }).is_empty());
+    let timers = rig.actions.clone().into_iter().filter_map(|a| match a {
+        Action::Timer { token, .. } => Some(token),
+        _ => None,
+    });
+    rig.now += 0.9;
+    let out: Vec<Action> = timers.flat_map(|token| rig.event(Event::Timer { token })).collect();
+    assert!(sends(&out).is_empty(), "a second copy");
+    let out = rig.outcome("j", 0, &server, Status::Full);
+    assert_eq!((sends(&out).len(), refused(&out)), (0, 1));
+}
--- /dev/null
+++ b/tests/streams.rs
@@ -0,0 +1,371 @@
+//! Long bodies, slow peers and every form of HTTP/1.1, through the built program.
+
+mod fakes;
+use fakes::*;
+use serde_json::json;
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{TcpListener, TcpStream},
+    sync::{
+        Arc,
+        mpsc::{Receiver, channel},
+    },
+    thread,
+};
+
+const MIB: usize = 1 << 20;
+
+/// A body whose every place can be told from the others.
+fn long(n: usize) -> Vec<u8> {
+    (0..n).map(|i| (i / 251 + i % 251) as u8).collect()
+}
+
+/// Adds one more name for the worker that is there.
+fn again(setup: &mut Setup, discovery: &Discovery, id: &str) {
+    let mut other = setup.known[0].clone();
+    other["id"] = json!(id);
+    discovery.change(other.clone());
+    setup.known.push(other);
+}
+
+/// A worker that does with each connection what `serve` does.
+fn worker(serve: impl Fn(TcpStream) + Send + Sync + 'static) -> (Setup, Discovery) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let entry = entry("w0", listener.local_addr().expect("bound"), "SERVING");
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for socket in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(socket));
+        }
+    });
+    let (mut setup, discovery) = Setup::new(&[]);
+    discovery.change(entry.clone());
+    setup.known.push(entry);
+    (setup, discovery)
+}
+
+fn head(reader: &mut impl BufRead) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if reader.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    Some(head)
+}
+
+/// A body in chunks, to its end.
+fn chunks(reader: &mut impl BufRead) -> Vec<u8> {
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line).expect("a chunk's length");
+        let n = usize::from_str_radix(line.trim_end(), 16).expect("a chunk's length");
+        let at = body.len();
+        body.resize(at + n, 0);
+        reader.read_exact(&mut body[at..]).expect("a chunk");
+        reader.read_line(&mut String::new()).expect("its end");
+        if n == 0 {
+            return body;
+        }
+    }
+}
+
+fn plain(text: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{text}", text.len())
+}
+
+#[test]
+fn a_long_answer_goes_out_as_it_comes_and_outlasts_time_out_and_drain() {
+    for chunked in [false, true] {
+        let gate = Arc::new(Gate::default());
+        let opens = gate.clone();
+        let (mut setup, _discovery) = worker(move |mut socket| {
+            let mut reader = BufReader::new(socket.try_clone().expect("a socket"));
+            if head(&mut reader).is_none_or(|h| h.contains("silent")) {
+                let _ = reader.read(&mut [0]);
+                return;
+            }
+            let body = long(MIB);
+            let (first, rest) = body.split_at(100_000);
+            if chunked {
+                let _ = write!(
+                    socket,
+                    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{:x};a=b\r\n",
+                    100_000
+                );
+                let _ = socket.write_all(first);
+                opens.wait();
+                let _ = write!(socket, "\r\n{:X}\r\n", rest.len());
+                let _ = socket.write_all(rest);
+                let _ = write!(socket, "\r\n0\r\nX-Trailer: 1\r\n\r\n");
+            } else {
+                let _ = write!(socket, "HTTP/1.1 200 OK\r\nContent-Length: {MIB}\r\n\r\n");
+                let _ = socket.write_all(first);
+                opens.wait();
+                let _ = socket.write_all(rest);
+            }
+            let _ = reader.read(&mut [0]);
+        });
+        (setup.admin, setup.settings["Classes"][0]["Slo"]) = (true, json!(0.2));
+        let node = setup.start();
+        let mut client = node.client();
+        client.send(&Ask::new("long").with("X-Remaining", "0.3"));
+        let first = head(&mut client.reader).expect("an answer, before its worker has all of it");
+        assert!(first.starts_with("HTTP/1.1 200"), "{first}");
+        assert_eq!(node.call("POST /control/out-of-service"), 200);
+        // A later one of the same time has its time-out before the first goes on.
+        assert_eq!(node.ask(&Ask::new("silent").with("X-Remaining", "0.3")).status(), 429);
+        gate.open();
+        let mut body = vec![0; MIB];
+        if chunked {
+            body = chunks(&mut client.reader);
+        } else {
+            client.reader.read_exact(&mut body).expect("the rest");
+        }
+        assert!(body == long(MIB), "unchanged");
+        assert!(client.answer().is_none(), "closed after the answer, as clients are sent away");
+    }
+}
+
+#[test]
+fn a_long_answer_that_breaks_off_can_be_told_from_a_whole_one() {
+    let (setup, _discovery) = worker(|mut socket| {
+        head(&mut BufReader::new(&socket)).expect("a request");
+        let _ = write!(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n20000\r\n");
+        let _ = socket.write_all(&long(0x20000));
+    });
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&Ask::new("broken"));
+    assert!(head(&mut client.reader).expect("an answer").starts_with("HTTP/1.1 200"));
+    let mut rest = Vec::new();
+    // Ended by a close or a reset.
+    let _ = client.reader.read_to_end(&mut rest);
+    assert!(!rest.ends_with(b"0\r\n\r\n") && rest.len() >= 0x10000, "{} bytes", rest.len());
+    assert_eq!(node.ask(&Ask::new("x").with("X-Remaining", "x")).status(), 400, "it goes on");
+}
+
+#[test]
+fn a_short_answer_that_breaks_off_is_made_good() {
+    let first = std::sync::atomic::AtomicBool::new(true);
+    let (mut setup, discovery) = worker(move |mut socket| {
+        head(&mut BufReader::new(&socket)).expect("a request");
+        let whole = !first.swap(false, std::sync::atomic::Ordering::SeqCst);
+        let _ = write!(
+            socket,
+            "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n{}",
+            if whole { "good" } else { "go" }
+        );
+    });
+    // The same under another name, as a further attempt goes to another worker.
+    again(&mut setup, &discovery, "w1");
+    assert_eq!(setup.start().ask(&Ask::new("a")).body, b"good");
+}
+
+/// A worker that tells the head and then the body of each request as it comes, and answers its end.
+fn taker(chunked: bool, length: usize) -> (Setup, Discovery, Receiver<String>, Receiver<Vec<u8>>) {
+    let ((tell_head, heads), (tell_body, bodies)) = (channel(), channel());
+    let (setup, discovery) = worker(move |mut socket| {
+        let mut reader = BufReader::new(socket.try_clone().expect("a socket"));
+        while let Some(head) = head(&mut reader) {
+            let _ = tell_head.send(head);
+            let body = if chunked {
+                chunks(&mut reader)
+            } else {
+                let mut body = vec![0; length];
+                if reader.read_exact(&mut body).is_err() {
+                    return;
+                }
+                body
+            };
+            let _ = tell_body.send(body);
+            let _ = socket.write_all(plain("taken").as_bytes());
+        }
+    });
+    (setup, discovery, heads, bodies)
+}
+
+#[test]
+fn a_long_request_goes_on_as_it_comes_and_its_time_runs_from_its_last_byte() {
+    for chunked in [false, true] {
+        let (mut setup, _discovery, heads, bodies) = taker(chunked, MIB);
+        setup.settings["Classes"][1]["Slo"] = json!(0.5);
+        let node = setup.start();
+        let mut client = node.client();
+        let body = long(MIB);
+        let framing = if chunked { ("Transfer-Encoding", "chunked") } else { ("Content-Length", "1048576") };
+        let ask = Ask::submit("long").with(framing.0, framing.1).with("X-Remaining", "0.6");
+        client.send(&Ask { body: Vec::new(), ..ask });
+        let socket = client.reader.get_mut();
+        let piece = |socket: &mut TcpStream, part: &[u8]| {
+            if chunked {
+                write!(socket, "{:x}\r\n", part.len()).expect("a socket");
+            }
+            socket.write_all(part).expect("a socket");
+            if chunked {
+                socket.write_all(b"\r\n").expect("a socket");
+            }
+        };
+        let (first, rest) = body.split_at(MIB / 2);
+        piece(socket, first);
+        let seen = heads.recv_timeout(LIMIT).expect("the worker gets it before its client has sent it all");
+        assert!(seen.starts_with("POST /submit HTTP/1.1\r\n"), "{seen}");
+        // For longer than the request would have, did its time run from the first byte.
+        thread::sleep(std::time::Duration::from_millis(900));
+        piece(socket, rest);
+        if chunked {
+            socket.write_all(b"0\r\nX-Trailer: 1\r\n\r\n").expect("a socket");
+        }
+        assert!(bodies.recv_timeout(LIMIT).expect("the body") == body, "unchanged");
+        assert_eq!(client.answer().map(|a| (a.status(), a.body)), Some((200, b"taken".to_vec())));
+        assert_eq!(client.ask(&Ask::new("x").without("X-Txn")).status(), 400, "the connection is kept");
+    }
+}
+
+#[test]
+fn a_long_request_is_not_sent_again_once_it_is_not_held_in_full() {
+    let (tell, tried) = channel();
+    let (mut setup, discovery) = worker(move |mut socket| {
+        let mut reader = BufReader::new(socket.try_clone().expect("a socket"));
+        while let Some(head) = head(&mut reader) {
+            let _ = tell.send(head);
+            // Turned away before the body has come.
+            let turned_away =
+                "HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+            let _ = socket.write_all(turned_away.as_bytes());
+            let _ = std::io::copy(&mut reader, &mut std::io::sink());
+        }
+    });
+    again(&mut setup, &discovery, "w1");
+    let node = setup.start();
+    let mut ask = Ask::submit("long");
+    ask.body = long(MIB);
+    assert_eq!(node.ask(&ask).status(), 429, "it never ran, so its client may send it again");
+    assert_eq!(tried.try_iter().count(), 1);
+    ask.body.truncate(1000);
+    assert_eq!(node.ask(&ask).status(), 429);
+    assert_eq!(tried.try_iter().count(), 2, "a short one has its further attempt");
+}
+
+#[test]
+fn a_request_that_is_refused_early_is_read_to_its_end_so_that_its_client_gets_the_answer() {
+    let (setup, _discovery) = worker(|_| {});
+    let node = setup.start();
+    let mut client = node.client();
+    // No class of that method: refused by its head. Its body is far more than the sockets hold.
+    let mut ask = Ask::submit("early").with("Idempotency-Key", "5c0f6e1a2b3d4c59");
+    ask.body = long(16 * MIB);
+    assert_eq!(client.ask(&ask).status(), 400);
+    ask = Ask::submit("far");
+    ask.headers.push(("Content-Length", (33 * MIB).to_string()));
+    assert_eq!(node.ask(&ask).status(), 413);
+}
+
+#[test]
+fn a_client_that_stops_half_way_is_owed_an_end() {
+    let (setup, _discovery, heads, bodies) = taker(false, MIB);
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&Ask { body: long(MIB / 2), ..Ask::submit("half").with("Content-Length", "1048576") });
+    heads.recv_timeout(LIMIT).expect("it has begun");
+    let status = client.answer().map(|a| a.status());
+    assert!(status.is_none_or(|s| s >= 400), "{status:?}");
+    assert!(bodies.try_recv().is_err(), "the worker never has it whole");
+}
+
+#[test]
+fn long_answers_that_nobody_reads_do_not_fill_the_memory() {
+    let (mut setup, discovery) = worker(move |mut socket| {
+        head(&mut BufReader::new(&socket)).expect("a request");
+        let _ = write!(socket, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", 32 * MIB);
+        let _ = socket.write_all(&vec![7; 32 * MIB]);
+    });
+    // The module lets so many be out only where there are many workers.
+    (1..12).for_each(|i| again(&mut setup, &discovery, &format!("w{i}")));
+    let node = setup.start();
+    let mut clients: Vec<Client> = (0..12).map(|_| node.client()).collect();
+    for (i, client) in clients.iter_mut().enumerate() {
+        client.send(&Ask::new(&format!("l{i}")));
+        assert!(head(&mut client.reader).is_some_and(|h| h.starts_with("HTTP/1.1 200")), "the answer begins");
+    }
+    // The last one is read to its end: by then all others stand as far as they get.
+    let mut last = vec![0; 32 * MIB];
+    clients[11].reader.read_exact(&mut last).expect("all of it");
+    let status = std::fs::read_to_string(format!("/proc/{}/status", node.child.id())).expect("a process");
+    let most = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("its memory");
+    let most: usize = most.trim().trim_end_matches(" kB").parse().expect("a number");
+    assert!(most < 32 * 1024, "{most} kB for 12 answers of 32 MB");
+}
+
+#[test]
+fn every_form_of_a_request_passes() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (setup, _discovery) = Setup::new(&[&worker]);
+    let node = setup.start();
+    let common = "x-plan:free\r\nX-CUSTOMER:  00000000b4d65521  \r\nx-remaining: 25\r\nX-Quota: first=0, units=1 ,spread=2\r\n";
+    let get =
+        format!("GET /check-answer?a=b HTTP/1.1\r\nhost: b\r\nx-txn: t\r\nx-lane: check-answer\r\n{common}");
+    let post = format!("POST /submit HTTP/1.1\r\nHost: b\r\nX-Txn: t\r\nX-Lane: submit\r\n{common}");
+    let forms = [
+        format!("{get}\r\n"),
+        format!("\r\n{get}\r\n"),
+        format!("{}\r\n", get.replace("/check-answer?", "http://backend.local/check-answer?")),
+        format!("{get}Content-Length: 0\r\n\r\n"),
+        format!("{get}Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+        format!("{post}Content-Length: 6\r\n\r\nanswer"),
+        format!(
+            "{post}transfer-encoding: Chunked\r\n\r\n2;x=\"y\"\r\nan\r\n0004\r\nswer\r\n0\r\nT: 1\r\n\r\n"
+        ),
+    ];
+    let check = |client: &mut Client, form: &str| {
+        let answer = client.answer().expect("an answer");
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"ok".as_slice()), "{form}");
+        let (_, seen) = worker.request();
+        let is_get = form.contains("GET");
+        assert_eq!(
+            seen.line,
+            if is_get { "GET /check-answer?a=b HTTP/1.1" } else { "POST /submit HTTP/1.1" }
+        );
+        assert_eq!(seen.body, if is_get { &b""[..] } else { b"answer" });
+    };
+    let mut kept = node.client();
+    for form in &forms {
+        // In one piece, byte by byte, and one behind another.
+        kept.reader.get_mut().write_all(form.as_bytes()).expect("a socket");
+        check(&mut kept, form);
+        for byte in form.as_bytes() {
+            kept.reader.get_mut().write_all(&[*byte]).expect("a socket");
+        }
+        check(&mut kept, form);
+        kept.reader.get_mut().write_all(form.repeat(2).as_bytes()).expect("a socket");
+        (0..2).for_each(|_| check(&mut kept, form));
+    }
+    let expects = format!("{post}Content-Length: 6\r\nExpect: 100-continue\r\n\r\n");
+    kept.reader.get_mut().write_all(expects.as_bytes()).expect("a socket");
+    assert!(head(&mut kept.reader).is_some_and(|h| h.starts_with("HTTP/1.1 100")));
+    kept.reader.get_mut().write_all(b"answer").expect("a socket");
+    check(&mut kept, &expects);
+    kept.reader.get_mut().write_all(format!("{get}Content-Length: 1\r\n\r\nx").as_bytes()).expect("a socket");
+    assert_eq!(kept.answer().map(|a| a.status()), Some(400), "a body where none may be");
+}
+
+#[test]
+fn every_form_of_an_answer_passes() {
+    for said in [
+        "HTTP/1.1 200 OK\r\n\r\nbody",
+        "HTTP/1.1 200\r\ncontent-length:4\r\n\r\nbody",
+        "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody",
+        "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 200 OK\r\nConnection: close\r\n\r\nbody",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Folded: a\r\n b\r\n\r\n1\r\nb\r\n3;e\r\nody\r\n0\r\nT: 1\r\n\r\n",
+    ] {
+        let (setup, _discovery) = worker(move |mut socket| {
+            head(&mut BufReader::new(&socket)).expect("a request");
+            said.as_bytes().iter().for_each(|byte| drop(socket.write_all(&[*byte])));
+        });
+        let answer = setup.start().ask(&Ask::submit("a"));
+        assert_eq!((answer.status(), answer.body.as_slice()), (200, b"body".as_slice()), "{said}");
+    }
+}
