Hold a body that streams to the least rate as well, and give later bodies 1.5 s to begin

A peer that dripped into a body of over 64 KiB held a worker's connection and its place for good; the test was seen to go on for ever without the change.

--- a/src/bin/yardspur/body.rs
+++ b/src/bin/yardspur/body.rs
@@ -12,7 +12,7 @@
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{
     sync::mpsc,
@@ -25,7 +25,7 @@
 pub const LONGEST: u64 = 32 << 20;
 /// A client that sends a body sends so many bytes a second at least ...
 const SLOWEST: f64 = 24.0 * 1024.0;
-/// ... and, once it streams, never keeps a reader waiting for longer than this.
+/// ... and never keeps a reader waiting for longer than this.
 const SILENT: Duration = Duration::from_secs(2);
 
 /// What the process may gather of all bodies together, in bytes.
@@ -117,11 +117,11 @@
         return Err(Unread::TooLong);
     }
     let declared = body.size_hint().exact();
-    let (start, mut seen, mut gathered) = (tokio::time::Instant::now(), 0, Gathered::new(pool));
+    let (start, mut seen, mut gathered) = (Instant::now(), 0, Gathered::new(pool));
     // One that is known not to fit need not be waited for.
     while declared.is_none_or(|n| gathered.fits((n - seen) as usize)) && gathered.fits(1) {
-        let until = start + grace + Duration::from_secs_f64(seen as f64 / SLOWEST);
-        let frame = timeout_at(until, body.frame()).await.map_err(|_| Unread::TooSlow)?;
+        let until = start + grace + at_slowest(seen);
+        let frame = timeout_at(until.into(), body.frame()).await.map_err(|_| Unread::TooSlow)?;
         let Some(frame) = frame else {
             gathered.join();
             return Ok(Request::Whole(gathered));
@@ -133,8 +133,13 @@
         }
     }
     let left = declared.map(|n| n - seen);
-    let (rest, ended, drains) = (Some(body), None, drains.clone());
-    Ok(Request::Streams(Upload { gathered, seen, left, rest, ended, drains, silence: None }))
+    let (rest, ended, drains, waited) = (Some(body), None, drains.clone(), start.elapsed());
+    Ok(Request::Streams(Upload { gathered, seen, left, rest, ended, drains, grace, waited, wait: None }))
+}
+
+/// How long so many bytes may take.
+fn at_slowest(bytes: u64) -> Duration {
+    Duration::from_secs_f64(bytes as f64 / SLOWEST)
 }
 
 /// A body that a client is still sending: what was gathered of it, and the rest as it comes.
@@ -147,8 +152,11 @@
     /// Told once the last byte has come.
     ended: Option<Box<dyn FnOnce()>>,
     drains: mpsc::UnboundedSender<Incoming>,
-    /// Runs while the reader waits.
-    silence: Option<Pin<Box<Sleep>>>,
+    /// How long the reader may wait for the client, beside the time of its bytes, and has waited.
+    grace: Duration,
+    waited: Duration,
+    /// Since when it waits now, and until when it may.
+    wait: Option<(Instant, Pin<Box<Sleep>>)>,
 }
 
 impl Upload {
@@ -179,15 +187,18 @@
             let Some(rest) = &mut self.rest else { return Poll::Ready(None) };
             let Poll::Ready(frame) = Pin::new(rest).poll_frame(cx) else {
                 // Only while the reader waits: a slow worker is not the client's fault.
-                let silence = self.silence.get_or_insert_with(|| Box::pin(sleep(SILENT)));
-                let silent = silence.as_mut().poll(cx).is_ready();
+                let most = (self.grace + at_slowest(self.seen)).saturating_sub(self.waited).min(SILENT);
+                let (_, end) = self.wait.get_or_insert_with(|| (Instant::now(), Box::pin(sleep(most))));
+                let silent = end.as_mut().poll(cx).is_ready();
                 return if silent {
                     Poll::Ready(Some(Err(ErrorKind::TimedOut.into())))
                 } else {
                     Poll::Pending
                 };
             };
-            self.silence = None;
+            if let Some((since, _)) = self.wait.take() {
+                self.waited += since.elapsed();
+            }
             let frame = match frame {
                 None => {
                     self.end();
--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -32,11 +32,12 @@
 /// Longest time for a head to come, from its first byte on: a slow client takes 2 s.
 const HEAD_TIME: Duration = Duration::from_millis(2600);
 /// Whoever sends no proper request is owed an end within 3 s of connecting.
-const FIRST_TIME: Duration = Duration::from_millis(2800);
+const FIRST_TIME: Duration = Duration::from_millis(2700);
 /// Longest time for a connection to stand idle: it may be closed after 2 s.
 const IDLE_TIME: Duration = Duration::from_millis(2200);
-/// A body has what is left of the first head's time, and this long at least, beside the time of its bytes.
-const BODY_TIME: Duration = Duration::from_millis(500);
+/// A body has so long beside the time of its bytes; the first on a connection what is left of the head's time,
+/// as bad peers have no more, and the lesser of these at least.
+const BODY_TIME: (Duration, Duration) = (Duration::from_millis(600), Duration::from_millis(1500));
 /// Between looks at a connection that has a request in hand.
 const BUSY_TIME: Duration = Duration::from_secs(1);
 /// An answer of which its client takes nothing for so long is given up.
@@ -432,9 +433,11 @@
             return Err(bad);
         }
         let uri = head.uri.path_and_query().cloned().ok_or(bad)?.into();
-        // Its time is counted from connecting for the first, as bad peers' is.
-        let head_time = if peer.used.get() { Duration::ZERO } else { FIRST_TIME };
-        let grace = head_time.saturating_sub(peer.since.get().elapsed()).max(BODY_TIME);
+        let grace = if peer.used.get() {
+            BODY_TIME.1
+        } else {
+            FIRST_TIME.saturating_sub(peer.since.get().elapsed()).max(BODY_TIME.0)
+        };
         let (pool, drains) = (self.hub.pool(), self.hub.drains());
         let (body, upload) = match body::gather(body, pool, grace, drains).await {
             Ok(body::Request::Whole(gathered)) => (Some(gathered), None),
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -275,6 +275,26 @@
     assert!(bodies.try_recv().is_err(), "the worker never has it whole");
 }
 
+#[test]
+fn a_client_that_only_trickles_is_owed_an_end_too() {
+    for length in ["60000", "1048576"] {
+        let (setup, _discovery, _heads, bodies) = taker(false, MIB);
+        let node = setup.start();
+        let mut client = node.client();
+        client.send(&Ask { body: Vec::new(), ..Ask::submit("drops").with("Content-Length", length) });
+        let mut socket = client.reader.get_ref().try_clone().expect("a socket");
+        let ended = thread::spawn(move || client.answer().map(|a| a.status()));
+        let start = std::time::Instant::now();
+        while !ended.is_finished() && socket.write_all(b"x").is_ok() {
+            assert!(start.elapsed() < LIMIT, "it goes on for ever");
+            thread::sleep(std::time::Duration::from_millis(20));
+        }
+        let status = ended.join().expect("no panic");
+        assert!(status.is_none_or(|s| s >= 400), "{status:?}");
+        assert!(bodies.try_recv().is_err());
+    }
+}
+
 #[test]
 fn long_answers_that_nobody_reads_do_not_fill_the_memory() {
     let (mut setup, discovery) = worker(move |mut socket| {
