Bring calls to the counter back at once when it answers again after it was gone

A refused call, or a second unanswered one in a row, tells of silence, not of a crowd: the rate doubles with each quick answer up to what it was when the counter last answered. A smaller step back was not taken: quick answers of a counter that was only gone leave nothing to probe for. The test fails without it: 1 of 50 is asked for.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -36,6 +36,8 @@
 const CALLS_SAVED: (f64, f64) = (3.0, 0.1);
 /// How the rate of calls moves: up by this times its root when quick, times these when slow or lost.
 const CALLS_STEP: (f64, f64, f64) = (0.25, 0.8, 0.6);
+/// How the rate rises with each quick answer to what it was before the counter fell silent: within a few.
+const CALLS_BACK: f64 = 2.0;
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before less is let in: the rest is for swings.
@@ -215,6 +217,8 @@
     phase: f64,
     tokens: Store,
     call_rate: f64,
+    #[serde(default)]
+    answered_rate: f64,
     stake: f64,
     flows: Vec<(Store, Store)>,
     slowed: Time,
@@ -249,6 +253,10 @@
     next_token: u64,
     tokens: Store,
     call_rate: f64,
+    /// What that was when the counter last answered, however slowly.
+    answered_rate: f64,
+    /// The last call had no answer.
+    unanswered: bool,
     /// Mean worth of what wants a call.
     stake: f64,
     /// By plan, units sent off the count for thin shares, and units asked for.
@@ -322,7 +330,17 @@
         let call_rate = (CALLS.1 / f64::from(settings.gateways)).max(CALLS.0);
         let flows = vec![Default::default(); settings.plans.len()];
         let (phase, rng) = (rng.f64(), Some(rng));
-        Ok(Self { set: settings, flows, phase, rng, call_rate, further: FURTHER.1, ..Self::default() })
+        let answered_rate = call_rate;
+        Ok(Self {
+            set: settings,
+            flows,
+            phase,
+            rng,
+            call_rate,
+            answered_rate,
+            further: FURTHER.1,
+            ..Self::default()
+        })
     }
 
     /// Puts other settings in the place of the present ones: all of them, or none with an error. Requests
@@ -369,6 +387,7 @@
             phase: self.phase,
             tokens: self.tokens,
             call_rate: self.call_rate,
+            answered_rate: self.answered_rate,
             stake: self.stake,
             flows: self.flows.clone(),
             slowed: self.slowed,
@@ -401,7 +420,7 @@
         (self.stake, self.slowed, self.sent_units) = (state.stake, state.slowed, state.sent_units);
         (self.carried, self.latency, self.typical) = (state.carried, state.latency, state.typical);
         (self.idle, self.lost, self.beside) = (state.idle, state.lost, state.beside);
-        self.further = state.further;
+        (self.answered_rate, self.further) = (state.answered_rate, state.further);
         self.name_running();
     }
 
@@ -875,19 +894,29 @@
     }
 
     /// The counter's speed moves the rate of calls, as a gateway of many has less than one out: a crowded
-    /// counter works in vain on calls that nobody waits for. A silent one gets trial calls only.
+    /// counter works in vain on calls that nobody waits for. A silent one gets trial calls only; as it is gone
+    /// and not crowded, the rate is soon what it was once it answers again.
     fn pace_calls(&mut self, status: Status, spent: f64) {
         if status == Status::Timeout && spent < CUT_SHARE * self.set.count_limit {
             return; // Its connection broke first: that says nothing of how crowded the counter is.
         }
         let quick = status == Status::Ok && spent < CROWDED_SHARE * self.set.count_limit;
         let (root, slow, lost) = CALLS_STEP;
+        // A call that is not answered tells of a crowd once; others after it, and refused ones, of silence.
+        let silent = status == Status::ConnectFailed || status == Status::Timeout && self.unanswered;
+        self.unanswered = matches!(status, Status::ConnectFailed | Status::Timeout);
         if !quick && self.now - spent >= self.slowed {
             // Once for all that was out at that moment: they met the same line.
             self.slowed = self.now;
             self.call_rate = (self.call_rate * if status == Status::Ok { slow } else { lost }).max(CALLS.0);
+            if !silent {
+                self.answered_rate = self.call_rate;
+            }
+        } else if quick && self.call_rate < self.answered_rate {
+            self.call_rate = (self.call_rate * CALLS_BACK).min(self.answered_rate);
         } else if quick && self.tokens.level < 1.0 {
             self.call_rate += root * self.call_rate.sqrt();
+            self.answered_rate = self.call_rate;
         }
     }
 
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -171,3 +171,32 @@
     assert_eq!(asked_after(0.1 * limit), 400, "every customer is asked for");
     assert!(asked_after(limit) < 200, "calls that time out slow it down");
 }
+
+#[test]
+fn calls_come_back_at_once_when_a_counter_that_was_gone_answers_again() {
+    // How many of fifty get the counter asked, four seconds after five in which calls went wrong so.
+    let asked_after = |status: Status, spent: f64| {
+        let mut rig = Rig::new(settings());
+        let mut asked = 0;
+        for i in 0..550 {
+            rig.now += 0.02;
+            let mut request = request(&format!("j{i}"), rig.now);
+            request.customer = format!("c{i}").into();
+            let out = rig.event(Event::Request(request));
+            asked += counts(&out).len() * usize::from(i >= 500);
+            for (counter, _) in counts(&out) {
+                let wrong = (50..300).contains(&i);
+                let (status, spent) = if wrong { (status, spent) } else { (Status::Ok, 0.002) };
+                rig.event(Event::Counted { counter, status, total: 1.0, spent });
+            }
+            for (job, server) in sends(&out) {
+                rig.outcome(&job, 0, &server, Status::Ok);
+            }
+        }
+        asked
+    };
+    let limit = settings().count_limit;
+    assert_eq!(asked_after(Status::ConnectFailed, 0.0), 50, "it was gone");
+    assert_eq!(asked_after(Status::Timeout, limit), 50, "it was silent");
+    assert!(asked_after(Status::Ok, 0.9 * limit) < 25, "it was crowded");
+}
