Budget cold workers by what warm ones carry, counting cold ones by their warmth

Not taken: dividing what is sent now by the fleet's warmth now, which hands a fleet that has just restarted more than it can carry. The test fails without it: 27 sent in the first cold span, 2 in the twelfth.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -222,7 +222,8 @@
     stake: f64,
     flows: Vec<(Store, Store)>,
     slowed: Time,
-    sent_units: Store,
+    #[serde(default)]
+    warm_units: Store,
     carried: Store,
     latency: f64,
     typical: f64,
@@ -262,7 +263,8 @@
     /// By plan, units sent off the count for thin shares, and units asked for.
     flows: Vec<(Store, Store)>,
     slowed: Time,
-    sent_units: Store,
+    /// Units sent of late for each warm server that there was.
+    warm_units: Store,
     carried: Store,
     latency: f64,
     /// The middle answer's time: lost answers and sick servers do not move it, a slow fleet does.
@@ -391,7 +393,7 @@
             stake: self.stake,
             flows: self.flows.clone(),
             slowed: self.slowed,
-            sent_units: self.sent_units,
+            warm_units: self.warm_units,
             carried: self.carried,
             latency: self.latency,
             typical: self.typical,
@@ -417,7 +419,7 @@
         self.servers.append(&mut state.servers);
         (self.aside, self.customers, self.flows) = (state.aside, state.customers, state.flows);
         (self.phase, self.tokens, self.call_rate) = (state.phase, state.tokens, state.call_rate.max(CALLS.0));
-        (self.stake, self.slowed, self.sent_units) = (state.stake, state.slowed, state.sent_units);
+        (self.stake, self.slowed, self.warm_units) = (state.stake, state.slowed, state.warm_units);
         (self.carried, self.latency, self.typical) = (state.carried, state.latency, state.typical);
         (self.idle, self.lost, self.beside) = (state.idle, state.lost, state.beside);
         (self.answered_rate, self.further) = (state.answered_rate, state.further);
@@ -606,24 +608,31 @@
         self.inflight + self.draw() <= share * (mean + fade * (1.0 + SWING * mean.sqrt()))
     }
 
-    /// Rule 4: a cold server has a budget from what servers carry on average and the capacity that it
+    /// The part of its full capacity that a server surely has.
+    fn warmth(&self, host: &Host) -> f64 {
+        let age = self.now - host.cold_since;
+        if host.cold_since <= 0.0 || age >= self.set.cold {
+            return 1.0;
+        }
+        self.set.cold_from + (1.0 - self.set.cold_from) * (age / self.set.cold).max(0.0)
+    }
+
+    /// Rule 4: a cold server has a budget from what warm ones carry on average and the capacity that it
     /// surely has; as every gateway does so, they stay under the multiple together, and each starts at a
     /// phase of its own. Harms only a fleet that is all cold: its climb is slower.
     fn cold_room(&mut self, id: &ServerId) -> f64 {
-        let mean = self.sent_units.level / RATE_MEMORY / self.names.len().max(1) as f64;
         // The most of late: when all are refused the mean falls, and the budget must not fall with it.
         note_demand(&mut self.carried, self.now, 0.0, PEAK_MEMORY);
-        self.carried.level = self.carried.level.max(mean);
-        let host = self.servers.get_mut(id).expect("the caller names a known server");
-        let age = self.now - host.cold_since;
-        if host.cold_since <= 0.0 || age >= self.set.cold {
+        self.carried.level = self.carried.level.max(self.warm_units.level / RATE_MEMORY);
+        let warmth = self.warmth(&self.servers[id]);
+        if warmth >= 1.0 {
             return f64::INFINITY;
         }
         if self.leaving {
             return 0.0;
         }
-        let warmth = self.set.cold_from + (1.0 - self.set.cold_from) * (age / self.set.cold).max(0.0);
         let rate = warmth * (self.set.fall_multiple * COLD_SHARE).min(1.0) * self.carried.level;
+        let host = self.servers.get_mut(id).expect("the caller names a known server");
         host.cold.refill(self.now, rate, (rate * self.set.fall / 2.0).max(1.0))
     }
 
@@ -1021,6 +1030,9 @@
         let tries = !job.once && job.attempts.len() < job.max_attempts;
         let server = if tries && timeout > 0.0 && !job.over { self.choose(&job) } else { None };
         if let Some(server) = &server {
+            // Cold ones count by their warmth at that time: else the more of them there are, the less each is
+            // given, and with that the less again.
+            let fleet: f64 = self.names.iter().map(|id| self.warmth(&self.servers[id])).sum();
             let host = self.servers.get_mut(server).expect("chosen from the list");
             host.inflight += 1.0;
             self.inflight += 1.0;
@@ -1028,7 +1040,7 @@
             if let Some(customer) = self.customers.get_mut(&job.request.customer) {
                 customer.open += 1;
             }
-            note_demand(&mut self.sent_units, self.now, job.request.units, RATE_MEMORY);
+            note_demand(&mut self.warm_units, self.now, job.request.units / fleet.max(1.0), RATE_MEMORY);
             self.out.push(Action::Send { job: id.clone(), server: server.clone(), timeout });
             job.attempts.push(Attempt { server: server.clone(), sent: self.now, ran: Ran::Out });
             let delay = (HEDGE_AIM * class.aim).max(3.0 * self.latency);
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -173,3 +173,26 @@
     assert!(used.get("a").is_some_and(|n| *n * 2 < used["c"]), "used, but as a cold one: {used:?}");
     assert!(!used.contains_key("b"));
 }
+
+#[test]
+fn a_fleet_that_starts_over_and_over_is_not_sent_less_each_time() {
+    let mut s = settings();
+    (s.plans, s.fall_multiple) = (vec![Plan::default()], 3.0);
+    let mut rig = fleet(1, &s, &servers(3)).remove(0);
+    let mut sent = [0; 13];
+    for step in 0..1300 {
+        rig.now = 100.0 + f64::from(step) * 0.05;
+        // All of them are cold from 5 s on, and never get to be warm.
+        if step > 0 && step % 100 == 0 {
+            let now = rig.now;
+            rig.list(
+                ListKind::Full,
+                (0..3).map(|i| server(&format!("s{i:03}"), Lifecycle::Running, now)).collect(),
+            );
+        }
+        sent[step as usize / 100] += usize::from(one(&mut rig, &step.to_string(), 1).is_some());
+    }
+    assert_eq!(sent[0], 100, "all, while they are warm");
+    assert!((1..50).contains(&sent[1]), "{sent:?}");
+    assert!(sent[12] * 2 > sent[1], "{sent:?}");
+}
