Think a worker cold after a failed connection only if it answers nothing from before

Where connections are reset, each worker fails to connect once in a while and was taken for restarted. An answer to an attempt sent before the failure shows that its process lives. Not taken: asking for two failures in a row, as a short restart that nobody told of would then go unseen. The test fails without it: none of 20 is sent.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -202,6 +202,8 @@
     heard: Time,
     failures: u32,
     gone: bool,
+    #[serde(default)]
+    gone_at: Time,
     out_until: Time,
     out_for: f64,
     cold: Store,
@@ -553,14 +555,18 @@
         match status {
             Status::Moot | Status::Cancelled => return,
             Status::Ok => {
-                if host.gone {
-                    // It was unreachable and answers again: it may have restarted untold, so suspect it cold.
-                    (host.cold_since, host.gone) = (self.now, false);
+                // It was unreachable and answers again: it may have restarted untold, so suspect it cold. An
+                // answer to what it had in hand before shows that its process has lived on.
+                if host.gone && self.now - spent > host.gone_at {
+                    host.cold_since = self.now;
                 }
+                host.gone = false;
                 (host.failures, host.out_for) = (0, EJECT.0);
             }
             Status::Full => self.beside *= 1.0 - GAIN, // The bound shrinks with it.
-            Status::ConnectFailed => (host.failures, host.gone) = (EJECT_AFTER, true),
+            Status::ConnectFailed => {
+                (host.failures, host.gone, host.gone_at) = (EJECT_AFTER, true, self.now);
+            }
             Status::Timeout => {} // Its latency below says it: in overload all time out, and none is sick.
             _ => host.failures += 1,
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -196,3 +196,32 @@
     assert!((1..50).contains(&sent[1]), "{sent:?}");
     assert!(sent[12] * 2 > sent[1], "{sent:?}");
 }
+
+#[test]
+fn a_server_that_answers_what_it_had_when_a_connection_failed_is_not_thought_cold() {
+    // How many of twenty it gets, once it may be sent to again.
+    let sent = |lived: bool| {
+        let mut s = settings();
+        s.plans = vec![Plan::default()];
+        let mut rig = fleet(1, &s, &servers(1)).remove(0);
+        for i in 0..100 {
+            rig.now += 0.05;
+            one(&mut rig, &format!("warm{i}"), 1);
+        }
+        let begins = |rig: &mut Rig, job: &str| sends(&rig.ask(job)).remove(0).1;
+        let server = begins(&mut rig, "had");
+        if !lived {
+            rig.outcome("had", 0, &server, Status::Reset);
+        }
+        begins(&mut rig, "fails");
+        rig.outcome("fails", 0, &server, Status::ConnectFailed);
+        if lived {
+            rig.now += 0.1;
+            rig.outcome("had", 0, &server, Status::Ok);
+        }
+        rig.now += 2.0;
+        (0..20).filter(|i| one(&mut rig, &format!("after{i}"), 1).is_some()).count()
+    };
+    assert_eq!(sent(true), 20);
+    assert!(sent(false) < 10, "one that may have restarted gets little at first: {}", sent(false));
+}
