Keep a connection busy while any request on it is in hand, not only until the first ends

The end of a refused upload marked the connection idle though the next request was in hand, 100 times on one play, and an answer of over 2.2 s was then closed as idle. Ruled out there: the worker's end, its silence, the client's going. Requests in hand are counted now. Not taken: dropping the hold when the answer is out, which takes the rest of a slow upload for a slow head again. The test was seen to fail without the change, on the answer that is cut off.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -56,8 +56,9 @@
 
 /// A client's connection as the others see it.
 struct Peer {
-    /// A request on it is in hand.
-    busy: Cell<bool>,
+    /// Requests on it that are in hand: the rest of one that is answered may still be coming to its end when the
+    /// next has come.
+    hands: Cell<usize>,
     since: Cell<Instant>,
     /// It has carried a request.
     used: Cell<bool>,
@@ -71,20 +72,24 @@
 impl Peer {
     fn new() -> Self {
         let now = Instant::now();
-        let [busy, used] = [const { Cell::new(false) }; 2];
+        let (hands, used) = Default::default();
         let (since, head, taken) = (Cell::new(now), Cell::new(None), Cell::new(now));
-        Self { busy, since, used, head, taken, close: Notify::new() }
+        Self { hands, since, used, head, taken, close: Notify::new() }
+    }
+
+    fn busy(&self) -> bool {
+        self.hands.get() > 0
     }
 
     /// One that has just come, or just had its answer, may have a request on its way.
     fn idle(&self) -> bool {
-        !self.busy.get() && self.head.get().is_none() && self.since.get().elapsed() > IDLE
+        !self.busy() && self.head.get().is_none() && self.since.get().elapsed() > IDLE
     }
 
     /// Waits until it is to be closed for bringing nothing, or for taking nothing.
     async fn overdue(&self) {
         loop {
-            let until = match (self.busy.get(), self.head.get()) {
+            let until = match (self.busy(), self.head.get()) {
                 (true, _) => (self.taken.get() + UNTAKEN).max(Instant::now() + BUSY_TIME),
                 (false, Some(head)) if self.used.get() => head + HEAD_TIME,
                 (false, None) if self.used.get() => self.since.get() + IDLE_TIME,
@@ -112,7 +117,7 @@
     ) -> Poll<io::Result<()>> {
         let before = to.filled().len();
         let done = Pin::new(&mut self.socket).poll_read(cx, to);
-        if to.filled().len() > before && !self.peer.busy.get() && self.peer.head.get().is_none() {
+        if to.filled().len() > before && !self.peer.busy() && self.peer.head.get().is_none() {
             self.peer.head.set(Some(Instant::now()));
         }
         done
@@ -344,18 +349,17 @@
             }
             // One whose client does not read its answer must not keep its place for good.
             while tokio::time::timeout(UNREAD, connection.as_mut()).await.is_err()
-                && (peer.busy.get() || peer.head.get().is_some())
+                && (peer.busy() || peer.head.get().is_some())
                 && peer.taken.get().elapsed() < UNTAKEN
             {}
         });
     }
 
     async fn handle(self: &Rc<Self>, request: Request<Incoming>, peer: &Rc<Peer>) -> Response<body::Answer> {
-        peer.busy.set(true);
         peer.head.set(None);
         peer.taken.set(Instant::now());
         // Also when the client goes and this is dropped half way.
-        let busy: Rc<dyn Any> = Rc::new(Busy(peer.clone()));
+        let busy: Rc<dyn Any> = Rc::new(Busy::new(peer));
         let mut response = if request.uri().path() == "/up" {
             plain(if !self.up() { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK })
         } else {
@@ -540,9 +544,16 @@
 
 struct Busy(Rc<Peer>);
 
+impl Busy {
+    fn new(peer: &Rc<Peer>) -> Self {
+        peer.hands.set(peer.hands.get() + 1);
+        Self(peer.clone())
+    }
+}
+
 impl Drop for Busy {
     fn drop(&mut self) {
-        self.0.busy.set(false);
+        self.0.hands.set(self.0.hands.get() - 1);
         self.0.since.set(Instant::now());
     }
 }
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -635,7 +635,7 @@
         self
     }
 
-    fn bytes(&self) -> Vec<u8> {
+    pub fn bytes(&self) -> Vec<u8> {
         let mut text = format!("{}\r\n", self.line);
         self.headers.iter().for_each(|(n, v)| text += &format!("{n}: {v}\r\n"));
         let framed = self.headers.iter().any(|(n, _)| *n == "Transfer-Encoding" || *n == "Content-Length");
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -282,6 +282,36 @@
     assert_eq!(client.ask(&Ask::new("x").without("X-Txn")).status(), 400, "and serves the next");
 }
 
+#[test]
+fn the_end_of_a_refused_request_does_not_end_the_long_answer_after_it() {
+    let (setup, _discovery) = worker(|mut socket| {
+        let asked = head(&mut BufReader::new(&socket)).expect("a request");
+        if asked.contains("spends") {
+            let _ = socket.write_all(plain("ok").as_bytes());
+            return;
+        }
+        let body = long(MIB);
+        let _ = write!(socket, "HTTP/1.1 200 OK\r\nContent-Length: {MIB}\r\n\r\n");
+        let _ = socket.write_all(&body[..MIB / 2]);
+        // For longer than a connection may stand idle.
+        thread::sleep(std::time::Duration::from_secs(3));
+        let _ = socket.write_all(&body[MIB / 2..]);
+    });
+    let node = setup.start();
+    let quota = |ask: Ask| ask.with("X-Plan", "pieni").with("X-Quota", "units=100,spread=2,first=0");
+    assert_eq!(node.ask(&quota(Ask::new("spends"))).status(), 200);
+    let mut client = node.client();
+    let piece = vec![b'x'; 128 * 1024];
+    let ask = quota(Ask::submit("refused")).with("Content-Length", "262144");
+    client.send(&Ask { body: piece.clone(), ..ask });
+    assert_eq!(client.answer().map(|a| a.status()), Some(429), "before all of it has come");
+    // Its end and the next request come together, so the one ends when the other is in hand already.
+    client.reader.get_mut().write_all(&[piece, Ask::new("next").bytes()].concat()).expect("a socket");
+    assert!(head(&mut client.reader).expect("an answer").starts_with("HTTP/1.1 200"));
+    let mut body = vec![0; MIB];
+    assert!(client.reader.read_exact(&mut body).is_ok() && body == long(MIB), "it is not cut off");
+}
+
 #[test]
 fn a_client_that_stops_half_way_is_owed_an_end() {
     let (setup, _discovery, heads, bodies) = taker(false, MIB);
