--- a/src/logic.rs
+++ b/src/logic.rs
@@ -909,8 +909,8 @@
     }
 
     /// The counter's speed moves the rate of calls, as a gateway of many has less than one out: a crowded
-    /// counter works in vain on calls that nobody waits for. A silent one gets trial calls only; as it is gone
-    /// and not crowded, the rate is soon what it was once it answers again.
+    /// counter works in vain on calls that nobody waits for. A silent one gets trial calls only; as it is
+    /// gone and not crowded, the rate is soon what it was once it answers again.
     fn pace_calls(&mut self, status: Status, spent: f64) {
         if status == Status::Timeout && spent < CUT_SHARE * self.set.count_limit {
             return; // Its connection broke first: that says nothing of how crowded the counter is.
