Budget cold workers by what a gateway's own warm ones carry

Ruled out: that they were put out (no failures after 13 s) or unknown (listed at 12.2 to 13.7 s).

Cause: `send` divided what a gateway sends by all warm workers, and `choose` takes only its own part of the list, 12 of 60. Each cold worker's budget was thus split over 100 gateways and drawn on by 20. `cold_room` now gives its own ones the whole of what their warm neighbours show. Where own workers begin was drawn at random, so some had 12 gateways and some 28; they now follow from the gateway's number, evenly.

Test: fails before with 125 requests to the cold half of a fleet against 2375 to the warm one; now 745.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -74,6 +74,8 @@
 /// Servers that a gateway keeps to while any may be sent to: at least, and times servers over gateways, so
 /// that many meet at each. It hears of few often, not of all rarely, and opens few connections.
 const SUBSET: (usize, usize) = (6, 20);
+/// The golden section: steps of it fall evenly into a circle, in any run of them.
+const GOLDEN: f64 = 0.618_033_988_749_895;
 /// Failures in a row that put a server out; a refused connection counts as all of them.
 const EJECT_AFTER: u32 = 3;
 /// Seconds a server is first and at most put out for.
@@ -216,7 +218,6 @@
     servers: BTreeMap<ServerId, Host>,
     aside: BTreeSet<ServerId>,
     customers: BTreeMap<CustomerId, Customer>,
-    phase: f64,
     tokens: Store,
     call_rate: f64,
     #[serde(default)]
@@ -246,8 +247,6 @@
     aside: BTreeSet<ServerId>,
     /// Running servers that are not aside, to draw from.
     names: Vec<ServerId>,
-    /// Where in the list, from 0 to 1, this gateway's own servers begin.
-    phase: f64,
     jobs: BTreeMap<JobId, Job>,
     customers: BTreeMap<CustomerId, Customer>,
     servers: BTreeMap<ServerId, Host>,
@@ -330,15 +329,13 @@
     /// Settings that no gateway can work with.
     pub fn new(settings: Settings, seed: u64) -> Result<Self, SettingsError> {
         check(&settings)?;
-        let mut rng = fastrand::Rng::with_seed(seed);
+        let rng = Some(fastrand::Rng::with_seed(seed));
         let call_rate = (CALLS.1 / f64::from(settings.gateways)).max(CALLS.0);
         let flows = vec![Default::default(); settings.plans.len()];
-        let (phase, rng) = (rng.f64(), Some(rng));
         let answered_rate = call_rate;
         Ok(Self {
             set: settings,
             flows,
-            phase,
             rng,
             call_rate,
             answered_rate,
@@ -388,7 +385,6 @@
             servers: self.servers.clone(),
             aside: self.aside.clone(),
             customers: self.customers.iter_mut().map(handed).collect(),
-            phase: self.phase,
             tokens: self.tokens,
             call_rate: self.call_rate,
             answered_rate: self.answered_rate,
@@ -420,7 +416,7 @@
         // What both know of a server, the other process has learned.
         self.servers.append(&mut state.servers);
         (self.aside, self.customers, self.flows) = (state.aside, state.customers, state.flows);
-        (self.phase, self.tokens, self.call_rate) = (state.phase, state.tokens, state.call_rate.max(CALLS.0));
+        (self.tokens, self.call_rate) = (state.tokens, state.call_rate.max(CALLS.0));
         (self.stake, self.slowed, self.warm_units) = (state.stake, state.slowed, state.warm_units);
         (self.carried, self.latency, self.typical) = (state.carried, state.latency, state.typical);
         (self.idle, self.lost, self.beside) = (state.idle, state.lost, state.beside);
@@ -623,10 +619,19 @@
         self.set.cold_from + (1.0 - self.set.cold_from) * (age / self.set.cold).max(0.0)
     }
 
+    /// Where in the list this gateway's own servers begin, and how many they are: the same while the list is,
+    /// and spread evenly over it, for all gateways as for the few in a row that carry one customer.
+    fn own(&self) -> (usize, usize) {
+        let count = self.names.len();
+        let near = SUBSET.0.max(SUBSET.1 * count / self.set.gateways as usize).min(count);
+        (((f64::from(self.set.me) * GOLDEN).fract() * count as f64) as usize, near)
+    }
+
     /// Rule 4: a cold server has a budget from what warm ones carry on average and the capacity that it
     /// surely has; as every gateway does so, they stay under the multiple together, and each starts at a
-    /// phase of its own. Harms only a fleet that is all cold: its climb is slower.
-    fn cold_room(&mut self, id: &ServerId) -> f64 {
+    /// phase of its own. Only its `own` gateways draw on it, so each has the part that its own warm ones
+    /// show, not one over all. Harms only a fleet that is all cold: its climb is slower.
+    fn cold_room(&mut self, id: &ServerId, own: bool) -> f64 {
         // The most of late: when all are refused the mean falls, and the budget must not fall with it.
         note_demand(&mut self.carried, self.now, 0.0, PEAK_MEMORY);
         self.carried.level = self.carried.level.max(self.warm_units.level / RATE_MEMORY);
@@ -634,7 +639,7 @@
         if warmth >= 1.0 {
             return f64::INFINITY;
         }
-        if self.leaving {
+        if self.leaving || !own {
             return 0.0;
         }
         let rate = warmth * (self.set.fall_multiple * COLD_SHARE).min(1.0) * self.carried.level;
@@ -646,9 +651,8 @@
     fn choose(&mut self, job: &Job) -> Option<ServerId> {
         let anchor = self.anchor(job)?;
         let mut best: Option<(f64, ServerId)> = None;
-        let count = self.names.len();
-        let near = SUBSET.0.max(SUBSET.1 * count / self.set.gateways as usize).min(count);
-        let (start, turn) = ((self.phase * count as f64) as usize, (self.draw() * near as f64) as usize);
+        let (count, (start, near)) = (self.names.len(), self.own());
+        let turn = (self.draw() * near as f64) as usize;
         for i in 0..count {
             if i >= near && best.is_some() {
                 break;
@@ -668,7 +672,7 @@
             let trust = (-(self.now - host.heard) / NEWS_MEMORY).exp();
             let slow = (host.latency / self.latency.max(1e-3) * OUTLIER - 1.0).max(0.0) * trust + 1.0;
             let score = (1.0 + host.inflight) * slow;
-            if best.as_ref().is_none_or(|(s, _)| score < *s) && self.cold_room(&id) >= 1.0 {
+            if best.as_ref().is_none_or(|(s, _)| score < *s) && self.cold_room(&id, i < near) >= 1.0 {
                 best = Some((score, id));
             }
         }
@@ -1038,7 +1042,9 @@
         if let Some(server) = &server {
             // Cold ones count by their warmth at that time: else the more of them there are, the less each is
             // given, and with that the less again.
-            let fleet: f64 = self.names.iter().map(|id| self.warmth(&self.servers[id])).sum();
+            let (start, near) = self.own();
+            let own = self.names.iter().cycle().skip(start).take(near);
+            let fleet: f64 = own.map(|id| self.warmth(&self.servers[id])).sum();
             let host = self.servers.get_mut(server).expect("chosen from the list");
             host.inflight += 1.0;
             self.inflight += 1.0;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -59,6 +59,37 @@
     assert!(to_cold <= may, "{to_cold} sent in the fall span, {may} would push it over");
 }
 
+#[test]
+fn gateways_that_each_use_a_part_of_the_list_give_cold_servers_their_due_together() {
+    let mut s = settings();
+    s.plans = vec![Plan::default()];
+    let (n, count) = (100, 60);
+    let mut rigs = fleet(n, &s, &servers(count));
+    let (mut to_warm, mut to_cold) = (0.0, 0.0);
+    for step in 0..750 {
+        let now = 100.0 + f64::from(step) * 0.02;
+        for (i, rig) in rigs.iter_mut().enumerate() {
+            rig.now = now;
+            if step == 500 {
+                let cold = servers(count / 2).into_iter().map(|s| Server { started: now, ..s });
+                rig.list(ListKind::Changes, cold.collect());
+            }
+            if (i + step as usize) % 10 == 0 {
+                let server = one(rig, &format!("{i}-{step}"), n);
+                if step >= 500 {
+                    let cold = server.as_deref().is_some_and(|id| id < "s030");
+                    *(if cold { &mut to_cold } else { &mut to_warm }) +=
+                        f64::from(u8::from(server.is_some()));
+                }
+            }
+        }
+    }
+    let warmth = s.cold_from + (1.0 - s.cold_from) * 2.5 / s.cold; // Half way through these 5 s.
+    let (least, may) = (0.5 * warmth * to_warm, s.fall_multiple * warmth * to_warm);
+    assert!(to_cold > least, "{to_cold} sent to the cold half, {to_warm} to the warm half");
+    assert!(to_cold < may, "{to_cold} sent to the cold half, {to_warm} to the warm half");
+}
+
 #[test]
 fn shares_under_one_request_keep_the_ceiling_even_when_most_gateways_restart() {
     let mut s = settings();
