Refuse nobody by a guess at what other gateways sent off the count

Cause: most of a thin customer's requests go off the count, and each ask adds for them in proportion (`flows`), two or more units to a burst of two. `settle` took that guess off what was left before it granted, so the ask of a customer that nobody had used was refused. It now grants first, and adds the guess after.

Test: an untouched customer's request was refused, and is sent.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -172,7 +172,12 @@
 /// Why a count was called.
 #[derive(Debug)]
 enum Why {
-    Ask { want: f64, owed: f64 },
+    /// `others` is this call's part of what gateways sent off the count that won't soon ask themselves.
+    Ask {
+        want: f64,
+        owed: f64,
+        others: f64,
+    },
     Read,
     Correct,
 }
@@ -896,9 +901,10 @@
         note_demand(asked, self.now, need, PEAK_MEMORY);
         note_demand(off, self.now, 0.0, PEAK_MEMORY);
         let thin = plan.burst < f64::from(customer.spread) * need;
-        let owed = customer.owed + if thin { (need * off.level / asked.level).min(plan.burst) } else { 0.0 };
-        (customer.owed, customer.window, customer.late) = (0.0, window, false);
-        self.call(key, window, want + owed, Why::Ask { want, owed }, plan);
+        let others = if thin { (need * off.level / asked.level).min(plan.burst) } else { 0.0 };
+        let owed = std::mem::take(&mut customer.owed);
+        (customer.window, customer.late) = (window, false);
+        self.call(key, window, want + owed + others, Why::Ask { want, owed, others }, plan);
         let token = self.set_timer(self.now + self.hold(), Due::Hold(key.clone()));
         self.customers.get_mut(key).expect("seen above").asking = Some(token);
     }
@@ -993,7 +999,7 @@
                 }
             }
             Why::Read => {}
-            Why::Ask { want, owed } => {
+            Why::Ask { want, owed, others } => {
                 let shift = (window - call.window.min(window)) as f64 * plan.rate * window_length(plan);
                 let before = limit + shift - prior;
                 let mut left = before.min(plan.burst);
@@ -1003,11 +1009,13 @@
                     left = left.min(known.refill(self.now, plan.rate, plan.burst));
                 }
                 let lapsed = before - left;
+                // What others may have sent is a guess, right in sum only: it does not refuse this one.
                 let granted = want.min((left - owed + 1e-6).floor().max(0.0));
                 customer.lease += granted;
                 // What was sent beyond the quota takes nothing from it.
-                let beyond = (owed - left.max(0.0)).max(0.0);
-                customer.level = Some(Store { level: left - owed - granted + beyond, at: self.now });
+                let spent = owed + others + granted;
+                let beyond = (spent - left.max(granted)).max(0.0);
+                customer.level = Some(Store { level: left - spent + beyond, at: self.now });
                 let mut correction = granted - want - beyond;
                 if lapsed > if first { LAPSE_SLACK.0 } else { LAPSE_SLACK.1 } * plan.burst {
                     correction += lapsed;
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -200,3 +200,28 @@
     assert_eq!(asked_after(Status::Timeout, limit), 50, "it was silent");
     assert!(asked_after(Status::Ok, 0.9 * limit) < 25, "it was crowded");
 }
+
+#[test]
+fn a_guess_at_what_others_sent_off_the_count_refuses_nobody_whose_count_is_untouched() {
+    let mut s = settings();
+    (s.gateways, s.plans[0]) = (100, plan(0.4, 2.0));
+    let mut rig = Rig::new(s);
+    let begins = |rig: &mut Rig, i: u32| {
+        let mut request = request(&format!("j{i}"), rig.now);
+        (request.spread, request.customer) = (100, format!("c{i}").into());
+        let out = rig.event(Event::Request(request));
+        for (job, server) in sends(&out) {
+            rig.outcome(&job, 0, &server, Status::Ok);
+        }
+        out
+    };
+    // A crowd at once: the few calls that may go out stay unanswered, the rest is sent off the count.
+    let off = (0..60).map(|i| sends(&begins(&mut rig, i)).len()).sum::<usize>();
+    assert!(off >= 20, "{off} sent off the count");
+    rig.now += 2.0;
+    let out = begins(&mut rig, 60);
+    let (name, step) = counts(&out)[0];
+    assert!(step > 1.0, "what the crowd sent is added for in proportion");
+    let out = rig.counted(name, Status::Ok, step);
+    assert_eq!((sends(&out).len(), refused(&out)), (1, 0));
+}
