Send a used-up carrier's first attempts at the pace its open cap can carry

Measured: where the count shows less than 0.8 of the burst left, 72% of the first sends met a full cap, above it 28%; own demand and latency tell little (0.24 to 0.49).

Cause: `under_open_cap` lets every gateway have one attempt out, 22 of them for a cap of three: a floor that adds up. Where the even share is under one, a customer that uses up its rate now sends a part of its first attempts by chance, so that rate times an answer's time leaves a place free. The unit stays spent.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -49,6 +49,8 @@
 /// Chance of passing an open cap that a send may run, over one and what passing costs: the other half of its
 /// worth is what a refused client's next try may still earn.
 const OPEN_RISK: f64 = 0.5;
+/// Share of its burst from which a customer is held to use up its rate.
+const OPEN_USED: f64 = 0.2;
 /// Share of the bound that second copies and what is beyond quotas may fill: none in a slow fleet.
 const SPARE_ROOM: f64 = 0.5;
 /// Further attempts per first send, and how many may be saved up: too few to feed an overload.
@@ -853,12 +855,30 @@
         }
         let drawn = if off_count || plan.ceiling_rate > 0.0 { units } else { 0.0 };
         customer.share.level = (customer.share.level - drawn).max(0.0);
-        if plan.open == 0 || self.under_open_cap(&key, &plan) {
+        if plan.open == 0 {
             self.send_first(id);
-        } else {
+        } else if !self.under_open_cap(&key, &plan) {
             self.customers.get_mut(&key).expect("seen above").lease += units; // Not sent, so not spent.
             self.end(&id, self.latency);
+        } else if self.within_open_pace(&key, &plan) {
+            self.send_first(id);
+        } else {
+            self.end(&id, self.latency); // Its unit stays spent: else the rate would be as high as before.
+        }
+    }
+
+    /// Where the even share of an open cap is under one attempt, a first one at each gateway adds up to many
+    /// times the cap. Whoever is seen to use up its rate keeps that times an answer's time out, by Little's
+    /// law: of it goes what leaves the cap a place free on average.
+    fn within_open_pace(&mut self, key: &CustomerId, plan: &Plan) -> bool {
+        let customer = &self.customers[key];
+        let level = customer.level.map(|mut l| l.refill(self.now, plan.rate, plan.burst));
+        let used = level.map_or(0.0, |l| 1.0 - l / plan.burst.max(1e-9));
+        if plan.open >= customer.spread || used < OPEN_USED {
+            return true;
         }
+        let free = f64::from(plan.open - 1).max(0.5);
+        self.draw() * plan.rate * self.latency <= free
     }
 
     /// An open cap holds over all gateways, and nobody tells what is out at the others. An even share, one at
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -225,3 +225,31 @@
     let out = rig.counted(name, Status::Ok, step);
     assert_eq!((sends(&out).len(), refused(&out)), (1, 0));
 }
+
+#[test]
+fn a_used_up_customers_first_attempts_go_at_the_pace_that_its_open_cap_can_carry() {
+    // How many of a crowd of requests go at one of many gateways when answers take so long.
+    let sent = |spent: f64| {
+        let mut s = settings();
+        s.gateways = 100;
+        (s.plans[0].open, s.classes[0].aim) = (3, 50.0);
+        let (mut rig, mut counter) = (Rig::new(s), Counter::default());
+        let mut sent = 0;
+        for i in 0..600 {
+            rig.now += 0.02;
+            let mut request = request(&format!("j{i}"), rig.now);
+            request.spread = 100;
+            let mut out = rig.event(Event::Request(request));
+            out.extend(counter.answer(&mut rig, &out.clone()));
+            for (job, server) in sends(&out) {
+                sent += 1;
+                let (attempt, status, over, settled, load) = (0, Status::Ok, true, None, Load::default());
+                rig.event(Event::Outcome { job, attempt, server, status, spent, over, settled, load });
+            }
+        }
+        sent
+    };
+    let (quick, slow) = (sent(0.05), sent(1.0));
+    assert!(quick >= 100, "{quick} sent: what the rate allows");
+    assert!(slow * 2 < quick, "{slow} sent, at a second each, {quick} where answers are quick");
+}
