Leave a server that turns away alone for a while, each gateway for as long by chance

Cause: `observe` took each for a full fleet and shrank the bound, and left the server in the draw, where one with nothing in hand looks best. It is now put out like one that fails, and the bound shrinks only where most servers are out. Times out are drawn from half to one and a half, so that gateways do not return together.

Test: it was sent to again after 10 ms; now between 0.5 and 1.5 s.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -551,6 +551,7 @@
     fn observe(&mut self, server: &ServerId, status: Status, spent: f64) {
         let sick = self.names.iter().filter(|id| self.now < self.servers[*id].out_until).count() as f64;
         let crowded = sick >= self.names.len() as f64 * EJECT_MOST;
+        let spread = 0.5 + self.draw();
         let Some(host) = self.servers.get_mut(server) else { return };
         let beside = self.inflight;
         host.inflight = (host.inflight - 1.0).max(0.0);
@@ -566,7 +567,9 @@
                 host.gone = false;
                 (host.failures, host.out_for) = (0, EJECT.0);
             }
-            Status::Full => self.beside *= 1.0 - GAIN, // The bound shrinks with it.
+            // Where most turn away the fleet is full, and the bound shrinks with it; else this one is.
+            Status::Full if crowded => self.beside *= 1.0 - GAIN,
+            Status::Full => host.failures = EJECT_AFTER,
             Status::ConnectFailed => {
                 (host.failures, host.gone, host.gone_at) = (EJECT_AFTER, true, self.now);
             }
@@ -574,7 +577,8 @@
             _ => host.failures += 1,
         }
         if host.failures >= EJECT_AFTER && self.now >= host.out_until && !crowded {
-            host.out_until = self.now + host.out_for;
+            // Not all gateways at once again.
+            host.out_until = self.now + host.out_for * spread;
             host.out_for = (host.out_for * 2.0).min(EJECT.1);
         }
         if !matches!(status, Status::Ok | Status::Timeout) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -173,3 +173,31 @@
     let out = rig.outcome("j", 0, &server, Status::Full);
     assert_eq!((sends(&out).len(), refused(&out)), (0, 1));
 }
+
+#[test]
+fn a_server_that_turns_away_is_left_alone_for_a_while_and_not_by_all_for_as_long() {
+    // Seconds until a gateway sends again to a server that turned it away, the others being as free.
+    let away = |seed: u64| {
+        let gateway = Gateway::new(plain(Effect::Safe), seed).expect("usable settings");
+        let mut rig = Rig { gateway, now: 100.0, actions: Vec::new() };
+        let servers = ["a", "b", "c"].map(|n| server(n, Lifecycle::Running, 0.0)).to_vec();
+        rig.list(ListKind::Stale, servers);
+        let (job, full) = sends(&rig.ask("full")).remove(0);
+        rig.outcome(&job, 0, &full, Status::Full);
+        for i in 0..400 {
+            rig.now += 0.01;
+            for (job, server) in sends(&rig.ask(&format!("j{i}"))) {
+                if server == full {
+                    return rig.now - 100.0;
+                }
+                rig.outcome(&job, 0, &server, Status::Ok);
+            }
+        }
+        f64::INFINITY
+    };
+    let times: Vec<f64> = (0..20).map(away).collect();
+    let (first, last) =
+        times.iter().fold((f64::INFINITY, 0.0), |(a, b): (f64, f64), t| (a.min(*t), b.max(*t)));
+    assert!(first > 0.3 && last < 2.0, "{times:?}");
+    assert!(last - first > 0.3, "they come back one after another: {times:?}");
+}
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -241,6 +241,7 @@
         }
     });
     again(&mut setup, &discovery, "w1");
+    again(&mut setup, &discovery, "w2"); // One that has turned away is left alone for a while.
     let node = setup.start();
     let mut ask = Ask::submit("long");
     ask.body = long(MIB);
