Ask an overbooked discovery in jittered, longer waits, and for changes only

Cause: `discovery.rs` began with the whole list, though the configuration gives a version to go on from, asked for the whole again after each 503, and waited at most 1 s without jitter: 100 calls a second, in step.

Now it goes on from the version held, also after a 5xx, waits up to 3 s after one, and draws every wait from half to one and a half by the configuration's seed.

Test: the call after a 503 asked for the whole list.

--- a/src/bin/yardspur/config.rs
+++ b/src/bin/yardspur/config.rs
@@ -62,6 +62,8 @@
     /// Where the operators' calls are taken, if anywhere.
     pub admin: Option<SocketAddr>,
     pub known: Vec<Entry>,
+    /// The version of that list, if it is a whole one.
+    pub known_version: Option<u64>,
     pub options: Options,
     /// The file as it was read: one that replaces it must hold what it held.
     text: Value,
@@ -157,6 +159,7 @@
             memory: (file.limits.memory_mb.max(0.0) * f64::from(1 << 20)) as usize,
             counter: file.counter,
             admin: file.admin,
+            known_version: file.known.full.then_some(file.known.version),
             known: file.known.servers,
             options,
             text,
--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -15,8 +15,10 @@
 const HOLD: Duration = Duration::from_secs(4);
 /// How long past that an answer is waited for: a silent agent is asked again on a new connection.
 const PATIENCE: Duration = Duration::from_millis(1500);
-/// First and longest wait after a failed call.
+/// First and longest wait after a failed call, on average: each is drawn anew, as all gateways meet the same fault.
 const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// The longest after an error answer: discovery is overbooked, and asking as often as ever keeps it so.
+const OVERBOOKED: Duration = Duration::from_secs(3);
 
 #[derive(Debug, Clone, Copy, PartialEq)]
 enum Fault {
@@ -39,20 +41,25 @@
     }
 }
 
-/// Follows discovery for good, wherever it is at the time.
-pub async fn follow(mut addr: watch::Receiver<SocketAddr>, hub: Rc<Hub>) {
+/// Follows discovery for good, wherever it is at the time; `known` is the version of the list that is held.
+pub async fn follow(
+    mut addr: watch::Receiver<SocketAddr>,
+    hub: Rc<Hub>,
+    mut known: Option<u64>,
+    mut rng: fastrand::Rng,
+) {
     loop {
         let now = *addr.borrow_and_update();
         tokio::select! {
-            () = follow_at(now, &hub) => {}
+            () = follow_at(now, &hub, known.take(), &mut rng) => {}
             // Another agent's versions need not be the old one's: what follows begins with the whole list.
             moved = addr.changed() => if moved.is_err() { return },
         }
     }
 }
 
-async fn follow_at(addr: SocketAddr, hub: &Rc<Hub>) {
-    let (mut link, mut version, mut wait, mut trouble) = (None, None, BACKOFF.0, None);
+async fn follow_at(addr: SocketAddr, hub: &Rc<Hub>, mut version: Option<u64>, rng: &mut fastrand::Rng) {
+    let (mut link, mut wait, mut trouble) = (None, BACKOFF.0, None);
     loop {
         match call(addr, &mut link, version).await {
             Ok(list) => {
@@ -76,11 +83,13 @@
                     eprintln!("yardspur: discovery: {fault}");
                 }
                 link = None;
-                if matches!(fault, Fault::Status(_) | Fault::Unreadable) {
+                // An error of the service says nothing of the list that is held; a refusal of the call may.
+                let overbooked = matches!(fault, Fault::Status(status) if status.is_server_error());
+                if matches!(fault, Fault::Status(_) | Fault::Unreadable) && !overbooked {
                     version = None;
                 }
-                tokio::time::sleep(wait).await;
-                wait = (wait * 2).min(BACKOFF.1);
+                tokio::time::sleep(wait.mul_f64(0.5 + rng.f64())).await;
+                wait = (wait * 2).min(if overbooked { OVERBOOKED } else { BACKOFF.1 });
             }
         }
     }
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -95,7 +95,12 @@
     let (discovery_at, discovery) = watch::channel(config.discovery);
     let hub = Hub::new(&config, share).map_err(NodeError::Settings)?;
     hub.start_counter();
-    let discovery = tokio::task::spawn_local(discovery::follow(discovery, hub.clone()));
+    let discovery = tokio::task::spawn_local(discovery::follow(
+        discovery,
+        hub.clone(),
+        config.known_version,
+        fastrand::Rng::with_seed(config.seed),
+    ));
     let reloads = tokio::task::spawn_local(reload(hangup, config, discovery_at, hub.clone()));
     let timers = tokio::task::spawn_local(hub.clone().run_timers());
     let sweeps = tokio::task::spawn_local(sweep(hub.clone()));
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -292,6 +292,7 @@
     entries: Vec<(u64, Value)>,
     garbage: bool,
     silent: bool,
+    overbooked: bool,
 }
 
 pub struct Discovery {
@@ -322,7 +323,8 @@
                 let (known, changed) = &*shared;
                 let guard = known.lock().expect("no panic inside");
                 // Held for a second at most, whatever was asked: a shorter wait is allowed.
-                let wait = |k: &mut Known| k.silent || (!k.garbage && from == Some(k.version));
+                let wait =
+                    |k: &mut Known| k.silent || (!k.garbage && !k.overbooked && from == Some(k.version));
                 let (known, _) =
                     changed.wait_timeout_while(guard, Duration::from_secs(1), wait).expect("no panic inside");
                 if known.silent {
@@ -330,6 +332,12 @@
                     let _ = reader.read(&mut [0]);
                     return;
                 }
+                if known.overbooked {
+                    drop(known);
+                    let _ =
+                        socket.write_all(b"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+                    continue;
+                }
                 let newer = known.entries.iter().filter(|(v, _)| from.is_none_or(|from| *v > from));
                 let servers: Vec<&Value> = newer.map(|(_, e)| e).collect();
                 let list = json!({"version": known.version, "full": from.is_none(), "servers": servers});
@@ -371,14 +379,18 @@
         self.with(|k| k.silent = on);
     }
 
+    pub fn overbooked(&self, on: bool) {
+        self.with(|k| k.overbooked = on);
+    }
+
     /// Waits until the gateway watches from `version`: it has taken in all before.
     pub fn told(&self, version: u64) {
         while self.watches.recv_timeout(LIMIT).expect("a watch") < version {}
     }
 
     /// Waits for one more call of any kind.
-    pub fn called(&self) {
-        self.watches.recv_timeout(LIMIT).expect("a call");
+    pub fn called(&self) -> u64 {
+        self.watches.recv_timeout(LIMIT).expect("a call")
     }
 }
 
@@ -444,6 +456,8 @@
 pub struct Setup {
     pub settings: Value,
     pub known: Vec<Value>,
+    /// The version of that list.
+    pub version: u64,
     pub discovery: SocketAddr,
     pub counter: Option<SocketAddr>,
     pub sockets: usize,
@@ -462,6 +476,7 @@
             Self {
                 settings: settings(),
                 known: entries,
+                version: 0,
                 discovery: addr,
                 counter: None,
                 sockets: 256,
@@ -477,7 +492,7 @@
             "name": "n0", "admin": admin, "listen": "127.0.0.1:0", "discovery": self.discovery.to_string(),
             "seed": "8c1f30d27a5be964", "counter": self.counter.map(|c| c.to_string()),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
-            "known": {"version": 0, "full": true, "servers": self.known}, "settings": self.settings,
+            "known": {"version": self.version, "full": true, "servers": self.known}, "settings": self.settings,
         })
     }
 
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -378,6 +378,26 @@
     assert_eq!(node.ask(&Ask::new("b")).body, b"new");
 }
 
+#[test]
+fn an_overbooked_discovery_is_asked_for_changes_only() {
+    let worker = Worker::start(Does::Serves("old"));
+    let (mut setup, discovery) = Setup::new(&[&worker]);
+    setup.version = 1;
+    discovery.overbooked(true);
+    let node = setup.start();
+    node.says("status 503");
+    assert_eq!(
+        (discovery.called(), discovery.called()),
+        (1, 1),
+        "from the list that is held, also after an error"
+    );
+    assert_eq!(node.ask(&Ask::new("a")).body, b"old", "what was known at the start serves");
+    discovery.overbooked(false);
+    let drained = discovery.change(entry("w0", worker.addr, "DRAINING"));
+    discovery.told(drained);
+    assert_eq!(node.ask(&Ask::new("b")).status(), 429, "followed again");
+}
+
 #[test]
 fn after_sighup_discovery_and_the_counter_are_where_the_new_configuration_says() {
     let (old, new) = (Worker::start(Does::Serves("old")), Worker::start(Does::Serves("new")));
