--- a/src/logic.rs
+++ b/src/logic.rs
@@ -187,28 +187,18 @@
         Ok(Self { set: settings, rng: Some(fastrand::Rng::with_seed(seed)), known, ..Self::default() })
     }
 
-    /// Puts other settings in the place of the present ones: all of them, or none with an error. Requests
-    /// that are open keep their class's rules, so classes may come, go and move; plans may only be added.
+    /// Checks other settings, and changes nothing: all of them can be put in the place of the present ones, or
+    /// none. Open requests keep their class's rules, so classes may come, go and move; plans may only be added.
     ///
     /// # Errors
     /// Settings that no gateway can work with, or that this one can't change to.
-    pub fn retune(&mut self, settings: Settings) -> Result<(), SettingsError> {
-        let ready = self.prepare(settings)?;
-        self.commit(ready);
-        Ok(())
-    }
-
-    /// The first half of [`Gateway::retune`]: checks, and changes nothing.
-    ///
-    /// # Errors
-    /// As there.
     pub fn prepare(&self, settings: Settings) -> Result<Retune, SettingsError> {
         settings.check()?;
         let removed = settings.plans.len() < self.set.plans.len();
         if removed { Err(SettingsError::PlansRemoved) } else { Ok(Retune(settings)) }
     }
 
-    /// The second half, which can't fail.
+    /// Puts them there, which can't fail.
     pub fn commit(&mut self, ready: Retune) {
         self.known.flows.resize(ready.0.plans.len(), Default::default());
         self.set = ready.0;
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -24,6 +24,13 @@
     s
 }
 
+/// Checks and takes other settings.
+pub fn retune(gateway: &mut Gateway, settings: Settings) -> Result<(), SettingsError> {
+    let ready = gateway.prepare(settings)?;
+    gateway.commit(ready);
+    Ok(())
+}
+
 pub fn server(name: &str, lifecycle: Lifecycle, started: Time) -> Server {
     Server { id: name.into(), zone: 0, cell: 0, started, lifecycle }
 }
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -47,14 +47,14 @@
     let mut rig = Rig::new(settings());
     let mut bad = settings();
     (bad.plans[0].rate, bad.max_open) = (f64::NAN, 0);
-    assert_eq!(rig.gateway.retune(bad), Err(SettingsError::BadNumber("rate")));
+    assert_eq!(retune(&mut rig.gateway, bad), Err(SettingsError::BadNumber("rate")));
     let mut fewer = settings();
     (fewer.plans, fewer.max_open) = (Vec::new(), 0);
-    assert_eq!(rig.gateway.retune(fewer), Err(SettingsError::PlansRemoved));
+    assert_eq!(retune(&mut rig.gateway, fewer), Err(SettingsError::PlansRemoved));
     assert_eq!(sends(&rig.ask("still")).len(), 1, "nothing of either is in force");
     let mut full = settings();
     full.max_open = 0;
-    assert_eq!(rig.gateway.retune(full), Ok(()));
+    assert_eq!(retune(&mut rig.gateway, full), Ok(()));
     assert_eq!(refused(&rig.ask("now")), 1);
 }
 
@@ -74,7 +74,7 @@
     // What was first is gone, what was second stands first, and one attempt is all that there is now.
     let mut new = old;
     (new.classes, new.max_attempts) = (vec![Class::default()], 1);
-    assert_eq!(rig.gateway.retune(new), Ok(()));
+    assert_eq!(retune(&mut rig.gateway, new), Ok(()));
     let out = rig.outcome("once", 0, &once, Status::Reset);
     assert_eq!((sends(&out).len(), failed(&out)), (0, 1), "it is still one that runs once");
     assert_eq!(
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -1,5 +1,7 @@
 //! Zones, on the module without sockets: small fleets played event by event.
 
+mod common;
+
 use std::collections::BTreeMap;
 use weirusher::*;
 
@@ -361,7 +363,7 @@
     assert!(fleet.share(fleet.now - 1.0, |_| true, |_, zone| zone == 2) > 0.05);
     let mut other = settings(2, 0, 2);
     other.plans = vec![Plan::default()];
-    assert_eq!(fleet.gateways[0].retune(other), Ok(()), "its own zone may change");
+    assert_eq!(common::retune(&mut fleet.gateways[0], other), Ok(()), "its own zone may change");
     fleet.run(1.0, 10.0);
     fleet.servers.clear();
     fleet.list(0.0);
