Log through tracing, with a reason for each refusal and send off the count; clap

A file without a class passed a check as ok.

Change: the log's lines stay as they were; log in the configuration and NODE_LOG choose JSON and a level. The module says with each send what pays for it and with each refusal why; the gateway tells both at level debug only, looked at before anything is formatted. A check notes empty classes and plans.

--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -50,6 +50,8 @@
     pub sockets: u64,
     /// Gateways keep a folder over restarts (`NODE_STATE`).
     pub disk: bool,
+    /// Gateways say why they refuse and send; without it no unit has a cause.
+    pub events: bool,
     pub zones: Vec<String>,
     pub workers: usize,
     pub cores: usize,
@@ -88,6 +90,7 @@
             memory_mb: 192,
             sockets: 512,
             disk: false,
+            events: true,
             zones: vec!["hall-a".into(), "hall-b".into()],
             workers: 12,
             cores: 2,
--- a/lab/src/world/gates.rs
+++ b/lab/src/world/gates.rs
@@ -145,11 +145,10 @@
         let path = self.write_config(&config)?;
         *self.config.lock().unwrap_or_else(PoisonError::into_inner) = Some(config);
         let mut command = Command::new(&self.program);
-        command
-            .env_clear()
-            .env("NODE_CONFIG", path)
-            .env("TMPDIR", &self.folder)
-            .env("NODE_LOG", "json:debug");
+        command.env_clear().env("NODE_CONFIG", path).env("TMPDIR", &self.folder);
+        if world.events {
+            command.env("NODE_LOG", "json:debug");
+        }
         if world.disk {
             command.env("NODE_STATE", self.folder.join("state"));
         }
--- a/src/bin/weirusher-benchlink.rs
+++ b/src/bin/weirusher-benchlink.rs
@@ -153,8 +153,8 @@
 
 fn reply(action: Action) -> Value {
     match action {
-        Action::Send { job, server, timeout } => json!(["PLACE", &*job, timeout, &*server]),
-        Action::Refuse { job, retry_after } => json!(["PUSH_BACK", &*job, retry_after]),
+        Action::Send { job, server, timeout, .. } => json!(["PLACE", &*job, timeout, &*server]),
+        Action::Refuse { job, retry_after, .. } => json!(["PUSH_BACK", &*job, retry_after]),
         Action::Fail { job } => json!(["SURRENDER", &*job]),
         Action::Cancel { job, attempt } => json!(["REVOKE", &*job, attempt]),
         Action::Timer { token, at } => json!(["DEFER", token, at]),
@@ -237,7 +237,13 @@
     Ok(())
 }
 
+/// Serves the decisions of many gateways over the simulator's wire, on standard input and output.
+#[derive(clap::Parser)]
+#[command(version)]
+struct Cli {}
+
 fn main() -> std::process::ExitCode {
+    let Cli {} = clap::Parser::parse();
     match serve() {
         Ok(()) => std::process::ExitCode::SUCCESS,
         Err(message) => {
--- a/src/bin/yardspur/admin.rs
+++ b/src/bin/yardspur/admin.rs
@@ -17,6 +17,7 @@
     net::{TcpListener, TcpStream},
     task::AbortHandle,
 };
+use tracing::{info, warn};
 
 /// Connections at most. At the edge the one that has been open longest goes: a call takes milliseconds, so
 /// that is one that completes none.
@@ -54,7 +55,7 @@
                     seats.push_back(tokio::task::spawn_local(connection).abort_handle());
                 }
                 Err(e) => {
-                    eprintln!("yardspur: second address: {e}");
+                    warn!("second address: {e}");
                     tokio::time::sleep(PAUSE).await;
                 }
             }
@@ -112,7 +113,7 @@
             }
             "out-of-service" | "in-service" => {
                 let away = call == "out-of-service";
-                eprintln!("yardspur: clients are {}", if away { "sent away" } else { "taken again" });
+                info!("clients are {}", if away { "sent away" } else { "taken again" });
                 self.clients.send_away(away);
                 nothing(StatusCode::OK)
             }
--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -26,6 +26,7 @@
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
 };
+use tracing::warn;
 use weirusher::{Effect, JobId};
 
 /// Longest head, in bytes.
@@ -307,7 +308,7 @@
                 Ok((socket, _)) => self.serve(socket),
                 Err(e) => {
                     // No descriptor, or the client went at once: never a reason to spin or to stop.
-                    eprintln!("yardspur: accept: {e}");
+                    warn!("accept: {e}");
                     self.close_longest_idle();
                     tokio::time::sleep(PAUSE).await;
                 }
--- a/src/bin/yardspur/config/mod.rs
+++ b/src/bin/yardspur/config/mod.rs
@@ -7,6 +7,7 @@
 mod strict;
 pub mod trial;
 
+use crate::events::Form;
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 use std::{fmt, net::SocketAddr, path::PathBuf};
@@ -58,10 +59,21 @@
     pub trial: Option<Terms>,
     /// Where the last good configuration is kept.
     pub state: Option<PathBuf>,
+    /// How the log is written.
+    pub log: Option<Form>,
     /// The file as it was read: one that replaces it must hold what it held.
     text: Value,
 }
 
+impl Config {
+    /// What may be meant, and hardly is.
+    pub fn notes(&self) -> Vec<Problem> {
+        let empty = [("settings.Classes", &self.options.classes), ("settings.Plans", &self.options.plans)];
+        let empty = empty.into_iter().filter(|(_, names)| names.is_empty());
+        empty.map(|(key, _)| Problem::of(key, "is empty: every request is refused")).collect()
+    }
+}
+
 /// The fewest descriptors that leave some for clients and workers.
 pub const LEAST_SOCKETS: u64 = 64;
 /// What is told of one file at most: its errors, and the bytes of each.
@@ -151,6 +163,8 @@
     pub more: usize,
     /// Keys that wait for the next start.
     pub waits: Vec<String>,
+    /// What would be taken and is hardly meant.
+    pub notes: Vec<Problem>,
 }
 
 impl Plan {
@@ -299,7 +313,7 @@
             .push(Problem::of("limits.sockets", format!("{n} are too few: {LEAST_SOCKETS} at least")));
     }
     let (counter, admin, state) = (keys.may("counter"), keys.may("admin"), keys.may("state"));
-    let trial = keys.may::<Terms>("trial");
+    let (trial, log) = (keys.may::<Terms>("trial"), keys.may::<Form>("log"));
     if trial.as_ref().is_some_and(|t| !t.usable()) {
         keys.problems
             .push(Problem::of("trial", "length_s, worse_by and least must be above 0, worse_by under 1"));
@@ -344,11 +358,13 @@
             options: options?,
             trial,
             state,
+            log,
             text,
         })
     })();
     let config = whole.ok_or_else(|| Problems::one("", "the configuration is incomplete"))?;
-    let plan = present.map(|p| Plan::between(&p.text, &config.text)).unwrap_or_default();
+    let mut plan = present.map(|p| Plan::between(&p.text, &config.text)).unwrap_or_default();
+    plan.notes = config.notes();
     Ok((config, plan))
 }
 
--- a/src/bin/yardspur/config/owner.rs
+++ b/src/bin/yardspur/config/owner.rs
@@ -7,7 +7,7 @@
     trial::{Recent, Tally, Terms, Trial, Verdict},
     waits,
 };
-use crate::gateway::Hub;
+use crate::{events, gateway::Hub};
 use serde::Serialize;
 use serde_json::Value;
 use std::{
@@ -18,6 +18,7 @@
     time::Instant,
 };
 use tokio::sync::{mpsc, watch};
+use tracing::{info, warn};
 use weirusher::Time;
 
 /// What a process is started with.
@@ -56,17 +57,19 @@
         Ok((text, config, _)) => Start { config, text: text.into(), by: By::Start, path },
         Err(broken) => {
             let Some(folder) = store::named() else { return Err(broken) };
-            eprintln!("yardspur: THE CONFIGURATION IS BROKEN: {broken}");
+            warn!("THE CONFIGURATION IS BROKEN: {broken}");
             let (version, text) = store::load(&folder)
                 .map_err(|e| Problems::one("", format!("{broken}; and there is no last good one: {e}")))?;
             let (config, _) = check(&text, None)?;
-            eprintln!(
-                "yardspur: STARTED WITH THE LAST GOOD CONFIGURATION, version {version} of an earlier process"
-            );
+            warn!("STARTED WITH THE LAST GOOD CONFIGURATION, version {version} of an earlier process");
             Start { config, text: text.into(), by: By::LastGood, path }
         }
     };
     start.config.admin = admin.or(start.config.admin);
+    events::follow(start.config.log);
+    for note in start.config.notes() {
+        warn!("{note}");
+    }
     Ok(start)
 }
 
@@ -282,6 +285,7 @@
                     .send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
                 self.history.borrow_mut().take(text, now, by);
                 let terms = config.trial.clone().filter(|_| by == By::Signal);
+                events::follow(config.log);
                 let before = self.present.replace(config);
                 attempt.commit_us = micros(start);
                 drop(before);
@@ -303,7 +307,7 @@
 
     fn say(&self, attempt: &Attempt, result: &Result<(), Problems>) {
         if let Err(problems) = result {
-            eprintln!("yardspur: the old configuration stays: {problems}");
+            warn!("the old configuration stays: {problems}");
             return;
         }
         let present = self.present.borrow();
@@ -313,10 +317,7 @@
             By::WayBack | By::Trial => "configuration taken back",
             _ => "configuration read again",
         };
-        eprintln!(
-            "yardspur: {what}: version {number}, discovery at {}, classes {classes}",
-            present.discovery
-        );
+        info!("{what}: version {number}, discovery at {}, classes {classes}", present.discovery);
     }
 
     /// What the file would change, as JSON, and whether it could be taken. Nothing changes.
@@ -350,7 +351,7 @@
         self.count(now);
         let trial = terms.map(|terms| Trial::begin(self.version(), now, terms, &self.recent.borrow()));
         if let Some(trial) = &trial {
-            eprintln!("yardspur: version {} is on trial", trial.version);
+            info!("version {} is on trial", trial.version);
         }
         self.trial.replace(trial);
     }
@@ -372,14 +373,11 @@
         self.trial.replace(None);
         let (number, before, after) = (trial.version, trial.before, trial.after);
         if verdict == Verdict::Passed {
-            eprintln!(
-                "yardspur: version {number} has passed its trial: {} of {} failed",
-                after.failed, after.answers
-            );
+            info!("version {number} has passed its trial: {} of {} failed", after.failed, after.answers);
             return;
         }
-        eprintln!(
-            "yardspur: version {number} does worse and goes back: {} of {} failed, {} of {} before it",
+        warn!(
+            "version {number} does worse and goes back: {} of {} failed, {} of {} before it",
             after.failed, after.answers, before.failed, before.answers
         );
         let sum = self.history.borrow().holds().sha256.clone();
@@ -420,9 +418,9 @@
         let at = folder.clone();
         let saved = tokio::task::spawn_blocking(move || store::save(&at, version, &text)).await;
         match saved {
-            Ok(Ok(())) => eprintln!("yardspur: version {version} is kept in {}", folder.display()),
-            Ok(Err(e)) => eprintln!("yardspur: version {version} can't be kept in {}: {e}", folder.display()),
-            Err(e) => eprintln!("yardspur: version {version} is not kept: {e}"),
+            Ok(Ok(())) => info!("version {version} is kept in {}", folder.display()),
+            Ok(Err(e)) => warn!("version {version} can't be kept in {}: {e}", folder.display()),
+            Err(e) => warn!("version {version} is not kept: {e}"),
         }
     }
 }
--- a/src/bin/yardspur/counter.rs
+++ b/src/bin/yardspur/counter.rs
@@ -18,6 +18,7 @@
     net::{TcpStream, tcp::OwnedWriteHalf},
     sync::{Notify, watch},
 };
+use tracing::warn;
 use weirusher::{Event, Status};
 
 /// Lines at most; the counter holds 32 of a gateway.
@@ -270,7 +271,7 @@
             continue;
         }
         if well {
-            eprintln!("yardspur: counter: {end}");
+            warn!("counter: {end}");
         }
         // One complaint a silence: the wait is back at its first value once an answer has come.
         well = wait == BACKOFF.0;
--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -9,6 +9,7 @@
 use hyper::{Request, StatusCode, Uri, header};
 use std::{fmt, net::SocketAddr, rc::Rc, task::Waker, time::Duration};
 use tokio::sync::watch;
+use tracing::{info, warn};
 use weirusher::{Lifecycle, ListKind, Server};
 
 /// How long discovery may hold a watch: short, as what it could not tell counts as told soon after.
@@ -64,7 +65,7 @@
         match call(addr, &mut link, version).await {
             Ok(list) => {
                 if trouble.take().is_some() {
-                    eprintln!("yardspur: discovery answers again");
+                    info!("discovery answers again");
                 }
                 wait = BACKOFF.0;
                 // Changes to a list that is not ours, or a version that went back: ask for the whole.
@@ -80,7 +81,7 @@
             Err(fault) => {
                 // One line for each kind of fault in a row, not one a call.
                 if trouble.replace(fault) != Some(fault) {
-                    eprintln!("yardspur: discovery: {fault}");
+                    warn!("discovery: {fault}");
                 }
                 link = None;
                 // An error of the service says nothing of the list that is held; a refusal of the call may.
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -26,6 +26,7 @@
     sync::{Notify, mpsc, oneshot},
     task::AbortHandle,
 };
+use tracing::{Level, debug, enabled, info, warn};
 use weirusher::{
     Action, Class, CustomerId, Event, Gateway, JobId, Lifecycle, ListKind, Load, Options, Request, Retune,
     ServerId, SettingsError, State, Status, Time, ZoneView,
@@ -365,7 +366,7 @@
             self.pools.close_idle(id);
         }
         let what = if out { "offline" } else { "online" };
-        eprintln!("yardspur: worker {id:?} {what}: {}", if known { "done" } else { "no list has named it" });
+        info!("worker {id:?} {what}: {}", if known { "done" } else { "no list has named it" });
         known
     }
 
@@ -549,8 +550,14 @@
 
     fn carry_out(self: &Rc<Self>, now: Time, action: Action) {
         match action {
-            Action::Send { job, server, timeout } => self.send(now, job, server, timeout),
-            Action::Refuse { job, retry_after } => self.answer(&job, Answer::Refused(retry_after)),
+            Action::Send { job, server, timeout, paid } => {
+                self.say(&job, "sent", Some(&server), paid.text());
+                self.send(now, job, server, timeout);
+            }
+            Action::Refuse { job, retry_after, why } => {
+                self.say(&job, "refused", None, why.text());
+                self.answer(&job, Answer::Refused(retry_after));
+            }
             Action::Fail { job } => self.answer(&job, Answer::Failed),
             Action::Cancel { job, attempt } => self.stop(&job, attempt, Status::Cancelled),
             Action::Timer { token, at } => self.set_timer(at, Due::Module(token)),
@@ -571,10 +578,21 @@
                     });
                 }
             },
-            Action::Log(text) => eprintln!("yardspur: {text}"),
+            Action::Log(text) => info!("{text}"),
             // The list is always followed.
             Action::Watch => {}
-            other => eprintln!("yardspur: an action is unknown: {other:?}"),
+            other => warn!("an action is unknown: {other:?}"),
+        }
+    }
+
+    /// Says what becomes of a request, under the id that its client gave it; costs nothing while nobody listens.
+    fn say(&self, job: &JobId, what: &str, worker: Option<&ServerId>, why: &str) {
+        if !enabled!(Level::DEBUG) {
+            return;
+        }
+        if let Some(open) = self.open.borrow().get(job) {
+            let txn = open.forward.txn.to_str().unwrap_or_default();
+            debug!(txn, worker = worker.map(|w| &**w), why, "{what}");
         }
     }
 
--- a/src/bin/yardspur/handover.rs
+++ b/src/bin/yardspur/handover.rs
@@ -19,6 +19,7 @@
     sync::mpsc,
     time::{sleep, timeout},
 };
+use tracing::{info, warn};
 use weirusher::{CustomerId, ServerId, State};
 
 /// Names the form of what is said, so that a version which says it otherwise is not misread.
@@ -86,7 +87,7 @@
         }
         Err(e) if matches!(e.kind(), ErrorKind::NotFound | ErrorKind::ConnectionRefused) => None,
         Err(e) => {
-            eprintln!("yardspur: nothing is taken over: {e}");
+            warn!("nothing is taken over: {e}");
             None
         }
     }
@@ -123,7 +124,7 @@
         said.abort();
         hub.out_elsewhere(&[]);
         hub.others_hold(&clients, 0);
-        eprintln!("yardspur: the process before this one has left");
+        info!("the process before this one has left");
     }
 }
 
@@ -135,10 +136,10 @@
                 hand_over(socket, &hub, &clients, configuration.version()).await;
                 hub.take_back();
                 clients.take_back();
-                eprintln!("yardspur: the process that took over has ended; this one takes clients again");
+                warn!("the process that took over has ended; this one takes clients again");
             }
             Err(e) => {
-                eprintln!("yardspur: no process can take over from this one: {e}");
+                warn!("no process can take over from this one: {e}");
                 return std::future::pending().await;
             }
         }
@@ -169,7 +170,7 @@
     let mut lines = BufReader::new(reader);
     let serves = timeout(PATIENCE.1, next(&mut lines)).await;
     let (Ok(Ok(())), Ok(Some(Word::Serving))) = (sent, serves) else { return };
-    eprintln!("yardspur: another process has taken over; this one ends what it has");
+    info!("another process has taken over; this one ends what it has");
     clients.leave();
     let words = hub.listen_to_calls();
     let said = tokio::task::spawn_local(say(writer, words, None));
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -8,6 +8,7 @@
 mod config;
 mod counter;
 mod discovery;
+mod events;
 mod gateway;
 mod handover;
 mod link;
@@ -15,19 +16,21 @@
 mod workers;
 
 use admin::Admin;
+use clap::Parser;
 use clients::Clients;
 use config::{
     Config, Problems,
     owner::{Configuration, Start, check_files, told},
 };
 use gateway::Hub;
-use std::{ffi::OsString, fmt, io, os::fd::FromRawFd, path::Path, process::ExitCode, rc::Rc, time::Duration};
+use std::{fmt, io, os::fd::FromRawFd, path::PathBuf, process::ExitCode, rc::Rc, time::Duration};
 use tokio::{
     net::TcpListener,
     runtime::LocalOptions,
     signal::unix::{Signal, SignalKind, signal},
     time::{Instant, sleep, sleep_until, timeout_at},
 };
+use tracing::{error, info, warn};
 use weirusher::SettingsError;
 
 /// After SIGTERM connections still come for up to 0.4 s.
@@ -114,7 +117,7 @@
     let place = handover::place(inherited);
     if let Some(place) = &place {
         if let Some(link) = handover::take_over(place, &hub, &clients, &configuration).await {
-            eprintln!("yardspur: {name} takes over from the process before it");
+            info!("{name} takes over from the process before it");
             tokio::task::spawn_local(link.follow(hub.clone(), clients.clone()));
         }
         tokio::task::spawn_local(handover::offer(
@@ -126,20 +129,20 @@
     }
     if let Some(listener) = admin {
         if let Ok(at) = listener.local_addr() {
-            eprintln!("yardspur: {name} takes the operators' calls on {at}");
+            info!("{name} takes the operators' calls on {at}");
         }
         tokio::task::spawn_local(
             Admin::new(hub.clone(), clients.clone(), configuration.clone()).serve(listener),
         );
     }
-    eprintln!("yardspur: {name} listens on {bound}");
+    info!("{name} listens on {bound}");
     tokio::select! {
         () = clients.accept(&listener) => {}
         _ = term.recv() => {}
         _ = int.recv() => {}
         // What the counter was told last has gone out by then.
         () = clients.all_left(LAST_CALLS) => {
-            eprintln!("yardspur: {name} has handed over and leaves");
+            info!("{name} has handed over and leaves");
             return Ok(());
         }
         // These end by a panic only; without one of them, being started anew is better than going on.
@@ -148,9 +151,9 @@
         _ = sweeps => return Err(NodeError::Part("idle connections")),
         _ = reloads => return Err(NodeError::Part("the configuration")),
     }
-    eprintln!("yardspur: {name} stops with {} in hand", hub.in_hand());
+    info!("{name} stops with {} in hand", hub.in_hand());
     drain(&hub, &clients, listener).await;
-    eprintln!("yardspur: {name} has stopped");
+    info!("{name} has stopped");
     Ok(())
 }
 
@@ -200,29 +203,36 @@
     runtime.map_err(NodeError::System)?.block_on(run(start))
 }
 
-/// `--check FILE [--against FILE]` is a dry run; without arguments it is a gateway.
+/// A gateway that holds customers to quotas shared by many gateways.
+///
+/// Without arguments it serves, by the configuration that NODE_CONFIG names, until SIGTERM; SIGHUP has it read
+/// that anew. Other variables: NODE_ADMIN, NODE_LISTEN_FD, NODE_LOG, NODE_STATE; see docs/on-call.md.
+#[derive(Parser)]
+#[command(version)]
+struct Cli {
+    /// Says what a gateway would make of FILE, as JSON, and ends: status 0, or 1 where it would not be taken.
+    #[arg(long, value_name = "FILE")]
+    check: Option<PathBuf>,
+    /// The configuration that holds: says what --check's FILE would change.
+    #[arg(long, value_name = "FILE", requires = "check")]
+    against: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
-    let arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
-    let checked = match &arguments[..] {
-        [] => None,
-        [check, file] if check == "--check" => Some(check_files(Path::new(file), None)),
-        [check, file, against, old] if check == "--check" && against == "--against" => {
-            Some(check_files(Path::new(file), Some(Path::new(old))))
-        }
-        _ => {
-            eprintln!("usage: yardspur [--check FILE [--against FILE]]");
-            return ExitCode::from(2);
-        }
-    };
-    if let Some(checked) = checked {
+    let cli = Cli::parse();
+    if let Some(file) = &cli.check {
+        let checked = check_files(file, cli.against.as_deref());
         let good = checked.is_ok();
         println!("{}", told(checked));
         return if good { ExitCode::SUCCESS } else { ExitCode::FAILURE };
     }
+    if let Err(why) = events::begin() {
+        warn!("NODE_LOG {why}");
+    }
     match start() {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("yardspur: {error}");
+            error!("{error}");
             ExitCode::FAILURE
         }
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -398,6 +398,8 @@
         server: ServerId,
         /// Seconds until it is given up.
         timeout: f64,
+        /// What its units are paid with.
+        paid: Reason,
     },
     /// Final answer: refused; a retry does no harm.
     Refuse {
@@ -405,6 +407,8 @@
         job: JobId,
         /// Seconds the client should stay away; 0: no advice.
         retry_after: f64,
+        /// Why.
+        why: Reason,
     },
     /// Final answer: failed, with no promise.
     Fail {
@@ -445,6 +449,59 @@
     Log(String),
 }
 
+/// What a decision on a request rested on: how its units are paid, or why it is refused.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Reason {
+    /// Units that the count has granted.
+    #[default]
+    Lease,
+    /// The even share, while the customer's first call is out.
+    Unseen,
+    /// The even share, as a call's answer takes too long.
+    Late,
+    /// The even share, as a call had no answer.
+    Unanswered,
+    /// The even share, with no call to spare.
+    NoCall,
+    /// The quota is used up, as was last heard.
+    Level,
+    /// The quota is used up, as the count says.
+    Count,
+    /// The fleet has no room.
+    Pressed,
+    /// As many attempts are out as the plan allows, probably.
+    OpenCap,
+    /// The customer's rate alone keeps as many out.
+    OpenPace,
+    /// No server may be sent to.
+    NoServer,
+    /// Attempts have failed, and there is no further one.
+    Attempts,
+    /// There is no time left, too much is open, or nobody knows the class or plan.
+    Unfit,
+}
+
+impl Reason {
+    /// In words, for the log.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::Lease => "lease",
+            Self::Unseen => "even share: first call out",
+            Self::Late => "even share: answer late",
+            Self::Unanswered => "even share: call lost",
+            Self::NoCall => "even share: no call to spare",
+            Self::Level => "used up as last heard",
+            Self::Count => "used up by the count",
+            Self::Pressed => "fleet full",
+            Self::OpenCap => "open cap",
+            Self::OpenPace => "open pace",
+            Self::NoServer => "no server",
+            Self::Attempts => "attempts failed",
+            Self::Unfit => "unfit",
+        }
+    }
+}
+
 /// How a zone's servers were lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -501,7 +501,7 @@
         for id in waiting {
             let bound =
                 matches!(self.jobs[&id].class.effect, Effect::Keyed { group: Group::Zone | Group::Cell, .. });
-            if bound { self.end(&id, 0.0) } else { self.hedge(&id) }
+            if bound { self.end(&id, 0.0, Reason::Attempts) } else { self.hedge(&id) }
         }
     }
 
@@ -605,13 +605,14 @@
             second_copies: self.set.second_copies,
             arrived: self.now,
             attempts: Vec::new(),
+            paid: Reason::default(),
             over: false,
             streaming: false,
             once: false,
         };
         self.jobs.insert(id.clone(), job);
         if !known || full {
-            return self.end(&id, 0.0);
+            return self.end(&id, 0.0, Reason::Unfit);
         }
         let plan = self.set.plans[request.plan].clone();
         let spread = request.spread.clamp(1, self.set.gateways);
@@ -625,10 +626,10 @@
             (self.set.me + self.set.gateways - request.first % self.set.gateways) % self.set.gateways;
         note_demand(&mut customer.demand, self.now, request.units, DEMAND_MEMORY);
         if !self.room(1.0) {
-            return self.end(&id, self.set.max_retry_after);
+            return self.end(&id, self.set.max_retry_after, Reason::Pressed);
         }
         if plan.rate <= 0.0 {
-            return self.spend(id, 0.0, false);
+            return self.spend(id, 0.0, Reason::Lease);
         }
         self.cover(id, &plan);
     }
@@ -646,7 +647,7 @@
             customer.lease = 0.0; // It lapses with its window.
         }
         if customer.lease >= units {
-            return self.spend(id, units, false);
+            return self.spend(id, units, Reason::Lease);
         }
         if customer.asking.is_some() && !customer.late {
             customer.held.push_back(id);
@@ -654,7 +655,7 @@
         }
         if let Some(mut level) = customer.level.filter(|l| self.now - l.at < REFRESH) {
             if level.refill(self.now, plan.rate, plan.burst) + customer.lease + 1e-6 < units {
-                return self.beyond(id, plan);
+                return self.beyond(id, plan, Reason::Level);
             }
         }
         if customer.asking.is_none() && usable {
@@ -663,11 +664,11 @@
             self.ask(&key, plan);
             if unseen && self.share_covers(&key, plan, units) {
                 self.known.customers.get_mut(&key).expect("still known").held.pop_back();
-                self.spend(id, units, true);
+                self.spend(id, units, Reason::Unseen);
             }
             return;
         }
-        self.fall_back(id, plan);
+        self.fall_back(id, plan, Reason::NoCall);
     }
 
     /// Safe mode: an even share of rate and burst, dealt in whole requests: each falls due to the next of the
@@ -699,7 +700,7 @@
 
     /// Beyond the quota (the source's soft limit): refused, but where the settings say that such a request
     /// earns more than it costs and there is room to spare, it goes; under a ceiling only within the share.
-    fn beyond(&mut self, id: JobId, plan: &Plan) {
+    fn beyond(&mut self, id: JobId, plan: &Plan, why: Reason) {
         let pays = plan.excess_worth > plan.overrun_cost && plan.open == 0;
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
         if !(pays && self.room(SPARE_ROOM))
@@ -708,24 +709,27 @@
             let customer = &self.known.customers[&key];
             let left =
                 customer.lease + customer.level.map_or(0.0, |l| l.level + plan.rate * (self.now - l.at));
-            return self.end(&id, (units - left).max(0.0) / plan.rate);
+            return self.end(&id, (units - left).max(0.0) / plan.rate, why);
         }
         let share = &mut self.known.customers.get_mut(&key).expect("judged customers are known").share;
         share.level = (share.level - units).max(0.0);
         self.send_first(id);
     }
 
-    fn fall_back(&mut self, id: JobId, plan: &Plan) {
+    fn fall_back(&mut self, id: JobId, plan: &Plan, why: Reason) {
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
         if self.share_covers(&key, plan, units) {
-            self.spend(id, units, true);
+            self.spend(id, units, why);
         } else {
-            self.beyond(id, plan);
+            self.beyond(id, plan, why);
         }
     }
 
-    fn spend(&mut self, id: JobId, units: f64, off_count: bool) {
-        let key = self.jobs[&id].request.customer.clone();
+    fn spend(&mut self, id: JobId, units: f64, paid: Reason) {
+        let off_count = paid != Reason::Lease;
+        let job = self.jobs.get_mut(&id).expect("the caller names an open job");
+        job.paid = paid;
+        let key = job.request.customer.clone();
         let plan = self.set.plans[self.jobs[&id].request.plan].clone();
         let customer = self.known.customers.get_mut(&key).expect("spending customers are known");
         if off_count && customer.asking.is_some() && customer.late {
@@ -745,12 +749,12 @@
             self.send_first(id);
         } else if !self.under_open_cap(&key, &plan) {
             self.known.customers.get_mut(&key).expect("seen above").lease += units; // Not sent, so not spent.
-            self.end(&id, self.known.latency);
+            self.end(&id, self.known.latency, Reason::OpenCap);
         } else if self.within_open_pace(&key, &plan) {
             self.send_first(id);
         } else {
             // Its unit stays spent: else the rate would be as high as before.
-            self.end(&id, self.known.latency);
+            self.end(&id, self.known.latency, Reason::OpenPace);
         }
     }
 
@@ -877,20 +881,24 @@
             }
             let held = std::mem::take(&mut customer.held);
             for id in held {
-                self.serve_held(id, status == Status::Ok, &plan);
+                self.serve_held(
+                    id,
+                    if status == Status::Ok { Reason::Count } else { Reason::Unanswered },
+                    &plan,
+                );
             }
         }
     }
 
-    fn serve_held(&mut self, id: JobId, answered: bool, plan: &Plan) {
+    fn serve_held(&mut self, id: JobId, why: Reason, plan: &Plan) {
         let Some(job) = self.jobs.get(&id).filter(|j| !j.over) else { return };
         let (units, customer) = (job.request.units, &self.known.customers[&job.request.customer]);
         if customer.lease >= units {
-            self.spend(id, units, false);
-        } else if answered {
-            self.beyond(id, plan);
+            self.spend(id, units, Reason::Lease);
+        } else if why == Reason::Count {
+            self.beyond(id, plan, why);
         } else {
-            self.fall_back(id, plan);
+            self.fall_back(id, plan, why);
         }
     }
 
@@ -952,7 +960,7 @@
     fn send_first(&mut self, id: JobId) {
         self.known.further = (self.known.further + FURTHER.0).min(FURTHER.1);
         if !self.send(&id) {
-            self.end(&id, self.set.max_retry_after);
+            self.end(&id, self.set.max_retry_after, Reason::NoServer);
         }
     }
 
@@ -984,7 +992,7 @@
                 job.request.units / fleet.max(1.0),
                 RATE_MEMORY,
             );
-            self.out.push(Action::Send { job: id.clone(), server: server.clone(), timeout });
+            self.out.push(Action::Send { job: id.clone(), server: server.clone(), timeout, paid: job.paid });
             job.attempts.push(Attempt { server: server.clone(), sent: self.now, ran: Ran::Out });
             let delay = (HEDGE_AIM * class.aim).max(3.0 * self.known.latency);
             if job.second_copies && delay < timeout {
@@ -1018,7 +1026,7 @@
             self.known.further -= 1.0;
             return;
         }
-        self.end(id, self.known.latency);
+        self.end(id, self.known.latency, Reason::Attempts);
     }
 
     fn hedge(&mut self, id: &JobId) {
@@ -1029,7 +1037,7 @@
     }
 
     /// Gives the one final answer, refusing where a retry is known to do no harm.
-    fn end(&mut self, id: &JobId, retry_after: f64) {
+    fn end(&mut self, id: &JobId, retry_after: f64, why: Reason) {
         let Some(job) = self.jobs.get(id).filter(|j| !j.over) else { return };
         let clean = job.attempts.iter().all(|a| a.ran == Ran::Never);
         let harmless = match job.class.effect {
@@ -1039,7 +1047,8 @@
         };
         if harmless {
             let most = if self.set.retry_after { self.set.max_retry_after } else { 0.0 };
-            self.out.push(Action::Refuse { job: id.clone(), retry_after: retry_after.max(0.0).min(most) });
+            let retry_after = retry_after.max(0.0).min(most);
+            self.out.push(Action::Refuse { job: id.clone(), retry_after, why });
         } else {
             self.out.push(Action::Fail { job: id.clone() });
         }
@@ -1080,7 +1089,7 @@
         customer.late = true;
         let plan = self.set.plans[customer.plan].clone();
         for id in std::mem::take(&mut customer.held) {
-            self.serve_held(id, false, &plan);
+            self.serve_held(id, Reason::Late, &plan);
         }
     }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -33,6 +33,7 @@
     pub(crate) second_copies: bool,
     pub(crate) arrived: Time,
     pub(crate) attempts: Vec<Attempt>,
+    pub(crate) paid: Reason,
     pub(crate) over: bool,
     /// Its answer goes to the client already.
     pub(crate) streaming: bool,
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -490,6 +490,8 @@
     pub trial: Option<Value>,
     /// Where the last good configuration is kept.
     pub state: Option<PathBuf>,
+    /// How the log is written.
+    pub log: Option<Value>,
 }
 
 impl Setup {
@@ -510,6 +512,7 @@
                 admin: false,
                 trial: None,
                 state: None,
+                log: None,
             },
             discovery,
         )
@@ -523,7 +526,8 @@
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": {"version": self.version, "full": true, "servers": self.known}, "settings": self.settings,
         });
-        let extra = [("trial", self.trial.clone()), ("state", self.state.as_ref().map(|s| json!(s)))];
+        let state = self.state.as_ref().map(|s| json!(s));
+        let extra = [("trial", self.trial.clone()), ("state", state), ("log", self.log.clone())];
         for (key, value) in extra.into_iter().filter_map(|(key, value)| Some((key, value?))) {
             config[key] = value;
         }
@@ -594,7 +598,11 @@
         thread::spawn(move || stderr.lines().map_while(Result::ok).for_each(|line| drop(tell.send(line))));
         let nowhere = "127.0.0.1:0".parse().expect("an address");
         let mut node = Node { addr: nowhere, admin: nowhere, child, log, config };
-        let at = |line: String| line.rsplit(' ').next().and_then(|a| a.parse().ok()).expect("an address");
+        // The log may be JSON.
+        let at = |line: String| {
+            let last = line.trim_end_matches(['"', '}']).rsplit(' ').next();
+            last.and_then(|a| a.parse().ok()).expect("an address")
+        };
         if self.admin {
             node.admin = at(node.says("takes the operators' calls on "));
         }
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -31,7 +31,7 @@
     fn check(&mut self, now: Time, unsafe_class: bool, actions: &[Action]) {
         for action in actions {
             match action {
-                Action::Send { job, server, timeout } => {
+                Action::Send { job, server, timeout, .. } => {
                     assert!(!self.ended.contains(job), "sent after its end");
                     assert!(!self.stopped.contains(server), "sent to a server that drains or is gone");
                     let attempts = self.attempts.entry(job.clone()).or_default();
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -111,7 +111,7 @@
         self.gateways[g].handle(self.now, event, &mut actions);
         for action in actions {
             match action {
-                Action::Send { job, server, timeout } => {
+                Action::Send { job, server, timeout, .. } => {
                     let number = self.attempts.entry((g, job.clone())).or_default();
                     let attempt = *number;
                     *number += 1;
