--- a/src/logic.rs
+++ b/src/logic.rs
@@ -276,7 +276,7 @@
         self.known.tokens.refill(self.now, self.known.call_rate, saved) > 0.0 && self.set.has_counter
     }
 
-    /// A number from 0 to 1, from the seed.
+    /// A number from 0 to 1.
     fn draw(&mut self) -> f64 {
         self.rng.as_mut().map_or(0.5, fastrand::Rng::f64)
     }
@@ -414,13 +414,9 @@
             let typical = if self.known.typical == 0.0 { spent } else { self.known.typical };
             self.known.typical = typical * (spent.max(1e-3) / typical).powf(gain);
             // It rises slowly, for a fleet that has become slower for good.
-            let rise = (IDLE_GAIN * gain).min(1.0);
-            self.known.idle = if self.known.idle == 0.0 {
-                self.known.typical
-            } else {
-                self.known.idle * (self.known.typical / self.known.idle).powf(rise)
-            };
-            self.known.idle = self.known.idle.min(self.known.typical);
+            let (typical, rise) = (self.known.typical, (IDLE_GAIN * gain).min(1.0));
+            let idle = if self.known.idle == 0.0 { typical } else { self.known.idle };
+            self.known.idle = (idle * (typical / idle).powf(rise)).min(typical);
         }
         self.known.beside += gain * (beside - self.known.beside);
         turn
@@ -480,7 +476,7 @@
                 Turn::Left(_) => (host.gone, host.gone_at, host.out_until) = (true, self.now, 0.0),
                 // Whoever was not heard of meanwhile may have restarted: rule 4.
                 Turn::Back if host.gone => {
-                    (host.gone, host.cold_since, host.out_until) = (false, self.now, 0.0);
+                    (host.gone, host.cold_since, host.out_until) = (false, self.now, 0.0)
                 }
                 Turn::Here(since) if host.gone_at == since => host.gone = false,
                 _ => {}
@@ -594,10 +590,9 @@
             return;
         }
         let (plans, classes) = (self.set.plans.len(), self.set.classes.len());
-        let known = (request.class < classes && request.plan < plans)
-            && (request.units.is_finite() && request.units >= 0.0)
-            && request.expires > self.now + 2.0 * self.hold() + 4.0 * self.set.step;
-        let full = self.jobs.len() >= self.set.max_open as usize;
+        let known = request.class < classes && request.plan < plans && request.units.is_finite();
+        let time = request.expires > self.now + 2.0 * self.hold() + 4.0 * self.set.step;
+        let full = self.jobs.len() >= self.set.max_open as usize || request.units < 0.0;
         let job = Job {
             request: request.clone(),
             class: self.set.classes.get(request.class).cloned().unwrap_or_default(),
@@ -611,7 +606,7 @@
             once: false,
         };
         self.jobs.insert(id.clone(), job);
-        if !known || full {
+        if !known || !time || full {
             return self.end(&id, 0.0, Reason::Unfit);
         }
         let plan = self.set.plans[request.plan].clone();
@@ -706,9 +701,8 @@
         if !(pays && self.room(SPARE_ROOM))
             || plan.ceiling_rate > 0.0 && !self.share_covers(&key, plan, units)
         {
-            let customer = &self.known.customers[&key];
-            let left =
-                customer.lease + customer.level.map_or(0.0, |l| l.level + plan.rate * (self.now - l.at));
+            let Customer { lease, level, .. } = &self.known.customers[&key];
+            let left = lease + level.map_or(0.0, |l| l.level + plan.rate * (self.now - l.at));
             return self.end(&id, (units - left).max(0.0) / plan.rate, why);
         }
         let share = &mut self.known.customers.get_mut(&key).expect("judged customers are known").share;
@@ -841,19 +835,17 @@
         // A call that is not answered tells of a crowd once; others after it, and refused ones, of silence.
         let silent = status == Status::ConnectFailed || status == Status::Timeout && self.unanswered;
         self.unanswered = matches!(status, Status::ConnectFailed | Status::Timeout);
-        if !quick && self.now - spent >= self.known.slowed {
+        let State { call_rate, answered_rate, slowed, tokens, .. } = &mut self.known;
+        if !quick && self.now - spent >= *slowed {
             // Once for all that was out at that moment: they met the same line.
-            self.known.slowed = self.now;
-            self.known.call_rate =
-                (self.known.call_rate * if status == Status::Ok { slow } else { lost }).max(CALLS.0);
-            if !silent {
-                self.known.answered_rate = self.known.call_rate;
-            }
-        } else if quick && self.known.call_rate < self.known.answered_rate {
-            self.known.call_rate = (self.known.call_rate * CALLS_BACK).min(self.known.answered_rate);
-        } else if quick && self.known.tokens.level < 1.0 {
-            self.known.call_rate += root * self.known.call_rate.sqrt();
-            self.known.answered_rate = self.known.call_rate;
+            *slowed = self.now;
+            *call_rate = (*call_rate * if status == Status::Ok { slow } else { lost }).max(CALLS.0);
+            *answered_rate = if silent { *answered_rate } else { *call_rate };
+        } else if quick && *call_rate < *answered_rate {
+            *call_rate = (*call_rate * CALLS_BACK).min(*answered_rate);
+        } else if quick && tokens.level < 1.0 {
+            *call_rate += root * call_rate.sqrt();
+            *answered_rate = *call_rate;
         }
     }
 
@@ -986,12 +978,8 @@
             if let Some(customer) = self.known.customers.get_mut(&job.request.customer) {
                 customer.open += 1;
             }
-            note_demand(
-                &mut self.known.warm_units,
-                self.now,
-                job.request.units / fleet.max(1.0),
-                RATE_MEMORY,
-            );
+            let units = job.request.units / fleet.max(1.0);
+            note_demand(&mut self.known.warm_units, self.now, units, RATE_MEMORY);
             self.out.push(Action::Send { job: id.clone(), server: server.clone(), timeout, paid: job.paid });
             job.attempts.push(Attempt { server: server.clone(), sent: self.now, ran: Ran::Out });
             let delay = (HEDGE_AIM * class.aim).max(3.0 * self.known.latency);
@@ -1016,11 +1004,12 @@
                 }
             }
         }
-        let (idle, done, streaming) = (job.out() == 0, over || job.over, job.streaming);
-        if done || streaming || !idle {
-            return if done {
-                self.over(id)
-            };
+        let (idle, streaming) = (job.out() == 0, job.streaming);
+        if over || job.over {
+            return self.over(id);
+        }
+        if streaming || !idle {
+            return;
         }
         if self.known.further >= 1.0 && status != Status::Timeout && self.room(1.0) && self.send(id) {
             self.known.further -= 1.0;
