--- a/src/logic.rs
+++ b/src/logic.rs
@@ -187,8 +187,8 @@
         Ok(Self { set: settings, rng: Some(fastrand::Rng::with_seed(seed)), known, ..Self::default() })
     }
 
-    /// Checks other settings, and changes nothing: all of them can be put in the place of the present ones, or
-    /// none. Open requests keep their class's rules, so classes may come, go and move; plans may only be added.
+    /// Checks other settings, and changes nothing: all can be put in the place of the present ones, or none.
+    /// Open requests keep their class's rules, so classes may come, go and move; plans may only be added.
     ///
     /// # Errors
     /// Settings that no gateway can work with, or that this one can't change to.
