Let gateways know each other: membership and shared views, off unless configured

Need: each gateway learns of a customer's spending by the counter and of a bad worker by itself. Where gateways can reach each other, they can tell.

The policy takes a view with its age into the even share, the more the fresher and the more complete it is; alone it is the even share exactly. Nothing changes while the count can be asked. A worker that failed three times at two gateways or more, more often than it answered, is out at all. The owner is reached by a trait and a channel, not by the whole hub. The lab carries and breaks the datagrams. Not taken: total order or agreement (needs a quorum, which a cut takes away); full state exchange (grows with the fleet).

--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -50,6 +50,8 @@
     pub sockets: u64,
     /// Gateways keep a folder over restarts (`NODE_STATE`).
     pub disk: bool,
+    /// Gateways know each other by datagrams (`fleet` in their configuration).
+    pub fleet: bool,
     /// Gateways say why they refuse and send; without it no unit has a cause.
     pub events: bool,
     pub zones: Vec<String>,
@@ -90,6 +92,7 @@
             memory_mb: 192,
             sockets: 512,
             disk: false,
+            fleet: false,
             events: true,
             zones: vec!["hall-a".into(), "hall-b".into()],
             workers: 12,
@@ -369,7 +372,7 @@
     #[serde(default = "all")]
     pub gates: String,
     /// The other end of the links: `workers`, `workers:zone=NAME`, `workers:30%`, `workers:0..3`, `counter`,
-    /// `discovery`, `front`, `gates` (datagrams) or `all`.
+    /// `discovery`, `front`, `gates` or `gates:0..3` (datagrams) or `all`.
     #[serde(default = "all")]
     pub peers: String,
     /// Which workers, as for gateways.
@@ -901,7 +904,7 @@
     Counter,
     Discovery,
     Front,
-    Gates,
+    Gates(Pick),
 }
 
 impl Peers {
@@ -916,10 +919,11 @@
             "counter" => Self::Counter,
             "discovery" => Self::Discovery,
             "front" => Self::Front,
-            "gates" => Self::Gates,
-            _ => match text.strip_prefix("workers:") {
-                Some(pick) => Self::Workers(Pick::parse(pick, zones)?),
-                None => return Err(format!("{text:?} is no far end of a link")),
+            "gates" => Self::Gates(Pick::All),
+            _ => match text.split_once(':') {
+                Some(("workers", pick)) => Self::Workers(Pick::parse(pick, zones)?),
+                Some(("gates", pick)) => Self::Gates(Pick::parse(pick, zones)?),
+                _ => return Err(format!("{text:?} is no far end of a link")),
             },
         })
     }
--- a/lab/src/world/faults.rs
+++ b/lab/src/world/faults.rs
@@ -3,7 +3,7 @@
 use super::{World, discovery, plan::Plan, worker::Worker};
 use crate::{
     record::{Event, GateState, WorkerState},
-    scenario::{Disk, Fault, Peers, Pick, What},
+    scenario::{Disk, Fault, Peers, Pick, Way, What},
     switchboard::Strike,
 };
 use rand::RngExt;
@@ -160,21 +160,23 @@
         rng: &mut ChaCha8Rng,
     ) {
         let zones = &self.plan.scenario.world.zones;
-        let peers = Peers::parse(&fault.peers, zones).unwrap_or(Peers::Gates);
+        let peers = Peers::parse(&fault.peers, zones).unwrap_or(Peers::Gates(Pick::Range(0, 0)));
         let workers = match &peers {
             Peers::Workers(pick) => pick.of(&self.plan.worker_zones, |n| rng.random_range(0..n)),
+            Peers::Gates(pick) => pick.of(&self.plan.gate_zones, |n| rng.random_range(0..n)),
             _ => Vec::new(),
         };
         let strike = Strike {
             what: fault.what,
-            way: fault.way,
+            // Between gateways each way is a link, and is struck as a whole.
+            way: if matches!(peers, Peers::Gates(_)) { Way::Both } else { fault.way },
             delay: Duration::from_secs_f64(fault.ms / 1e3),
             jitter: Duration::from_secs_f64(fault.jitter_ms / 1e3),
             share: fault.share,
             bytes_per_s: fault.bytes_per_s,
         };
         let every = |on: bool| {
-            for link in gates.iter().flat_map(|g| self.links.of(*g, &peers, &workers)) {
+            for link in gates.iter().flat_map(|g| self.links.of(*g, &peers, &workers, fault.way)) {
                 if on { link.strike(index, strike) } else { link.heal(index) }
             }
         };
--- a/lab/src/world/gates.rs
+++ b/lab/src/world/gates.rs
@@ -41,8 +41,18 @@
     pub front: Arc<Link>,
     pub discovery: SocketAddr,
     pub counter: Option<SocketAddr>,
+    pub fleet: Option<Member>,
 }
 
+/// Where a gateway's datagrams come in, and by which addresses gateways know each other.
+pub struct Member {
+    pub listen: SocketAddr,
+    pub relay: Vec<SocketAddr>,
+}
+
+/// Members that a gateway asks first.
+const SEEDS: usize = 3;
+
 pub struct Gate {
     pub index: usize,
     pub addr: SocketAddr,
@@ -142,6 +152,11 @@
         if let Some(counter) = self.around.counter {
             config["counter"] = json!(counter.to_string());
         }
+        if let Some(member) = &self.around.fleet {
+            let seeds: Vec<String> = member.relay.iter().take(SEEDS).map(SocketAddr::to_string).collect();
+            config["fleet"] = json!({"listen": member.listen.to_string(), "name": "lab", "seeds": seeds,
+                "advertise": member.relay[self.index].to_string()});
+        }
         let path = self.write_config(&config)?;
         *self.config.lock().unwrap_or_else(PoisonError::into_inner) = Some(config);
         let mut command = Command::new(&self.program);
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -10,17 +10,17 @@
 
 use crate::{
     record::{FORM, Header, Log, Meter, Recording},
-    scenario::{Peers, Scenario},
-    switchboard::{Link, Port},
+    scenario::{Peers, Scenario, Way},
+    switchboard::{Link, Port, Relay},
 };
 use counter::Counter;
 use discovery::Discovery;
 use front::Front;
-use gates::{Around, Gate};
+use gates::{Around, Gate, Member};
 use plan::{Plan, mix};
 use std::{
     io,
-    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     path::{Path, PathBuf},
     sync::{
         Arc,
@@ -77,6 +77,8 @@
     counter: Vec<Arc<Link>>,
     discovery: Vec<Arc<Link>>,
     front: Vec<Arc<Link>>,
+    /// From one gateway to another, `from * gatekeepers + to`; one way each.
+    gates: Vec<Arc<Link>>,
 }
 
 impl Links {
@@ -96,17 +98,25 @@
             };
             (0..world.workers).map(to).collect()
         };
+        let between = |i: usize| {
+            let (from, to) = (i / world.gatekeepers, i % world.gatekeepers);
+            let far = plan.gate_zones[from] != plan.gate_zones[to];
+            let delay = if far { world.far_ms } else { world.near_ms };
+            Link::new(ms(delay), mix(seed("gate", from) ^ to as u64))
+        };
         Self {
             workers: gates.clone().map(workers).collect(),
             counter: near("counter").collect(),
             // An agent is on the gateway's own machine.
             discovery: gates.clone().map(|g| Link::new(Duration::ZERO, seed("agent", g))).collect(),
             front: near("front").collect(),
+            gates: (0..world.gatekeepers * world.gatekeepers).map(between).collect(),
         }
     }
 
     /// The links of `gate` to those named.
-    fn of(&self, gate: usize, peers: &Peers, workers: &[usize]) -> Vec<&Arc<Link>> {
+    fn of(&self, gate: usize, peers: &Peers, others: &[usize], way: Way) -> Vec<&Arc<Link>> {
+        let (workers, n) = (others, self.front.len());
         let to_workers = || workers.iter().map(|w| &self.workers[gate][*w]);
         match peers {
             Peers::Workers(_) => to_workers().collect(),
@@ -117,8 +127,12 @@
                 let rest = [&self.counter[gate], &self.discovery[gate], &self.front[gate]];
                 self.workers[gate].iter().chain(rest).collect()
             }
-            // Gateways have no links among each other in this build.
-            Peers::Gates => Vec::new(),
+            // A way is a link of its own there.
+            Peers::Gates(_) => {
+                let out = others.iter().filter(|_| way != Way::In).map(|to| &self.gates[gate * n + to]);
+                let into = others.iter().filter(|_| way != Way::Out).map(|from| &self.gates[from * n + gate]);
+                out.chain(into).collect()
+            }
         }
     }
 }
@@ -197,8 +211,9 @@
         // Dropped last, once the gateways have ended.
         let folder = tempfile::Builder::new().prefix("fleetlab-").tempdir_in(&self.root)?;
         let mut tasks = JoinSet::new();
-        let world =
-            Arc::new(World::build(plan.clone(), log.clone(), &self.program, folder.path(), &mut tasks)?);
+        let world = Arc::new(
+            World::build(plan.clone(), log.clone(), &self.program, folder.path(), &mut tasks).await?,
+        );
         let ending = Ending(world.gates.clone());
         world.start_gates(&self.program).await?;
         let start = Instant::from_std(log.start());
@@ -247,7 +262,7 @@
 }
 
 impl World {
-    fn build(
+    async fn build(
         plan: Arc<Plan>,
         log: Arc<Log>,
         program: &Path,
@@ -272,7 +287,17 @@
         }
         let discovery = Discovery::new(plan.clone(), log.clone(), addrs);
         let always = watch::channel(true).0;
-        let mut gates = Vec::new();
+        let (mut gates, mut held, mut held_udp, mut members) =
+            (Vec::new(), Vec::new(), Vec::new(), Vec::new());
+        for _ in (0..spec.gatekeepers).filter(|_| spec.fleet) {
+            let reserved = UdpSocket::bind((ip, 0))?;
+            members.push(reserved.local_addr()?);
+            held_udp.push(reserved);
+        }
+        let relay = Arc::new(Relay::new(ip, members.clone(), links.gates.clone()).await?);
+        let mut carried = relay.clone().run();
+        // It goes with the world's other tasks.
+        tasks.spawn(async move { while carried.join_next().await.is_some() {} });
         for gate in 0..spec.gatekeepers {
             let port = Port::open(ip, links.discovery[gate].clone())?;
             let (agent, of) = (port.addr, discovery.clone());
@@ -281,10 +306,13 @@
             let counter_at = plan.scenario.counter.on.then_some(port.addr);
             let of = counter.clone();
             serve(tasks, port, &counter.up, move |conn| of.clone().serve(gate, conn));
-            // Free now, and the gateway's from its start on; nobody else uses this address range.
-            let listen: SocketAddr = TcpListener::bind((ip, 0))?.local_addr()?;
+            // The gateway's from its start on. Held until all ports are drawn: none is drawn twice.
+            let reserved = TcpListener::bind((ip, 0))?;
+            let listen: SocketAddr = reserved.local_addr()?;
+            held.push(reserved);
             let front = links.front[gate].clone();
-            let around = Around { listen, front, discovery: agent, counter: counter_at };
+            let fleet = members.get(gate).map(|own| Member { listen: *own, relay: relay.addrs.clone() });
+            let around = Around { listen, front, discovery: agent, counter: counter_at, fleet };
             gates.push(Gate::new(gate, plan.clone(), log.clone(), program, root, around)?);
         }
         // Held for as long as the tasks that wait on it.
--- a/src/bin/weirusher-benchlink.rs
+++ b/src/bin/weirusher-benchlink.rs
@@ -115,6 +115,7 @@
                 class: row.num_or(6, "Category", 0.0)? as usize,
                 customer: row.text(7, "Customer").unwrap_or("").into(),
                 repeat: row.num_or(8, "StateBits", 0.0)? as u64 & 2 != 0,
+                view: None,
             })
         }
         "HEAD_RECEIVED" => Event::FirstByte { job: row("HEAD_RECEIVED").text(0, "Job")?.into() },
--- a/src/bin/yardspur/admin.rs
+++ b/src/bin/yardspur/admin.rs
@@ -84,7 +84,7 @@
     fn call(&self, method: &Method, path: &str) -> (StatusCode, String) {
         let nothing = |status| (status, String::new());
         let Some(call) = path.strip_prefix("/control/") else { return nothing(StatusCode::NOT_FOUND) };
-        let reads = matches!(call, "ready" | "pools" | "zones" | "config");
+        let reads = matches!(call, "ready" | "pools" | "zones" | "config" | "fleet");
         let wanted = if reads { Method::GET } else { Method::POST };
         if call.starts_with("workers/") {
             return nothing(self.worker(method, call));
@@ -102,6 +102,10 @@
             "ready" if !self.clients.ready() => nothing(StatusCode::SERVICE_UNAVAILABLE),
             "pools" => (StatusCode::OK, self.hub.pools().report()),
             "zones" => (StatusCode::OK, self.hub.zones()),
+            "fleet" => match self.hub.fleet() {
+                Some(fleet) => (StatusCode::OK, fleet.report()),
+                None => nothing(StatusCode::NOT_FOUND),
+            },
             "config" => (StatusCode::OK, self.configuration.report()),
             "config/check" => {
                 let (good, body) = self.configuration.check_file();
--- a/src/bin/yardspur/config/mod.rs
+++ b/src/bin/yardspur/config/mod.rs
@@ -7,7 +7,7 @@
 mod strict;
 pub mod trial;
 
-use crate::events::Form;
+use crate::{events::Form, fleet};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use serde_json::Value;
 use std::{fmt, net::SocketAddr, path::PathBuf};
@@ -61,6 +61,8 @@
     pub state: Option<PathBuf>,
     /// How the log is written.
     pub log: Option<Form>,
+    /// The other gateways, where they are to know each other.
+    pub fleet: Option<fleet::Terms>,
     /// The file as it was read: one that replaces it must hold what it held.
     text: Value,
 }
@@ -314,6 +316,7 @@
     }
     let (counter, admin, state) = (keys.may("counter"), keys.may("admin"), keys.may("state"));
     let (trial, log) = (keys.may::<Terms>("trial"), keys.may::<Form>("log"));
+    let fleet = keys.may::<fleet::Terms>("fleet");
     if trial.as_ref().is_some_and(|t| !t.usable()) {
         keys.problems
             .push(Problem::of("trial", "length_s, worse_by and least must be above 0, worse_by under 1"));
@@ -359,6 +362,7 @@
             trial,
             state,
             log,
+            fleet,
             text,
         })
     })();
--- a/src/bin/yardspur/config/owner.rs
+++ b/src/bin/yardspur/config/owner.rs
@@ -7,7 +7,7 @@
     trial::{Recent, Tally, Terms, Trial, Verdict},
     waits,
 };
-use crate::{events, gateway::Hub};
+use crate::{events, fleet, gateway::Hub};
 use serde::Serialize;
 use serde_json::Value;
 use std::{
@@ -128,6 +128,7 @@
     present: RefCell<Config>,
     history: RefCell<History>,
     discovery: watch::Sender<SocketAddr>,
+    fleet: watch::Sender<Option<fleet::Terms>>,
     attempt: RefCell<Option<Attempt>>,
     /// Keys that differ from what the process was started with.
     waits: RefCell<Vec<String>>,
@@ -145,6 +146,7 @@
     /// The owner, and what follows discovery's address.
     pub fn new(start: Start, hub: Rc<Hub>) -> (Rc<Self>, watch::Receiver<SocketAddr>) {
         let (discovery, follower) = watch::channel(start.config.discovery);
+        let fleet = watch::channel(start.config.fleet.clone()).0;
         let history = History::new(start.text, hub.now(), start.by);
         let folder = store::named().or_else(|| start.config.state.clone());
         let keeper = folder.map(|folder| {
@@ -159,6 +161,7 @@
             present: RefCell::new(start.config),
             history: RefCell::new(history),
             discovery,
+            fleet,
             attempt: RefCell::default(),
             waits: RefCell::default(),
             trial: RefCell::default(),
@@ -171,6 +174,11 @@
         (owner, follower)
     }
 
+    /// How this gateway takes part in the fleet, as it changes.
+    pub fn fleet(&self) -> watch::Receiver<Option<fleet::Terms>> {
+        self.fleet.subscribe()
+    }
+
     /// This process goes on from a version of the one that it takes over from.
     pub fn follow(&self, version: u64) {
         self.history.borrow_mut().follow(version);
@@ -286,6 +294,9 @@
                 self.history.borrow_mut().take(text, now, by);
                 let terms = config.trial.clone().filter(|_| by == By::Signal);
                 events::follow(config.log);
+                self.fleet.send_if_modified(|terms| {
+                    *terms != config.fleet && std::mem::replace(terms, config.fleet.clone()) != config.fleet
+                });
                 let before = self.present.replace(config);
                 attempt.commit_us = micros(start);
                 drop(before);
--- a/src/bin/yardspur/events.rs
+++ b/src/bin/yardspur/events.rs
@@ -157,6 +157,9 @@
     fn record_u64(&mut self, field: &Field, value: u64) {
         self.0.insert(field.name().into(), value.into());
     }
+    fn record_bool(&mut self, field: &Field, value: bool) {
+        self.0.insert(field.name().into(), value.into());
+    }
     fn record_f64(&mut self, field: &Field, value: f64) {
         self.0.insert(field.name().into(), value.into());
     }
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -8,6 +8,7 @@
     config::{Config, Entry, trial::Tally},
     counter::Counter,
     discovery,
+    fleet::{Fleet, Site},
     handover::Word,
     pools::Pools,
     workers::{Caller, Ending, Forward, Trace, Workers, may_have_run},
@@ -29,7 +30,7 @@
 use tracing::{Level, debug, enabled, info, warn};
 use weirusher::{
     Action, Class, CustomerId, Event, Gateway, JobId, Lifecycle, ListKind, Load, Options, Request, Retune,
-    ServerId, SettingsError, State, Status, Time, ZoneView,
+    ServerId, SettingsError, State, Status, Time, View, ZoneView,
 };
 
 /// One over the share of the memory that may hold gathered bodies: there may be two processes.
@@ -81,6 +82,11 @@
     expires: Time,
     /// By number; `None` once it has ended.
     attempts: Vec<Option<Attempt>>,
+    /// Its plan, and whether it is a client's marked repeat.
+    plan: usize,
+    repeat: bool,
+    /// What its first attempt takes from whose quota; only kept for other gateways to hear of.
+    takes: Option<(CustomerId, usize, f64)>,
 }
 
 /// What a timer is for.
@@ -154,6 +160,41 @@
     }
 }
 
+/// Rate and burst of each plan.
+pub fn plans(options: &Options) -> Vec<(f64, f64)> {
+    options.settings.plans.iter().map(|p| (p.rate, p.burst)).collect()
+}
+
+/// Whether an attempt that ended so was answered or failed by its worker; `None`: it says nothing of it.
+fn judged(status: Status) -> Option<bool> {
+    match status {
+        Status::Ok => Some(true),
+        Status::Error | Status::Reset | Status::ConnectFailed => Some(false),
+        // Turned away and timed out are what a full fleet does, too.
+        _ => None,
+    }
+}
+
+impl Site for Rc<Hub> {
+    fn facts(&self) -> (u32, u64, Vec<(f64, f64)>) {
+        let options = self.options();
+        (options.settings.me, self.seed, plans(&options))
+    }
+
+    fn set_fleet(&self, fleet: Option<Rc<Fleet>>) {
+        if let Some(fleet) = &fleet {
+            self.gateway.borrow().server_names().for_each(|id| fleet.names(id));
+        }
+        self.fleet.replace(fleet);
+    }
+
+    fn failing(&self, worker: &str) {
+        let Some(sight) = self.fleet().map(|f| f.sight(worker)) else { return };
+        let (answered, failed, members) = (sight.answered, sight.failed, sight.members);
+        self.post(Event::Sight { server: worker.into(), answered, failed, members });
+    }
+}
+
 /// What the parts have agreed to change to.
 pub struct Ready {
     retune: Retune,
@@ -184,6 +225,9 @@
     pool: Pool,
     /// Bodies that nobody wants any more.
     drains: mpsc::UnboundedSender<Unwanted>,
+    seed: u64,
+    /// The other gateways, where they are heard of.
+    fleet: RefCell<Option<Rc<Fleet>>>,
     /// The line to the other process of this gatekeeper, while there are two.
     beside: RefCell<Option<mpsc::UnboundedSender<Word>>>,
 }
@@ -216,6 +260,8 @@
             leaving: Cell::new(false),
             pool: Pool::new(config.memory / GATHER_SHARE),
             drains,
+            seed: config.seed,
+            fleet: RefCell::default(),
             beside: RefCell::default(),
             options: RefCell::new(Rc::new(config.options.clone())),
         });
@@ -250,6 +296,7 @@
         let Ready { retune, options } = ready;
         self.gateway.borrow_mut().commit(retune);
         self.pools.retune(&options);
+        self.fleet.borrow().iter().for_each(|f| f.retune(plans(&options)));
         if let Some(part) = &self.counter {
             part.retune(Duration::from_secs_f64(options.settings.count_limit));
             counter.into_iter().for_each(|addr| part.move_to(addr));
@@ -318,6 +365,23 @@
         json!({ "zones": self.gateway.borrow().zones(now).iter().map(told).collect::<Vec<_>>() }).to_string()
     }
 
+    pub fn clock(&self) -> Clock {
+        self.clock
+    }
+
+    pub fn fleet(&self) -> Option<Rc<Fleet>> {
+        self.fleet.borrow().clone()
+    }
+
+    /// What others are known to have left of a customer's quota.
+    fn view(&self, customer: &str) -> Option<View> {
+        let fleet = self.fleet()?;
+        let known = fleet.spending(customer)?;
+        let others = self.options.borrow().settings.gateways.saturating_sub(1).max(1);
+        let part = (fleet.members() as f64 / f64::from(others)).min(1.0);
+        Some(View { level: known.level, age: known.age, part })
+    }
+
     pub fn counter(&self) -> Option<&Counter> {
         self.counter.as_ref()
     }
@@ -350,6 +414,7 @@
             let (addr, lifecycle) = (entry.addr.parse().ok(), server.lifecycle);
             let (wanted, gone) = (lifecycle == Lifecycle::Running, lifecycle == Lifecycle::Gone);
             self.pools.listed(&server.id, addr, server.started, wanted, gone);
+            self.fleet.borrow().iter().for_each(|f| f.names(&server.id));
             servers.push(server);
         }
         if kind != ListKind::Changes {
@@ -445,7 +510,11 @@
         });
         // A request's time runs from its last byte on.
         let expires = self.clock.now() + if sending.is_some() { LONGEST } else { remaining };
-        let open = Open { answer: Some(answer), forward, sending, expires, attempts: Vec::new() };
+        let customer: CustomerId = demand.customer.into();
+        let takes = self.fleet.borrow().as_ref().map(|_| (customer.clone(), demand.plan, demand.units));
+        let view = self.view(&customer);
+        let (plan, repeat, attempts) = (demand.plan, demand.repeat, Vec::new());
+        let open = Open { answer: Some(answer), forward, sending, expires, attempts, plan, repeat, takes };
         self.open.borrow_mut().insert(job.clone(), open);
         // After the time-outs that are cut to the same moment: the module's own answer comes first.
         self.set_timer(expires + LAST_RESORT, Due::Deadline(job.clone()));
@@ -457,8 +526,9 @@
             spread: demand.spread,
             first: demand.first,
             class: demand.class,
-            customer: demand.customer.into(),
+            customer,
             repeat: demand.repeat,
+            view,
         }));
         (job, receiver)
     }
@@ -512,6 +582,9 @@
         let over = open.answer.is_none();
         drop(table);
         self.forget(job);
+        if let (Some(fleet), Some(answered)) = (&*self.fleet.borrow(), judged(ending.status)) {
+            fleet.saw(&attempt.server, answered);
+        }
         self.post(Event::Outcome {
             job: job.clone(),
             attempt: number,
@@ -552,6 +625,7 @@
         match action {
             Action::Send { job, server, timeout, paid } => {
                 self.say(&job, "sent", Some(&server), paid.text());
+                self.tell_spent(&job);
                 self.send(now, job, server, timeout);
             }
             Action::Refuse { job, retry_after, why } => {
@@ -592,7 +666,19 @@
         }
         if let Some(open) = self.open.borrow().get(job) {
             let txn = open.forward.txn.to_str().unwrap_or_default();
-            debug!(txn, worker = worker.map(|w| &**w), why, "{what}");
+            let options = self.options.borrow();
+            let plan = options.plans.get(open.plan).map_or("", String::as_str);
+            debug!(txn, plan, again = open.repeat, worker = worker.map(|w| &**w), why, "{what}");
+        }
+    }
+
+    /// A request that goes out for the first time takes its units: the other gateways hear of it.
+    fn tell_spent(&self, job: &JobId) {
+        let Some(fleet) = &*self.fleet.borrow() else { return };
+        if let Some(open) = self.open.borrow_mut().get_mut(job)
+            && let Some((customer, plan, units)) = open.takes.take()
+        {
+            fleet.spent(&customer, plan, units);
         }
     }
 
--- a/src/bin/yardspur/handover.rs
+++ b/src/bin/yardspur/handover.rs
@@ -148,10 +148,10 @@
 
 async fn comes(place: &Path) -> io::Result<UnixStream> {
     // What lies there is the address of a process that has handed over or ended.
-    if let Err(e) = std::fs::remove_file(place) {
-        if e.kind() != ErrorKind::NotFound {
-            return Err(e);
-        }
+    if let Err(e) = std::fs::remove_file(place)
+        && e.kind() != ErrorKind::NotFound
+    {
+        return Err(e);
     }
     Ok(UnixListener::bind(place)?.accept().await?.0)
 }
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -9,6 +9,7 @@
 mod counter;
 mod discovery;
 mod events;
+mod fleet;
 mod gateway;
 mod handover;
 mod link;
@@ -109,6 +110,7 @@
         config.known_version,
         fastrand::Rng::with_seed(config.seed),
     ));
+    tokio::task::spawn_local(fleet::keep(hub.clone(), hub.clock(), configuration.fleet()));
     let reloads = tokio::task::spawn_local(reload(hangup, configuration.clone()));
     let timers = tokio::task::spawn_local(hub.clone().run_timers());
     let sweeps = tokio::task::spawn_local(sweep(hub.clone(), configuration.clone()));
@@ -161,6 +163,7 @@
 async fn drain(hub: &Rc<Hub>, clients: &Rc<Clients>, listener: TcpListener) {
     let start = Instant::now();
     clients.stop();
+    hub.fleet().iter().for_each(|fleet| fleet.leave());
     let _ = timeout_at(start + SERVE_ON, clients.accept(&listener)).await;
     drop(listener);
     sleep_until(start + LAST_REQUESTS).await;
--- a/src/bin/yardspur/pools/state.rs
+++ b/src/bin/yardspur/pools/state.rs
@@ -477,10 +477,10 @@
 
     /// As [`Book::supply`], where a connection has gone that somebody may have waited for.
     fn resupply(&mut self, now: Time, worker: &ServerId, orders: &mut Vec<Order>) {
-        if let Some(why) = self.supply(now, worker, orders) {
-            if let Some(pool) = self.pools.get_mut(worker) {
-                orders.extend(pool.waiters.drain(..).map(|w| Order::Fail(w, why)));
-            }
+        if let Some(why) = self.supply(now, worker, orders)
+            && let Some(pool) = self.pools.get_mut(worker)
+        {
+            orders.extend(pool.waiters.drain(..).map(|w| Order::Fail(w, why)));
         }
     }
 
@@ -631,12 +631,12 @@
 
     /// The other end has ended an idle connection.
     pub fn ended(&mut self, worker: &str, link: LinkId) {
-        if let Some(pool) = self.pools.get_mut(worker) {
-            if let Some(at) = pool.idle.iter().position(|i| i.link == link) {
-                pool.idle.remove(at);
-                pool.close(Closed::Peer);
-                self.open -= 1;
-            }
+        if let Some(pool) = self.pools.get_mut(worker)
+            && let Some(at) = pool.idle.iter().position(|i| i.link == link)
+        {
+            pool.idle.remove(at);
+            pool.close(Closed::Peer);
+            self.open -= 1;
         }
     }
 
@@ -655,10 +655,10 @@
     /// Nothing came in time for what was sent at `sent`. Where nothing else has come since either, it is
     /// silent and not only slow.
     pub fn silent(&mut self, now: Time, worker: &str, sent: Time) {
-        if let Some(pool) = self.pools.get_mut(worker) {
-            if pool.heard < sent {
-                pool.suspect.get_or_insert(now);
-            }
+        if let Some(pool) = self.pools.get_mut(worker)
+            && pool.heard < sent
+        {
+            pool.suspect.get_or_insert(now);
         }
     }
 
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -45,6 +45,8 @@
 pub struct Class {
     /// The answer earns its full worth within this many seconds.
     pub aim: f64,
+    /// What a request is worth, relative to other classes.
+    pub worth: f64,
     /// Share of the worth that a later answer earns.
     pub late_worth: f64,
     /// What a repeat may do.
@@ -55,7 +57,7 @@
 
 impl Default for Class {
     fn default() -> Self {
-        Self { aim: 1.0, late_worth: 0.0, effect: Effect::Safe, streamed: false }
+        Self { aim: 1.0, worth: 1.0, late_worth: 0.0, effect: Effect::Safe, streamed: false }
     }
 }
 
@@ -181,7 +183,11 @@
             ("fall", self.fall),
         ]);
         figures.push(("fall_multiple", self.fall_multiple));
-        figures.extend(self.classes.iter().flat_map(|c| [("aim", c.aim), ("late_worth", c.late_worth)]));
+        figures.extend(
+            self.classes
+                .iter()
+                .flat_map(|c| [("aim", c.aim), ("worth", c.worth), ("late_worth", c.late_worth)]),
+        );
         for p in &self.plans {
             figures.extend([("rate", p.rate), ("burst", p.burst), ("excess_worth", p.excess_worth)]);
             figures.extend([("overrun_cost", p.overrun_cost), ("ceiling_rate", p.ceiling_rate)]);
@@ -310,6 +316,8 @@
     pub customer: CustomerId,
     /// It is a client's marked repeat.
     pub repeat: bool,
+    /// What other gateways are known to have left of its customer's quota, where this one hears of them.
+    pub view: Option<View>,
 }
 
 /// What happens to a gateway.
@@ -373,6 +381,17 @@
         /// The server's report, if one came.
         load: Load,
     },
+    /// What the fleet saw of a server within the last second, as far as was heard.
+    Sight {
+        /// The server.
+        server: ServerId,
+        /// Attempts that it answered, and that it failed.
+        answered: u32,
+        /// See there.
+        failed: u32,
+        /// Gateways that it failed.
+        members: u32,
+    },
     /// A counter call ended.
     Counted {
         /// The count's name.
@@ -449,6 +468,17 @@
     Log(String),
 }
 
+/// What other gateways are known to have left of a customer's quota.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct View {
+    /// Units that a bucket of the quota's size still holds, were all that was heard of drawn from it.
+    pub level: f64,
+    /// Seconds since others were heard of.
+    pub age: f64,
+    /// Share of the other gateways that can be heard of.
+    pub part: f64,
+}
+
 /// What a decision on a request rested on: how its units are paid, or why it is refused.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub enum Reason {
@@ -463,6 +493,8 @@
     Unanswered,
     /// The even share, with no call to spare.
     NoCall,
+    /// What the fleet is known to have left, with no call to spare.
+    View,
     /// The quota is used up, as was last heard.
     Level,
     /// The quota is used up, as the count says.
@@ -490,6 +522,7 @@
             Self::Late => "even share: answer late",
             Self::Unanswered => "even share: call lost",
             Self::NoCall => "even share: no call to spare",
+            Self::View => "left by the fleet's views",
             Self::Level => "used up as last heard",
             Self::Count => "used up by the count",
             Self::Pressed => "fleet full",
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -91,6 +91,9 @@
 const LEAST_OUT: f64 = 3.0;
 /// Deviations over the mean that what is out may swing while answers come fast: few requests come by chance.
 const SWING: f64 = 2.0;
+/// Seconds over which views of others come to count for less than the even share, and gateways that a server
+/// has to fail before all take it for sick: one may have bad links of its own.
+const HEARD: (f64, u32) = (1.0, 2);
 /// Seconds after which an idle customer is forgotten; longer than any window.
 const FORGET: f64 = 60.0;
 
@@ -235,20 +238,6 @@
         self.name_running();
     }
 
-    /// Attempts out, by customer.
-    pub fn attempts_out(&self) -> Vec<(CustomerId, u32)> {
-        let out = self.known.customers.iter().filter(|(_, c)| c.open + c.elsewhere > 0);
-        out.map(|(id, c)| (id.clone(), c.open + c.elsewhere)).collect()
-    }
-
-    /// Attempts that are still out at the process that this one took over from.
-    pub fn out_elsewhere(&mut self, out: &[(CustomerId, u32)]) {
-        self.known.customers.values_mut().for_each(|c| c.elsewhere = 0);
-        for (id, n) in out {
-            self.known.customers.get_mut(id).into_iter().for_each(|c| c.elsewhere = *n);
-        }
-    }
-
     /// Takes one event at `now` and appends what is to be done, in order.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
@@ -264,18 +253,16 @@
             }
             Event::Left { job } => self.over(&job),
             Event::Timer { token } => self.timer(token),
+            Event::Sight { server, answered, failed, members } => {
+                let sick = failed >= EJECT_AFTER && failed > answered && members >= HEARD.1;
+                sick.then(|| self.eject(&server));
+            }
             Event::Probed { .. } => {} // None is asked for: attempts tell enough, and probes cost.
             Event::Counted { counter, status, total, spent } => self.counted(counter, status, total, spent),
         }
         actions.append(&mut self.out);
     }
 
-    /// The counter may be called: a token bucket, whose rate the counter's speed moves, has a call.
-    fn usable(&mut self) -> bool {
-        let saved = CALLS_SAVED.0.max(CALLS_SAVED.1 * self.known.call_rate);
-        self.known.tokens.refill(self.now, self.known.call_rate, saved) > 0.0 && self.set.has_counter
-    }
-
     /// A number from 0 to 1.
     fn draw(&mut self) -> f64 {
         self.rng.as_mut().map_or(0.5, fastrand::Rng::f64)
@@ -285,11 +272,6 @@
         self.set.classes.iter().map(|c| c.aim).reduce(f64::min).unwrap_or(1.0).max(1e-3)
     }
 
-    /// How long a request may wait for the counter, in seconds.
-    fn hold(&self) -> f64 {
-        HOLD_SHARE * self.set.count_limit
-    }
-
     fn set_timer(&mut self, at: Time, due: Due) -> u64 {
         self.next_token += 1;
         self.due.insert(self.next_token, due);
@@ -317,10 +299,9 @@
             if host.out_for == 0.0 || entry.started > host.cold_since {
                 // A new server or a new life: nothing learned of an old one holds. What is out stays out.
                 let cold = Store { level: phase, at: self.now };
-                let (inflight, cold_since) = (host.inflight, entry.started);
-                let Host { zone, cell, .. } = *host;
-                *host = Host { zone, cell, inflight, cold_since, cold, latency, ..Host::default() };
-                host.out_for = EJECT.0;
+                let (cold_since, out_for) = (entry.started, EJECT.0);
+                let Host { zone, cell, inflight, .. } = *host;
+                *host = Host { zone, cell, inflight, cold_since, cold, latency, out_for, ..Host::default() };
             }
             host.running = entry.lifecycle == Lifecycle::Running;
         }
@@ -357,11 +338,26 @@
         true
     }
 
+    /// So many servers are out that no further one's failures are its own fault.
+    fn crowded(&self) -> bool {
+        let sick = self.names.iter().filter(|id| self.now < self.known.servers[*id].out_until).count() as f64;
+        sick >= self.names.len() as f64 * EJECT_MOST
+    }
+
+    /// Puts a server out for a while.
+    fn eject(&mut self, server: &ServerId) {
+        let (crowded, spread) = (self.crowded(), 0.5 + self.draw());
+        let Some(host) = self.known.servers.get_mut(server) else { return };
+        if self.now >= host.out_until && !crowded {
+            // Not all gateways at once again.
+            host.out_until = self.now + host.out_for * spread;
+            host.out_for = (host.out_for * 2.0).min(EJECT.1);
+        }
+    }
+
     /// Learns from an attempt's end. Slow, failing and vanished servers all show here, whatever the cause.
     fn observe(&mut self, server: &ServerId, status: Status, spent: f64) -> Option<(u32, Turn)> {
-        let sick = self.names.iter().filter(|id| self.now < self.known.servers[*id].out_until).count() as f64;
-        let crowded = sick >= self.names.len() as f64 * EJECT_MOST;
-        let spread = 0.5 + self.draw();
+        let (crowded, spread) = (self.crowded(), 0.5 + self.draw());
         let host = self.known.servers.get_mut(server)?;
         let beside = self.inflight;
         host.inflight = (host.inflight - 1.0).max(0.0);
@@ -392,11 +388,10 @@
             None if status == Status::Ok => zones.good(self.now, host.zone, spent, spread),
             None => None,
         };
-        if host.failures >= EJECT_AFTER && self.now >= host.out_until && !crowded {
-            // Not all gateways at once again.
-            host.out_until = self.now + host.out_for * spread;
-            host.out_for = (host.out_for * 2.0).min(EJECT.1);
+        if host.failures >= EJECT_AFTER {
+            self.eject(server);
         }
+        let host = self.known.servers.get_mut(server)?;
         if !matches!(status, Status::Ok | Status::Timeout) {
             return turn;
         }
@@ -591,7 +586,7 @@
         }
         let (plans, classes) = (self.set.plans.len(), self.set.classes.len());
         let known = request.class < classes && request.plan < plans && request.units.is_finite();
-        let time = request.expires > self.now + 2.0 * self.hold() + 4.0 * self.set.step;
+        let time = request.expires > self.now + 2.0 * HOLD_SHARE * self.set.count_limit + 4.0 * self.set.step;
         let full = self.jobs.len() >= self.set.max_open as usize || request.units < 0.0;
         let job = Job {
             request: request.clone(),
@@ -636,7 +631,9 @@
         let worth = units * plan.pays;
         self.known.stake += GAIN * (worth - self.known.stake);
         let price = (self.known.stake / worth.max(1e-9)).powi(2).clamp(0.2, CALLS_SAVED.0);
-        let usable = self.usable() && self.known.tokens.level >= price;
+        let saved = CALLS_SAVED.0.max(CALLS_SAVED.1 * self.known.call_rate);
+        let bucket = self.known.tokens.refill(self.now, self.known.call_rate, saved);
+        let usable = bucket >= price && self.set.has_counter;
         let customer = self.known.customers.get_mut(&key).expect("admitted customers are known");
         if customer.window != window(plan, &key, self.now).0 {
             customer.lease = 0.0; // It lapses with its window.
@@ -648,16 +645,16 @@
             customer.held.push_back(id);
             return;
         }
-        if let Some(mut level) = customer.level.filter(|l| self.now - l.at < REFRESH) {
-            if level.refill(self.now, plan.rate, plan.burst) + customer.lease + 1e-6 < units {
-                return self.beyond(id, plan, Reason::Level);
-            }
+        if let Some(mut level) = customer.level.filter(|l| self.now - l.at < REFRESH)
+            && level.refill(self.now, plan.rate, plan.burst) + customer.lease + 1e-6 < units
+        {
+            return self.beyond(id, plan, Reason::Level);
         }
         if customer.asking.is_none() && usable {
             let unseen = customer.level.is_none() && plan.burst >= f64::from(customer.spread) * units;
             customer.held.push_back(id.clone());
             self.ask(&key, plan);
-            if unseen && self.share_covers(&key, plan, units) {
+            if unseen && self.share_covers(&id, plan) {
                 self.known.customers.get_mut(&key).expect("still known").held.pop_back();
                 self.spend(id, units, Reason::Unseen);
             }
@@ -668,13 +665,15 @@
 
     /// Safe mode: an even share of rate and burst, dealt in whole requests: each falls due to the next of the
     /// customer's gateways in turn and holds for burst over rate, so all shares together stay rate and burst,
-    /// even where one holds less than a request. Under a ceiling it is a share of what stands between ceiling
-    /// and quota, as the count may have granted the whole quota already (rule 5).
-    fn share_covers(&mut self, key: &CustomerId, plan: &Plan, units: f64) -> bool {
+    /// even where one holds less than a request; where others are heard of, what they are known to have left,
+    /// as far as that is fresh and of all. Under a ceiling it is a share of what stands between ceiling and
+    /// quota, as the count may have granted the whole quota already (rule 5).
+    fn share_covers(&mut self, id: &JobId, plan: &Plan) -> bool {
         if self.leaving {
             return false;
         }
-        let most = self.set.max_units.max(1.0);
+        let (most, Request { units, customer: key, view, .. }) =
+            (self.set.max_units.max(1.0), &self.jobs[id].request);
         let customer = self.known.customers.get_mut(key).expect("asked for known customers only");
         let (mut rate, mut burst) = (plan.rate, plan.burst);
         if plan.ceiling_rate > 0.0 {
@@ -683,14 +682,16 @@
         }
         let (spread, deal) = (f64::from(customer.spread), most / rate);
         if plan.ceiling_rate == 0.0 {
-            return customer.share.refill(self.now, rate / spread, (burst / spread).max(units)) >= units;
+            let even = customer.share.refill(self.now, rate / spread, (burst / spread).max(*units));
+            let heard = |v: &View| v.part * (-v.age / HEARD.0).exp() * (v.level - even);
+            return even + view.as_ref().map_or(0.0, heard) >= *units;
         }
         let phase = f64::from(customer.turn % customer.spread) + phase(key);
         let dealt = |at: Time| ((at / deal - phase) / spread).floor() * most;
         let (new, valid) =
             (dealt(self.now) - dealt(customer.share.at), dealt(self.now) - dealt(self.now - burst / rate));
         customer.share = Store { level: (customer.share.level + new).min(valid), at: self.now };
-        customer.share.level >= units
+        customer.share.level >= *units
     }
 
     /// Beyond the quota (the source's soft limit): refused, but where the settings say that such a request
@@ -698,9 +699,7 @@
     fn beyond(&mut self, id: JobId, plan: &Plan, why: Reason) {
         let pays = plan.excess_worth > plan.overrun_cost && plan.open == 0;
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
-        if !(pays && self.room(SPARE_ROOM))
-            || plan.ceiling_rate > 0.0 && !self.share_covers(&key, plan, units)
-        {
+        if !(pays && self.room(SPARE_ROOM)) || plan.ceiling_rate > 0.0 && !self.share_covers(&id, plan) {
             let Customer { lease, level, .. } = &self.known.customers[&key];
             let left = lease + level.map_or(0.0, |l| l.level + plan.rate * (self.now - l.at));
             return self.end(&id, (units - left).max(0.0) / plan.rate, why);
@@ -711,8 +710,9 @@
     }
 
     fn fall_back(&mut self, id: JobId, plan: &Plan, why: Reason) {
-        let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
-        if self.share_covers(&key, plan, units) {
+        let Request { units, view, .. } = self.jobs[&id].request;
+        let why = if view.is_some() { Reason::View } else { why };
+        if self.share_covers(&id, plan) {
             self.spend(id, units, why);
         } else {
             self.beyond(id, plan, why);
@@ -810,7 +810,7 @@
         let owed = std::mem::take(&mut customer.owed);
         (customer.window, customer.late) = (window, false);
         self.call(key, window, want + owed + others, Why::Ask { want, owed, others }, plan);
-        let token = self.set_timer(self.now + self.hold(), Due::Hold(key.clone()));
+        let token = self.set_timer(self.now + HOLD_SHARE * self.set.count_limit, Due::Hold(key.clone()));
         self.known.customers.get_mut(key).expect("seen above").asking = Some(token);
     }
 
@@ -883,14 +883,12 @@
     }
 
     fn serve_held(&mut self, id: JobId, why: Reason, plan: &Plan) {
-        let Some(job) = self.jobs.get(&id).filter(|j| !j.over) else { return };
-        let (units, customer) = (job.request.units, &self.known.customers[&job.request.customer]);
-        if customer.lease >= units {
-            self.spend(id, units, Reason::Lease);
-        } else if why == Reason::Count {
-            self.beyond(id, plan, why);
-        } else {
-            self.fall_back(id, plan, why);
+        let Some(Job { request, .. }) = self.jobs.get(&id).filter(|j| !j.over) else { return };
+        let covered = self.known.customers[&request.customer].lease >= request.units;
+        match why {
+            _ if covered => self.spend(id, request.units, Reason::Lease),
+            Reason::Count => self.beyond(id, plan, why),
+            _ => self.fall_back(id, plan, why),
         }
     }
 
@@ -1046,11 +1044,10 @@
 
     /// The request is over; it is kept only while attempts are out.
     fn over(&mut self, id: &JobId) {
-        if let Some(job) = self.jobs.get_mut(id) {
-            job.over = true;
-            if job.out() == 0 {
-                self.jobs.remove(id);
-            }
+        let Some(job) = self.jobs.get_mut(id) else { return };
+        job.over = true;
+        if job.out() == 0 {
+            self.jobs.remove(id);
         }
     }
 
@@ -1071,10 +1068,8 @@
 
     /// A slow counter must not hold requests: after a few milliseconds the safe share decides.
     fn stop_holding(&mut self, key: &CustomerId, asked: u64) {
-        let Some(customer) = self.known.customers.get_mut(key) else { return };
-        if customer.asking != Some(asked) {
-            return;
-        }
+        let asking = |c: &&mut Customer| c.asking == Some(asked);
+        let Some(customer) = self.known.customers.get_mut(key).filter(asking) else { return };
         customer.late = true;
         let plan = self.set.plans[customer.plan].clone();
         for id in std::mem::take(&mut customer.held) {
--- a/src/options.rs
+++ b/src/options.rs
@@ -143,6 +143,7 @@
     keys.above_zero("Deadline", 1.0);
     let mut class = Class::default();
     class.aim = keys.num("Slo", class.aim);
+    class.worth = keys.num("Worth", class.worth);
     class.late_worth = keys.num("LateWorth", 0.0);
     class.streamed = keys.flag("Streamed");
     let group = match keys.text("Group") {
--- a/src/state.rs
+++ b/src/state.rs
@@ -166,6 +166,25 @@
 }
 
 impl Gateway {
+    /// Servers that lists have named.
+    pub fn server_names(&self) -> impl Iterator<Item = &ServerId> {
+        self.known.servers.keys()
+    }
+
+    /// Attempts out, by customer.
+    pub fn attempts_out(&self) -> Vec<(CustomerId, u32)> {
+        let out = self.known.customers.iter().filter(|(_, c)| c.open + c.elsewhere > 0);
+        out.map(|(id, c)| (id.clone(), c.open + c.elsewhere)).collect()
+    }
+
+    /// Attempts that are still out at the process that this one took over from.
+    pub fn out_elsewhere(&mut self, out: &[(CustomerId, u32)]) {
+        self.known.customers.values_mut().for_each(|c| c.elsewhere = 0);
+        for (id, n) in out {
+            self.known.customers.get_mut(id).into_iter().for_each(|c| c.elsewhere = *n);
+        }
+    }
+
     /// What is known of the zones.
     pub fn zones(&self, now: Time) -> Vec<ZoneView> {
         let sent: f64 = self.known.zones.all.values().map(|z| z.sent.level).sum();
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -46,6 +46,7 @@
         class: 0,
         customer: "c".into(),
         repeat: false,
+        view: None,
     }
 }
 
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -492,6 +492,8 @@
     pub state: Option<PathBuf>,
     /// How the log is written.
     pub log: Option<Value>,
+    /// The other gateways.
+    pub fleet: Option<Value>,
 }
 
 impl Setup {
@@ -513,6 +515,7 @@
                 trial: None,
                 state: None,
                 log: None,
+                fleet: None,
             },
             discovery,
         )
@@ -527,7 +530,8 @@
             "known": {"version": self.version, "full": true, "servers": self.known}, "settings": self.settings,
         });
         let state = self.state.as_ref().map(|s| json!(s));
-        let extra = [("trial", self.trial.clone()), ("state", state), ("log", self.log.clone())];
+        let (log, fleet) = (self.log.clone(), self.fleet.clone());
+        let extra = [("trial", self.trial.clone()), ("state", state), ("log", log), ("fleet", fleet)];
         for (key, value) in extra.into_iter().filter_map(|(key, value)| Some((key, value?))) {
             config[key] = value;
         }
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -46,7 +46,7 @@
             if step == 70 {
                 rig.list(ListKind::Changes, vec![server("s000", Lifecycle::Running, now)]);
             }
-            if (i + step as usize) % 5 == 0 {
+            if (i + step as usize).is_multiple_of(5) {
                 let server = one(rig, &format!("{i}-{step}"), n);
                 sent += f64::from(u8::from(server.is_some() && step < 70));
                 to_cold += f64::from(u8::from(server.as_deref() == Some("s000") && step >= 70));
@@ -74,7 +74,7 @@
                 let cold = servers(count / 2).into_iter().map(|s| Server { started: now, ..s });
                 rig.list(ListKind::Changes, cold.collect());
             }
-            if (i + step as usize) % 10 == 0 {
+            if (i + step as usize).is_multiple_of(10) {
                 let server = one(rig, &format!("{i}-{step}"), n);
                 if step >= 500 {
                     let cold = server.as_deref().is_some_and(|id| id < "s030");
--- a/tests/property.rs
+++ b/tests/property.rs
@@ -59,7 +59,7 @@
 
 fn play(seed: u64) -> Vec<Action> {
     let (mut dice, mut world) = (Dice(seed), World::default());
-    let unsafe_class = seed % 3 == 0;
+    let unsafe_class = seed.is_multiple_of(3);
     let mut s = settings();
     s.classes[0].effect = if unsafe_class { Effect::Unsafe } else { Effect::Safe };
     s.plans.push(plan(1.0, 3.0));
--- a/tests/zones.rs
+++ b/tests/zones.rs
@@ -149,6 +149,7 @@
                 class,
                 customer: "c".into(),
                 repeat: false,
+                view: None,
             }),
         );
     }
