Spend off the count only what its answers of late show to be worth it

A third of the calls' answers came after the hold of 20 ms, and decided nothing.

Calls go by the class's worth, too. A request is held for most of the counter's own time limit, so that an answer that comes in time decides.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -25,8 +25,8 @@
 /// Share of the burst by which the count may lag behind what has lapsed before it is put right: for the first
 /// call in a window, whose level all others start from, and for later ones.
 const LAPSE_SLACK: (f64, f64) = (0.1, 0.5);
-/// Share of the counter's time limit that a request is held for: a few milliseconds.
-const HOLD_SHARE: f64 = 0.4;
+/// Share of the counter's time limit that a request is held for: a later answer has come in vain.
+const HOLD_SHARE: f64 = 0.9;
 /// Share of the counter's time limit past which an answer shows a crowded counter.
 const CROWDED_SHARE: f64 = 0.6;
 /// Share of the counter's time limit under which a call without an answer was cut off, not timed out.
@@ -39,6 +39,8 @@
 const CALLS_STEP: (f64, f64, f64) = (0.25, 0.8, 0.6);
 /// How the rate rises with each quick answer to what it was before the counter fell silent: within a few.
 const CALLS_BACK: f64 = 2.0;
+/// What a unit sent off the count has to earn on average, of its worth, while the count could say more.
+const LEAST_GAIN: f64 = 0.45;
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before less is let in: the rest is for swings.
@@ -586,7 +588,7 @@
         }
         let (plans, classes) = (self.set.plans.len(), self.set.classes.len());
         let known = request.class < classes && request.plan < plans && request.units.is_finite();
-        let time = request.expires > self.now + 2.0 * HOLD_SHARE * self.set.count_limit + 4.0 * self.set.step;
+        let time = request.expires > self.now + HOLD_SHARE * self.set.count_limit + 4.0 * self.set.step;
         let full = self.jobs.len() >= self.set.max_open as usize || request.units < 0.0;
         let job = Job {
             request: request.clone(),
@@ -628,7 +630,7 @@
     fn cover(&mut self, id: JobId, plan: &Plan) {
         let (units, key) = (self.jobs[&id].request.units, self.jobs[&id].request.customer.clone());
         // Crowded calls go to the largest worth at stake: a lesser one must find a fuller bucket.
-        let worth = units * plan.pays;
+        let worth = units * plan.pays * self.jobs[&id].class.worth;
         self.known.stake += GAIN * (worth - self.known.stake);
         let price = (self.known.stake / worth.max(1e-9)).powi(2).clamp(0.2, CALLS_SAVED.0);
         let saved = CALLS_SAVED.0.max(CALLS_SAVED.1 * self.known.call_rate);
@@ -660,6 +662,11 @@
             }
             return;
         }
+        // Whom the count refused often of late is rarely owed a unit; a silent counter leaves the even share.
+        let missed = self.known.missed[usize::from(self.jobs[&id].request.repeat)];
+        if !self.unanswered && 1.0 - missed * (1.0 + plan.overrun_cost) < LEAST_GAIN {
+            return self.beyond(id, plan, Reason::NoCall);
+        }
         self.fall_back(id, plan, Reason::NoCall);
     }
 
@@ -885,6 +892,10 @@
     fn serve_held(&mut self, id: JobId, why: Reason, plan: &Plan) {
         let Some(Job { request, .. }) = self.jobs.get(&id).filter(|j| !j.over) else { return };
         let covered = self.known.customers[&request.customer].lease >= request.units;
+        if why == Reason::Count {
+            let missed = &mut self.known.missed[usize::from(request.repeat)];
+            *missed += GAIN * (f64::from(u8::from(!covered)) - *missed);
+        }
         match why {
             _ if covered => self.spend(id, request.units, Reason::Lease),
             Reason::Count => self.beyond(id, plan, why),
--- a/src/state.rs
+++ b/src/state.rs
@@ -145,6 +145,9 @@
     /// What that was when the counter last answered, however slowly.
     #[serde(default)]
     pub(crate) answered_rate: f64,
+    /// Share of the first tries, and of clients' repeats, for which the count had nothing left of late.
+    #[serde(default)]
+    pub(crate) missed: [f64; 2],
     /// Mean worth of what wants a call.
     pub(crate) stake: f64,
     /// By plan, units sent off the count for thin shares, and units asked for.
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -274,3 +274,50 @@
     assert!(sends(&next).is_empty(), "the block went to the request that it was asked for");
     assert_eq!(counts(&next), [(name, 1.0)], "and nothing is owed for it");
 }
+
+#[test]
+fn off_the_count_goes_only_what_the_counts_answers_of_late_show_to_be_worth_it() {
+    let mut s = settings();
+    s.plans[0].overrun_cost = 0.8;
+    // So many that none has a whole unit of a customer's burst for its own: an unseen one waits for the count.
+    s.gateways = 100;
+    let sent_off = |used_up: bool| {
+        let mut rig = Rig::new(s.clone());
+        let of = |rig: &Rig, i: usize, repeat| {
+            let customer = format!("c{i}").as_str().into();
+            Request { customer, repeat, spread: 100, ..request(&format!("j{i}"), rig.now) }
+        };
+        let mut counter = Counter::default();
+        for i in 0..40 {
+            rig.now += 1.0;
+            let asked = of(&rig, i, false);
+            let out = rig.event(Event::Request(asked));
+            for (name, _) in counts(&out) {
+                // What others have spent of it stands there already.
+                counter.0.insert(name, if used_up { 1e3 } else { 0.0 });
+            }
+            let more = counter.answer(&mut rig, &out);
+            for (job, server) in sends(&out).into_iter().chain(sends(&more)) {
+                rig.outcome(&job, 0, &server, Status::Ok);
+            }
+        }
+        // At one moment more customers than there are calls.
+        let mut sent = 0;
+        for i in 1000..1400 {
+            let asked = of(&rig, i, false);
+            let out = rig.event(Event::Request(asked));
+            if counts(&out).is_empty() {
+                for (job, server) in sends(&out) {
+                    sent += 1;
+                    rig.outcome(&job, 0, &server, Status::Ok);
+                }
+            } else {
+                counter.answer(&mut rig, &out);
+            }
+        }
+        sent
+    };
+    let (owed, used_up) = (sent_off(false), sent_off(true));
+    assert!(owed > 50, "{owed} sent where the count had room");
+    assert_eq!(used_up, 0, "and none where it had not");
+}
