--- a/src/logic.rs
+++ b/src/logic.rs
@@ -41,6 +41,8 @@
 const CALLS_BACK: f64 = 2.0;
 /// What a unit sent off the count has to earn on average, of its worth, while the count could say more.
 const LEAST_GAIN: f64 = 0.45;
+/// Share of clients' repeats that the count is taken to have nothing left for before it has told.
+const REPEAT_MISSED: f64 = 0.5;
 /// Share of the room between quota and ceiling that stores off the count may use.
 const CEILING_SHARE: f64 = 0.8;
 /// Share of the aim that answers may take before less is let in: the rest is for swings.
@@ -187,8 +189,8 @@
         settings.check()?;
         let call_rate = (CALLS.1 / f64::from(settings.gateways)).max(CALLS.0);
         let flows = vec![Default::default(); settings.plans.len()];
-        let (answered_rate, further) = (call_rate, FURTHER.1);
-        let known = State { flows, call_rate, answered_rate, further, ..State::default() };
+        let (answered_rate, further, missed) = (call_rate, FURTHER.1, [0.0, REPEAT_MISSED]);
+        let known = State { flows, call_rate, answered_rate, further, missed, ..State::default() };
         Ok(Self { set: settings, rng: Some(fastrand::Rng::with_seed(seed)), known, ..Self::default() })
     }
 
@@ -664,7 +666,7 @@
         }
         // Whom the count refused often of late is rarely owed a unit; a silent counter leaves the even share.
         let missed = self.known.missed[usize::from(self.jobs[&id].request.repeat)];
-        if !self.unanswered && 1.0 - missed * (1.0 + plan.overrun_cost) < LEAST_GAIN {
+        if self.set.has_counter && !self.unanswered && 1.0 - missed * (1.0 + plan.overrun_cost) < LEAST_GAIN {
             return self.beyond(id, plan, Reason::NoCall);
         }
         self.fall_back(id, plan, Reason::NoCall);
