--- a/tests/fleetlab.rs
+++ b/tests/fleetlab.rs
@@ -11,7 +11,7 @@
 
 fn scenario(text: &str) -> Scenario {
     // Little load, so that a slow machine runs it in time; what it shows are rules, not figures.
-    let world = "[world]\ngatekeepers = 6\nworkers = 8\ncold_s = 3.0\n[load]\nuse = 0.3\n";
+    let world = "[world]\ngatekeepers = 6\nworkers = 8\ncold_s = 3.0\nfleet = true\n[load]\nuse = 0.3\n";
     Scenario::parse(&format!("{text}\n{world}")).unwrap_or_else(|e| panic!("{e}"))
 }
 
@@ -79,6 +79,26 @@
     assert!(verdict.goodput > 0.3, "{}", verdict.goodput);
 }
 
+#[test]
+fn a_fleet_keeps_the_rules_while_it_is_parted_and_datagrams_are_lost_doubled_and_late() {
+    let (recording, verdict) = play(
+        "name = 'parted'\nlength_s = 12\n
+        [[fault]]\nwhat = 'cut'\ngates = '0..2'\npeers = 'gates'\nat_s = 2\nfor_s = 5
+        [[fault]]\nwhat = 'cut'\ngates = '2'\npeers = 'gates'\nway = 'out'\nat_s = 3\nfor_s = 4
+        [[fault]]\nwhat = 'counter-down'\nat_s = 3\nfor_s = 4
+        [[fault]]\nwhat = 'lose'\nshare = 0.3\ngates = '3..5'\npeers = 'gates'\nat_s = 1\nfor_s = 8
+        [[fault]]\nwhat = 'duplicate'\nshare = 0.5\npeers = 'gates:4..6'\nat_s = 1\nfor_s = 8
+        [[fault]]\nwhat = 'reorder'\nshare = 0.5\npeers = 'gates'\nat_s = 5\nfor_s = 4
+        [[fault]]\nwhat = 'kill'\ngates = '5'\nat_s = 4\nfor_s = 1",
+    );
+    let views = recording.seen.iter().filter(|s| match &s.event {
+        Event::Reason { why, .. } => why == "left by the fleet's views",
+        _ => false,
+    });
+    assert!(views.count() > 0, "while the counter was down, views decided");
+    assert!(verdict.goodput > 0.3, "{}", verdict.goodput);
+}
+
 #[test]
 fn a_gateway_that_dies_at_its_start_is_told_with_the_last_lines_of_its_log() {
     let folder = tempfile::tempdir().expect("a folder");
