Use one bucket in the lab, and tell broken rules in one place

Need: judge and baselines each had a token bucket; the judge sorted and told what it found in four places, named rules by way of JSON to find them again, and kept a text that nobody read.

Change: lab/src/bucket.rs serves both; rules are their own keys; one function tells what was found.

--- a/lab/src/baseline.rs
+++ b/lab/src/baseline.rs
@@ -4,6 +4,7 @@
 //! by the same judge as a real play.
 
 use crate::{
+    bucket::Bucket,
     record::{Ending, Event, FORM, Header, Meter, Outcome, Recording, Seen},
     scenario::Scenario,
     world::plan::{Plan, mix},
@@ -31,24 +32,6 @@
 pub const POLICIES: [(Policy, &str); 3] =
     [(Policy::Exact, "exact bucket"), (Policy::EvenShare, "even share"), (Policy::CallEach, "a call each")];
 
-#[derive(Debug, Clone, Copy)]
-struct Store {
-    level: f64,
-    at: f64,
-}
-
-impl Store {
-    fn take(&mut self, now: f64, rate: f64, burst: f64) -> bool {
-        self.level = (self.level + rate * (now - self.at).max(0.0)).min(burst);
-        self.at = self.at.max(now);
-        let room = self.level >= 1.0;
-        if room {
-            self.level -= 1.0;
-        }
-        room
-    }
-}
-
 /// Times that order like whole numbers.
 fn micros(at: f64) -> u64 {
     (at.max(0.0) * 1e6) as u64
@@ -57,8 +40,8 @@
 struct Model {
     plan: Plan,
     policy: Policy,
-    exact: HashMap<usize, Store>,
-    shares: HashMap<(usize, usize), Store>,
+    exact: HashMap<usize, Bucket>,
+    shares: HashMap<(usize, usize), Bucket>,
     /// Per customer, when what is out ends.
     out: HashMap<usize, Vec<f64>>,
     /// When each core is free.
@@ -182,17 +165,17 @@
         let scenario = &self.plan.scenario;
         let (plan, counter) = (&scenario.plans[customer.plan], &scenario.counter);
         let (rate, burst, spread) = (plan.rate, plan.burst, customer.spread as f64);
-        let even = |model: &mut HashMap<(usize, usize), Store>| {
-            let burst = (burst / spread).max(1.0);
-            model.entry((of, gate)).or_insert(Store { level: burst, at: now }).take(now, rate / spread, burst)
+        let even = |shares: &mut HashMap<(usize, usize), Bucket>| {
+            let share = || Bucket::full(rate / spread, (burst / spread).max(1.0));
+            shares.entry((of, gate)).or_insert_with(share).take(now)
         };
         let out = self.out.entry(of).or_default();
         out.retain(|ends| *ends > now);
         let full = plan.open > 0 && out.len() >= plan.open as usize;
-        let exact = self.exact.entry(of).or_insert(Store { level: burst, at: 0.0 });
+        let exact = self.exact.entry(of).or_insert_with(|| Bucket::full(rate, burst));
         match self.policy {
             _ if full && self.policy != Policy::EvenShare => (false, now),
-            Policy::Exact => (exact.take(now, rate, burst), now),
+            Policy::Exact => (exact.take(now), now),
             Policy::EvenShare => (even(&mut self.shares), now),
             Policy::CallEach => {
                 let turn = self.line.max(now) + 1.0 / counter.calls_per_s;
@@ -201,7 +184,7 @@
                     return (even(&mut self.shares), now + counter.timeout_ms / 1e3);
                 }
                 self.line = turn;
-                (exact.take(now, rate, burst), answered)
+                (exact.take(now), answered)
             }
         }
     }
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -1,11 +1,15 @@
 //! What a play was worth, from what the stand-ins saw: rules, quotas, recovery, and why units went astray.
 
 use crate::{
+    bucket::Bucket,
     record::{Ending, Event, GateState, Micros, Outcome, Recording, Seen, WorkerState},
     scenario::{Effect, Peers, Scenario, What},
 };
 use serde::{Deserialize, Serialize};
-use std::collections::{BTreeMap, HashMap};
+use std::{
+    collections::{BTreeMap, HashMap},
+    fmt,
+};
 
 /// What sockets and this machine may add to a time limit.
 const SLACK_S: f64 = 0.05;
@@ -55,6 +59,12 @@
     Crash,
 }
 
+impl fmt::Display for Rule {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&format!("{self:?}").to_lowercase())
+    }
+}
+
 /// One second of a play.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Second {
@@ -112,7 +122,7 @@
     pub void: Option<String>,
     pub broken: Vec<Broken>,
     /// By rule, how often it was broken.
-    pub broken_by: BTreeMap<String, u64>,
+    pub broken_by: BTreeMap<Rule, u64>,
     /// First tries after the lead, and all tries.
     pub requests: u64,
     pub tries: u64,
@@ -200,26 +210,6 @@
     at as f64 / 1e6
 }
 
-/// A store of units that refills.
-struct Bucket {
-    level: f64,
-    at: f64,
-    rate: f64,
-    burst: f64,
-}
-
-impl Bucket {
-    fn full(rate: f64, burst: f64) -> Self {
-        Self { level: burst, at: 0.0, rate, burst }
-    }
-
-    fn refill(&mut self, now: f64) -> f64 {
-        self.level = (self.level + self.rate * (now - self.at).max(0.0)).min(self.burst);
-        self.at = self.at.max(now);
-        self.level
-    }
-}
-
 struct Judge<'a> {
     recording: &'a Recording,
     scenario: &'a Scenario,
@@ -227,7 +217,8 @@
     tries: HashMap<u64, Tried>,
     /// In the order that they went out.
     order: Vec<u64>,
-    reasons: HashMap<u64, (String, String)>,
+    /// What a gateway said last of a try.
+    reasons: HashMap<u64, &'a str>,
 }
 
 /// Judges a play.
@@ -250,15 +241,20 @@
     judge.end()
 }
 
-impl Judge<'_> {
+impl<'a> Judge<'a> {
     fn broken(&mut self, rule: Rule, at_s: f64, what: String) {
-        let name = serde_json::to_value(rule).ok().and_then(|v| v.as_str().map(str::to_owned));
-        *self.verdict.broken_by.entry(name.unwrap_or_default()).or_default() += 1;
+        *self.verdict.broken_by.entry(rule).or_default() += 1;
         if self.verdict.broken.len() < TOLD {
             self.verdict.broken.push(Broken { rule, at_s, what });
         }
     }
 
+    /// Takes down what was found, in the order that it happened.
+    fn tell(&mut self, mut found: Vec<(Rule, f64, String)>) {
+        found.sort_by(|a, b| a.1.total_cmp(&b.1));
+        found.into_iter().for_each(|(rule, at, what)| self.broken(rule, at, what));
+    }
+
     fn second(&mut self, at: f64) -> &mut Second {
         let zones = self.scenario.world.zones.len();
         let index = at.max(0.0) as usize;
@@ -356,8 +352,8 @@
                 Event::Gate { gate, state: GateState::Exited { wanted: false, status } } => {
                     self.broken(Rule::Crash, at, format!("gateway {gate} ended: {status}"));
                 }
-                Event::Reason { txn, what, why, .. } => {
-                    self.reasons.insert(*txn, (what.clone(), why.clone()));
+                Event::Reason { txn, why, .. } => {
+                    self.reasons.insert(*txn, why);
                 }
                 Event::Gate { .. } | Event::Told { .. } | Event::Worker { .. } | Event::Fault { .. } => {}
             }
@@ -441,8 +437,7 @@
                 _ => {}
             }
         }
-        found.sort_by(|a, b| a.1.total_cmp(&b.1));
-        found.into_iter().for_each(|(rule, at, what)| self.broken(rule, at, what));
+        self.tell(found);
     }
 
     /// Sends and refusals after one that may have run.
@@ -484,8 +479,7 @@
                 found.push((rule, *at, format!("{txn:016x} was refused though it may have run")));
             }
         }
-        found.sort_by(|a, b| a.1.total_cmp(&b.1));
-        found.into_iter().for_each(|(rule, at, what)| self.broken(rule, at, what));
+        self.tell(found);
     }
 
     /// Drains and cold workers.
@@ -537,7 +531,7 @@
                 _ => {}
             }
         }
-        found.into_iter().for_each(|(rule, at, what)| self.broken(rule, at, what));
+        self.tell(found);
     }
 
     /// Quotas and ceilings against exact buckets, with a cause for each unit that went astray.
@@ -581,10 +575,7 @@
             });
             let level = account.quota.refill(at);
             let room = level >= 1.0 && (plan.open == 0 || account.out < plan.open);
-            let cause = || match self.reasons.get(&txn) {
-                Some((_, why)) => why.clone(),
-                None => "not told".to_owned(),
-            };
+            let cause = || self.reasons.get(&txn).copied().unwrap_or("not told").to_owned();
             match step {
                 Step::Out => {
                     sent += 1;
@@ -605,6 +596,7 @@
                         let slack = plan.slack + 0.15 * plan.ceiling_rate;
                         if account.ceiling.level < -slack {
                             broken.push((
+                                Rule::Ceiling,
                                 at,
                                 format!(
                                     "customer {} is {:.1} units past its ceiling",
@@ -623,7 +615,7 @@
                 Step::Refused => {}
             }
         }
-        broken.into_iter().for_each(|(at, what)| self.broken(Rule::Ceiling, at, what));
+        self.tell(broken);
         let tries = self.tries.values().filter(|t| t.at >= lead).count().max(1) as f64;
         let v = &mut self.verdict;
         (v.beyond, v.beyond_share) = (beyond, beyond as f64 / sent.max(1) as f64);
@@ -756,8 +748,7 @@
         let v = &mut self.verdict;
         let mut failed = Vec::new();
         for (rule, n) in &v.broken_by {
-            let first =
-                v.broken.iter().find(|b| serde_json::to_value(b.rule).is_ok_and(|r| r == *rule.as_str()));
+            let first = v.broken.iter().find(|b| b.rule == *rule);
             let first = first.map(|b| format!(", first at {:.2} s: {}", b.at_s, b.what)).unwrap_or_default();
             failed.push(format!("the rule on {rule} is broken {n} times{first}"));
         }
--- a/lab/src/judge/tests.rs
+++ b/lab/src/judge/tests.rs
@@ -48,7 +48,7 @@
         self.answers(at_s + 0.06, txn, SERVED);
     }
 
-    fn judged(mut self) -> Verdict {
+    fn recording(mut self) -> Recording {
         let text = format!("name = \"x\"\nlength_s = 20\nlead_s = 0\n{}", self.rest);
         let scenario = Scenario::parse(&text).expect("a scenario");
         self.seen.sort_by_key(|s| s.at);
@@ -63,7 +63,11 @@
             work_ms: 40.0,
             scenario,
         };
-        judge(&Recording { header, meter: Meter::default(), seen: self.seen })
+        Recording { header, meter: Meter::default(), seen: self.seen }
+    }
+
+    fn judged(self) -> Verdict {
+        judge(&self.recording())
     }
 
     /// What it breaks, each rule once.
@@ -346,20 +350,9 @@
 fn a_play_that_ran_late_is_void() {
     let mut tape = Tape::new();
     tape.good(1.0, 1, 0, 0);
-    let scenario = Scenario::parse("name = \"x\"\nlength_s = 20").expect("a scenario");
-    let header = Header {
-        form: FORM,
-        seed: 1,
-        build: String::new(),
-        gate_zones: vec![0; 6],
-        worker_zones: vec![0; 12],
-        speeds: vec![1.0; 12],
-        rate: 10.0,
-        work_ms: 40.0,
-        scenario,
-    };
-    let meter = Meter { void: Some("late".into()), ..Meter::default() };
-    let verdict = judge(&Recording { header, meter, seen: tape.seen });
+    let mut recording = tape.recording();
+    recording.meter.void = Some("late".into());
+    let verdict = judge(&recording);
     assert!(!verdict.passed());
     assert_eq!(verdict.line(), "VOID: late");
 }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,6 +1,7 @@
 //! A fleet of real gateways under faults: the world round them, what strikes it, and what is judged of it.
 
 pub mod baseline;
+mod bucket;
 pub mod experiment;
 pub mod http;
 pub mod judge;
