--- a/src/logic.rs
+++ b/src/logic.rs
@@ -6,7 +6,7 @@
 
 use crate::interface::*;
 use crate::state::*;
-use crate::zones::{Turn, Zone};
+use crate::zones::{News, Turn, Zone};
 use std::collections::{BTreeMap, VecDeque};
 use std::hash::Hasher;
 
@@ -216,11 +216,8 @@
     /// and sends nothing to a cold server, until [`Gateway::take_back`].
     pub fn hand_over(&mut self, now: Time) -> State {
         self.leaving = true;
-        let mut own = std::mem::take(&mut self.known.customers);
-        let customers = own.iter_mut().map(|(id, c)| (id.clone(), c.give_up(now))).collect();
-        let state = State { customers, ..self.known.clone() };
-        self.known.customers = own;
-        state
+        let customers = self.known.customers.iter_mut().map(|(id, c)| (id.clone(), c.give_up(now))).collect();
+        State { customers, ..self.known.clone() }
     }
 
     /// The process that took over has ended: this one grants again, beginning with nothing in its stores.
@@ -360,7 +357,7 @@
     }
 
     /// Learns from an attempt's end. Slow, failing and vanished servers all show here, whatever the cause.
-    fn observe(&mut self, server: &ServerId, status: Status, spent: f64) -> Option<(u32, Turn)> {
+    fn observe(&mut self, server: &ServerId, status: Status, spent: f64) -> News {
         let (crowded, spread) = (self.crowded(), 0.5 + self.draw());
         let host = self.known.servers.get_mut(server)?;
         let beside = self.inflight;
@@ -392,9 +389,7 @@
             None if status == Status::Ok => zones.good(self.now, host.zone, spent, spread),
             None => None,
         };
-        if host.failures >= EJECT_AFTER {
-            self.eject(server);
-        }
+        (host.failures >= EJECT_AFTER).then(|| self.eject(server));
         let host = self.known.servers.get_mut(server)?;
         if !matches!(status, Status::Ok | Status::Timeout) {
             return turn;
@@ -880,14 +875,9 @@
                 let most = (plan.burst / f64::from(customer.spread)).max(self.set.max_units);
                 customer.owed = (customer.owed + rest).min(most);
             }
+            let why = if status == Status::Ok { Reason::Count } else { Reason::Unanswered };
             let held = std::mem::take(&mut customer.held);
-            for id in held {
-                self.serve_held(
-                    id,
-                    if status == Status::Ok { Reason::Count } else { Reason::Unanswered },
-                    &plan,
-                );
-            }
+            held.into_iter().for_each(|id| self.serve_held(id, why, &plan));
         }
     }
 
@@ -917,7 +907,6 @@
         let limit = plan.burst + plan.rate * age;
         let prior = total - call.step;
         match call.why {
-            Why::Correct => {}
             Why::Read if call.window + 1 == window && prior > 1e-6 => {
                 let turn = plan.burst + plan.rate * window_length(plan) - total;
                 let missing = plan.burst - (turn + plan.rate * age).min(plan.burst);
@@ -926,7 +915,7 @@
                     self.call(&call.customer, window, missing, Why::Correct, plan);
                 }
             }
-            Why::Read => {}
+            Why::Correct | Why::Read => {}
             Why::Ask { want, owed, others } => {
                 let shift = (window - call.window.min(window)) as f64 * plan.rate * window_length(plan);
                 let before = limit + shift - prior;
@@ -978,8 +967,8 @@
         if let Some(server) = &server {
             // Cold ones count by their warmth at that time: else the more of them there are, the less each is
             // given, and with that the less again.
-            let own = self.own.iter().map(|at| self.warmth(&self.known.servers[&self.names[*at]]));
-            let fleet: f64 = own.sum();
+            let warmth = |at: &usize| self.warmth(&self.known.servers[&self.names[*at]]);
+            let fleet: f64 = self.own.iter().map(warmth).sum();
             let host = self.known.servers.get_mut(server).expect("chosen from the list");
             host.inflight += 1.0;
             self.inflight += 1.0;
--- a/src/zones.rs
+++ b/src/zones.rs
@@ -33,6 +33,9 @@
     Here(Time),
 }
 
+/// The zone that a server's news was about, and what it has led to, if anything.
+pub(crate) type News = Option<(u32, Turn)>;
+
 /// One zone.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub(crate) struct Zone {
@@ -123,7 +126,7 @@
     }
 
     /// A server of the zone has answered after `spent` seconds.
-    pub(crate) fn good(&mut self, now: Time, id: u32, spent: f64, jitter: f64) -> Option<(u32, Turn)> {
+    pub(crate) fn good(&mut self, now: Time, id: u32, spent: f64, jitter: f64) -> News {
         let zone = self.all.get_mut(&id)?;
         let mean = if self.own == Some(id) { &mut zone.latency } else { &mut self.far };
         *mean = if *mean == 0.0 { spent } else { *mean + GAIN * (spent - *mean) };
@@ -135,14 +138,7 @@
     }
 
     /// A server of the zone was lost.
-    pub(crate) fn bad(
-        &mut self,
-        now: Time,
-        id: u32,
-        server: &ServerId,
-        how: Lost,
-        jitter: f64,
-    ) -> Option<(u32, Turn)> {
+    pub(crate) fn bad(&mut self, now: Time, id: u32, server: &ServerId, how: Lost, jitter: f64) -> News {
         let zone = self.all.get_mut(&id).filter(|z| z.left.is_none())?;
         if zone.run.is_empty() {
             zone.run_since = now;
@@ -154,7 +150,7 @@
 
     /// Leaves a zone that is lost, while another has answered since and loses none: what all lose alike is no
     /// zone's own fault.
-    fn judge(&mut self, now: Time, jitter: f64) -> Option<(u32, Turn)> {
+    fn judge(&mut self, now: Time, jitter: f64) -> News {
         let used = || self.all.iter().filter(|(_, z)| z.left.is_none() && z.place.1 > 0);
         let least = LEAST_LEFT * self.all.values().map(|z| z.place.1).sum::<usize>() as f64;
         let lost = |(id, zone): &(&u32, &Zone)| {
