Keep on disk what a gateway spent, so that a power loss grants nothing twice

Need: a gateway that is killed begins with fresh even shares, forgets its debts, workers out by hand and the levels that the count had shown; with an emptied counter each customer gets its burst again.

What is trusted is decided in the module (Gateway::recover).

--- a/src/bin/yardspur/admin.rs
+++ b/src/bin/yardspur/admin.rs
@@ -84,7 +84,7 @@
     fn call(&self, method: &Method, path: &str) -> (StatusCode, String) {
         let nothing = |status| (status, String::new());
         let Some(call) = path.strip_prefix("/control/") else { return nothing(StatusCode::NOT_FOUND) };
-        let reads = matches!(call, "ready" | "pools" | "zones" | "config" | "fleet");
+        let reads = matches!(call, "ready" | "pools" | "zones" | "config" | "fleet" | "recovery");
         let wanted = if reads { Method::GET } else { Method::POST };
         if call.starts_with("workers/") {
             return nothing(self.worker(method, call));
@@ -106,6 +106,10 @@
                 Some(fleet) => (StatusCode::OK, fleet.report()),
                 None => nothing(StatusCode::NOT_FOUND),
             },
+            "recovery" => match self.hub.recovery() {
+                Some(recovery) => (StatusCode::OK, recovery.report()),
+                None => nothing(StatusCode::NOT_FOUND),
+            },
             "config" => (StatusCode::OK, self.configuration.report()),
             "config/check" => {
                 let (good, body) = self.configuration.check_file();
--- a/src/bin/yardspur/config/mod.rs
+++ b/src/bin/yardspur/config/mod.rs
@@ -16,7 +16,7 @@
 use weirusher::Options;
 
 /// A worker as discovery shows it.
-#[derive(Debug, Clone, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Entry {
     pub id: String,
     #[serde(default)]
--- a/src/bin/yardspur/config/owner.rs
+++ b/src/bin/yardspur/config/owner.rs
@@ -36,6 +36,11 @@
         .ok_or_else(|| Problems::one("", "NODE_CONFIG names no file"))
 }
 
+/// The folder for what is to outlast the process: the environment's, else the configuration's.
+fn folder(config: &Config) -> Option<PathBuf> {
+    store::named().or_else(|| config.state.clone())
+}
+
 /// Reads and checks a file, against the configuration that holds where there is one.
 fn read(path: &Path, present: Option<&Config>) -> Result<(Vec<u8>, Config, Plan), Problems> {
     let text = file::read(path).map_err(|e| Problems::one("", e))?;
@@ -148,7 +153,7 @@
         let (discovery, follower) = watch::channel(start.config.discovery);
         let fleet = watch::channel(start.config.fleet.clone()).0;
         let history = History::new(start.text, hub.now(), start.by);
-        let folder = store::named().or_else(|| start.config.state.clone());
+        let folder = folder(&start.config);
         let keeper = folder.map(|folder| {
             let (tell, told) = mpsc::unbounded_channel();
             tokio::task::spawn_local(keep(folder.clone(), told));
@@ -184,6 +189,11 @@
         self.history.borrow_mut().follow(version);
     }
 
+    /// The folder in which this gateway's state is kept, where it has one.
+    pub fn state(&self) -> Option<PathBuf> {
+        self.keeper.as_ref().map(|(folder, _)| folder.clone())
+    }
+
     /// The version that holds.
     pub fn version(&self) -> u64 {
         self.history.borrow().holds().number
--- a/src/bin/yardspur/counter.rs
+++ b/src/bin/yardspur/counter.rs
@@ -93,6 +93,8 @@
     limit: Cell<Duration>,
     lines: RefCell<Vec<Line>>,
     numbers: Cell<u64>,
+    /// It has answered something since the start.
+    answers: Cell<bool>,
 }
 
 /// An answer of the counter.
@@ -116,7 +118,13 @@
 impl Counter {
     pub fn new(addr: SocketAddr, limit: Duration) -> Self {
         let lines = RefCell::new((0..LINES).map(|_| Line::default()).collect());
-        Self { addr: watch::Sender::new(addr), limit: Cell::new(limit), lines, numbers: Default::default() }
+        let (addr, limit) = (watch::Sender::new(addr), Cell::new(limit));
+        Self { addr, limit, lines, numbers: Cell::default(), answers: Cell::default() }
+    }
+
+    /// Whether it has answered anything yet.
+    pub fn answers(&self) -> bool {
+        self.answers.get()
     }
 
     /// From now on the counter is at `addr`: each line connects there once its answers have come.
@@ -213,6 +221,7 @@
                 return false;
             }
         };
+        self.answers.set(true);
         if !call.reported {
             report(hub, call.name, status, total, call.since.elapsed());
         }
--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -10,7 +10,7 @@
 use std::{fmt, net::SocketAddr, rc::Rc, task::Waker, time::Duration};
 use tokio::sync::watch;
 use tracing::{info, warn};
-use weirusher::{Lifecycle, ListKind, Server};
+use weirusher::{Lifecycle, Server};
 
 /// How long discovery may hold a watch: short, as what it could not tell counts as told soon after.
 const HOLD: Duration = Duration::from_secs(4);
@@ -72,7 +72,7 @@
                 let fits = list.full || version.is_some_and(|v| list.version >= v);
                 version = fits.then_some(list.version);
                 if fits && (list.full || !list.servers.is_empty()) {
-                    hub.list(if list.full { ListKind::Full } else { ListKind::Changes }, list.servers);
+                    hub.told(list);
                 }
                 if !fits {
                     tokio::time::sleep(BACKOFF.0).await;
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -5,12 +5,13 @@
     body::{self, Gathered, Piece, Pool, Unwanted},
     clients::Clients,
     clock::Clock,
-    config::{Config, Entry, trial::Tally},
+    config::{Config, Entry, List, trial::Tally},
     counter::Counter,
     discovery,
     fleet::{Fleet, Site},
     handover::Word,
     pools::Pools,
+    recovery::{self, Progress, Recovery},
     workers::{Caller, Ending, Forward, Trace, Workers, may_have_run},
 };
 use fnv::{FnvHashMap, FnvHashSet};
@@ -29,8 +30,8 @@
 };
 use tracing::{Level, debug, enabled, info, warn};
 use weirusher::{
-    Action, Class, CustomerId, Event, Gateway, JobId, Lifecycle, ListKind, Load, Options, Request, Retune,
-    ServerId, SettingsError, State, Status, Time, View, ZoneView,
+    Action, Class, CustomerId, Event, Gateway, JobId, Kept, Ledger, Lifecycle, ListKind, Load, Options,
+    Request, Retune, ServerId, SettingsError, State, Status, Time, View, ZoneView,
 };
 
 /// One over the share of the memory that may hold gathered bodies: there may be two processes.
@@ -85,7 +86,7 @@
     /// Its plan, and whether it is a client's marked repeat.
     plan: usize,
     repeat: bool,
-    /// What its first attempt takes from whose quota; only kept for other gateways to hear of.
+    /// What its first attempt takes from whose quota; only kept for other gateways to hear of, and for the disk.
     takes: Option<(CustomerId, usize, f64)>,
 }
 
@@ -195,6 +196,41 @@
     }
 }
 
+impl recovery::Site for Rc<Hub> {
+    fn plans(&self) -> Vec<String> {
+        self.options.borrow().plans.clone()
+    }
+
+    fn customers(&self) -> Vec<CustomerId> {
+        self.gateway.borrow().customers().cloned().collect()
+    }
+
+    fn ledger(&self, customer: &str, exact: bool) -> Option<(usize, Ledger)> {
+        let block = self.options.borrow().settings.max_units.max(1.0);
+        self.gateway.borrow().ledger(self.clock.now(), customer, if exact { 0.0 } else { block })
+    }
+
+    fn progress(&self) -> Progress {
+        let zones = self.gateway.borrow().zones(self.clock.now());
+        Progress {
+            listed: self.listed.get(),
+            counted: self.counter.as_ref().map(Counter::answers),
+            members: self.fleet().map(|f| f.members()),
+            usable: zones.iter().map(|z| z.usable).sum(),
+            cold: zones.iter().map(|z| z.cold).sum(),
+        }
+    }
+
+    fn use_workers(&self, mut workers: Vec<Entry>) {
+        let known: FnvHashSet<String> =
+            self.gateway.borrow().server_names().map(|id| id.to_string()).collect();
+        workers.retain(|w| !known.contains(&w.id));
+        // Each may have restarted since, and nobody has told.
+        workers.iter_mut().for_each(|w| w.started_ms = self.clock.now() * 1e3);
+        self.list(ListKind::Changes, workers);
+    }
+}
+
 /// What the parts have agreed to change to.
 pub struct Ready {
     retune: Retune,
@@ -228,6 +264,10 @@
     seed: u64,
     /// The other gateways, where they are heard of.
     fleet: RefCell<Option<Rc<Fleet>>>,
+    /// What is kept on disk, where the configuration has a folder for it.
+    recovery: RefCell<Option<Rc<Recovery>>>,
+    /// Discovery has told the whole list.
+    listed: Cell<bool>,
     /// The line to the other process of this gatekeeper, while there are two.
     beside: RefCell<Option<mpsc::UnboundedSender<Word>>>,
 }
@@ -262,6 +302,8 @@
             drains,
             seed: config.seed,
             fleet: RefCell::default(),
+            recovery: RefCell::default(),
+            listed: Cell::new(false),
             beside: RefCell::default(),
             options: RefCell::new(Rc::new(config.options.clone())),
         });
@@ -373,6 +415,16 @@
         self.fleet.borrow().clone()
     }
 
+    pub fn recovery(&self) -> Option<Rc<Recovery>> {
+        self.recovery.borrow().clone()
+    }
+
+    /// Goes on from what an earlier process left on disk, and writes down there what is sent on from now on.
+    pub fn set_recovery(&self, recovery: Rc<Recovery>, kept: Option<Kept>) {
+        kept.into_iter().for_each(|kept| self.gateway.borrow_mut().recover(self.clock.now(), kept));
+        self.recovery.replace(Some(recovery));
+    }
+
     /// What others are known to have left of a customer's quota.
     fn view(&self, customer: &str) -> Option<View> {
         let fleet = self.fleet()?;
@@ -405,6 +457,13 @@
 
     // ---- What comes in ----
 
+    /// What discovery tells.
+    pub fn told(self: &Rc<Self>, list: List) {
+        self.listed.set(self.listed.get() || list.full);
+        self.recovery.borrow().iter().for_each(|r| r.listed(&list));
+        self.list(if list.full { ListKind::Full } else { ListKind::Changes }, list.servers);
+    }
+
     /// News of the workers. Names are mapped to addresses here, which are each gateway's own.
     pub fn list(self: &Rc<Self>, kind: ListKind, entries: Vec<Entry>) {
         let (mut servers, options) = (Vec::with_capacity(entries.len()), self.options());
@@ -430,6 +489,7 @@
         if known && out {
             self.pools.close_idle(id);
         }
+        self.recovery.borrow().iter().filter(|_| known).for_each(|r| r.hand(id, out));
         let what = if out { "offline" } else { "online" };
         info!("worker {id:?} {what}: {}", if known { "done" } else { "no list has named it" });
         known
@@ -442,6 +502,7 @@
     pub fn hand_over(&self) -> (State, BTreeMap<ServerId, SocketAddr>) {
         self.pools.keep_none(true);
         self.leaving.set(true);
+        self.recovery.borrow().iter().for_each(|r| r.release());
         let state = self.gateway.borrow_mut().hand_over(self.clock.now());
         (state, self.pools.addrs())
     }
@@ -449,6 +510,7 @@
     pub fn take_back(&self) {
         self.beside.take();
         self.leaving.set(false);
+        self.recovery.borrow().iter().for_each(|r| r.resume());
         self.pools.keep_none(false);
         self.gateway.borrow_mut().take_back(self.clock.now());
     }
@@ -511,7 +573,8 @@
         // A request's time runs from its last byte on.
         let expires = self.clock.now() + if sending.is_some() { LONGEST } else { remaining };
         let customer: CustomerId = demand.customer.into();
-        let takes = self.fleet.borrow().as_ref().map(|_| (customer.clone(), demand.plan, demand.units));
+        let told = self.fleet.borrow().is_some() || self.recovery.borrow().is_some();
+        let takes = told.then(|| (customer.clone(), demand.plan, demand.units));
         let view = self.view(&customer);
         let (plan, repeat, attempts) = (demand.plan, demand.repeat, Vec::new());
         let open = Open { answer: Some(answer), forward, sending, expires, attempts, plan, repeat, takes };
@@ -672,14 +735,12 @@
         }
     }
 
-    /// A request that goes out for the first time takes its units: the other gateways hear of it.
+    /// A request that goes out for the first time takes its units: the other gateways hear of it, and the disk.
     fn tell_spent(&self, job: &JobId) {
-        let Some(fleet) = &*self.fleet.borrow() else { return };
-        if let Some(open) = self.open.borrow_mut().get_mut(job)
-            && let Some((customer, plan, units)) = open.takes.take()
-        {
-            fleet.spent(&customer, plan, units);
-        }
+        let takes = self.open.borrow_mut().get_mut(job).and_then(|open| open.takes.take());
+        let Some((customer, plan, units)) = takes else { return };
+        self.fleet.borrow().iter().for_each(|fleet| fleet.spent(&customer, plan, units));
+        self.recovery.borrow().iter().for_each(|recovery| recovery.sent(&customer));
     }
 
     fn answer(&self, job: &JobId, answer: Answer) {
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -14,17 +14,26 @@
 mod handover;
 mod link;
 mod pools;
+mod recovery;
 mod workers;
 
 use admin::Admin;
-use clap::Parser;
+use clap::{Parser, Subcommand};
 use clients::Clients;
 use config::{
     Config, Problems,
     owner::{Configuration, Start, check_files, told},
 };
 use gateway::Hub;
-use std::{fmt, io, os::fd::FromRawFd, path::PathBuf, process::ExitCode, rc::Rc, time::Duration};
+use recovery::{Recovery, StateError, tool};
+use std::{
+    fmt, io,
+    os::fd::FromRawFd,
+    path::{Path, PathBuf},
+    process::ExitCode,
+    rc::Rc,
+    time::Duration,
+};
 use tokio::{
     net::TcpListener,
     runtime::LocalOptions,
@@ -57,6 +66,7 @@
     Settings(SettingsError),
     Listen(io::Error),
     System(io::Error),
+    State(StateError),
     /// The named part has failed.
     Part(&'static str),
 }
@@ -68,6 +78,7 @@
             Self::Settings(e) => write!(f, "the configuration's settings: {e}"),
             Self::Listen(e) => write!(f, "can't listen: {e}"),
             Self::System(e) => write!(f, "can't start: {e}"),
+            Self::State(e) => e.fmt(f),
             Self::Part(name) => write!(f, "the part that minds {name} has failed"),
         }
     }
@@ -104,12 +115,6 @@
     let hub = Hub::new(&config, share).map_err(NodeError::Settings)?;
     hub.start_counter();
     let (configuration, discovery_at) = Configuration::new(start, hub.clone());
-    let discovery = tokio::task::spawn_local(discovery::follow(
-        discovery_at,
-        hub.clone(),
-        config.known_version,
-        fastrand::Rng::with_seed(config.seed),
-    ));
     tokio::task::spawn_local(fleet::keep(hub.clone(), hub.clock(), configuration.fleet()));
     let reloads = tokio::task::spawn_local(reload(hangup, configuration.clone()));
     let timers = tokio::task::spawn_local(hub.clone().run_timers());
@@ -117,8 +122,22 @@
     // An attempt may be out for each client, so both get the same.
     let clients = Clients::new(hub.clone(), share / 2);
     let place = handover::place(inherited);
+    let link = match &place {
+        Some(place) => handover::take_over(place, &hub, &clients, &configuration).await,
+        None => None,
+    };
+    if let Some(folder) = configuration.state() {
+        recover(&folder, &name, &hub, link.is_some()).map_err(NodeError::State)?;
+    }
+    // After what is to hear of the list is there.
+    let discovery = tokio::task::spawn_local(discovery::follow(
+        discovery_at,
+        hub.clone(),
+        config.known_version,
+        fastrand::Rng::with_seed(config.seed),
+    ));
     if let Some(place) = &place {
-        if let Some(link) = handover::take_over(place, &hub, &clients, &configuration).await {
+        if let Some(link) = link {
             info!("{name} takes over from the process before it");
             tokio::task::spawn_local(link.follow(hub.clone(), clients.clone()));
         }
@@ -155,10 +174,23 @@
     }
     info!("{name} stops with {} in hand", hub.in_hand());
     drain(&hub, &clients, listener).await;
+    if let Some(recovery) = hub.recovery() {
+        recovery.finish(&hub).await;
+    }
     info!("{name} has stopped");
     Ok(())
 }
 
+/// Goes on from what is on disk, before any client is served; from then on what is spent is written down there.
+fn recover(folder: &Path, name: &str, hub: &Rc<Hub>, heir: bool) -> Result<(), StateError> {
+    let plans = hub.options().plans.clone();
+    let (recovery, kept) = Recovery::begin(folder, name, &plans, hub.clock(), heir)?;
+    hub.set_recovery(recovery.clone(), kept);
+    tokio::task::spawn_local(recovery.clone().keep(hub.clone()));
+    tokio::task::spawn_local(recovery.follow_start(hub.clone()));
+    Ok(())
+}
+
 /// The way out: serve on while connections still come, then take no more, answer what is in hand, end.
 async fn drain(hub: &Rc<Hub>, clients: &Rc<Clients>, listener: TcpListener) {
     let start = Instant::now();
@@ -211,7 +243,7 @@
 /// Without arguments it serves, by the configuration that NODE_CONFIG names, until SIGTERM; SIGHUP has it read
 /// that anew. Other variables: NODE_ADMIN, NODE_LISTEN_FD, NODE_LOG, NODE_STATE; see docs/on-call.md.
 #[derive(Parser)]
-#[command(version)]
+#[command(version, args_conflicts_with_subcommands = true)]
 struct Cli {
     /// Says what a gateway would make of FILE, as JSON, and ends: status 0, or 1 where it would not be taken.
     #[arg(long, value_name = "FILE")]
@@ -219,10 +251,21 @@
     /// The configuration that holds: says what --check's FILE would change.
     #[arg(long, value_name = "FILE", requires = "check")]
     against: Option<PathBuf>,
+    #[command(subcommand)]
+    command: Option<Command>,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    #[command(subcommand)]
+    State(tool::State),
 }
 
 fn main() -> ExitCode {
     let cli = Cli::parse();
+    if let Some(Command::State(call)) = &cli.command {
+        return tool::run(call);
+    }
     if let Some(file) = &cli.check {
         let checked = check_files(file, cli.against.as_deref());
         let good = checked.is_ok();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,4 +15,4 @@
 pub use interface::*;
 pub use logic::{Gateway, Retune};
 pub use options::{Options, OptionsError, OptionsFault};
-pub use state::State;
+pub use state::{Kept, Ledger, State};
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -136,7 +136,7 @@
 /// The decisions of one gateway.
 #[derive(Debug, Default)]
 pub struct Gateway {
-    set: Settings,
+    pub(crate) set: Settings,
     pub(crate) now: Time,
     out: Vec<Action>,
     rng: Option<fastrand::Rng>,
@@ -239,6 +239,25 @@
         self.name_running();
     }
 
+    /// Goes on from what an earlier process left on disk, at the least of the time that has passed: of leases only
+    /// what belongs to a window that surely still runs, nothing under a ceiling or for those who may have spent it.
+    pub fn recover(&mut self, now: Time, kept: Kept) {
+        self.known.spent = kept.spent.map(|ago| now - ago);
+        self.known.aside.extend(kept.aside);
+        for (id, plan, ago, Ledger { spread, window: of, lease, owed, share, level }) in kept.customers {
+            let Some(terms) = self.set.plans.get(plan) else { continue };
+            let (window, age) = window(terms, &id, now);
+            let lease = if window == of && kept.most.is_some_and(|most| most <= age) { lease } else { 0.0 };
+            let store = |level| Store { level, at: now - ago };
+            let share = if terms.ceiling_rate > 0.0 { Store { level: 0.0, at: now } } else { store(share) };
+            let (spread, level) = (spread.clamp(1, self.set.gateways), level.map(store));
+            let rest = Customer { touched: now, ..Customer::default() };
+            let new = Customer { plan, spread, lease, owed, share, level, window, ..rest };
+            self.known.customers.insert(id, new);
+        }
+        self.name_running();
+    }
+
     /// Takes one event at `now` and appends what is to be done, in order.
     pub fn handle(&mut self, now: Time, event: Event, actions: &mut Vec<Action>) {
         self.now = now;
@@ -283,14 +302,12 @@
     // ---- Servers: the list, health, choice ----
 
     fn list(&mut self, kind: ListKind, servers: Vec<Server>) {
-        if self.set.must_ask && matches!(kind, ListKind::Stale | ListKind::Failed) {
-            self.out.push(Action::Watch);
-        }
-        if kind == ListKind::Stale {
-            self.set_timer(self.now + FORGET, Due::Sweep);
-        }
-        if kind == ListKind::Full {
-            self.known.servers.values_mut().for_each(|h| h.running = false);
+        let watch = self.set.must_ask && matches!(kind, ListKind::Stale | ListKind::Failed);
+        watch.then(|| self.out.push(Action::Watch));
+        match kind {
+            ListKind::Stale => drop(self.set_timer(self.now + FORGET, Due::Sweep)),
+            ListKind::Full => self.known.servers.values_mut().for_each(|h| h.running = false),
+            _ => {}
         }
         let latency = self.known.latency;
         for entry in servers {
@@ -606,9 +623,10 @@
         let plan = self.set.plans[request.plan].clone();
         let spread = request.spread.clamp(1, self.set.gateways);
         // Rule 5: a restarted gateway does not know what it spent under a ceiling; else one request fits.
-        let level =
-            if plan.ceiling_rate > 0.0 { 0.0 } else { (plan.burst / f64::from(spread)).max(request.units) };
-        let unseen = || Customer { share: Store { level, at: self.now }, ..Customer::default() };
+        let (fresh, at) = (self.known.spent.is_none(), self.known.spent.unwrap_or(self.now));
+        let even = (plan.burst / f64::from(spread)).max(request.units);
+        let level = if fresh && plan.ceiling_rate == 0.0 { even } else { 0.0 };
+        let unseen = || Customer { share: Store { level, at }, ..Customer::default() };
         let customer = self.known.customers.entry(request.customer.clone()).or_insert_with(unseen);
         (customer.plan, customer.spread, customer.touched) = (request.plan, spread, self.now);
         customer.turn =
--- a/src/state.rs
+++ b/src/state.rs
@@ -166,6 +166,48 @@
     pub(crate) lost: f64,
     pub(crate) beside: f64,
     pub(crate) further: f64,
+    /// Customers that are not known had nothing left at that time: what was known of them is lost.
+    #[serde(default)]
+    pub(crate) spent: Option<Time>,
+}
+
+/// What is written down of one customer, so that a start after a crash grants nothing twice. Units; as they stand
+/// when it is asked for.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// How many gateways carry the customer.
+    pub spread: u32,
+    /// The window that the lease belongs to.
+    pub window: u64,
+    /// What the count has granted and was not spent.
+    pub lease: f64,
+    /// What was spent off the count and is still to be added.
+    pub owed: f64,
+    /// What is left of the even share.
+    pub share: f64,
+    /// What the quota's store holds, as the count last showed it.
+    pub level: Option<f64>,
+}
+
+impl Ledger {
+    /// Whether the figures can be true at all.
+    pub fn is_sane(&self) -> bool {
+        let figures = [self.lease, self.owed, self.share, self.level.unwrap_or(0.0)];
+        figures.into_iter().all(|f| f.is_finite() && f.abs() < 1e12) && self.share >= 0.0 && self.lease >= 0.0
+    }
+}
+
+/// What a process that crashed, or lost its power, has left for the next one. Times in seconds.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Kept {
+    /// Customers, each with its plan's number and the time that has surely passed since it stood so.
+    pub customers: Vec<(CustomerId, usize, Time, Ledger)>,
+    /// Servers that are out by hand.
+    pub aside: Vec<ServerId>,
+    /// The most that has passed since the last of it; `None`: nobody knows.
+    pub most: Option<Time>,
+    /// Whoever is not among the customers may have spent all that it had, so long ago; `None`: nothing.
+    pub spent: Option<Time>,
 }
 
 impl Gateway {
@@ -188,6 +230,25 @@
         }
     }
 
+    /// Customers that are known.
+    pub fn customers(&self) -> impl Iterator<Item = &CustomerId> {
+        self.known.customers.keys()
+    }
+
+    /// How a customer stands, and its plan's number, `ahead` units of its even share taken for spent already.
+    pub fn ledger(&self, now: Time, customer: &str, ahead: f64) -> Option<(usize, Ledger)> {
+        let c = self.known.customers.get(customer)?;
+        let (plan, spread) = (self.set.plans.get(c.plan)?, f64::from(c.spread));
+        // A share under a ceiling is dealt out and not refilled: rule 5 lets the next start begin with nothing.
+        let even =
+            |mut s: Store| s.refill(now, plan.rate / spread, (plan.burst / spread).max(self.set.max_units));
+        let share = if plan.ceiling_rate > 0.0 { 0.0 } else { (even(c.share) - ahead).max(0.0) };
+        let level = c.level.map(|mut level| level.refill(now, plan.rate, plan.burst));
+        let Customer { spread, window, lease, owed, .. } = *c;
+        // What went ahead of an answer that has not come is a debt until it has.
+        Some((c.plan, Ledger { spread, window, lease, owed: owed + c.ahead, share, level }))
+    }
+
     /// What is known of the zones.
     pub fn zones(&self, now: Time) -> Vec<ZoneView> {
         let sent: f64 = self.known.zones.all.values().map(|z| z.sent.level).sum();
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -302,6 +302,11 @@
         }
     }
 
+    /// It has lost all counts.
+    pub fn empty(&self) {
+        self.counts.lock().expect("no panic inside").clear();
+    }
+
     pub fn total(&self) -> f64 {
         self.counts.lock().expect("no panic inside").values().sum()
     }
@@ -478,6 +483,7 @@
 
 /// What a node is started with; the fields stand at what most tests want.
 pub struct Setup {
+    pub name: String,
     pub settings: Value,
     pub known: Vec<Value>,
     /// The version of that list.
@@ -505,6 +511,7 @@
         let addr = discovery.addr;
         (
             Self {
+                name: "n0".into(),
                 settings: settings(),
                 known: entries,
                 version: 0,
@@ -524,7 +531,7 @@
     pub fn config(&self) -> Value {
         let admin = self.admin.then_some("127.0.0.1:0");
         let mut config = json!({
-            "name": "n0", "admin": admin, "listen": "127.0.0.1:0", "discovery": self.discovery.to_string(),
+            "name": self.name, "admin": admin, "listen": "127.0.0.1:0", "discovery": self.discovery.to_string(),
             "seed": "8c1f30d27a5be964", "counter": self.counter.map(|c| c.to_string()),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": self.sockets},
             "known": {"version": self.version, "full": true, "servers": self.known}, "settings": self.settings,
