Call off attempts that wait for a connection once the final answer is given

An attempt that waits in Pools::lease for a connection lived on when its request was answered by a second copy, refused or left by its client (Hub::ended, answer, left; Caller::answers), and was written when the connection came up. Shown by a worker whose line of new connections is full: the request answered by the other worker arrives there as soon as the line moves on, before anything sent later.

Change: with the final answer, and when the client goes, attempts whose last byte is not written are ended as never sent.

--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -156,6 +156,7 @@
             self.hub.count(false);
             let _ = answer.send(Answer::Served(body::Answer::streams(gathered, rest, length)));
         }
+        self.hub.call_off(&self.job);
         self.hub.post(Event::FirstByte { job: self.job.clone() });
         Some(pieces)
     }
@@ -618,6 +619,7 @@
     pub fn left(self: &Rc<Self>, job: &JobId) {
         let waiting = self.open.borrow_mut().get_mut(job).is_some_and(|o| o.answer.take().is_some());
         if waiting {
+            self.call_off(job);
             self.forget(job);
             self.post(Event::Left { job: job.clone() });
         }
@@ -644,6 +646,9 @@
         }
         let over = open.answer.is_none();
         drop(table);
+        if over {
+            self.call_off(job);
+        }
         self.forget(job);
         if let (Some(fleet), Some(answered)) = (&*self.fleet.borrow(), judged(ending.status)) {
             fleet.saw(&attempt.server, answered);
@@ -660,6 +665,18 @@
         });
     }
 
+    /// Calls off the attempts of a request that are not with a worker yet, such as one that waits for a connection:
+    /// its final answer is given, or its client has gone, and nothing may be sent on after that.
+    fn call_off(self: &Rc<Self>, job: &JobId) {
+        let unsent: Vec<u32> = {
+            let table = self.open.borrow();
+            let attempts = table.get(job).into_iter().flat_map(|o| o.attempts.iter().enumerate());
+            let unsent = attempts.filter(|(_, a)| a.as_ref().is_some_and(|a| !may_have_run(&a.trace)));
+            unsent.map(|(number, _)| number as u32).collect()
+        };
+        unsent.into_iter().for_each(|number| self.stop(job, number, Status::Moot));
+    }
+
     /// Ends an attempt from this side: dropping its task closes the connection.
     fn stop(self: &Rc<Self>, job: &JobId, number: u32, status: Status) {
         let stopped = {
@@ -743,12 +760,13 @@
         self.recovery.borrow().iter().for_each(|recovery| recovery.sent(&customer));
     }
 
-    fn answer(&self, job: &JobId, answer: Answer) {
+    fn answer(self: &Rc<Self>, job: &JobId, answer: Answer) {
         let sender = self.open.borrow_mut().get_mut(job).and_then(|o| o.answer.take());
         if let Some(sender) = sender {
             self.count(matches!(answer, Answer::Failed));
             // As above: a client that is gone says so itself.
             let _ = sender.send(answer);
+            self.call_off(job);
             self.forget(job);
         }
     }
