--- a/src/logic.rs
+++ b/src/logic.rs
@@ -239,8 +239,8 @@
         self.name_running();
     }
 
-    /// Goes on from what an earlier process left on disk, at the least of the time that has passed: of leases only
-    /// what belongs to a window that surely still runs, nothing under a ceiling or for those who may have spent it.
+    /// Goes on from what an earlier process left on disk, at the least of the time that has passed: of leases
+    /// only those of a window that surely still runs; nothing under a ceiling, or for who may have spent it.
     pub fn recover(&mut self, now: Time, kept: Kept) {
         self.known.spent = kept.spent.map(|ago| now - ago);
         self.known.aside.extend(kept.aside);
