Let the lab move discovery's agents, and take the power from the gateways alone

Need: the lab's list of faults lacked discovery that moves; what gateways keep on disk shows only where quotas decide, and in power-loss cold workers do.

--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -359,6 +359,9 @@
     DiscoveryLate,
     /// Calls get an error.
     DiscoveryOverbooked,
+    /// The agents of `gates` are at another address, told by a new configuration and SIGHUP; the old one closes soon
+    /// after. Back after `for_s`.
+    DiscoveryMove,
 }
 
 /// One fault.
@@ -946,6 +949,7 @@
         "counter-crowded",
         "herd-restart",
         "power-loss",
+        "power-loss-gates",
         "rolling-overload",
         "paused-gatekeeper",
         "bad-links",
--- a/lab/src/world/faults.rs
+++ b/lab/src/world/faults.rs
@@ -19,6 +19,8 @@
 
 /// A worker that is replaced is listed as draining so long, and turns requests away from halfway on.
 const DRAIN: Duration = Duration::from_millis(4000);
+/// The address that an agent moves from takes calls so long after the move.
+const MOVING: Duration = Duration::from_millis(500);
 /// What was written so long before the kill is what a disk that loses writes has kept.
 const UNWRITTEN: Duration = Duration::from_millis(1500);
 
@@ -130,6 +132,11 @@
                 wait(until).await;
                 set(0.0, 1.0);
             }
+            What::DiscoveryMove => {
+                self.move_agents(&gates, true).await;
+                wait(until).await;
+                self.move_agents(&gates, false).await;
+            }
             What::DiscoveryDown | What::DiscoveryLate | What::DiscoveryOverbooked => {
                 let set = |on: bool| {
                     self.discovery.trouble.send_modify(|t| match fault.what {
@@ -146,6 +153,20 @@
         self.log.note(Event::Fault { index, on: false, gates, workers });
     }
 
+    /// Moves the agents of `gates` to their second address, or back.
+    async fn move_agents(&self, gates: &[usize], second: bool) {
+        let (to, from) = (usize::from(second), usize::from(!second));
+        for gate in gates {
+            self.agents[*gate][to].send_replace(true);
+            // A disk of the lab's own that fails shows as a gateway that hears nothing any more.
+            let _ = self.gates[*gate].move_agent(second);
+        }
+        sleep(MOVING).await;
+        for gate in gates {
+            self.agents[*gate][from].send_replace(false);
+        }
+    }
+
     async fn links(
         &self,
         index: usize,
--- a/lab/src/world/gates.rs
+++ b/lab/src/world/gates.rs
@@ -39,7 +39,8 @@
 pub struct Around {
     pub listen: SocketAddr,
     pub front: Arc<Link>,
-    pub discovery: SocketAddr,
+    /// Its agent's address, and the one it may move to.
+    pub discovery: [SocketAddr; 2],
     pub counter: Option<SocketAddr>,
     pub fleet: Option<Member>,
 }
@@ -75,6 +76,8 @@
     used: Mutex<(f64, f64)>,
     /// What it was started with, for a new configuration.
     config: Mutex<Option<Value>>,
+    /// Its agent is at the second address.
+    moved: AtomicBool,
     /// What its folder held at the last look, for a disk that loses writes.
     earlier: Mutex<Vec<(PathBuf, Vec<u8>)>>,
 }
@@ -108,6 +111,7 @@
             ready: Notify::new(),
             used: Mutex::default(),
             config: Mutex::default(),
+            moved: AtomicBool::new(false),
             earlier: Mutex::default(),
         }))
     }
@@ -125,6 +129,10 @@
         self.log.note(Event::Gate { gate: self.index, state });
     }
 
+    fn agent(&self) -> SocketAddr {
+        self.around.discovery[usize::from(self.moved.load(Ordering::Relaxed))]
+    }
+
     fn write_config(&self, config: &Value) -> io::Result<PathBuf> {
         let (aside, path) = (self.folder.join("config.new"), self.folder.join("config.json"));
         fs::write(&aside, config.to_string())?;
@@ -145,7 +153,7 @@
         let seed = self.plan.stream(&format!("gate {} start {start}", self.index));
         let mut config = json!({
             "name": format!("n{}", self.index), "listen": self.addr.to_string(),
-            "discovery": self.around.discovery.to_string(), "seed": format!("{seed:016x}"),
+            "discovery": self.agent().to_string(), "seed": format!("{seed:016x}"),
             "limits": {"cores": 1.0, "memory_mb": world.memory_mb, "sockets": world.sockets},
             "known": known, "settings": settings(&self.plan, self.index),
         });
@@ -382,6 +390,18 @@
         self.signal(Signal::KILL);
     }
 
+    /// Its agent is at the second address from now on, or at the first again.
+    ///
+    /// # Errors
+    /// Those of the file system.
+    pub fn move_agent(&self, second: bool) -> io::Result<()> {
+        self.moved.store(second, Ordering::Relaxed);
+        if let Some(config) = self.config.lock().unwrap_or_else(PoisonError::into_inner).as_mut() {
+            config["discovery"] = json!(self.agent().to_string());
+        }
+        self.reload()
+    }
+
     /// Writes its configuration anew and has it read that.
     ///
     /// # Errors
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -145,6 +145,8 @@
     workers: Vec<Arc<Worker>>,
     counter: Arc<Counter>,
     discovery: Arc<Discovery>,
+    /// By gateway, whether its agent is at the first and at the second address.
+    agents: Vec<[watch::Sender<bool>; 2]>,
     gates: Vec<Arc<Gate>>,
 }
 
@@ -286,7 +288,6 @@
             addrs.push(row);
         }
         let discovery = Discovery::new(plan.clone(), log.clone(), addrs);
-        let always = watch::channel(true).0;
         let (mut gates, mut held, mut held_udp, mut members) =
             (Vec::new(), Vec::new(), Vec::new(), Vec::new());
         for _ in (0..spec.gatekeepers).filter(|_| spec.fleet) {
@@ -298,10 +299,19 @@
         let mut carried = relay.clone().run();
         // It goes with the world's other tasks.
         tasks.spawn(async move { while carried.join_next().await.is_some() {} });
+        let mut agents = Vec::new();
         for gate in 0..spec.gatekeepers {
-            let port = Port::open(ip, links.discovery[gate].clone())?;
-            let (agent, of) = (port.addr, discovery.clone());
-            serve(tasks, port, &always, move |conn| of.clone().serve(gate, conn));
+            let up = [watch::channel(true).0, watch::channel(false).0];
+            let ports = [
+                Port::open(ip, links.discovery[gate].clone())?,
+                Port::open(ip, links.discovery[gate].clone())?,
+            ];
+            let agent = [ports[0].addr, ports[1].addr];
+            for (port, up) in ports.into_iter().zip(&up) {
+                let of = discovery.clone();
+                serve(tasks, port, up, move |conn| of.clone().serve(gate, conn));
+            }
+            agents.push(up);
             let port = Port::open(ip, links.counter[gate].clone())?;
             let counter_at = plan.scenario.counter.on.then_some(port.addr);
             let of = counter.clone();
@@ -315,14 +325,10 @@
             let around = Around { listen, front, discovery: agent, counter: counter_at, fleet };
             gates.push(Gate::new(gate, plan.clone(), log.clone(), program, root, around)?);
         }
-        // Held for as long as the tasks that wait on it.
-        tasks.spawn(async move {
-            always.closed().await;
-        });
         for worker in &workers {
             tasks.spawn(faults::raise(worker.clone(), discovery.clone()));
         }
-        Ok(Self { plan, log, links, workers, counter, discovery, gates })
+        Ok(Self { plan, log, links, workers, counter, discovery, agents, gates })
     }
 
     async fn start_gates(&self, program: &Path) -> Result<(), WorldError> {
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -561,9 +561,19 @@
         self.node(child, config)
     }
 
-    /// The same, to its end.
+    /// The same, to its end, which is to come at once.
     pub fn run_text(&self, text: &str, state: &Path) -> std::process::Output {
-        Self::command(text, state).0.output().expect("the program starts")
+        let mut child =
+            Self::command(text, state).0.stdout(Stdio::piped()).spawn().expect("the program starts");
+        let start = Instant::now();
+        while child.try_wait().expect("its own child").is_none() {
+            if start.elapsed() > LIMIT {
+                child.kill().expect("its own child");
+                panic!("it serves instead of ending");
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        child.wait_with_output().expect("its own child")
     }
 
     pub fn start(&self) -> Node {
--- a/tests/fleetlab.rs
+++ b/tests/fleetlab.rs
@@ -68,6 +68,7 @@
 fn a_fleet_keeps_the_rules_while_workers_are_replaced_crash_and_spoil_answers() {
     let (recording, verdict) = play(
         "name = 'workers'\nlength_s = 12\n
+        [[fault]]\nwhat = 'discovery-move'\nat_s = 0.5\nfor_s = 6
         [[fault]]\nwhat = 'replace'\nworkers = '0..2'\nat_s = 1.5\nfor_s = 1
         [[fault]]\nwhat = 'crash'\nworkers = '2..4'\nat_s = 3\nfor_s = 2
         [[fault]]\nwhat = 'errors'\nworkers = '4'\nat_s = 4\nfor_s = 3
