--- a/lab/src/world/faults.rs
+++ b/lab/src/world/faults.rs
@@ -212,15 +212,7 @@
         }
         while kills.join_next().await.is_some() {}
         let Some(until) = until else { return };
-        let mut back: Vec<(Instant, usize)> = Vec::new();
-        for gate in gates {
-            let (never, later): (f64, f64) = (rng.random(), rng.random());
-            if never >= fault.never {
-                back.push((until + Duration::from_secs_f64(fault.over_s * later), *gate));
-            }
-        }
-        back.sort();
-        for (at, gate) in back {
+        for (at, gate) in returns(fault, gates, until, rng) {
             sleep_until(at).await;
             self.restart(gate);
         }
@@ -259,15 +251,7 @@
         workers.iter().for_each(|w| self.workers[*w].die(WorkerState::Died));
         let Some(for_s) = fault.for_s else { return };
         let until = Instant::now() + Duration::from_secs_f64(for_s);
-        let mut back: Vec<(Instant, usize)> = Vec::new();
-        for worker in workers {
-            let (never, later): (f64, f64) = (rng.random(), rng.random());
-            if never >= fault.never {
-                back.push((until + Duration::from_secs_f64(fault.over_s * later), *worker));
-            }
-        }
-        back.sort();
-        for (at, worker) in back {
+        for (at, worker) in returns(fault, workers, until, rng) {
             sleep_until(at).await;
             self.workers[worker].start();
             self.discovery.publish(worker, "SERVING", unix_ms());
@@ -295,6 +279,19 @@
     }
 }
 
+/// Who of those struck comes back when, in that order: spread over `over_s` from `until` on, some never.
+fn returns(fault: &Fault, struck: &[usize], until: Instant, rng: &mut ChaCha8Rng) -> Vec<(Instant, usize)> {
+    let mut back = Vec::new();
+    for one in struck {
+        let (never, later): (f64, f64) = (rng.random(), rng.random());
+        if never >= fault.never {
+            back.push((until + Duration::from_secs_f64(fault.over_s * later), *one));
+        }
+    }
+    back.sort();
+    back
+}
+
 /// Waits until the fault's end; for good where it has none.
 async fn wait(until: Option<Instant>) {
     match until {
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -23,7 +23,7 @@
 }
 
 fn report(node: &Node) -> Value {
-    json_of(&node.called("GET /control/config"))
+    node.report("config")
 }
 
 fn number(node: &Node) -> u64 {
--- a/tests/zone_loss.rs
+++ b/tests/zone_loss.rs
@@ -51,9 +51,7 @@
 }
 
 fn zones(node: &Node) -> Vec<Value> {
-    let told = node.called("GET /control/zones");
-    let told: Value = serde_json::from_slice(&told.body).expect("JSON");
-    told["zones"].as_array().expect("a list").clone()
+    node.report("zones")["zones"].as_array().expect("a list").clone()
 }
 
 #[test]
