End a request before its client's time is up, and sooner where the process runs late

The gateway let an attempt run to that time to the digit (`timeout.min(left)`, `expires + LAST_RESORT` in gateway.rs) and answered what came of it after, with its timers' grain of a millisecond and whatever the process ran late. Each request that reached its time was thus answered at the moment at which its client left.

Looked at and ruled out: answers that break off, with and without a length (none partial in the capture); connections that the gateway ends with a request on them (none); attempts that wait for a connection (250 ms at most, none at the end of a time); the hold and the counter (a held request is let go after 45 ms).

Now the time that a request may take is the client's less 6 ms and less twice how late this process's timers fired of late, a quarter of the time at most. It is the node's, which knows the clock and the sockets; what becomes of the request in that time stays the policy's. Not taken: an answer by a timer of its own beside the attempts' ends, which would leave the worker's work and the refusal's reason to chance; a fixed margin of 50 ms, a third of the time of many tries.

a_request_ends_before_its_client_has_gone fails without the change ("0.4 of 0.4").

--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -43,6 +43,42 @@
 /// Seconds after a request's end at which it is failed, should the module not have answered.
 const LAST_RESORT: f64 = 0.004;
 
+/// Seconds before its client's time is up at which a request is to end: the timers' grain, the last resort, and the
+/// answer's way. A client that gets nothing until then has gone a moment later, whatever comes.
+const AHEAD: f64 = 0.006;
+
+/// Most of a client's time that is kept for that, however late this process has been of late.
+const AHEAD_MOST: f64 = 0.25;
+
+/// Seconds over which it is forgotten how late this process was, and the most that counts: a process that was stopped
+/// for longer is not one that runs late.
+const LAG: (f64, f64) = (10.0, 0.05);
+
+/// How long a request may take whose client waits for `remaining` seconds, where this process runs up to `lag` late: it
+/// may read the request so late, and notice so late that its time is up.
+fn within(remaining: f64, lag: f64) -> f64 {
+    remaining - (AHEAD + 2.0 * lag).min(AHEAD_MOST * remaining)
+}
+
+/// How late this process was of late, at most.
+#[derive(Debug, Default)]
+struct Lag {
+    most: Cell<f64>,
+    at: Cell<Time>,
+}
+
+impl Lag {
+    fn at(&self, now: Time) -> f64 {
+        self.most.get() * (-(now - self.at.get()).max(0.0) / LAG.0).exp()
+    }
+
+    /// A timer for `due` has fired at `now`.
+    fn saw(&self, due: Time, now: Time) {
+        self.most.set(self.at(now).max((now - due).min(LAG.1)));
+        self.at.set(now);
+    }
+}
+
 /// The one final answer to a client.
 pub enum Answer {
     Served(body::Answer),
@@ -248,6 +284,7 @@
     jobs: Cell<u64>,
     timers: RefCell<BinaryHeap<Timer>>,
     timer_order: Cell<u64>,
+    lag: Lag,
     earlier: Notify,
     pools: Rc<Pools>,
     workers: Workers,
@@ -291,6 +328,7 @@
             jobs: Cell::new(0),
             timers: RefCell::default(),
             timer_order: Cell::new(0),
+            lag: Lag::default(),
             earlier: Notify::new(),
             workers: Workers::new(pools.clone()),
             pools,
@@ -572,7 +610,8 @@
             remaining
         });
         // A request's time runs from its last byte on.
-        let expires = self.clock.now() + if sending.is_some() { LONGEST } else { remaining };
+        let now = self.clock.now();
+        let expires = now + if sending.is_some() { LONGEST } else { within(remaining, self.lag.at(now)) };
         let customer: CustomerId = demand.customer.into();
         let told = self.fleet.borrow().is_some() || self.recovery.borrow().is_some();
         let takes = told.then(|| (customer.clone(), demand.plan, demand.units));
@@ -603,6 +642,7 @@
         let mut due = Vec::new();
         if let Some(open) = self.open.borrow_mut().get_mut(job) {
             let Some(remaining) = open.sending.take() else { return };
+            let remaining = within(remaining, self.lag.at(now));
             open.expires = now + remaining;
             due.push((open.expires + LAST_RESORT, Due::Deadline(job.clone())));
             for (number, attempt) in open.attempts.iter_mut().enumerate() {
@@ -897,6 +937,7 @@
                 Some(at) if at <= self.clock.now() => {
                     let timer = self.timers.borrow_mut().pop();
                     if let Some(timer) = timer {
+                        self.lag.saw(at, self.clock.now());
                         self.fire(timer.due);
                     }
                 }
@@ -914,3 +955,23 @@
         self.pools.sweep();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_request_ends_before_its_clients_time_is_up_and_sooner_where_the_process_runs_late() {
+        assert!(within(1.0, 0.0) <= 1.0 - LAST_RESORT, "the last resort, too, is in time");
+        assert_eq!(within(1.0, 0.02), 1.0 - AHEAD - 0.04);
+        assert_eq!(within(0.01, 0.02), 0.0075, "most of its time is left to a short one");
+        assert_eq!(within(0.0, 1.0), 0.0);
+        let lag = Lag::default();
+        lag.saw(5.0, 5.03);
+        lag.saw(6.0, 6.001);
+        assert!((0.02..0.03).contains(&lag.at(6.001)), "it was late not long ago");
+        assert!(lag.at(6.001 + 5.0 * LAG.0) < 0.001, "and is not held to it for good");
+        lag.saw(7.0, 9.0);
+        assert_eq!(lag.at(9.0), LAG.1, "it was stopped");
+    }
+}
--- a/tests/node.rs
+++ b/tests/node.rs
@@ -37,6 +37,21 @@
     assert_eq!(first, second, "on the connection that was kept");
 }
 
+/// A client has gone as soon as its time is up, so an answer at that moment comes too late. What the worker is told is
+/// how long the gateway waits, which shows this whatever the test's machine is busy with.
+#[test]
+fn a_request_ends_before_its_client_has_gone() {
+    let worker = Worker::start(Does::Holds);
+    let (setup, _discovery) = Setup::new(&[&worker]);
+    let node = setup.start();
+    for remaining in [0.4, 2.0] {
+        let ask = Ask::new("held").with("X-Remaining", &remaining.to_string());
+        assert_eq!(node.ask(&ask).status(), 429);
+        let told: f64 = worker.request().1.header("x-remaining").parse().expect("seconds");
+        assert!(told < remaining - 0.004, "{told} of {remaining}");
+    }
+}
+
 #[test]
 fn the_key_of_a_keyed_request_goes_on() {
     let worker = Worker::start(Does::Serves("ok"));
