End a short answer that its worker stops half way within the request's time

An answer of unknown length is passed on after 100 ms (KEPT_BACK in workers.rs), as it may be a long one. A worker that stops half way through a short answer so left its client with neither the rest nor an end, long past its time.

How far an answer has come, and since when its worker is waited for, is now known (`body::Passing`). At its time a request whose answer may still be a short one, and whose worker has given nothing for 100 ms, is cut off: its client can tell by the framing. One whose worker still gives goes on, and so does what has turned out longer than 64 KiB. Not taken: keeping the beginning back until the time is up, which delays the first bytes of what is long.

a_short_answer_that_stops_half_way_has_its_end_within_its_time fails without ("its client still waits for the rest of it").

--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -2,7 +2,7 @@
 //! carries out the actions. It decides nothing.
 
 use crate::{
-    body::{self, Gathered, Piece, Pool, Unwanted},
+    body::{self, Gathered, Passing, Piece, Pool, Unwanted},
     clients::Clients,
     clock::Clock,
     config::{Config, Entry, List, trial::Tally},
@@ -12,7 +12,7 @@
     handover::Word,
     pools::Pools,
     recovery::{self, Progress, Recovery},
-    workers::{Caller, Ending, Forward, Trace, Workers, may_have_run},
+    workers::{Caller, Ending, Forward, KEPT_BACK, Trace, Workers, may_have_run},
 };
 use fnv::{FnvHashMap, FnvHashSet};
 use serde_json::json;
@@ -105,8 +105,9 @@
     sent: Time,
     /// How long it may take, from when the request's last byte has come.
     wait: f64,
-    /// When its answer began to go to the client: nothing from here ends it any more.
-    answers: Option<Time>,
+    /// When its answer began to go to the client, and how it goes on: only a short one that its worker has stopped
+    /// half way is ended from here.
+    answers: Option<(Time, Rc<Passing>)>,
     trace: Trace,
     task: AbortHandle,
 }
@@ -126,6 +127,14 @@
     takes: Option<(CustomerId, usize, f64)>,
 }
 
+impl Open {
+    /// The attempt whose answer goes to the client while it may be a short one, and how long that has stalled.
+    fn passing(&self) -> Option<(u32, Duration)> {
+        let attempts = (0..).zip(&self.attempts);
+        attempts.filter_map(|(number, a)| Some((number, a.as_ref()?.answers.as_ref()?.1.stalled()?))).next()
+    }
+}
+
 /// What a timer is for.
 #[derive(Debug)]
 enum Due {
@@ -181,20 +190,21 @@
         self.hub.post(Event::Unrepeatable { job: self.job.clone() });
     }
 
-    fn answers(&self, gathered: Gathered, length: Option<u64>) -> Option<mpsc::Sender<Piece>> {
+    fn answers(&self, gathered: Gathered, length: Option<u64>) -> Option<(mpsc::Sender<Piece>, Rc<Passing>)> {
         let (pieces, rest) = mpsc::channel(1);
+        let passing = Rc::new(Passing::new(length, gathered.len() as usize));
         {
             let mut table = self.hub.open.borrow_mut();
             let open = table.get_mut(&self.job)?;
             let attempt = open.attempts.get_mut(self.number as usize)?.as_mut()?;
             let answer = open.answer.take()?;
-            attempt.answers = Some(self.hub.clock.now());
+            attempt.answers = Some((self.hub.clock.now(), passing.clone()));
             self.hub.count(false);
             let _ = answer.send(Answer::Served(body::Answer::streams(gathered, rest, length)));
         }
         self.hub.call_off(&self.job);
         self.hub.post(Event::FirstByte { job: self.job.clone() });
-        Some(pieces)
+        Some((pieces, passing))
     }
 }
 
@@ -698,7 +708,7 @@
             attempt: number,
             server: attempt.server,
             status: ending.status,
-            spent: (attempt.answers.unwrap_or_else(|| self.clock.now()) - attempt.sent).max(0.0),
+            spent: (attempt.answers.map_or_else(|| self.clock.now(), |(at, _)| at) - attempt.sent).max(0.0),
             over,
             settled: None,
             load: ending.load,
@@ -717,13 +727,21 @@
         unsent.into_iter().for_each(|number| self.stop(job, number, Status::Moot));
     }
 
-    /// Ends an attempt from this side: dropping its task closes the connection.
+    /// Ends an attempt from this side, unless its answer has begun to go to the client.
     fn stop(self: &Rc<Self>, job: &JobId, number: u32, status: Status) {
+        let begun = |o: &Open| o.attempts.get(number as usize)?.as_ref()?.answers.as_ref().map(drop);
+        if self.open.borrow().get(job).and_then(begun).is_none() {
+            self.end(job, number, status);
+        }
+    }
+
+    /// Ends an attempt from this side: dropping its task closes the connection.
+    fn end(self: &Rc<Self>, job: &JobId, number: u32, status: Status) {
         let stopped = {
             let table = self.open.borrow();
             let attempt =
                 table.get(job).and_then(|o| o.attempts.get(number as usize)).and_then(Option::as_ref);
-            attempt.filter(|a| a.answers.is_none()).map(|a| {
+            attempt.map(|a| {
                 a.task.abort();
                 let ran = may_have_run(&a.trace);
                 if ran && status == Status::Timeout {
@@ -894,7 +912,9 @@
                     open.get(job).and_then(|o| o.attempts.get(*number as usize)).and_then(Option::as_ref);
                 attempt.is_none_or(|a| a.answers.is_some())
             }
-            Due::Deadline(job) => self.open.borrow().get(job).is_none_or(|o| o.answer.is_none()),
+            Due::Deadline(job) => {
+                self.open.borrow().get(job).is_none_or(|o| o.answer.is_none() && o.passing().is_none())
+            }
         }
     }
 
@@ -919,12 +939,30 @@
                     counter.expire(self, number);
                 }
             }
-            // The module answers before: this is the last resort, so that no client waits for nothing.
-            Due::Deadline(job) => {
-                if !self.stale(&Due::Deadline(job.clone())) {
-                    self.answer(&job, Answer::Failed);
-                    self.post(Event::Left { job });
-                }
+            Due::Deadline(job) => self.overdue(job),
+        }
+    }
+
+    /// A request's time is up. The module answers before: this is the last resort, so that no client waits for nothing.
+    fn overdue(self: &Rc<Self>, job: JobId) {
+        if self.stale(&Due::Deadline(job.clone())) {
+            return;
+        }
+        let passing = self.open.borrow().get(&job).and_then(Open::passing);
+        match passing {
+            None => {
+                self.answer(&job, Answer::Failed);
+                self.post(Event::Left { job });
+            }
+            // What has begun can't be told otherwise any more. Its client can tell by its end that it is not whole.
+            Some((number, stalled)) if stalled >= KEPT_BACK => {
+                self.say(&job, "cut off", None, "its worker stopped half way");
+                self.end(&job, number, Status::Timeout);
+            }
+            // Its worker still gives.
+            Some((_, stalled)) => {
+                let again = self.clock.now() + (KEPT_BACK - stalled).as_secs_f64();
+                self.set_timer(again, Due::Deadline(job));
             }
         }
     }
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -1,7 +1,7 @@
 //! Attempts and probes: one exchange each on a connection of the pools, and how it ended.
 
 use crate::{
-    body::{Gathered, Piece, Pool, Sent, Upload},
+    body::{Gathered, Passing, Piece, Pool, Sent, Upload},
     link::{Failure, Progress},
     pools::{Lease, NoLink, Pools},
 };
@@ -17,8 +17,8 @@
 /// A worker that has begun an answer and says nothing for so long gives no more of it.
 const SILENT: Duration = Duration::from_secs(10);
 /// How long the beginning of an answer of unknown length is kept back: one that breaks before can still be
-/// made good elsewhere.
-const KEPT_BACK: Duration = Duration::from_millis(100);
+/// made good elsewhere. A worker that gives nothing more for as long has stopped half way.
+pub const KEPT_BACK: Duration = Duration::from_millis(100);
 
 /// Most bytes of an answer that are read only to keep its connection.
 const PASSED_OVER: u64 = 16 * 1024;
@@ -41,7 +41,7 @@
     /// From here on the request is no longer held in full.
     fn begun(&self);
     /// The answer goes to the client from here on, in pieces after `gathered`; `None`: it has had one.
-    fn answers(&self, gathered: Gathered, length: Option<u64>) -> Option<mpsc::Sender<Piece>>;
+    fn answers(&self, gathered: Gathered, length: Option<u64>) -> Option<(mpsc::Sender<Piece>, Rc<Passing>)>;
 }
 
 /// How an attempt or probe ended.
@@ -200,15 +200,22 @@
                 Err(_) => return Ending::of(Status::Reset),
             }
         }
-        let Some(client) = caller.answers(gathered, length) else { return Ending::of(Status::Cancelled) };
+        let Some((client, passing)) = caller.answers(gathered, length) else {
+            return Ending::of(Status::Cancelled);
+        };
         loop {
+            passing.waits();
             let piece = tokio::select! {
                 piece = tokio::time::timeout(SILENT, lease.link().piece(&mut body)) => piece,
                 () = client.closed() => return Ending::of(Status::Cancelled),
             };
             let piece = match piece {
-                Ok(Ok(Some(data))) => Piece::Data(data),
+                Ok(Ok(Some(data))) => {
+                    passing.gave(data.len());
+                    Piece::Data(data)
+                }
                 Ok(Ok(None)) => {
+                    passing.gave(0);
                     lease.give_back(false);
                     // A client that has gone says so itself.
                     let _ = client.send(Piece::End).await;
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -439,3 +439,62 @@
         assert_eq!((answer.status(), answer.body.as_slice()), (200, b"body".as_slice()), "{said}");
     }
 }
+
+/// A worker that gives the head and a part of a short answer in chunks to what is asked for as `stalls`, and then
+/// neither the rest nor an end; it keeps `waits` waiting.
+fn stalling() -> (Setup, Discovery) {
+    worker(|mut socket| {
+        let mut reader = BufReader::new(socket.try_clone().expect("a socket"));
+        let asked = head(&mut reader).expect("a request");
+        if asked.contains("stalls") {
+            let part = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n";
+            let _ = socket.write_all(part.as_bytes());
+        }
+        let _ = reader.read(&mut [0]);
+    })
+}
+
+#[test]
+fn a_short_answer_that_stops_half_way_has_its_end_within_its_time() {
+    let (setup, _discovery) = stalling();
+    let node = setup.start();
+    let (mut stalls, mut waits) = (node.client(), node.client());
+    stalls.send(&Ask::new("stalls").with("X-Remaining", "1.0"));
+    assert!(head(&mut stalls.reader).expect("its beginning").starts_with("HTTP/1.1 200"));
+    // Taken later, and for a longer time, so its answer comes after that end.
+    waits.send(&Ask::new("waits").with("X-Remaining", "4.0"));
+    let ended = thread::spawn(move || {
+        let mut rest = Vec::new();
+        // Ended by a close or a reset.
+        let _ = stalls.reader.read_to_end(&mut rest);
+        rest
+    });
+    assert!(waits.answer().is_some_and(|a| a.status() >= 400));
+    assert!(ended.is_finished(), "its client still waits for the rest of it");
+    let rest = ended.join().expect("no panic");
+    assert!(!rest.ends_with(b"0\r\n\r\n"), "its client can tell that it is not whole");
+}
+
+#[test]
+fn a_long_answer_whose_beginning_takes_longer_than_its_time_is_not_cut_off() {
+    let body = long(2 * 65536);
+    let given = body.clone();
+    let (setup, _discovery) = worker(move |mut socket| {
+        let mut reader = BufReader::new(socket.try_clone().expect("a socket"));
+        head(&mut reader).expect("a request");
+        let _ = write!(socket, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        // In pieces that come without a pause as long as one that has stopped would make, for twice its time.
+        for part in given.chunks(given.len() / 100) {
+            thread::sleep(std::time::Duration::from_millis(10));
+            let _ = write!(socket, "{:x}\r\n", part.len());
+            let _ = socket.write_all(part);
+            let _ = socket.write_all(b"\r\n");
+        }
+        let _ = socket.write_all(b"0\r\n\r\n");
+    });
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&Ask::new("slow").with("X-Remaining", "0.4"));
+    assert!(head(&mut client.reader).expect("its beginning").starts_with("HTTP/1.1 200"));
+    assert!(chunks(&mut client.reader) == body, "unchanged");
+}
