Take a request's body of exactly 64 KiB for whole, so that its time begins

A body that fills the gathering to the byte went on as one that streams, with nothing left to come.

a_request_that_fills_the_gathering_to_the_byte_has_its_time fails without ("one of 64 KiB still waits").

--- a/src/bin/yardspur/body.rs
+++ b/src/bin/yardspur/body.rs
@@ -138,6 +138,11 @@
         }
     }
     let left = declared.map(|n| n - seen);
+    if left == Some(0) {
+        // It fills the gathering to the byte: nothing is left that could tell its end.
+        gathered.join();
+        return Ok(Request::Whole(gathered));
+    }
     let (rest, ended, drains, waited) = (Some(body), None, drains.clone(), start.elapsed());
     Ok(Request::Streams(Upload {
         gathered,
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -498,3 +498,20 @@
     assert!(head(&mut client.reader).expect("its beginning").starts_with("HTTP/1.1 200"));
     assert!(chunks(&mut client.reader) == body, "unchanged");
 }
+
+#[test]
+fn a_request_that_fills_the_gathering_to_the_byte_has_its_time() {
+    // Its worker takes it and says nothing.
+    let (setup, _discovery) = worker(|socket| {
+        let _ = std::io::copy(&mut &socket, &mut std::io::sink());
+    });
+    let node = setup.start();
+    let (mut full, mut less) = (node.client(), node.client());
+    let ask = |n: usize| Ask { body: long(n), ..Ask::submit(&format!("b{n}")).with("X-Remaining", "0.5") };
+    full.send(&ask(65536));
+    less.send(&ask(65535).with("X-Remaining", "4.0"));
+    let ended = thread::spawn(move || full.answer().map(|a| a.status()));
+    assert_eq!(less.answer().map(|a| a.status()), Some(502));
+    assert!(ended.is_finished(), "one of 64 KiB still waits");
+    assert_eq!(ended.join().expect("no panic"), Some(502));
+}
