Count a client's connection as busy until it has taken the last answer whole

A connection counted as idle from when the last answer's body had been handed to the buffer, not from when its client had taken it: one that reads slowly could be closed for idleness, or to make room, with the rest of its answer unsent. An answer of which nothing is taken for 30 s is now given up while it is still under way, too, as UNTAKEN says.

a_connection_is_busy_until_its_client_has_taken_the_last_answer (in clients.rs): how much the sockets hold is the system's.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -67,19 +67,33 @@
     head: Cell<Option<Instant>>,
     /// When its client last took something.
     taken: Cell<Instant>,
+    /// Something is left that its client has not taken yet.
+    untaken: Cell<bool>,
     close: Notify,
 }
 
 impl Peer {
     fn new() -> Self {
         let now = Instant::now();
-        let (hands, used) = Default::default();
+        let (hands, used, untaken) = Default::default();
         let (since, head, taken) = (Cell::new(now), Cell::new(None), Cell::new(now));
-        Self { hands, since, used, head, taken, close: Notify::new() }
+        Self { hands, since, used, head, taken, untaken, close: Notify::new() }
     }
 
+    /// A request on it is in hand, or the last answer has not all gone out.
     fn busy(&self) -> bool {
-        self.hands.get() > 0
+        self.hands.get() > 0 || self.untaken.get()
+    }
+
+    /// The socket took what it was offered, or takes nothing just now.
+    fn wrote(&self, done: &Poll<io::Result<usize>>) {
+        if done.is_ready() {
+            self.taken.set(Instant::now());
+        }
+        if self.untaken.replace(done.is_pending()) && done.is_ready() {
+            // It may be idle from now on, and not from when its answer was made.
+            self.since.set(Instant::now());
+        }
     }
 
     /// One that has just come, or just had its answer, may have a request on its way.
@@ -91,6 +105,7 @@
     async fn overdue(&self) {
         loop {
             let until = match (self.busy(), self.head.get()) {
+                (true, _) if self.untaken.get() => self.taken.get() + UNTAKEN,
                 (true, _) => (self.taken.get() + UNTAKEN).max(Instant::now() + BUSY_TIME),
                 (false, Some(head)) if self.used.get() => head + HEAD_TIME,
                 (false, None) if self.used.get() => self.since.get() + IDLE_TIME,
@@ -128,9 +143,7 @@
 impl AsyncWrite for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
         let done = Pin::new(&mut self.socket).poll_write(cx, from);
-        if done.is_ready() {
-            self.peer.taken.set(Instant::now());
-        }
+        self.peer.wrote(&done);
         done
     }
     fn poll_write_vectored(
@@ -139,9 +152,7 @@
         from: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let done = Pin::new(&mut self.socket).poll_write_vectored(cx, from);
-        if done.is_ready() {
-            self.peer.taken.set(Instant::now());
-        }
+        self.peer.wrote(&done);
         done
     }
     fn is_write_vectored(&self) -> bool {
@@ -570,3 +581,22 @@
         self.clients.freed.notify_one();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// How much of an answer the sockets hold is the system's business, so no test of the whole program can fill them
+    /// to just before an answer's end.
+    #[test]
+    fn a_connection_is_busy_until_its_client_has_taken_the_last_answer() {
+        let peer = Peer::new();
+        peer.since.set(Instant::now() - 2 * IDLE);
+        assert!(peer.idle() && !peer.busy());
+        peer.wrote(&Poll::Pending);
+        assert!(peer.busy() && !peer.idle());
+        peer.wrote(&Poll::Ready(Ok(1)));
+        assert!(!peer.busy(), "all has gone out");
+        assert!(!peer.idle(), "and a request may be on its way");
+    }
+}
