--- a/src/bin/yardspur/body.rs
+++ b/src/bin/yardspur/body.rs
@@ -64,7 +64,7 @@
         self.parts.push_back(part);
     }
 
-    fn len(&self) -> u64 {
+    pub fn len(&self) -> u64 {
         self.parts.iter().map(|p| p.len() as u64).sum()
     }
 
@@ -138,6 +138,11 @@
         }
     }
     let left = declared.map(|n| n - seen);
+    if left == Some(0) {
+        // It fills the gathering to the byte: nothing is left that could tell its end.
+        gathered.join();
+        return Ok(Request::Whole(gathered));
+    }
     let (rest, ended, drains, waited) = (Some(body), None, drains.clone(), start.elapsed());
     Ok(Request::Streams(Upload {
         gathered,
@@ -320,6 +325,41 @@
     }
 }
 
+/// How an answer goes on that is given to its client in pieces.
+#[derive(Debug)]
+pub struct Passing {
+    /// Bytes that it may bring yet and still be a short one, which is due whole; `None`: it is a long one.
+    short: Cell<Option<usize>>,
+    /// Since when its worker is waited for; `None`: its client is.
+    waits: Cell<Option<Instant>>,
+}
+
+impl Passing {
+    /// `length` bytes in all, where that is known, of which `seen` have come.
+    pub fn new(length: Option<u64>, seen: usize) -> Self {
+        let short = length.is_none_or(|n| n <= GATHERED as u64);
+        let short = short.then_some(GATHERED).and_then(|most| most.checked_sub(seen));
+        Self { short: Cell::new(short), waits: Cell::new(Some(Instant::now())) }
+    }
+
+    /// The worker is waited for from now on.
+    pub fn waits(&self) {
+        self.waits.set(Some(Instant::now()));
+    }
+
+    /// The worker has given so many bytes more.
+    pub fn gave(&self, bytes: usize) {
+        self.waits.set(None);
+        self.short.set(self.short.get().and_then(|most| most.checked_sub(bytes)));
+    }
+
+    /// How long a short answer has been waiting for its worker by now; `None`: it is a long one.
+    pub fn stalled(&self) -> Option<Duration> {
+        self.short.get()?;
+        Some(self.waits.get().map_or(Duration::ZERO, |since| since.elapsed()))
+    }
+}
+
 /// What comes after the beginning of a long answer.
 pub enum Piece {
     Data(Bytes),
@@ -332,6 +372,8 @@
     gathered: Option<Gathered>,
     rest: Option<mpsc::Receiver<Piece>>,
     left: Option<u64>,
+    /// It has broken off.
+    broken: bool,
     /// Dropped once all has been given, or the client has gone.
     _held: Option<Rc<dyn Any>>,
 }
@@ -339,16 +381,16 @@
 impl Answer {
     pub fn whole(gathered: Gathered) -> Self {
         let left = Some(gathered.len());
-        Self { gathered: Some(gathered), rest: None, left, _held: None }
+        Self { gathered: Some(gathered), rest: None, left, broken: false, _held: None }
     }
 
     pub fn empty() -> Self {
-        Self { gathered: None, rest: None, left: Some(0), _held: None }
+        Self { gathered: None, rest: None, left: Some(0), broken: false, _held: None }
     }
 
     /// `gathered` and then the pieces; `length` bytes in all, where that is known.
     pub fn streams(gathered: Gathered, rest: mpsc::Receiver<Piece>, length: Option<u64>) -> Self {
-        Self { gathered: Some(gathered), rest: Some(rest), left: length, _held: None }
+        Self { gathered: Some(gathered), rest: Some(rest), left: length, broken: false, _held: None }
     }
 
     pub fn hold(&mut self, held: Rc<dyn Any>) {
@@ -375,6 +417,13 @@
                         self.rest = None;
                         return Poll::Ready(None);
                     }
+                    // What has come of it goes out first, head and all: else its client would see a connection that
+                    // closes on its request without a word.
+                    None if !self.broken => {
+                        self.broken = true;
+                        cx.waker().wake_by_ref();
+                        return Poll::Pending;
+                    }
                     // The client can tell by the framing that it is not whole.
                     None => return Poll::Ready(Some(Err(ErrorKind::UnexpectedEof.into()))),
                 }
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -2,7 +2,7 @@
 //! carries out the actions. It decides nothing.
 
 use crate::{
-    body::{self, Gathered, Piece, Pool, Unwanted},
+    body::{self, Gathered, Passing, Piece, Pool, Unwanted},
     clients::Clients,
     clock::Clock,
     config::{Config, Entry, List, trial::Tally},
@@ -12,7 +12,7 @@
     handover::Word,
     pools::Pools,
     recovery::{self, Progress, Recovery},
-    workers::{Caller, Ending, Forward, Trace, Workers, may_have_run},
+    workers::{Caller, Ending, Forward, KEPT_BACK, Trace, Workers, may_have_run},
 };
 use fnv::{FnvHashMap, FnvHashSet};
 use serde_json::json;
@@ -43,6 +43,42 @@
 /// Seconds after a request's end at which it is failed, should the module not have answered.
 const LAST_RESORT: f64 = 0.004;
 
+/// Seconds before its client's time is up at which a request is to end: the timers' grain, the last resort, and the
+/// answer's way. A client that gets nothing until then has gone a moment later, whatever comes.
+const AHEAD: f64 = 0.006;
+
+/// Most of a client's time that is kept for that, however late this process has been of late.
+const AHEAD_MOST: f64 = 0.25;
+
+/// Seconds over which it is forgotten how late this process was, and the most that counts: a process that was stopped
+/// for longer is not one that runs late.
+const LAG: (f64, f64) = (10.0, 0.05);
+
+/// How long a request may take whose client waits for `remaining` seconds, where this process runs up to `lag` late: it
+/// may read the request so late, and notice so late that its time is up.
+fn within(remaining: f64, lag: f64) -> f64 {
+    remaining - (AHEAD + 2.0 * lag).min(AHEAD_MOST * remaining)
+}
+
+/// How late this process was of late, at most.
+#[derive(Debug, Default)]
+struct Lag {
+    most: Cell<f64>,
+    at: Cell<Time>,
+}
+
+impl Lag {
+    fn at(&self, now: Time) -> f64 {
+        self.most.get() * (-(now - self.at.get()).max(0.0) / LAG.0).exp()
+    }
+
+    /// A timer for `due` has fired at `now`.
+    fn saw(&self, due: Time, now: Time) {
+        self.most.set(self.at(now).max((now - due).min(LAG.1)));
+        self.at.set(now);
+    }
+}
+
 /// The one final answer to a client.
 pub enum Answer {
     Served(body::Answer),
@@ -69,8 +105,9 @@
     sent: Time,
     /// How long it may take, from when the request's last byte has come.
     wait: f64,
-    /// When its answer began to go to the client: nothing from here ends it any more.
-    answers: Option<Time>,
+    /// When its answer began to go to the client, and how it goes on: only a short one that its worker has stopped
+    /// half way is ended from here.
+    answers: Option<(Time, Rc<Passing>)>,
     trace: Trace,
     task: AbortHandle,
 }
@@ -90,6 +127,14 @@
     takes: Option<(CustomerId, usize, f64)>,
 }
 
+impl Open {
+    /// The attempt whose answer goes to the client while it may be a short one, and how long that has stalled.
+    fn passing(&self) -> Option<(u32, Duration)> {
+        let attempts = (0..).zip(&self.attempts);
+        attempts.filter_map(|(number, a)| Some((number, a.as_ref()?.answers.as_ref()?.1.stalled()?))).next()
+    }
+}
+
 /// What a timer is for.
 #[derive(Debug)]
 enum Due {
@@ -145,20 +190,21 @@
         self.hub.post(Event::Unrepeatable { job: self.job.clone() });
     }
 
-    fn answers(&self, gathered: Gathered, length: Option<u64>) -> Option<mpsc::Sender<Piece>> {
+    fn answers(&self, gathered: Gathered, length: Option<u64>) -> Option<(mpsc::Sender<Piece>, Rc<Passing>)> {
         let (pieces, rest) = mpsc::channel(1);
+        let passing = Rc::new(Passing::new(length, gathered.len() as usize));
         {
             let mut table = self.hub.open.borrow_mut();
             let open = table.get_mut(&self.job)?;
             let attempt = open.attempts.get_mut(self.number as usize)?.as_mut()?;
             let answer = open.answer.take()?;
-            attempt.answers = Some(self.hub.clock.now());
+            attempt.answers = Some((self.hub.clock.now(), passing.clone()));
             self.hub.count(false);
             let _ = answer.send(Answer::Served(body::Answer::streams(gathered, rest, length)));
         }
         self.hub.call_off(&self.job);
         self.hub.post(Event::FirstByte { job: self.job.clone() });
-        Some(pieces)
+        Some((pieces, passing))
     }
 }
 
@@ -248,6 +294,7 @@
     jobs: Cell<u64>,
     timers: RefCell<BinaryHeap<Timer>>,
     timer_order: Cell<u64>,
+    lag: Lag,
     earlier: Notify,
     pools: Rc<Pools>,
     workers: Workers,
@@ -291,6 +338,7 @@
             jobs: Cell::new(0),
             timers: RefCell::default(),
             timer_order: Cell::new(0),
+            lag: Lag::default(),
             earlier: Notify::new(),
             workers: Workers::new(pools.clone()),
             pools,
@@ -572,7 +620,8 @@
             remaining
         });
         // A request's time runs from its last byte on.
-        let expires = self.clock.now() + if sending.is_some() { LONGEST } else { remaining };
+        let now = self.clock.now();
+        let expires = now + if sending.is_some() { LONGEST } else { within(remaining, self.lag.at(now)) };
         let customer: CustomerId = demand.customer.into();
         let told = self.fleet.borrow().is_some() || self.recovery.borrow().is_some();
         let takes = told.then(|| (customer.clone(), demand.plan, demand.units));
@@ -603,6 +652,7 @@
         let mut due = Vec::new();
         if let Some(open) = self.open.borrow_mut().get_mut(job) {
             let Some(remaining) = open.sending.take() else { return };
+            let remaining = within(remaining, self.lag.at(now));
             open.expires = now + remaining;
             due.push((open.expires + LAST_RESORT, Due::Deadline(job.clone())));
             for (number, attempt) in open.attempts.iter_mut().enumerate() {
@@ -658,7 +708,7 @@
             attempt: number,
             server: attempt.server,
             status: ending.status,
-            spent: (attempt.answers.unwrap_or_else(|| self.clock.now()) - attempt.sent).max(0.0),
+            spent: (attempt.answers.map_or_else(|| self.clock.now(), |(at, _)| at) - attempt.sent).max(0.0),
             over,
             settled: None,
             load: ending.load,
@@ -677,13 +727,21 @@
         unsent.into_iter().for_each(|number| self.stop(job, number, Status::Moot));
     }
 
-    /// Ends an attempt from this side: dropping its task closes the connection.
+    /// Ends an attempt from this side, unless its answer has begun to go to the client.
     fn stop(self: &Rc<Self>, job: &JobId, number: u32, status: Status) {
+        let begun = |o: &Open| o.attempts.get(number as usize)?.as_ref()?.answers.as_ref().map(drop);
+        if self.open.borrow().get(job).and_then(begun).is_none() {
+            self.end(job, number, status);
+        }
+    }
+
+    /// Ends an attempt from this side: dropping its task closes the connection.
+    fn end(self: &Rc<Self>, job: &JobId, number: u32, status: Status) {
         let stopped = {
             let table = self.open.borrow();
             let attempt =
                 table.get(job).and_then(|o| o.attempts.get(number as usize)).and_then(Option::as_ref);
-            attempt.filter(|a| a.answers.is_none()).map(|a| {
+            attempt.map(|a| {
                 a.task.abort();
                 let ran = may_have_run(&a.trace);
                 if ran && status == Status::Timeout {
@@ -854,7 +912,9 @@
                     open.get(job).and_then(|o| o.attempts.get(*number as usize)).and_then(Option::as_ref);
                 attempt.is_none_or(|a| a.answers.is_some())
             }
-            Due::Deadline(job) => self.open.borrow().get(job).is_none_or(|o| o.answer.is_none()),
+            Due::Deadline(job) => {
+                self.open.borrow().get(job).is_none_or(|o| o.answer.is_none() && o.passing().is_none())
+            }
         }
     }
 
@@ -879,12 +939,30 @@
                     counter.expire(self, number);
                 }
             }
-            // The module answers before: this is the last resort, so that no client waits for nothing.
-            Due::Deadline(job) => {
-                if !self.stale(&Due::Deadline(job.clone())) {
-                    self.answer(&job, Answer::Failed);
-                    self.post(Event::Left { job });
-                }
+            Due::Deadline(job) => self.overdue(job),
+        }
+    }
+
+    /// A request's time is up. The module answers before: this is the last resort, so that no client waits for nothing.
+    fn overdue(self: &Rc<Self>, job: JobId) {
+        if self.stale(&Due::Deadline(job.clone())) {
+            return;
+        }
+        let passing = self.open.borrow().get(&job).and_then(Open::passing);
+        match passing {
+            None => {
+                self.answer(&job, Answer::Failed);
+                self.post(Event::Left { job });
+            }
+            // What has begun can't be told otherwise any more. Its client can tell by its end that it is not whole.
+            Some((number, stalled)) if stalled >= KEPT_BACK => {
+                self.say(&job, "cut off", None, "its worker stopped half way");
+                self.end(&job, number, Status::Timeout);
+            }
+            // Its worker still gives.
+            Some((_, stalled)) => {
+                let again = self.clock.now() + (KEPT_BACK - stalled).as_secs_f64();
+                self.set_timer(again, Due::Deadline(job));
             }
         }
     }
@@ -897,6 +975,7 @@
                 Some(at) if at <= self.clock.now() => {
                     let timer = self.timers.borrow_mut().pop();
                     if let Some(timer) = timer {
+                        self.lag.saw(at, self.clock.now());
                         self.fire(timer.due);
                     }
                 }
@@ -914,3 +993,23 @@
         self.pools.sweep();
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_request_ends_before_its_clients_time_is_up_and_sooner_where_the_process_runs_late() {
+        assert!(within(1.0, 0.0) <= 1.0 - LAST_RESORT, "the last resort, too, is in time");
+        assert_eq!(within(1.0, 0.02), 1.0 - AHEAD - 0.04);
+        assert_eq!(within(0.01, 0.02), 0.0075, "most of its time is left to a short one");
+        assert_eq!(within(0.0, 1.0), 0.0);
+        let lag = Lag::default();
+        lag.saw(5.0, 5.03);
+        lag.saw(6.0, 6.001);
+        assert!((0.02..0.03).contains(&lag.at(6.001)), "it was late not long ago");
+        assert!(lag.at(6.001 + 5.0 * LAG.0) < 0.001, "and is not held to it for good");
+        lag.saw(7.0, 9.0);
+        assert_eq!(lag.at(9.0), LAG.1, "it was stopped");
+    }
+}
