Count how long an answer has stalled from its last byte, not from when it is passed on

The worker counted as waited for since it was passed on, so it looked as if it still gave, and was looked at again too late. The wait now counts from the last byte.

a_short_answer_has_waited_for_its_worker_since_its_last_byte_and_a_long_one_may (body.rs).

--- a/src/bin/yardspur/body.rs
+++ b/src/bin/yardspur/body.rs
@@ -335,15 +335,15 @@
 }
 
 impl Passing {
-    /// `length` bytes in all, where that is known, of which `seen` have come.
-    pub fn new(length: Option<u64>, seen: usize) -> Self {
+    /// `length` bytes in all, where that is known, of which `seen` have come, the last at `last`.
+    pub fn new(length: Option<u64>, seen: usize, last: Instant) -> Self {
         let short = length.is_none_or(|n| n <= GATHERED as u64);
         let short = short.then_some(GATHERED).and_then(|most| most.checked_sub(seen));
-        Self { short: Cell::new(short), waits: Cell::new(Some(Instant::now())) }
+        Self { short: Cell::new(short), waits: Cell::new(Some(last)) }
     }
 
-    /// The worker is waited for from now on.
-    pub fn waits(&self) {
+    /// The client has taken what came: the worker is waited for from now on.
+    pub fn taken(&self) {
         self.waits.set(Some(Instant::now()));
     }
 
@@ -443,3 +443,22 @@
         self.left.map_or_else(SizeHint::default, SizeHint::with_exact)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn a_short_answer_has_waited_for_its_worker_since_its_last_byte_and_a_long_one_may() {
+        let before = |ms| Instant::now() - Duration::from_millis(ms);
+        let short = Passing::new(None, 4, before(120));
+        assert!(short.stalled() >= Some(Duration::from_millis(120)), "also before it was passed on");
+        short.gave(GATHERED - 4);
+        assert_eq!(short.stalled(), Some(Duration::ZERO), "its client is waited for");
+        short.taken();
+        assert!(short.stalled().is_some(), "64 KiB may be all of it");
+        short.gave(1);
+        assert_eq!(short.stalled(), None, "it is a long one");
+        assert_eq!(Passing::new(Some(GATHERED as u64 + 1), 4, before(120)).stalled(), None);
+    }
+}
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -22,7 +22,7 @@
     collections::{BTreeMap, BinaryHeap, VecDeque},
     net::SocketAddr,
     rc::Rc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 use tokio::{
     sync::{Notify, mpsc, oneshot},
@@ -190,9 +190,14 @@
         self.hub.post(Event::Unrepeatable { job: self.job.clone() });
     }
 
-    fn answers(&self, gathered: Gathered, length: Option<u64>) -> Option<(mpsc::Sender<Piece>, Rc<Passing>)> {
+    fn answers(
+        &self,
+        gathered: Gathered,
+        length: Option<u64>,
+        last: Instant,
+    ) -> Option<(mpsc::Sender<Piece>, Rc<Passing>)> {
         let (pieces, rest) = mpsc::channel(1);
-        let passing = Rc::new(Passing::new(length, gathered.len() as usize));
+        let passing = Rc::new(Passing::new(length, gathered.len() as usize, last));
         {
             let mut table = self.hub.open.borrow_mut();
             let open = table.get_mut(&self.job)?;
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -10,7 +10,12 @@
     body::{Body, Incoming},
     header,
 };
-use std::{cell::RefCell, pin::pin, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell,
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
 use tokio::sync::mpsc;
 use weirusher::{Load, ServerId, Status};
 
@@ -41,7 +46,13 @@
     /// From here on the request is no longer held in full.
     fn begun(&self);
     /// The answer goes to the client from here on, in pieces after `gathered`; `None`: it has had one.
-    fn answers(&self, gathered: Gathered, length: Option<u64>) -> Option<(mpsc::Sender<Piece>, Rc<Passing>)>;
+    /// Its last byte so far came at `last`.
+    fn answers(
+        &self,
+        gathered: Gathered,
+        length: Option<u64>,
+        last: Instant,
+    ) -> Option<(mpsc::Sender<Piece>, Rc<Passing>)>;
 }
 
 /// How an attempt or probe ended.
@@ -184,7 +195,7 @@
         let length = body.size_hint().exact();
         let mut gathered = Gathered::new(pool);
         let long = length.is_some_and(|n| usize::try_from(n).is_ok_and(|n| !gathered.fits(n)));
-        let mut patience = pin!(tokio::time::sleep(KEPT_BACK));
+        let (mut patience, mut last) = (pin!(tokio::time::sleep(KEPT_BACK)), Instant::now());
         while !long && gathered.fits(1) {
             let piece = tokio::select! {
                 biased;
@@ -192,7 +203,10 @@
                 () = patience.as_mut(), if length.is_none() => break,
             };
             match piece {
-                Ok(Some(data)) => gathered.push(data),
+                Ok(Some(data)) => {
+                    last = Instant::now();
+                    gathered.push(data);
+                }
                 Ok(None) => {
                     lease.give_back(false);
                     return Ending { body: Some(gathered), ..Ending::of(Status::Ok) };
@@ -200,11 +214,10 @@
                 Err(_) => return Ending::of(Status::Reset),
             }
         }
-        let Some((client, passing)) = caller.answers(gathered, length) else {
+        let Some((client, passing)) = caller.answers(gathered, length, last) else {
             return Ending::of(Status::Cancelled);
         };
         loop {
-            passing.waits();
             let piece = tokio::select! {
                 piece = tokio::time::timeout(SILENT, lease.link().piece(&mut body)) => piece,
                 () = client.closed() => return Ending::of(Status::Cancelled),
@@ -226,6 +239,7 @@
             if client.send(piece).await.is_err() {
                 return Ending::of(Status::Cancelled);
             }
+            passing.taken();
         }
     }
 
