Lab: answers that stop and break off half way, clients that leave at their time, late answers

Faults `stall` and `break-off` end a share of the answers half way, in silence or by a reset; `world.answer_bytes` makes answers wide; `clients.patience_ms` says how long past its time a client stays. The judge let an answer come up to 550 ms late and did not mind: an end later than 50 ms past its time now breaks the rule on answers, the lab's own worst lateness allowed for, and so does one cut off by the gateway unless the worker had stopped half way. A reset, which strikes once, excused its gateway for the rest of the play; now for a second.

--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -1,4 +1,4 @@
-//! HTTP/1.1 as far as the protocol page has it: a head, then a body of a stated length.
+//! HTTP/1.1 as far as the protocol page has it: a head, then a body of a stated length, or in chunks.
 
 use crate::switchboard::Conn;
 use std::io;
@@ -52,6 +52,11 @@
         };
         let headers = lines.map(header).collect::<Option<Vec<_>>>().ok_or_else(unreadable)?;
         let mut message = Self { line, headers, body: Vec::new() };
+        if message.header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
+            let Some((body, used)) = chunks(&bytes[end + 4..])? else { return Ok(None) };
+            message.body = body;
+            return Ok(Some((message, end + 4 + used)));
+        }
         let length = match message.header("content-length") {
             Some(text) => text.parse::<usize>().map_err(|_| unreadable())?,
             None => 0,
@@ -68,6 +73,47 @@
     }
 }
 
+/// A body in chunks, and how many bytes it took; `None`: it is not whole yet.
+fn chunks(bytes: &[u8]) -> Result<Option<(Vec<u8>, usize)>, io::Error> {
+    let (mut body, mut at) = (Vec::new(), 0);
+    loop {
+        let Some(line) = bytes[at..].windows(2).position(|w| w == b"\r\n") else {
+            return if bytes.len() - at > MOST { Err(unreadable()) } else { Ok(None) };
+        };
+        let size = std::str::from_utf8(&bytes[at..at + line]).map_err(|_| unreadable())?;
+        let size = usize::from_str_radix(size.trim(), 16).map_err(|_| unreadable())?;
+        if size > MOST_BODY || body.len() + size > MOST_BODY {
+            return Err(unreadable());
+        }
+        let (from, to) = (at + line + 2, at + line + 2 + size);
+        match bytes.get(to..to + 2) {
+            None => return Ok(None),
+            Some(b"\r\n") => body.extend_from_slice(&bytes[from..to]),
+            Some(_) => return Err(unreadable()),
+        }
+        at = to + 2;
+        if size == 0 {
+            return Ok(Some((body, at)));
+        }
+    }
+}
+
+/// The beginning of a good answer in chunks: its head and one of them.
+pub fn beginning(part: &[u8]) -> Vec<u8> {
+    let mut bytes =
+        format!("HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n", part.len()).into_bytes();
+    bytes.extend_from_slice(part);
+    bytes.extend_from_slice(b"\r\n");
+    bytes
+}
+
+/// The first half of a good answer of stated length.
+pub fn half(body: &str) -> Vec<u8> {
+    let mut bytes = answer(200, "", body.as_bytes());
+    bytes.truncate(bytes.len() - body.len().div_ceil(2));
+    bytes
+}
+
 fn unreadable() -> io::Error {
     io::ErrorKind::InvalidData.into()
 }
@@ -110,7 +156,15 @@
         let (message, used) = Message::parse(&bytes).expect("readable").expect("whole");
         assert_eq!((message.status(), message.header("x-a"), used), (200, Some("b"), bytes.len()));
         assert_eq!(message.body, b"body");
-        let bad: [&[u8]; 3] = [
+        let mut bytes = beginning(b"bo");
+        assert!(Message::parse(&bytes).is_ok_and(|m| m.is_none()), "no end yet");
+        bytes.extend_from_slice(b"2\r\ndy\r\n0\r\n\r\nHTTP");
+        let (message, used) = Message::parse(&bytes).expect("readable").expect("whole");
+        assert_eq!((message.body.as_slice(), &bytes[used..]), (b"body".as_slice(), b"HTTP".as_slice()));
+        assert!(half("body").ends_with(b"\r\n\r\nbo"));
+        let bad: [&[u8]; 5] = [
+            b"HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\nx\r\n",
+            b"HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc",
             b"HTTP/1.1 200 -\r\nno header\r\n\r\n",
             b"HTTP/1.1 200 -\r\nContent-Length: x\r\n\r\n",
             b"\xff\xfe\r\n\r\n",
--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -297,7 +297,9 @@
                     let second = self.second(at);
                     match outcome {
                         Outcome::Refused { .. } => second.refused += 1,
-                        Outcome::Failed { .. } | Outcome::Broken | Outcome::Never => second.failed += 1,
+                        Outcome::Failed { .. } | Outcome::Broken | Outcome::CutOff | Outcome::Never => {
+                            second.failed += 1;
+                        }
                         _ => {}
                     }
                     let Some(tried) = self.tries.get_mut(txn) else { continue };
@@ -398,7 +400,9 @@
                     let front = matches!(Peers::parse(&fault.peers, zones), Ok(Peers::Front | Peers::All));
                     if link && front {
                         // What the cut held back comes after it has healed.
-                        let until = at + fault.for_s.unwrap_or(f64::INFINITY) + 1.0;
+                        let once = fault.what == What::Reset;
+                        let lasts = if once { 0.0 } else { fault.for_s.unwrap_or(f64::INFINITY) };
+                        let until = at + lasts + 1.0;
                         gates.iter().for_each(|g| excuses.entry(*g).or_default().push((at, until)));
                     }
                 }
@@ -414,6 +418,8 @@
     fn answers(&mut self) {
         let excuses = self.excuses();
         let mut found = Vec::new();
+        // What the lab itself ran late at most is not the gateways'.
+        let machine = self.recording.meter.late_ms[2] / 1e3;
         for (txn, tried) in &self.tries {
             let by = tried.at + tried.remaining + SLACK_S;
             // The play's end took what was not answered by then.
@@ -421,12 +427,23 @@
             let excused = excuses
                 .get(&tried.gate)
                 .is_some_and(|e| e.iter().any(|(from, to)| *from <= at && tried.at <= *to));
-            match outcome {
-                Outcome::Never | Outcome::Broken if !excused => {
-                    let what =
-                        if outcome == Outcome::Never { "got no answer" } else { "lost its connection" };
-                    found.push((Rule::Answers, at, format!("{txn:016x} at gateway {} {what}", tried.gate)));
+            // What a worker has begun and not gone on with can't be finished by anybody, and its client can tell.
+            let half = tried.sent.iter().any(|s| matches!(s.ended, Some((_, Ending::HalfWay, _))));
+            let late = at - by - machine;
+            let wrong = match outcome {
+                Outcome::Never => Some("got no answer".to_owned()),
+                Outcome::Broken => Some("lost its connection".to_owned()),
+                Outcome::CutOff if !half => Some("was cut off".to_owned()),
+                Outcome::Left | Outcome::Nobody => None,
+                _ if late > 0.0 => {
+                    Some(format!("had its end {:.0} ms after its time", 1e3 * (at - by + SLACK_S)))
                 }
+                _ => None,
+            };
+            if let Some(what) = wrong.filter(|_| !excused) {
+                found.push((Rule::Answers, at, format!("{txn:016x} at gateway {} {what}", tried.gate)));
+            }
+            match outcome {
                 Outcome::Served { genuine: false } => {
                     found.push((
                         Rule::Genuine,
--- a/lab/src/judge/tests.rs
+++ b/lab/src/judge/tests.rs
@@ -120,6 +120,25 @@
     }
 }
 
+#[test]
+fn an_end_after_its_time_is_found_and_a_cut_off_answer_unless_its_worker_stopped_half_way() {
+    let ends = |at_s: f64, outcome: Outcome, how: Option<Ending>| {
+        let mut tape = Tape::new();
+        tape.tries(1.0, 1, READ, 0, 0);
+        tape.sends(1.01, 1, 0);
+        how.into_iter().for_each(|how| tape.ends(1.1, 1, 0, how));
+        tape.answers(at_s, 1, outcome);
+        tape.breaks()
+    };
+    let refused = Outcome::Refused { after: 0.1 };
+    assert_eq!(ends(2.04, refused.clone(), None), [], "the sockets' slack");
+    assert_eq!(ends(2.06, refused, None), [Rule::Answers]);
+    assert_eq!(ends(2.06, SERVED, Some(Ending::Served)), [Rule::Answers]);
+    assert_eq!(ends(1.9, Outcome::CutOff, Some(Ending::HalfWay)), []);
+    assert_eq!(ends(2.06, Outcome::CutOff, Some(Ending::HalfWay)), [Rule::Answers]);
+    assert_eq!(ends(1.9, Outcome::CutOff, Some(Ending::Served)), [Rule::Answers]);
+}
+
 #[test]
 fn two_answers_for_one_request_are_found() {
     let mut tape = Tape::new();
@@ -200,7 +219,7 @@
     };
     assert_eq!(tape(2, 0.2), [], "the same zone");
     assert_eq!(tape(1, 0.2), [Rule::Keyed], "another zone");
-    assert_eq!(tape(2, 4.5), [Rule::Keyed], "after the window");
+    assert_eq!(tape(2, 4.5), [Rule::Answers, Rule::Keyed], "after the window, and its own time");
 }
 
 #[test]
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -23,6 +23,8 @@
     Failed { status: u16 },
     /// The gateway ended the connection without a whole answer.
     Broken,
+    /// The same, after the beginning of one: its client can tell that it is not whole.
+    CutOff,
     /// The client left.
     Left,
     /// No answer, long after its time.
@@ -46,6 +48,8 @@
     Died,
     /// Taken and never answered.
     Silent,
+    /// It stopped, or broke off, in the middle of its answer.
+    HalfWay,
 }
 
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -81,6 +81,8 @@
     pub far_ms: f64,
     /// Answers carry a load report.
     pub reports: bool,
+    /// Bytes that an answer has at least.
+    pub answer_bytes: usize,
     pub drain_grace_s: f64,
     pub max_attempts: u32,
 }
@@ -110,6 +112,7 @@
             near_ms: 0.0,
             far_ms: 1.5,
             reports: false,
+            answer_bytes: 0,
             drain_grace_s: 0.5,
             max_attempts: 4,
         }
@@ -277,6 +280,8 @@
     pub try_share: [f64; 2],
     /// Share that leaves before its time.
     pub impatient: f64,
+    /// The others leave so long after their time.
+    pub patience_ms: f64,
     /// The front notices a dead gateway after so long.
     pub notice_s: f64,
 }
@@ -290,6 +295,7 @@
             max_retry_after_ms: 1000.0,
             try_share: [0.5, 1.0],
             impatient: 0.005,
+            patience_ms: 550.0,
             notice_s: 1.5,
         }
     }
@@ -338,6 +344,10 @@
     Silent,
     /// `share` of the answers can't be read.
     Spoil,
+    /// `share` of the answers, then in chunks, stop half way: neither the rest comes nor an end.
+    Stall,
+    /// `share` of the answers break off half way: the connection is reset.
+    BreakOff,
     /// Listed as draining, gone after the time to finish, and back and cold after `for_s`.
     Replace,
     // On the counter.
@@ -664,6 +674,7 @@
             ("world.back_s", w.back_s, 0.1, 600.0),
             ("world.errors", w.errors, 0.0, 1.0),
             ("world.near_ms", w.near_ms, 0.0, 1e3),
+            ("world.answer_bytes", w.answer_bytes as f64, 0.0, 1e6),
             ("world.far_ms", w.far_ms, 0.0, 1e3),
             ("world.max_attempts", f64::from(w.max_attempts), 1.0, 16.0),
             ("counter.calls_per_s", self.counter.calls_per_s, 1.0, 1e6),
@@ -677,6 +688,7 @@
             ("load.gate_skew", self.load.gate_skew, 0.0, 3.0),
             ("clients.retries", f64::from(self.clients.retries), 0.0, 20.0),
             ("clients.honour", self.clients.honour, 0.0, 1.0),
+            ("clients.patience_ms", self.clients.patience_ms, 0.0, 1e4),
             ("clients.impatient", self.clients.impatient, 0.0, 1.0),
             ("clients.try_share[0]", self.clients.try_share[0], 0.01, self.clients.try_share[1]),
             ("clients.try_share[1]", self.clients.try_share[1], 0.01, 1.0),
@@ -954,6 +966,7 @@
         "paused-gatekeeper",
         "bad-links",
         "load-shift",
+        "wide-reset-stale",
     ]
 }
 
--- a/lab/src/world/front.rs
+++ b/lab/src/world/front.rs
@@ -28,8 +28,6 @@
 
 /// A connection to a gateway that is not up after so long has failed.
 const CONNECT: Duration = Duration::from_millis(500);
-/// An answer that comes later than this past its time is none.
-const AFTER: Duration = Duration::from_millis(550);
 /// The least time in which a try makes sense.
 const LEAST: f64 = 0.02;
 
@@ -160,7 +158,8 @@
             class,
             remaining,
         });
-        let until = Instant::now() + Duration::from_secs_f64(remaining) + AFTER;
+        let patience = remaining + spec.clients.patience_ms / 1e3;
+        let until = Instant::now() + Duration::from_secs_f64(patience);
         let exchange = async {
             match gate {
                 Some(gate) => self.exchange(gate, &message, &facts.answer(txn), until).await,
@@ -220,6 +219,7 @@
         let answer = match said {
             Said::Answer(answer) => answer,
             Said::Ended => return Outcome::Broken,
+            Said::CutOff => return Outcome::CutOff,
             Said::Nothing => return Outcome::Never,
         };
         if !answer.closes() {
@@ -243,6 +243,7 @@
                     conn.link.pass(Dir::Out, answer.body.len()).await;
                     Said::Answer(answer)
                 }
+                _ if conn.buffer().starts_with(b"HTTP/1.1 200") => Said::CutOff,
                 _ => Said::Ended,
             }
         };
@@ -254,5 +255,7 @@
     Answer(http::Message),
     /// The connection ended without a whole one.
     Ended,
+    /// And with the beginning of one.
+    CutOff,
     Nothing,
 }
--- a/lab/src/world/plan.rs
+++ b/lab/src/world/plan.rs
@@ -42,6 +42,8 @@
     pub key: u64,
     method: &'static str,
     path: String,
+    /// Bytes that its answer has at least.
+    answer_bytes: usize,
 }
 
 impl Facts {
@@ -62,7 +64,9 @@
 
     /// The one answer that a worker makes for it.
     pub fn answer(&self, txn: u64) -> String {
-        format!("served {:016x}", mix(txn ^ self.work.to_bits()))
+        let mark = format!("served {:016x}", mix(txn ^ self.work.to_bits()));
+        // The mark over and over, so that no part of it can be missing unseen.
+        mark.repeat(self.answer_bytes.div_ceil(mark.len()).max(1))
     }
 
     /// The message that a client sends.
@@ -254,7 +258,8 @@
         let method = if class.effect == Effect::Safe { "GET" } else { "POST" };
         let path = format!("/{}?n={:08x}", class.name, arrival.seed as u32);
         let key = if class.effect == Effect::Keyed { key.max(1) } else { 0 };
-        let facts = Facts { class: arrival.class, work: arrival.work, key, method, path };
+        let (class, work, answer_bytes) = (arrival.class, arrival.work, self.scenario.world.answer_bytes);
+        let facts = Facts { class, work, key, method, path, answer_bytes };
         self.sent.lock().unwrap_or_else(PoisonError::into_inner).insert(txn, facts.clone());
         facts
     }
--- a/lab/src/world/worker.rs
+++ b/lab/src/world/worker.rs
@@ -27,12 +27,16 @@
     pub errors: f64,
     pub silent: bool,
     pub spoil: f64,
+    /// Shares of the answers that stop, and that break off, half way.
+    pub stall: f64,
+    pub break_off: f64,
     pub draining: bool,
 }
 
 impl Default for Trouble {
     fn default() -> Self {
-        Self { slower: 1.0, errors: 0.0, silent: false, spoil: 0.0, draining: false }
+        let [errors, spoil, stall, break_off] = [0.0; 4];
+        Self { slower: 1.0, errors, silent: false, spoil, stall, break_off, draining: false }
     }
 }
 
@@ -264,12 +268,25 @@
             }
         }
         work.worked = takes;
+        let body = facts.answer(txn);
+        let draw = self.draw();
+        if draw < trouble.stall + trouble.break_off {
+            work.end(Ending::HalfWay);
+            let stalls = draw < trouble.stall;
+            let (part, _) = body.as_bytes().split_at(body.len() / 2);
+            let half = if stalls { http::beginning(part) } else { http::half(&body) };
+            if conn.write(Dir::In, &half).await.is_ok() && stalls {
+                let _ = closed(conn).await;
+            }
+            conn.reset();
+            return None;
+        }
         work.end(Ending::Served);
         self.served.fetch_add(1, Ordering::Relaxed);
         if trouble.spoil > 0.0 && self.draw() < trouble.spoil {
             return Some(b"HTTP/1.1 200 OK\r\nContent-Length: nonsense\r\n\r\n".to_vec());
         }
-        Some(http::answer(200, &self.report(), facts.answer(txn).as_bytes()))
+        Some(http::answer(200, &self.report(), body.as_bytes()))
     }
 }
 
--- a/tests/fleetlab.rs
+++ b/tests/fleetlab.rs
@@ -2,7 +2,7 @@
 
 use fleetlab::{
     judge::{Verdict, judge},
-    record::{Event, GateState, Recording},
+    record::{Ending, Event, GateState, Outcome, Recording},
     scenario::Scenario,
     world::{Play, Progress, WorldError},
 };
@@ -16,7 +16,10 @@
 }
 
 fn play(text: &str) -> (Recording, Verdict) {
-    let scenario = scenario(text);
+    play_of(scenario(text))
+}
+
+fn play_of(scenario: Scenario) -> (Recording, Verdict) {
     let runtime = tokio::runtime::Runtime::new().expect("a runtime");
     let program = PathBuf::from(env!("CARGO_BIN_EXE_yardspur"));
     let (progress, stop) = (watch::channel(Progress::default()).0, watch::channel(false));
@@ -80,6 +83,26 @@
     assert!(verdict.goodput > 0.3, "{}", verdict.goodput);
 }
 
+#[test]
+fn a_fleet_keeps_the_rules_while_answers_stop_and_break_off_half_way_and_lists_are_late() {
+    let mut scenario = scenario(
+        "name = 'wide-reset-stale'\nlength_s = 10\n
+        [[fault]]\nwhat = 'stall'\nshare = 0.1\nat_s = 1\nfor_s = 7
+        [[fault]]\nwhat = 'break-off'\nshare = 0.1\nat_s = 1\nfor_s = 7
+        [[fault]]\nwhat = 'discovery-late'\nms = 2000\nat_s = 1\nfor_s = 7
+        [[fault]]\nwhat = 'replace'\nworkers = '0..2'\nat_s = 2\nfor_s = 1
+        [[fault]]\nwhat = 'reset'\npeers = 'workers'\nat_s = 3
+        [[fault]]\nwhat = 'reset'\npeers = 'all'\nat_s = 6",
+    );
+    scenario.world.answer_bytes = 40_000;
+    let (recording, verdict) = play_of(scenario);
+    let count = |of: fn(&Event) -> bool| recording.seen.iter().filter(|s| of(&s.event)).count();
+    let half = count(|e| matches!(e, Event::Ended { how: Ending::HalfWay, .. }));
+    assert!(half > 20, "{half} answers stopped or broke off");
+    assert!(count(|e| matches!(e, Event::Answer { outcome: Outcome::CutOff, .. })) > 0, "some had begun");
+    assert!(verdict.goodput > 0.3, "{}", verdict.goodput);
+}
+
 #[test]
 fn a_fleet_keeps_the_rules_while_it_is_parted_and_datagrams_are_lost_doubled_and_late() {
     let (recording, verdict) = play(
