--- a/lab/src/report.rs
+++ b/lab/src/report.rs
@@ -222,7 +222,7 @@
         ];
         let mut page = String::from(
             "<!doctype html><html lang=\"en\"><meta charset=\"utf-8\"><title>fleetlab</title>\
-             <style>body{font:15px sans-serif;max-width:1000px;margin:2em auto}pre{background:#f4f4f4;padding:1em;overflow:auto}\
+             <style>body{font:15px sans-serif;max-width:1000px;margin:2em auto}pre{background:#f4f4f4;padding:1em;white-space:pre-wrap}\
              table{border-collapse:collapse}td,th{padding:.2em .8em;border-bottom:1px solid #ccc;text-align:right}\
              td:first-child,th:first-child{text-align:left}.PASS{color:#060}.FAIL,.VOID{color:#a00}svg{max-width:100%}</style>",
         );
--- a/tests/called_off.rs
+++ b/tests/called_off.rs
@@ -82,3 +82,22 @@
     assert_eq!(node.ask(&Ask::new("late")).status(), 200);
     assert_eq!(told.recv_timeout(LIMIT).as_deref(), Ok("late"));
 }
+
+/// Where a list is stale an address may belong to nobody: a connect there says nothing, for longer than its request has.
+#[test]
+fn a_request_to_a_worker_that_is_not_there_has_its_answer_in_its_time_and_is_harmless_to_repeat() {
+    let (mut setup, discovery) = Setup::new(&[]);
+    let (stuck, _line) = full();
+    let entry = entry("w0", stuck.local_addr().expect("bound"), "SERVING");
+    discovery.change(entry.clone());
+    setup.known.push(entry);
+    setup.settings["Limits"]["ConnectTimeout"] = json!(20.0);
+    let node = setup.start();
+    let (mut soon, mut later) = (node.client(), node.client());
+    soon.send(&Ask::submit("soon").with("X-Remaining", "0.5"));
+    later.send(&Ask::submit("later").with("X-Remaining", "4.0"));
+    let soon = thread::spawn(move || soon.answer().map(|a| a.status()));
+    assert_eq!(later.answer().map(|a| a.status()), Some(429), "not a byte of it was written");
+    assert!(soon.is_finished(), "one with less time still waits");
+    assert_eq!(soon.join().expect("no panic"), Some(429));
+}
