--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -443,15 +443,9 @@
             if let Some(what) = wrong.filter(|_| !excused) {
                 found.push((Rule::Answers, at, format!("{txn:016x} at gateway {} {what}", tried.gate)));
             }
-            match outcome {
-                Outcome::Served { genuine: false } => {
-                    found.push((
-                        Rule::Genuine,
-                        at,
-                        format!("{txn:016x} was served with what nobody made for it"),
-                    ));
-                }
-                _ => {}
+            if outcome == (Outcome::Served { genuine: false }) {
+                let what = format!("{txn:016x} was served with what nobody made for it");
+                found.push((Rule::Genuine, at, what));
             }
         }
         self.tell(found);
