Send who waits for a connection to a drained worker elsewhere at once

Cause: Book::listed closed the idle connections of a worker that drains or has gone, and left those who wait for one in line: the connect that came up later carried them there. The same after a call that takes a worker out by hand. Mend: one method, turn_away, for all three; who waited was never sent and may go on.

--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -541,7 +541,7 @@
     pub fn set_aside(&self, id: &str, out: bool) -> bool {
         let known = self.gateway.borrow_mut().set_aside(self.clock.now(), id, out);
         if known && out {
-            self.pools.close_idle(id);
+            self.pools.turn_away(id);
         }
         self.recovery.borrow().iter().filter(|_| known).for_each(|r| r.hand(id, out));
         let what = if out { "offline" } else { "online" };
--- a/src/bin/yardspur/pools/mod.rs
+++ b/src/bin/yardspur/pools/mod.rs
@@ -352,8 +352,9 @@
         self.change(|book, _, orders| book.keep_none(none, orders));
     }
 
-    pub fn close_idle(self: &Rc<Self>, worker: &str) {
-        self.change(|book, _, orders| book.close_idle(worker, orders));
+    /// Nothing new may go to a worker, whatever the lists say.
+    pub fn turn_away(self: &Rc<Self>, worker: &str) {
+        self.change(|book, _, orders| book.turn_away(worker, orders));
     }
 
     pub fn sweep(self: &Rc<Self>) {
--- a/src/bin/yardspur/pools/state.rs
+++ b/src/bin/yardspur/pools/state.rs
@@ -305,13 +305,22 @@
                 (pool.bound, pool.pause, pool.suspect) = (UNBOUND, f64::NEG_INFINITY, None);
             }
         }
-        self.close_where(worker, orders, |pool, idle| {
-            if idle.opened < pool.born {
-                Some(Closed::Changed)
-            } else {
-                (!pool.wanted).then_some(Closed::Unwanted)
-            }
-        });
+        if wanted {
+            self.close_where(worker, orders, |pool, idle| {
+                (idle.opened < pool.born).then_some(Closed::Changed)
+            });
+        } else {
+            self.turn_away(worker, orders);
+        }
+    }
+
+    /// Nothing new may go to a worker: what is idle closes, and who waits goes elsewhere, as a connection that comes up
+    /// late would carry it there long after this.
+    pub fn turn_away(&mut self, worker: &str, orders: &mut Vec<Order>) {
+        self.close_idle(worker, orders);
+        if let Some(pool) = self.pools.get_mut(worker) {
+            orders.extend(pool.waiters.drain(..).map(|w| Order::Fail(w, NoLink::Unknown)));
+        }
     }
 
     /// A whole list has come: those that it does not name are gone.
@@ -321,7 +330,7 @@
             if let Some(pool) = self.pools.get_mut(&worker) {
                 (pool.wanted, pool.gone) = (false, true);
             }
-            self.close_idle(&worker, orders);
+            self.turn_away(&worker, orders);
         }
     }
 
--- /dev/null
+++ b/tests/crossings.rs
@@ -0,0 +1,421 @@
+//! Ends that cross with something still owed: the real program, and stand-ins that hold, close or answer on a signal.
+
+mod fakes;
+
+use fakes::*;
+use serde_json::json;
+use std::{
+    io::{BufRead, BufReader, Read, Write},
+    net::{SocketAddr, TcpListener, TcpStream},
+    os::fd::AsRawFd,
+    sync::{
+        Arc,
+        mpsc::{Receiver, channel},
+    },
+    thread,
+    time::{Duration, Instant},
+};
+
+// ---- Stand-ins ----
+
+/// A worker on which no connection comes up before it is opened.
+struct Shut {
+    listener: TcpListener,
+    _line: Vec<TcpStream>,
+    addr: SocketAddr,
+}
+
+impl Shut {
+    fn new() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        // SAFETY: the descriptor is the listener's, which lives on; listening again only shortens its line.
+        assert_eq!(unsafe { libc::listen(listener.as_raw_fd(), 0) }, 0);
+        let addr = listener.local_addr().expect("bound");
+        let come = || TcpStream::connect_timeout(&addr, Duration::from_millis(100));
+        let mut line = Vec::new();
+        while let Ok(socket) = come() {
+            line.push(socket);
+            assert!(line.len() < 64, "its line never fills");
+        }
+        Self { listener, _line: line, addr }
+    }
+
+    /// Takes whoever comes and answers what is asked; tells the requests' ids in their order.
+    fn open(self) -> Receiver<String> {
+        let (tell, told) = channel();
+        thread::spawn(move || {
+            for socket in self.listener.incoming().map_while(Result::ok) {
+                let tell = tell.clone();
+                thread::spawn(move || {
+                    let mut reader = BufReader::new(socket.try_clone().expect("a socket"));
+                    while let Some(message) = read_message(&mut reader) {
+                        let _ = tell.send(message.header("x-txn").to_owned());
+                        let _ = (&socket).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                    }
+                });
+            }
+        });
+        told
+    }
+}
+
+/// A counter that answers what has come once the gate is open, and tells of each call for units.
+fn counter(gate: Arc<Gate>) -> (SocketAddr, Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("bound");
+    let (tell, told) = channel();
+    thread::spawn(move || {
+        for mut socket in listener.incoming().map_while(Result::ok) {
+            let (tell, gate) = (tell.clone(), gate.clone());
+            thread::spawn(move || {
+                let reader = BufReader::new(socket.try_clone().expect("a socket"));
+                for line in reader.lines().map_while(Result::ok) {
+                    let amount = line.split(' ').nth(2).map(|a| a.parse::<f64>().expect("an amount"));
+                    let answer = match amount {
+                        None => "pong\r\n".to_owned(),
+                        Some(amount) => {
+                            // One of nothing only reads.
+                            let _ = if amount > 0.0 { tell.send(line.clone()) } else { Ok(()) };
+                            gate.wait();
+                            format!("ok {amount}\r\n")
+                        }
+                    };
+                    let _ = socket.write_all(answer.as_bytes());
+                }
+            });
+        }
+    });
+    (addr, told)
+}
+
+/// The next request that any of them sees.
+fn first(workers: &[Worker]) -> Message {
+    let start = Instant::now();
+    loop {
+        for worker in workers {
+            if let Ok(Seen::Request(_, message)) = worker.seen.try_recv() {
+                return message;
+            }
+        }
+        assert!(start.elapsed() < LIMIT, "none sees a request");
+        thread::yield_now();
+    }
+}
+
+/// How a client goes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Goes {
+    Fin,
+    Reset,
+}
+
+/// What of its own stands before its end, as yet unread.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Before {
+    Nothing,
+    /// A request that came in one piece with the one in hand.
+    Pipelined,
+    /// A request that came once the one in hand was taken.
+    Later,
+    /// The rest of a body that is too long to gather, as much as sockets hold.
+    Body,
+}
+
+const WAYS: [(Goes, Before); 8] = [
+    (Goes::Fin, Before::Nothing),
+    (Goes::Fin, Before::Pipelined),
+    (Goes::Fin, Before::Later),
+    (Goes::Fin, Before::Body),
+    (Goes::Reset, Before::Nothing),
+    (Goes::Reset, Before::Pipelined),
+    (Goes::Reset, Before::Later),
+    (Goes::Reset, Before::Body),
+];
+
+/// Closing it resets the connection.
+fn resets(socket: &TcpStream) {
+    let linger = libc::linger { l_onoff: 1, l_linger: 0 };
+    let (fd, size) = (socket.as_raw_fd(), size_of::<libc::linger>() as libc::socklen_t);
+    // SAFETY: the descriptor is the socket's, and the option's value and size are those of the call.
+    let set =
+        unsafe { libc::setsockopt(fd, libc::SOL_SOCKET, libc::SO_LINGER, (&raw const linger).cast(), size) };
+    assert_eq!(set, 0);
+}
+
+/// A client that is about to go.
+struct Leaver {
+    socket: TcpStream,
+    goes: Goes,
+    before: Before,
+}
+
+impl Leaver {
+    /// Sends `ask` and what comes with it.
+    fn send(node: &Node, ask: &Ask, (goes, before): (Goes, Before)) -> Self {
+        let mut socket = TcpStream::connect(node.addr).expect("it listens");
+        let mut bytes = match before {
+            Before::Body => {
+                let ask = ask.clone().with("X-Lane", "submit").with("Content-Length", "4000000");
+                Ask { line: "POST /submit HTTP/1.1".into(), body: vec![b'x'; 100_000], ..ask }.bytes()
+            }
+            _ => ask.bytes(),
+        };
+        if before == Before::Pipelined {
+            bytes.extend(Ask::new("behind").bytes());
+        }
+        socket.write_all(&bytes).expect("a socket");
+        Self { socket, goes, before }
+    }
+
+    fn go(mut self) {
+        if self.before == Before::Later {
+            self.socket.write_all(&Ask::new("behind").bytes()).expect("a socket");
+        }
+        if self.goes == Goes::Reset {
+            resets(&self.socket);
+        }
+    }
+}
+
+/// A node whose waits end by a signal only: the counter's answers and connections may take 20 s, and its log tells
+/// of each request.
+fn patient(workers: &[&Worker]) -> (Setup, Discovery) {
+    let (mut setup, discovery) = Setup::new(workers);
+    setup.admin = true;
+    setup.log = Some(json!({"form": "json", "level": "debug"}));
+    setup.settings["Domain"]["CountLimit"] = json!(20.0);
+    setup.settings["Limits"]["ConnectTimeout"] = json!(20.0);
+    // A burst of one unit, so that a customer's first request waits for the count.
+    setup.settings["Plans"][1]["Depth"] = json!(1.0);
+    (setup, discovery)
+}
+
+/// Waits until the log says that the request's client has left.
+fn left(node: &Node, txn: &str) {
+    while !node.says("\"left\"").contains(&format!("\"{txn}\"")) {}
+}
+
+// ---- Clients that leave while their request waits ----
+
+#[test]
+fn what_waits_for_the_counter_when_its_client_leaves_is_not_sent_on_and_its_unit_is_there_for_the_next() {
+    for way in WAYS {
+        let (worker, gate) = (Worker::start(Does::Serves("ok")), Arc::new(Gate::default()));
+        let (mut setup, _discovery) = patient(&[&worker]);
+        let (addr, calls) = counter(gate.clone());
+        setup.counter = Some(addr);
+        let node = setup.start();
+        let leaver = Leaver::send(&node, &Ask::new("gone").with("X-Plan", "pieni"), way);
+        calls.recv_timeout(LIMIT).expect("it asks for a block");
+        leaver.go();
+        left(&node, "gone");
+        gate.open();
+        assert_eq!(node.ask(&Ask::new("next").with("X-Plan", "pieni")).status(), 200, "{way:?}");
+        assert_eq!(worker.request().1.header("x-txn"), "next", "{way:?}");
+    }
+}
+
+#[test]
+fn what_waits_for_a_connection_when_its_client_leaves_is_not_sent_on_and_its_place_and_unit_go_back() {
+    for way in WAYS {
+        let (shut, gate) = (Shut::new(), Arc::new(Gate::default()));
+        let (mut setup, discovery) = patient(&[]);
+        let (addr, calls) = counter(gate.clone());
+        setup.counter = Some(addr);
+        let worker = entry("w0", shut.addr, "SERVING");
+        discovery.change(worker.clone());
+        setup.known.push(worker);
+        gate.open();
+        let node = setup.start();
+        let leaver = Leaver::send(&node, &Ask::new("gone").with("X-Plan", "pieni"), way);
+        calls.recv_timeout(LIMIT).expect("it asks for a block");
+        node.pool("w0", |p| p["waiting"] == 1);
+        leaver.go();
+        left(&node, "gone");
+        assert_eq!(node.pool("w0", |_| true)["waiting"], 0, "{way:?}: its place is free");
+        let told = shut.open();
+        node.pool("w0", |p| p["connecting"] == 0 && p["in_use"] == 0);
+        // The one unit that there is has been granted, and was not sent.
+        assert_eq!(node.ask(&Ask::new("next").with("X-Plan", "pieni")).status(), 200, "{way:?}");
+        assert_eq!(told.recv_timeout(LIMIT).as_deref(), Ok("next"), "{way:?}");
+    }
+}
+
+#[test]
+fn after_its_client_has_left_a_request_has_no_further_attempt() {
+    for way in WAYS.into_iter().filter(|(_, before)| *before != Before::Body) {
+        let gate = Arc::new(Gate::default());
+        let workers = [(); 2].map(|()| Worker::start(Does::WaitsAndResets(gate.clone())));
+        let (setup, _discovery) = patient(&[&workers[0], &workers[1]]);
+        let node = setup.start();
+        let leaver = Leaver::send(&node, &Ask::new("gone"), way);
+        assert_eq!(first(&workers).header("x-txn"), "gone");
+        leaver.go();
+        left(&node, "gone");
+        workers.iter().for_each(|w| w.now(Does::Serves("ok")));
+        gate.open();
+        for i in 0..2 {
+            node.pool(&format!("w{i}"), |p| p["in_use"] == 0);
+        }
+        assert_eq!(node.ask(&Ask::new("next")).status(), 200, "{way:?}");
+        let seen = workers.iter().flat_map(Worker::rest).map(|m| m.header("x-txn").to_owned());
+        assert_eq!(seen.collect::<Vec<String>>(), ["next"], "{way:?}");
+    }
+}
+
+#[test]
+fn after_its_client_has_left_a_request_has_no_second_copy() {
+    for way in [(Goes::Fin, Before::Pipelined), (Goes::Reset, Before::Later)] {
+        let workers = [(); 2].map(|()| Worker::start(Does::Holds));
+        let (mut setup, _discovery) = patient(&[&workers[0], &workers[1]]);
+        // A second copy goes out after 0.8 s.
+        setup.settings["Classes"][0]["Slo"] = json!(2.0);
+        let node = setup.start();
+        let leaver = Leaver::send(&node, &Ask::new("gone"), way);
+        node.says("\"sent\"");
+        leaver.go();
+        left(&node, "gone");
+        // One that came after it has its second copy: that of the first would have gone before.
+        let mut stays = node.client();
+        stays.send(&Ask::new("stays"));
+        let copies = || node.says("\"sent\"").contains("\"stays\"");
+        assert!(copies() && copies(), "{way:?}: nothing else is sent meanwhile");
+    }
+}
+
+// ---- Workers to which nothing new may go ----
+
+#[test]
+fn who_waits_for_a_connection_to_a_worker_that_drains_is_not_carried_there_later() {
+    for way in ["DRAINING", "DELETED", "by hand"] {
+        let shut = Shut::new();
+        let (mut setup, discovery) = patient(&[]);
+        let worker = entry("w0", shut.addr, "SERVING");
+        discovery.change(worker.clone());
+        setup.known.push(worker);
+        let node = setup.start();
+        let mut client = node.client();
+        client.send(&Ask::submit("waits"));
+        node.pool("w0", |p| p["waiting"] == 1);
+        if way == "by hand" {
+            assert_eq!(node.call("POST /control/workers/w0/offline"), 200);
+        } else {
+            discovery.told(discovery.change(entry("w0", shut.addr, way)));
+        }
+        // From here on nothing new may reach it, and the connection comes up now.
+        let told = shut.open();
+        assert_eq!(client.answer().expect("an answer at once").status(), 429, "{way}: it was not sent");
+        node.until("pools", |report| {
+            let pools = report["workers"].as_array().expect("a list");
+            pools.iter().all(|p| p["connecting"] == 0 && p["in_use"] == 0)
+        });
+        assert!(told.try_recv().is_err(), "{way}: nothing reaches it");
+    }
+}
+
+// ---- The way out ----
+
+#[test]
+fn a_request_whose_head_is_half_read_when_idle_connections_close_has_its_answer() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (setup, _discovery) = Setup::new(&[&worker]);
+    let mut node = setup.start();
+    let (mut slow, mut idle) = (node.client(), node.client());
+    for client in [&mut slow, &mut idle] {
+        assert_eq!(client.ask(&Ask::new("before")).status(), 200);
+    }
+    let bytes = Ask::submit("slow").bytes();
+    let (half, rest) = bytes.split_at(bytes.len() / 3);
+    slow.reader.get_mut().write_all(half).expect("a socket");
+    node.terminate();
+    // Those that bring nothing close first: from then on no connection is kept.
+    assert_eq!(idle.reader.read(&mut [0]).expect("an end in good order"), 0);
+    slow.reader.get_mut().write_all(rest).expect("a connection");
+    let answer = slow.answer().expect("an answer, as the whole request was written to an open connection");
+    assert_eq!((answer.status(), answer.header("connection")), (200, "close"));
+    assert!(node.exit().success());
+}
+
+// ---- Discovery ----
+
+/// How a watch ends whose agent has something to tell.
+#[derive(Debug, Clone, Copy)]
+enum Watch {
+    /// The connection stays up and says nothing.
+    Silent,
+    Reset,
+    /// Half of the answer comes, and no more.
+    Half,
+    /// The whole answer, of a version older than the one it was asked from.
+    Older,
+}
+
+/// An agent whose first watch ends so: from then on it tells, on any other call, that `w0` drains. Tells the version
+/// that each call asks from.
+fn agent(ends: Watch, worker: SocketAddr) -> (SocketAddr, Receiver<Option<u64>>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let addr = listener.local_addr().expect("bound");
+    let (tell, told) = channel();
+    let list = move |version: u64, full: bool, state: &str| {
+        let body =
+            json!({"version": version, "full": full, "servers": [entry("w0", worker, state)]}).to_string();
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+    };
+    thread::spawn(move || {
+        let mut held = Vec::new();
+        let mut ended = false;
+        // One connection after the other, as the gateway calls.
+        for mut socket in listener.incoming().map_while(Result::ok) {
+            let mut reader = BufReader::new(socket.try_clone().expect("a socket"));
+            while let Some(call) = read_message(&mut reader) {
+                let from = call.line.split_once("from=").map(|(_, rest)| {
+                    rest.split(['&', ' ']).next().and_then(|v| v.parse::<u64>().ok()).expect("a version")
+                });
+                let _ = tell.send(from);
+                let answer = match (from, ended) {
+                    (None, false) => list(7, true, "SERVING"),
+                    (None, true) => list(8, true, "DRAINING"),
+                    (Some(7), false) => {
+                        ended = true;
+                        match ends {
+                            Watch::Silent | Watch::Reset => break,
+                            Watch::Half => {
+                                let whole = list(8, false, "DRAINING");
+                                let _ = socket.write_all(&whole.as_bytes()[..whole.len() / 2]);
+                                break;
+                            }
+                            Watch::Older => list(5, false, "SERVING"),
+                        }
+                    }
+                    (Some(7), true) => list(8, false, "DRAINING"),
+                    (Some(_), _) => break,
+                };
+                let _ = socket.write_all(answer.as_bytes());
+            }
+            if matches!(ends, Watch::Reset) {
+                resets(&socket);
+            } else {
+                held.push(socket);
+            }
+        }
+    });
+    (addr, told)
+}
+
+#[test]
+fn a_drain_that_a_broken_watch_missed_is_learned_from_the_next() {
+    for ends in [Watch::Silent, Watch::Reset, Watch::Half, Watch::Older] {
+        let worker = Worker::start(Does::Serves("ok"));
+        let (mut setup, _discovery) = Setup::new(&[&worker]);
+        let (addr, told) = agent(ends, worker.addr);
+        setup.discovery = addr;
+        // The list that is known at the start is the agent's.
+        setup.version = 7;
+        let node = setup.start();
+        // A handful of calls: two lists, two watches, and the first of what follows.
+        let calls = (0..8).map(|_| told.recv_timeout(LIMIT).expect("a call"));
+        assert!(calls.into_iter().any(|from| from == Some(8)), "{ends:?}: it is told");
+        assert_eq!(node.ask(&Ask::new("late")).status(), 429, "{ends:?}");
+        assert!(worker.rest().is_empty(), "{ends:?}: nothing reaches it");
+    }
+}
