Notice a client's end behind bytes of its own that nobody reads yet

Need: a request whose client has left while it waits is not to be sent on 0.3 s later. Cause, by reading hyper's connection: while a request is in hand it looks for the stream's end only if it holds no unread byte, so a pipelined request, or a body of which the rest is not wanted yet, hid the end, and the request was sent on. Change: the task that serves a connection looks at the socket's own readiness, which tells an end whatever stands before it; where bytes stand unread every 50 ms. A client that ends its sending only counts as gone, as it did. The log says at debug that a client has left.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -15,6 +15,7 @@
     any::Any,
     cell::{Cell, RefCell},
     convert::Infallible,
+    future::{Future, poll_fn},
     io::{self, IoSlice},
     pin::{Pin, pin},
     rc::Rc,
@@ -22,7 +23,7 @@
     time::{Duration, Instant},
 };
 use tokio::{
-    io::{AsyncRead, AsyncWrite, ReadBuf},
+    io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
     net::{TcpListener, TcpStream},
     sync::{Notify, watch},
 };
@@ -50,6 +51,8 @@
 const UNREAD: Duration = Duration::from_secs(1);
 /// Between looks for idle connections while clients are sent away.
 const SHED: Duration = Duration::from_millis(100);
+/// Between looks whether a client has gone behind bytes of its own that nobody reads yet.
+const LOOK: Duration = Duration::from_millis(50);
 /// Pause at the edge of the budget, and after the system had no descriptor left.
 const PAUSE: Duration = Duration::from_millis(20);
 /// Highest customer number, exclusive.
@@ -121,18 +124,36 @@
 
 /// A client's socket, which notes when a head begins to come and when something is taken.
 struct Watched {
-    socket: TcpStream,
+    socket: Rc<RefCell<TcpStream>>,
     peer: Rc<Peer>,
 }
 
+/// Waits until the client has ended its sending, or all, while a request of its is in hand. The server itself notices
+/// that only once it has read all before it, and it reads no further than the request that it works on. To be polled
+/// by the task that serves the connection, and after it.
+async fn gone(socket: &RefCell<TcpStream>, peer: &Peer) {
+    loop {
+        let look = poll_fn(|cx| {
+            // Whatever puts a request in hand happens in this task, which looks here again then.
+            if !peer.busy() || socket.borrow().poll_read_ready(cx).is_pending() {
+                return Poll::Pending;
+            }
+            let socket = socket.borrow();
+            let ready = pin!(socket.ready(Interest::READABLE)).poll(cx);
+            Poll::Ready(!matches!(ready, Poll::Ready(Ok(ready)) if !ready.is_read_closed()))
+        });
+        if look.await {
+            return;
+        }
+        // Bytes have come that are not read yet: nothing tells when the end comes behind them.
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
 impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        to: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, to: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = to.filled().len();
-        let done = Pin::new(&mut self.socket).poll_read(cx, to);
+        let done = Pin::new(&mut *self.socket.borrow_mut()).poll_read(cx, to);
         if to.filled().len() > before && !self.peer.busy() && self.peer.head.get().is_none() {
             self.peer.head.set(Some(Instant::now()));
         }
@@ -141,28 +162,28 @@
 }
 
 impl AsyncWrite for Watched {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.socket).poll_write(cx, from);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, from: &[u8]) -> Poll<io::Result<usize>> {
+        let done = Pin::new(&mut *self.socket.borrow_mut()).poll_write(cx, from);
         self.peer.wrote(&done);
         done
     }
     fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
         from: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let done = Pin::new(&mut self.socket).poll_write_vectored(cx, from);
+        let done = Pin::new(&mut *self.socket.borrow_mut()).poll_write_vectored(cx, from);
         self.peer.wrote(&done);
         done
     }
     fn is_write_vectored(&self) -> bool {
-        self.socket.is_write_vectored()
+        self.socket.borrow().is_write_vectored()
     }
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_flush(cx)
     }
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.socket).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut *self.socket.borrow_mut()).poll_shutdown(cx)
     }
 }
 
@@ -351,19 +372,31 @@
             });
             let mut builder = Builder::new();
             builder.max_buf_size(MAX_HEAD).auto_date_header(false);
-            let watched = Watched { socket, peer: peer.clone() };
+            let socket = Rc::new(RefCell::new(socket));
+            let watched = Watched { socket: socket.clone(), peer: peer.clone() };
             let mut connection = pin!(builder.serve_connection(TokioIo::new(watched), service));
+            let mut gone = pin!(gone(&socket, &peer));
             tokio::select! {
+                biased;
                 // How a client's connection ends is no news: its request, if any, says so when dropped.
                 _ = connection.as_mut() => return,
+                () = gone.as_mut() => return,
                 () = peer.overdue() => return,
                 () = peer.close.notified() => connection.as_mut().graceful_shutdown(),
             }
             // One whose client does not read its answer must not keep its place for good.
-            while tokio::time::timeout(UNREAD, connection.as_mut()).await.is_err()
-                && (peer.busy() || peer.head.get().is_some())
-                && peer.taken.get().elapsed() < UNTAKEN
-            {}
+            loop {
+                tokio::select! {
+                    biased;
+                    _ = connection.as_mut() => return,
+                    () = gone.as_mut() => return,
+                    () = tokio::time::sleep(UNREAD) => {}
+                }
+                let owed = peer.busy() || peer.head.get().is_some();
+                if !owed || peer.taken.get().elapsed() >= UNTAKEN {
+                    return;
+                }
+            }
         });
     }
 
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -674,6 +674,7 @@
     pub fn left(self: &Rc<Self>, job: &JobId) {
         let waiting = self.open.borrow_mut().get_mut(job).is_some_and(|o| o.answer.take().is_some());
         if waiting {
+            self.say(job, "left", None, "its client has gone");
             self.call_off(job);
             self.forget(job);
             self.post(Event::Left { job: job.clone() });
