Answer a request whose head is half read when idle connections close

Seen by reading: hyper closes a connection that has carried a request at once when told to end, also with half a head read, so at 0.65 s after SIGTERM a client lost a request that it was writing to an open connection. Change: closing waits for a head that has begun.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -73,6 +73,8 @@
     /// Something is left that its client has not taken yet.
     untaken: Cell<bool>,
     close: Notify,
+    /// A head has come whole.
+    came: Notify,
 }
 
 impl Peer {
@@ -80,7 +82,8 @@
         let now = Instant::now();
         let (hands, used, untaken) = Default::default();
         let (since, head, taken) = (Cell::new(now), Cell::new(None), Cell::new(now));
-        Self { hands, since, used, head, taken, untaken, close: Notify::new() }
+        let (close, came) = Default::default();
+        Self { hands, since, used, head, taken, untaken, close, came }
     }
 
     /// A request on it is in hand, or the last answer has not all gone out.
@@ -104,6 +107,15 @@
         !self.busy() && self.head.get().is_none() && self.since.get().elapsed() > IDLE
     }
 
+    /// Waits until it may be closed from this side, where that is wanted: a request whose head has begun to come is
+    /// owed its answer first.
+    async fn may_close(&self) {
+        self.close.notified().await;
+        while self.head.get().is_some() {
+            self.came.notified().await;
+        }
+    }
+
     /// Waits until it is to be closed for bringing nothing, or for taking nothing.
     async fn overdue(&self) {
         loop {
@@ -382,7 +394,7 @@
                 _ = connection.as_mut() => return,
                 () = gone.as_mut() => return,
                 () = peer.overdue() => return,
-                () = peer.close.notified() => connection.as_mut().graceful_shutdown(),
+                () = peer.may_close() => connection.as_mut().graceful_shutdown(),
             }
             // One whose client does not read its answer must not keep its place for good.
             loop {
@@ -402,6 +414,7 @@
 
     async fn handle(self: &Rc<Self>, request: Request<Incoming>, peer: &Rc<Peer>) -> Response<body::Answer> {
         peer.head.set(None);
+        peer.came.notify_one();
         peer.taken.set(Instant::now());
         // Also when the client goes and this is dropped half way.
         let busy: Rc<dyn Any> = Rc::new(Busy::new(peer));
