Give back units that were drawn for a request and never sent

A unit drawn from a lease stayed spent where its client left before the attempt was written, where no connection came up, or where no server could be chosen, though no worker has had it and the quota has not lost it. The request owns what was drawn for it, an attempt that reaches a worker takes it, and its end gives back what is left, in the window it was granted in: one place, where the open cap had a way of its own.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -296,7 +296,7 @@
 }
 
 /// A client's request.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, Default, PartialEq)]
 pub struct Request {
     /// Its id.
     pub job: JobId,
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -610,11 +610,7 @@
             max_attempts: self.set.max_attempts as usize,
             second_copies: self.set.second_copies,
             arrived: self.now,
-            attempts: Vec::new(),
-            paid: Reason::default(),
-            over: false,
-            streaming: false,
-            once: false,
+            ..Job::default()
         };
         self.jobs.insert(id.clone(), job);
         if !known || !time || full {
@@ -744,7 +740,7 @@
     fn spend(&mut self, id: JobId, units: f64, paid: Reason) {
         let off_count = paid != Reason::Lease;
         let job = self.jobs.get_mut(&id).expect("the caller names an open job");
-        job.paid = paid;
+        (job.paid, job.drawn) = (paid, units);
         let key = job.request.customer.clone();
         let plan = self.set.plans[self.jobs[&id].request.plan].clone();
         let customer = self.known.customers.get_mut(&key).expect("spending customers are known");
@@ -764,12 +760,12 @@
         if plan.open == 0 {
             self.send_first(id);
         } else if !self.under_open_cap(&key, &plan) {
-            self.known.customers.get_mut(&key).expect("seen above").lease += units; // Not sent, so not spent.
             self.end(&id, self.known.latency, Reason::OpenCap);
         } else if self.within_open_pace(&key, &plan) {
             self.send_first(id);
         } else {
             // Its unit stays spent: else the rate would be as high as before.
+            self.jobs.get_mut(&id).expect("seen above").drawn = 0.0;
             self.end(&id, self.known.latency, Reason::OpenPace);
         }
     }
@@ -920,8 +916,7 @@
     /// rest lapses: it is added.
     fn settle(&mut self, call: &Call, total: f64, plan: &Plan) {
         let (window, age) = window(plan, &call.customer, self.now);
-        let customer =
-            self.known.customers.get_mut(&call.customer).expect("settled for known customers only");
+        let customer = self.known.customers.get_mut(&call.customer).expect("settled for known ones only");
         let limit = plan.burst + plan.rate * age;
         let prior = total - call.step;
         match call.why {
@@ -1013,8 +1008,9 @@
         let Some(job) = self.jobs.get_mut(id) else { return };
         let Some(tried) = job.attempts.get_mut(attempt as usize) else { return };
         if tried.ran == Ran::Out {
-            let never = matches!(status, Status::Full | Status::ConnectFailed | Status::Moot);
-            tried.ran = if never { Ran::Never } else { Ran::Maybe };
+            let unsent = matches!(status, Status::ConnectFailed | Status::Moot);
+            tried.ran = if unsent || status == Status::Full { Ran::Never } else { Ran::Maybe };
+            job.drawn = if unsent { job.drawn } else { 0.0 };
             if let Some(customer) = self.known.customers.get_mut(&job.request.customer) {
                 customer.open = customer.open.saturating_sub(1);
                 if let Some(units) = settled {
@@ -1062,13 +1058,17 @@
         self.over(id);
     }
 
-    /// The request is over; it is kept only while attempts are out.
+    /// The request is over; it is kept only while attempts are out. What was drawn for it and never sent is
+    /// there for the next, in the window that it was granted in.
     fn over(&mut self, id: &JobId) {
         let Some(job) = self.jobs.get_mut(id) else { return };
         job.over = true;
-        if job.out() == 0 {
-            self.jobs.remove(id);
-        }
+        let done = if job.out() == 0 { self.jobs.remove(id) } else { None };
+        let Some(Job { request, drawn, arrived, .. }) = done.filter(|j| j.drawn > 0.0) else { return };
+        let customer = self.known.customers.get_mut(&request.customer);
+        let granted =
+            |c: &&mut Customer| c.window == window(&self.set.plans[c.plan], &request.customer, arrived).0;
+        customer.filter(granted).into_iter().for_each(|c| c.lease += drawn);
     }
 
     // ---- Timers ----
--- a/src/state.rs
+++ b/src/state.rs
@@ -24,7 +24,7 @@
     pub(crate) ran: Ran,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Job {
     pub(crate) request: Request,
     /// The rules that it came under: they hold for it whatever the settings say later.
@@ -34,6 +34,8 @@
     pub(crate) arrived: Time,
     pub(crate) attempts: Vec<Attempt>,
     pub(crate) paid: Reason,
+    /// Units that were drawn for it and that no worker has taken yet.
+    pub(crate) drawn: f64,
     pub(crate) over: bool,
     /// Its answer goes to the client already.
     pub(crate) streaming: bool,
--- a/tests/leases.rs
+++ b/tests/leases.rs
@@ -45,6 +45,39 @@
     assert!((18..=21).contains(&sent), "{sent} sent of a burst of 20 (one unit may be off the count)");
 }
 
+#[test]
+fn a_unit_that_no_worker_has_taken_is_there_for_the_next_and_once() {
+    let ends = [
+        // Its client left while it waited for a connection.
+        (true, Status::Moot, 1),
+        (true, Status::ConnectFailed, 1),
+        (true, Status::Cancelled, 0),
+        // No connection came up, and no further attempt can be made.
+        (false, Status::ConnectFailed, 1),
+        // The worker has had it whole, whether it ran or not.
+        (false, Status::Full, 0),
+        (false, Status::Timeout, 0),
+    ];
+    for (left, status, back) in ends {
+        let mut settings = settings();
+        (settings.plans, settings.max_attempts) = (vec![plan(0.01, 1.0)], 1);
+        let (mut rig, mut counter) = (Rig::new(settings), Counter::default());
+        let out = counter.ask(&mut rig, "first");
+        let (job, server) = sends(&out).pop().expect("the count grants it");
+        if left {
+            rig.event(Event::Left { job: job.clone() });
+        }
+        rig.outcome(&job, 0, &server, status);
+        let mut sent = 0;
+        for job in ["second", "third"] {
+            let out = counter.ask(&mut rig, job);
+            sent += sends(&out).len();
+            sends(&out).iter().for_each(|(job, server)| drop(rig.outcome(job, 0, server, Status::Ok)));
+        }
+        assert_eq!(sent, back, "left: {left}, {status:?}");
+    }
+}
+
 #[test]
 fn a_window_turn_brings_no_second_burst() {
     let (mut rig, mut counter) = (Rig::new(settings()), Counter::default());
