Let a connection rest for 20 ms after an answer before another request has it

A worker's second answer may come some milliseconds late. On a connection given to the next request meanwhile it was taken for that one's answer, as nothing in it says whose it is: served with what no worker made for it. The rest is a lease that nobody has: what comes meanwhile closes the connection.

--- a/src/bin/yardspur/config/mod.rs
+++ b/src/bin/yardspur/config/mod.rs
@@ -404,7 +404,7 @@
 }
 
 #[cfg(test)]
-mod tests {
+pub mod tests {
     use super::*;
     use serde_json::json;
 
--- a/src/bin/yardspur/pools/mod.rs
+++ b/src/bin/yardspur/pools/mod.rs
@@ -26,6 +26,9 @@
 
 /// A worker closes at its limit, and a request that crosses that is lost: this is closed as long before.
 const BEFORE_LIMIT: f64 = 2.0;
+/// An answer may be followed by another that nobody asked for, some milliseconds late, and nothing in it says whose it
+/// is: no request is written to a connection for so long after an answer.
+const REST: Duration = Duration::from_millis(20);
 /// Pools that are told of at most, and bytes of a worker's id.
 const TOLD: (usize, usize) = (512, 128);
 
@@ -100,8 +103,16 @@
         }
     }
 
-    /// The answer is whole: another request may have it. `turned_away`: it said that the worker has no room.
-    pub fn give_back(mut self, turned_away: bool) {
+    /// The answer is whole: another request may have it, after a rest. `turned_away`: it said that the worker has no
+    /// room.
+    pub fn give_back(self, turned_away: bool) {
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(REST).await;
+            self.rested(turned_away);
+        });
+    }
+
+    fn rested(mut self, turned_away: bool) {
         let Some(held) = self.held.take() else { return };
         let lives = self.pools.clone().take_back(&self.worker, self.id, held);
         if turned_away && !lives && !self.kept {
@@ -456,3 +467,43 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use std::{io::Write, net::TcpListener};
+
+    /// When a late second answer comes is the worker's business: here it comes while the clock stands.
+    #[test]
+    fn a_connection_rests_after_an_answer_and_a_second_one_that_comes_then_meets_no_request() {
+        let (config, _) = crate::config::check(crate::config::tests::file().to_string().as_bytes(), None)
+            .unwrap_or_else(|_| panic!("a good configuration"));
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().build_local(Default::default());
+        runtime.expect("a runtime").block_on(async {
+            for second in [false, true] {
+                let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+                let pools = Pools::new(8, &config.options, Clock::new(), 1);
+                let worker: ServerId = "w0".into();
+                pools.listed(&worker, listener.local_addr().ok(), 0.0, true, false);
+                let mut lease = pools.lease(&worker).await.unwrap_or_else(|_| panic!("it comes up"));
+                let (mut far, _) = listener.accept().expect("it has come up");
+                let at = || {
+                    let view = pools.book.borrow().views(pools.clock.now()).pop().expect("one pool");
+                    (view.in_use, view.idle, view.counts.closed[Closed::Peer as usize])
+                };
+                tokio::time::pause();
+                lease.link();
+                lease.give_back(false);
+                tokio::time::sleep(REST / 2).await;
+                assert_eq!(at(), (1, 0, 0), "nobody can have it yet");
+                if second {
+                    far.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray").expect("a socket");
+                }
+                tokio::time::sleep(REST).await;
+                assert_eq!(at(), if second { (0, 0, 1) } else { (0, 1, 0) });
+                tokio::time::resume();
+            }
+        });
+    }
+}
