End before the kill where the deadlines are short, and answer what comes last

SIGKILL comes 0.7 s after the longest deadline, 3 s at most, and the way out knew only the most: with deadlines of 1 s it would have answered at 3.3 s what the kill found at 1.7 s. The times follow from the settings now, the same as before from 3 s on. A request that comes whole after everything in hand was failed had no answer at all: it is refused at once. Tests: the times for deadlines from 0 to 12 s, and a request after the last answers.

--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -310,6 +310,8 @@
     used: RefCell<Vec<bool>>,
     answers: Cell<Tally>,
     leaving: Cell<bool>,
+    /// The process is about to be killed: what comes now is answered at once.
+    ending: Cell<bool>,
     /// What may be gathered of bodies.
     pool: Pool,
     /// Bodies that nobody wants any more.
@@ -352,6 +354,7 @@
             used: RefCell::new(vec![false; config.options.classes.len()]),
             answers: Cell::default(),
             leaving: Cell::new(false),
+            ending: Cell::new(false),
             pool: Pool::new(config.memory / GATHER_SHARE),
             drains,
             seed: config.seed,
@@ -618,6 +621,11 @@
         let job: JobId = self.jobs.get().to_string().into();
         let remaining = demand.remaining.min(LONGEST);
         let (answer, receiver) = oneshot::channel();
+        if self.ending.get() {
+            // Nobody has to hear of it but its client, which waits right here.
+            let _ = answer.send(Answer::Refused(0.0));
+            return (job, receiver);
+        }
         let forward = Rc::new(demand.forward);
         let sending = forward.upload.borrow_mut().as_mut().map(|upload| {
             let (hub, job) = (Rc::downgrade(self), job.clone());
@@ -681,8 +689,10 @@
         }
     }
 
-    /// Gives every request in hand its final answer: the process is about to be killed.
+    /// Gives every request in hand its final answer, and those that still come theirs at once: the process is about to
+    /// be killed.
     pub fn fail_all(self: &Rc<Self>) {
+        self.ending.set(true);
         let jobs: Vec<JobId> = self.open.borrow().keys().cloned().collect();
         for job in jobs {
             self.answer(&job, Answer::Failed);
@@ -1018,4 +1028,41 @@
         lag.saw(7.0, 9.0);
         assert_eq!(lag.at(9.0), LAG.1, "it was stopped");
     }
+
+    /// Between the last answers and the end there is no event that a client could wait for.
+    #[test]
+    fn what_comes_once_the_process_is_about_to_end_is_answered_at_once() {
+        let (config, _) = crate::config::check(crate::config::tests::file().to_string().as_bytes(), None)
+            .unwrap_or_else(|_| panic!("a good configuration"));
+        let runtime =
+            tokio::runtime::Builder::new_current_thread().enable_all().build_local(Default::default());
+        runtime.expect("a runtime").block_on(async {
+            let hub = Hub::new(&config, 64).expect("usable settings");
+            let demand = || Demand {
+                class: 0,
+                plan: 0,
+                customer: "00000000b4d65521".into(),
+                units: 1.0,
+                spread: 1,
+                first: 0,
+                remaining: 2.0,
+                repeat: false,
+                forward: Forward {
+                    method: hyper::Method::GET,
+                    uri: hyper::Uri::from_static("/read"),
+                    txn: hyper::header::HeaderValue::from_static("t"),
+                    idempotency_key: None,
+                    content_type: None,
+                    body: Some(Gathered::new(hub.pool())),
+                    upload: RefCell::default(),
+                },
+            };
+            let (_, mut before) = hub.take(demand());
+            hub.fail_all();
+            let (_, mut after) = hub.take(demand());
+            assert!(matches!(before.try_recv(), Ok(Answer::Failed)));
+            assert!(matches!(after.try_recv(), Ok(Answer::Refused(_))));
+            assert_eq!(hub.in_hand(), 0);
+        });
+    }
 }
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -47,10 +47,11 @@
 const SERVE_ON: Duration = Duration::from_millis(500);
 /// A connection accepted last has this long to bring its request.
 const LAST_REQUESTS: Duration = Duration::from_millis(650);
-/// By then everything in hand has its final answer; SIGKILL comes 3.7 s after SIGTERM at the earliest.
-const ANSWER_BY: Duration = Duration::from_millis(3300);
-/// By then the process has ended.
-const END_BY: Duration = Duration::from_millis(3500);
+/// SIGKILL comes so many seconds after the longest deadline, of which this much counts at most.
+const KILL: (f64, f64) = (0.7, 3.0);
+/// Seconds before that at which everything in hand gets its final answer: at least, as a share of the deadline, and at
+/// most. The process ends half way from there.
+const BEFORE_KILL: (f64, f64, f64) = (0.08, 0.11, 0.4);
 /// One that has handed over stays so long after its last client.
 const LAST_CALLS: Duration = Duration::from_millis(100);
 /// Between looks for idle connections that are due, and at a trial.
@@ -208,12 +209,21 @@
         }
     };
     let mut answered = std::pin::pin!(answered);
-    if timeout_at(start + ANSWER_BY, answered.as_mut()).await.is_err() {
+    let (answer_by, end_by) = way_out(hub.options().longest);
+    if timeout_at(start + answer_by, answered.as_mut()).await.is_err() {
         hub.fail_all();
-        let _ = timeout_at(start + END_BY, answered).await;
+        let _ = timeout_at(start + end_by, answered).await;
     }
 }
 
+/// How long after SIGTERM everything in hand has its final answer, and the process has ended, where clients wait for
+/// `longest` seconds at most.
+fn way_out(longest: f64) -> (Duration, Duration) {
+    let longest = longest.clamp(0.0, KILL.1);
+    let (kill, spare) = (longest + KILL.0, (BEFORE_KILL.0 + BEFORE_KILL.1 * longest).min(BEFORE_KILL.2));
+    (Duration::from_secs_f64(kill - spare), Duration::from_secs_f64(kill - spare / 2.0))
+}
+
 /// At each SIGHUP takes the configuration's file as it stands, whole or not at all.
 async fn reload(mut hangup: Signal, configuration: Rc<Configuration>) {
     while hangup.recv().await.is_some() {
@@ -283,3 +293,21 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Whoever holds the clock is the platform, and it tells the longest deadline only.
+    #[test]
+    fn the_way_out_ends_before_the_kill_whatever_the_deadlines_are() {
+        for longest in [0.0, 0.04, 0.3, 1.0, 2.0, 3.0, 12.0] {
+            let kill = Duration::from_secs_f64(f64::min(longest, 3.0) + 0.7);
+            let (answer_by, end_by) = way_out(longest);
+            assert!(answer_by < end_by && end_by + Duration::from_millis(35) <= kill, "{longest}");
+            // What came last before clients stayed away has had nearly all of its time.
+            assert!(answer_by + Duration::from_millis(80) + kill / 11 >= kill, "{longest}");
+        }
+        assert_eq!(way_out(4.0), (Duration::from_millis(3300), Duration::from_millis(3500)));
+    }
+}
--- a/src/options.rs
+++ b/src/options.rs
@@ -17,6 +17,8 @@
     pub plans: Vec<String>,
     /// Names of the zones, by index.
     pub zones: Vec<String>,
+    /// The longest time in seconds that a client of any class waits.
+    pub longest: f64,
     /// A server closes a connection that has stood idle for this many seconds.
     pub conn_idle: f64,
     /// A connection that is not up after this many seconds has failed.
@@ -139,8 +141,9 @@
     }
 }
 
-fn class(keys: &Keys) -> Class {
-    keys.above_zero("Deadline", 1.0);
+/// A class and its deadline.
+fn class(keys: &Keys) -> (Class, f64) {
+    let deadline = keys.above_zero("Deadline", 1.0);
     let mut class = Class::default();
     class.aim = keys.num("Slo", class.aim);
     class.worth = keys.num("Worth", class.worth);
@@ -160,7 +163,7 @@
             Effect::Unsafe
         }
     };
-    class
+    (class, deadline)
 }
 
 fn plan(keys: &Keys) -> Plan {
@@ -190,7 +193,9 @@
         s.gateways = keys.num("PeersTotal", 1.0) as u32;
         s.zone = keys.num("Locality", 0.0) as u32;
         s.step = keys.num("Step", s.step);
-        s.classes = keys.list("Classes").iter().map(class).collect();
+        let deadlines: Vec<f64>;
+        (s.classes, deadlines) = keys.list("Classes").iter().map(class).unzip();
+        let longest = deadlines.into_iter().fold(0.0, f64::max);
         s.plans = keys.list("Plans").iter().map(plan).collect();
         s.must_ask = keys.text("Discovery") == "ask";
         s.has_counter = domain.flag("HasCounter");
@@ -222,6 +227,6 @@
         if !errors.is_empty() {
             return Err(errors);
         }
-        Ok(Self { settings: s, classes, plans, zones, conn_idle, connect_timeout })
+        Ok(Self { settings: s, classes, plans, zones, longest, conn_idle, connect_timeout })
     }
 }
