Ask a discovery that is away often enough to obey what it tells at its return

What the agent has learned counts from its return on, and 0.5 s are left to obey it; the wait between two calls grew to 1.5 s, and a connect could hang for as long. Both together now stay under half a second; after an answer that is no list, and after an error answer, the waits stay as they were.

--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -16,8 +16,13 @@
 const HOLD: Duration = Duration::from_secs(4);
 /// How long past that an answer is waited for: a silent agent is asked again on a new connection.
 const PATIENCE: Duration = Duration::from_millis(1500);
-/// First and longest wait after a failed call, on average: each is drawn anew, as all gateways meet the same fault.
-const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(1));
+/// Longest time for a connection to come up: the agent is on this machine.
+const CONNECT: Duration = Duration::from_millis(250);
+/// First and longest wait after a failed call, on average: each is drawn anew, as all gateways meet the same fault. What
+/// the agent has learned counts from its return on, so with the connection the longest is within the time to obey it.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(50), Duration::from_millis(150));
+/// The longest after an answer that is no list.
+const REFUSED: Duration = Duration::from_secs(1);
 /// The longest after an error answer: discovery is overbooked, and asking as often as ever keeps it so.
 const OVERBOOKED: Duration = Duration::from_secs(3);
 
@@ -85,12 +90,16 @@
                 }
                 link = None;
                 // An error of the service says nothing of the list that is held; a refusal of the call may.
-                let overbooked = matches!(fault, Fault::Status(status) if status.is_server_error());
-                if matches!(fault, Fault::Status(_) | Fault::Unreadable) && !overbooked {
-                    version = None;
-                }
+                let longest = match fault {
+                    Fault::Status(status) if status.is_server_error() => OVERBOOKED,
+                    Fault::Status(_) | Fault::Unreadable => {
+                        version = None;
+                        REFUSED
+                    }
+                    Fault::Connect | Fault::Silent | Fault::Broken => BACKOFF.1,
+                };
                 tokio::time::sleep(wait.mul_f64(0.5 + rng.f64())).await;
-                wait = (wait * 2).min(if overbooked { OVERBOOKED } else { BACKOFF.1 });
+                wait = (wait * 2).min(longest);
             }
         }
     }
@@ -99,7 +108,7 @@
 async fn call(addr: SocketAddr, kept: &mut Option<Link>, version: Option<u64>) -> Result<List, Fault> {
     let mut link = match kept.take().and_then(|mut link| link.ready(Waker::noop()).then_some(link)) {
         Some(link) => link,
-        None => Link::open(addr, PATIENCE).await.map_err(|_| Fault::Connect)?,
+        None => Link::open(addr, CONNECT).await.map_err(|_| Fault::Connect)?,
     };
     let (path, hold) = match version {
         Some(v) => (format!("/discovery/hosts?from={v}&hold_ms={}", HOLD.as_millis()), HOLD),
