--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -419,3 +419,52 @@
         assert!(worker.rest().is_empty(), "{ends:?}: nothing reaches it");
     }
 }
+
+// ---- The counter ----
+
+#[test]
+fn a_request_that_waits_for_an_answer_on_a_line_that_dies_has_its_own_at_once_and_the_next_line_serves() {
+    for goes in [Goes::Fin, Goes::Reset] {
+        let worker = Worker::start(Does::Serves("ok"));
+        let (mut setup, _discovery) = patient(&[&worker]);
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        setup.counter = listener.local_addr().ok();
+        let node = setup.start();
+        let (line, _) = listener.accept().expect("a line");
+        let mut calls = BufReader::new(line.try_clone().expect("a socket"));
+        let mut next = |text: &str| {
+            let mut said = String::new();
+            while !said.starts_with(text) {
+                said.clear();
+                assert!(calls.read_line(&mut said).is_ok_and(|n| n > 0), "{goes:?}: it calls");
+            }
+        };
+        let mut client = node.client();
+        client.send(&Ask::submit("waits").with("X-Plan", "pieni"));
+        next("bump");
+        // Its add is written and will never be answered, and the limit for calls is far off.
+        if goes == Goes::Reset {
+            resets(&line);
+        }
+        drop((line, calls));
+        let status = client.answer().expect("one answer").status();
+        assert!(status == 200 || status == 429, "{goes:?}: by the even share: {status}");
+        let sent = worker.rest().len();
+        assert_eq!(sent, usize::from(status == 200), "{goes:?}: sent once, or not at all");
+        // It comes again and is asked again.
+        let (mut line, _) = listener.accept().expect("the next line");
+        client.send(&Ask::submit("after").with("X-Plan", "pieni").with("X-Customer", "0000000000000007"));
+        let mut calls = BufReader::new(line.try_clone().expect("a socket"));
+        loop {
+            let mut said = String::new();
+            assert!(calls.read_line(&mut said).is_ok_and(|n| n > 0), "{goes:?}: it calls");
+            let amount = said.split(' ').nth(2).and_then(|a| a.parse::<f64>().ok());
+            let answer = amount.map_or("pong\r\n".into(), |total| format!("ok {total}\r\n"));
+            line.write_all(answer.as_bytes()).expect("a socket");
+            if amount.is_some_and(|a| a > 0.0) {
+                break;
+            }
+        }
+        assert_eq!(client.answer().expect("an answer").status(), 200, "{goes:?}");
+    }
+}
