--- a/src/logic.rs
+++ b/src/logic.rs
@@ -554,10 +554,8 @@
             let at = if i < near { self.own[turn(near, i)] } else { turn(count, i - near) };
             let id = self.names[at].clone();
             let host = &self.known.servers[&id];
-            let in_group = anchor.is_none_or(|(group, zone, cell)| match group {
-                Group::All => true,
-                Group::Zone => host.zone == zone,
-                Group::Cell => host.cell == cell && host.zone == zone,
+            let in_group = anchor.is_none_or(|(group, zone, cell)| {
+                group == Group::All || host.zone == zone && (group == Group::Zone || host.cell == cell)
             });
             let left = self.known.zones.all.get(&host.zone).is_some_and(|z| z.left.is_some());
             let closed = trial.map_or(left, |zone| host.zone != zone) || self.now < host.out_until;
@@ -1043,12 +1041,7 @@
     fn end(&mut self, id: &JobId, retry_after: f64, why: Reason) {
         let Some(job) = self.jobs.get(id).filter(|j| !j.over) else { return };
         let clean = job.attempts.iter().all(|a| a.ran == Ran::Never);
-        let harmless = match job.class.effect {
-            Effect::Unsafe => clean,
-            Effect::Keyed { group, .. } => clean || group == Group::All,
-            Effect::Safe => true,
-        };
-        if harmless {
+        if clean || matches!(job.class.effect, Effect::Safe | Effect::Keyed { group: Group::All, .. }) {
             let most = if self.set.retry_after { self.set.max_retry_after } else { 0.0 };
             let retry_after = retry_after.max(0.0).min(most);
             self.out.push(Action::Refuse { job: id.clone(), retry_after, why });
