Do not send a repeat whose connection comes up after the window for repeats

Cause: the window was looked at when an attempt is decided, and not when it is sent; the same holds for a first attempt that still waits while its second copy runs.

The decision now says until when an attempt may be sent, from the first that may have run, itself included; what is not written whole by then is called off as never sent. A body that still comes goes once only and is left alone.

Two tests, both seen to fail without the mend.

--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -12,7 +12,7 @@
     handover::Word,
     pools::Pools,
     recovery::{self, Progress, Recovery},
-    workers::{Caller, Ending, Forward, KEPT_BACK, Trace, Workers, may_have_run},
+    workers::{Caller, Ending, Forward, KEPT_BACK, Terms, Trace, Workers, may_have_run},
 };
 use fnv::{FnvHashMap, FnvHashSet};
 use serde_json::json;
@@ -777,10 +777,10 @@
 
     fn carry_out(self: &Rc<Self>, now: Time, action: Action) {
         match action {
-            Action::Send { job, server, timeout, paid } => {
+            Action::Send { job, server, timeout, until, paid } => {
                 self.say(&job, "sent", Some(&server), paid.text());
                 self.tell_spent(&job);
-                self.send(now, job, server, timeout);
+                self.send(now, job, server, timeout, until);
             }
             Action::Refuse { job, retry_after, why } => {
                 self.say(&job, "refused", None, why.text());
@@ -853,7 +853,7 @@
         }
     }
 
-    fn send(self: &Rc<Self>, now: Time, job: JobId, server: ServerId, timeout: f64) {
+    fn send(self: &Rc<Self>, now: Time, job: JobId, server: ServerId, timeout: f64, until: Time) {
         let mut table = self.open.borrow_mut();
         let known = self.pools.addr(&server).is_some();
         let Some(open) = table.get_mut(&job) else { return };
@@ -880,11 +880,13 @@
             return self.events.borrow_mut().push_back(event);
         }
         let (hub, trace, forward) = (self.clone(), Trace::default(), open.forward.clone());
+        let until = until.is_finite().then(|| self.clock.instant(until));
         let task = tokio::task::spawn_local({
             let (out, trace, server) = (Out { hub, job: job.clone(), number }, trace.clone(), server.clone());
             async move {
+                let terms = Terms { wait, until };
                 let ending =
-                    out.hub.workers.attempt(&server, &forward, wait, &trace, &out.hub.pool, &out).await;
+                    out.hub.workers.attempt(&server, &forward, terms, &trace, &out.hub.pool, &out).await;
                 out.hub.ended(&out.job, number, ending);
             }
         });
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -55,6 +55,14 @@
     ) -> Option<(mpsc::Sender<Piece>, Rc<Passing>)>;
 }
 
+/// What an attempt may take.
+pub struct Terms {
+    /// Seconds that the gateway will wait, which the worker is told.
+    pub wait: f64,
+    /// When it is too late to send it: what is not written whole by then never is.
+    pub until: Option<Instant>,
+}
+
 /// How an attempt or probe ended.
 pub struct Ending {
     pub status: Status,
@@ -123,12 +131,12 @@
         }
     }
 
-    /// Sends `what` to `worker` once; `wait` tells it how long the gateway will wait.
+    /// Sends `what` to `worker` once, within `terms`.
     pub async fn attempt(
         &self,
         worker: &ServerId,
         what: &Forward,
-        wait: f64,
+        Terms { wait, until }: Terms,
         trace: &Trace,
         pool: &Pool,
         caller: &impl Caller,
@@ -160,6 +168,10 @@
             Some(request)
         };
         let sent = tokio::select! {
+            biased;
+            // First, so that nothing is written after it; dropping the rest closes what it has begun. A body that still
+            // comes goes once only, and repeats nothing.
+            () = too_late(until, trace), if what.body.is_some() => Err(Status::Moot),
             sent = self.send(worker, trace, build) => sent,
             // The time of a body that still comes is its client's, so a worker that reads no more has its own.
             () = stuck(trace), if what.body.is_none() => Err(Status::ConnectFailed),
@@ -270,6 +282,16 @@
     }
 }
 
+/// Waits until `until`, and for good where the request is written whole by then.
+async fn too_late(until: Option<Instant>, trace: &Trace) {
+    if let Some(until) = until {
+        tokio::time::sleep_until(until.into()).await;
+    }
+    if until.is_none() || may_have_run(trace) {
+        std::future::pending().await
+    }
+}
+
 /// Waits until a connection has taken nothing for a while of a request that is not yet written whole.
 async fn stuck(trace: &Trace) {
     let written = || trace.borrow().as_ref().map(|p| p.written());
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -417,6 +417,8 @@
         server: ServerId,
         /// Seconds until it is given up.
         timeout: f64,
+        /// When it is too late for its last byte to go out: what is not sent whole by then may not be sent any more.
+        until: Time,
         /// What its units are paid with.
         paid: Reason,
     },
--- a/src/logic.rs
+++ b/src/logic.rs
@@ -584,13 +584,20 @@
         match job.class.effect {
             Effect::Safe => Some(None),
             Effect::Unsafe => None,
-            Effect::Keyed { group, window } => {
+            Effect::Keyed { group, .. } => {
                 let host = self.known.servers.get(&first.server)?;
-                (self.now - first.sent < window).then_some(Some((group, host.zone, host.cell)))
+                (self.now < self.repeats_until(job)).then_some(Some((group, host.zone, host.cell)))
             }
         }
     }
 
+    /// Until when an attempt, however long it waits to be sent, is known for the repeat that it may be.
+    fn repeats_until(&self, job: &Job) -> Time {
+        let Effect::Keyed { window, .. } = job.class.effect else { return f64::INFINITY };
+        let first = job.attempts.iter().find(|a| a.ran != Ran::Never);
+        first.map_or(self.now, |a| a.sent) + window
+    }
+
     // ---- Admission ----
 
     fn request(&mut self, request: Request) {
@@ -991,7 +998,8 @@
             }
             let units = job.request.units / fleet.max(1.0);
             note_demand(&mut self.known.warm_units, self.now, units, RATE_MEMORY);
-            self.out.push(Action::Send { job: id.clone(), server: server.clone(), timeout, paid: job.paid });
+            let (to, paid, until) = (server.clone(), job.paid, self.repeats_until(&job));
+            self.out.push(Action::Send { job: id.clone(), server: to, timeout, until, paid });
             job.attempts.push(Attempt { server: server.clone(), sent: self.now, ran: Ran::Out });
             let delay = (HEDGE_AIM * class.aim).max(3.0 * self.known.latency);
             if job.second_copies && delay < timeout {
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -42,6 +42,11 @@
 
     /// Takes whoever comes and answers what is asked; tells the requests' ids in their order.
     fn open(self) -> Receiver<String> {
+        self.open_and_say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+    }
+
+    /// The same, with this as the answer to each.
+    fn open_and_say(self, answer: &'static str) -> Receiver<String> {
         let (tell, told) = channel();
         thread::spawn(move || {
             for socket in self.listener.incoming().map_while(Result::ok) {
@@ -50,7 +55,7 @@
                     let mut reader = BufReader::new(socket.try_clone().expect("a socket"));
                     while let Some(message) = read_message(&mut reader) {
                         let _ = tell.send(message.header("x-txn").to_owned());
-                        let _ = (&socket).write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                        let _ = (&socket).write_all(answer.as_bytes());
                     }
                 });
             }
@@ -313,6 +318,67 @@
     }
 }
 
+// ---- Repeats ----
+
+/// How long workers know a keyed request again. What is to come before its end has all of it.
+const WINDOW: Duration = Duration::from_secs(3);
+
+/// A node as [`patient`] makes it, with a keyed class that is repeated within [`WINDOW`].
+fn repeats(workers: &[&Worker]) -> (Setup, Discovery) {
+    let (mut setup, discovery) = patient(workers);
+    let class = json!({"Name": "note", "Effect": "deduplicated", "Group": "all", "Window": WINDOW.as_secs_f64(),
+        "Slo": 0.5, "LateWorth": 0.5, "Deadline": 30.0});
+    setup.settings["Classes"].as_array_mut().expect("a list").push(class);
+    (setup, discovery)
+}
+
+fn note(txn: &str) -> Ask {
+    let ask = Ask::submit(txn).with("X-Lane", "note").with("Idempotency-Key", "5c0f6e1a2b3d4c59");
+    Ask { line: "POST /note HTTP/1.1".into(), ..ask }
+}
+
+#[test]
+fn a_further_attempt_whose_connection_comes_up_after_the_window_for_repeats_is_not_sent() {
+    let (gate, shut) = (Arc::new(Gate::default()), Shut::new());
+    let worker = Worker::start(Does::WaitsAndResets(gate.clone()));
+    let (setup, discovery) = repeats(&[&worker]);
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&note("n"));
+    worker.request();
+    discovery.told(discovery.change(entry("w1", shut.addr, "SERVING")));
+    // It may have run, and goes elsewhere in time; the connection there does not come up.
+    gate.open();
+    node.pool("w1", |p| p["waiting"] == 1);
+    // However long this takes, the window is over then.
+    thread::sleep(WINDOW);
+    let told = shut.open();
+    assert_eq!(client.answer().expect("an answer").status(), 429, "a client's repeat does no harm");
+    node.pool("w1", |p| p["connecting"] == 0 && p["in_use"] == 0);
+    assert!(told.try_recv().is_err(), "nothing reaches it");
+}
+
+#[test]
+fn a_first_attempt_whose_connection_comes_up_after_the_window_of_its_second_copy_is_not_sent() {
+    let (one, other) = (Shut::new(), Shut::new());
+    let (mut setup, discovery) = repeats(&[]);
+    for (id, shut) in [("w0", &one), ("w1", &other)] {
+        discovery.change(entry(id, shut.addr, "SERVING"));
+        setup.known.push(entry(id, shut.addr, "SERVING"));
+    }
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&note("n"));
+    node.pool("w0", |p| p["waiting"] == 1);
+    node.pool("w1", |p| p["waiting"] == 1);
+    let told = one.open_and_say("");
+    assert_eq!(told.recv_timeout(LIMIT).as_deref(), Ok("n"));
+    thread::sleep(WINDOW);
+    let told = other.open();
+    node.pool("w1", |p| p["connecting"] == 0 && p["in_use"] == 0);
+    assert!(told.try_recv().is_err(), "nothing reaches it");
+}
+
 // ---- The way out ----
 
 #[test]
