Do not send a request under rules that changed while its body came

Seen on reading: a request's method and key are held against its class's effect once its head is read, and after its body only the class's place is looked up anew. A reload between the two that makes an unsafe class one that may be repeated let a request through, without a key, that could then be sent again. Now what does not fit the present rules is refused with 503, as nothing was sent. The test forces the crossing by the word to go on (100), which comes once the head has been read; it was seen to fail without the mend.

--- a/src/bin/yardspur/clients.rs
+++ b/src/bin/yardspur/clients.rs
@@ -28,7 +28,7 @@
     sync::{Notify, watch},
 };
 use tracing::warn;
-use weirusher::{Effect, JobId};
+use weirusher::{Effect, JobId, Options};
 
 /// Longest head, in bytes.
 const MAX_HEAD: usize = 16 * 1024;
@@ -487,14 +487,15 @@
         let txn = HeaderValue::from_str(txn).map_err(|_| bad)?;
         let key = head.headers.get("idempotency-key").cloned();
         // The class decides the method, and whether there is a key: what differs is no client's request.
-        let proper = match options.settings.classes.get(class).map(|c| c.effect) {
-            Some(Effect::Safe) => head.method == Method::GET,
-            Some(Effect::Keyed { .. }) => {
-                head.method == Method::POST && text(&head.headers, "idempotency-key").is_some()
-            }
-            _ => head.method == Method::POST && key.is_none(),
-        };
-        if !proper {
+        let keyed = text(&head.headers, "idempotency-key").is_some();
+        let (method, plain) = (head.method.clone(), key.is_none());
+        let proper =
+            |options: &Options, class: usize| match options.settings.classes.get(class).map(|c| c.effect) {
+                Some(Effect::Safe) => method == Method::GET,
+                Some(Effect::Keyed { .. }) => method == Method::POST && keyed,
+                _ => method == Method::POST && plain,
+            };
+        if !proper(&options, class) {
             return Err(bad);
         }
         if number >= CUSTOMERS || quota.first >= gateways || !(1..=gateways).contains(&quota.spread) {
@@ -518,9 +519,13 @@
             return Err(bad);
         }
         peer.used.set(true);
-        // The settings may have changed while the body came: its class may stand elsewhere, or be gone.
-        let class =
-            self.hub.options().classes.iter().position(|c| *c == options.classes[class]).ok_or(bad)?;
+        // The settings may have changed while the body came: its class may stand elsewhere, or be gone. Under another
+        // effect it would be handled by rules that its client does not know of; as nothing was sent, it may come again.
+        let now = self.hub.options();
+        let class = now.classes.iter().position(|c| *c == options.classes[class]).ok_or(bad)?;
+        if !proper(&now, class) {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        }
         Ok(Demand {
             class,
             plan,
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -486,6 +486,32 @@
     }
 }
 
+// ---- Settings ----
+
+#[test]
+fn a_request_whose_class_changes_its_effect_while_its_body_comes_is_not_sent_under_the_other_rules() {
+    let worker = Worker::start(Does::Serves("ok"));
+    let (mut setup, _discovery) = Setup::new(&[&worker]);
+    let node = setup.start();
+    let mut client = node.client();
+    let bytes = Ask::submit("crosses").with("Expect", "100-continue").bytes();
+    let (head, body) = bytes.split_at(bytes.len() - b"answer".len());
+    client.reader.get_mut().write_all(head).expect("a socket");
+    // Its head has been read by the old rules, and its body is waited for.
+    assert_eq!(client.answer().expect("the word to go on").status(), 100);
+    // What was never to be repeated may be from now on.
+    setup.settings["Classes"][1]["Effect"] = json!("idempotent");
+    node.reload(&setup.config().to_string());
+    node.says("configuration read again");
+    client.reader.get_mut().write_all(body).expect("a socket");
+    assert_eq!(client.answer().expect("an answer").status(), 503, "it may come again, under the new rules");
+    assert!(worker.rest().is_empty(), "nothing reaches it");
+    // As it would now: the connection goes on.
+    let mut again = Ask::submit("again");
+    (again.line, again.body) = ("GET /submit HTTP/1.1".into(), Vec::new());
+    assert_eq!(client.ask(&again).status(), 200);
+}
+
 // ---- The counter ----
 
 #[test]
