Refuse a connection to a worker that was turned away since the decision to send

Seen on reading, beside the drained waiters: the pool fails who waits when a worker drains or goes out by hand, but who asks after that (a task that had not run yet, or one whose kept connection was dead) began a connect as if nothing had been told, and could carry its request there up to a connect later. The pool now says no by what holds when it is asked, also for what is out by hand. A worker that only the process before told of counts as wanted, since it is used. The unit test was seen to fail without the check.

--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -543,8 +543,8 @@
     /// Takes a worker out by hand, or puts it back; `false`: no list has ever named it.
     pub fn set_aside(&self, id: &str, out: bool) -> bool {
         let known = self.gateway.borrow_mut().set_aside(self.clock.now(), id, out);
-        if known && out {
-            self.pools.turn_away(id);
+        if known {
+            self.pools.set_aside(id, out);
         }
         self.recovery.borrow().iter().filter(|_| known).for_each(|r| r.hand(id, out));
         let what = if out { "offline" } else { "online" };
--- a/src/bin/yardspur/pools/mod.rs
+++ b/src/bin/yardspur/pools/mod.rs
@@ -363,9 +363,9 @@
         self.change(|book, _, orders| book.keep_none(none, orders));
     }
 
-    /// Nothing new may go to a worker, whatever the lists say.
-    pub fn turn_away(self: &Rc<Self>, worker: &str) {
-        self.change(|book, _, orders| book.turn_away(worker, orders));
+    /// Takes a worker out by hand, whatever the lists say, or puts it back.
+    pub fn set_aside(self: &Rc<Self>, worker: &str, out: bool) {
+        self.change(|book, _, orders| book.set_aside(worker, out, orders));
     }
 
     pub fn sweep(self: &Rc<Self>) {
--- a/src/bin/yardspur/pools/state.rs
+++ b/src/bin/yardspur/pools/state.rs
@@ -135,6 +135,8 @@
     wanted: bool,
     /// No list names it any more.
     gone: bool,
+    /// It is out by hand, whatever the lists say.
+    aside: bool,
     /// Connections from before belong to an earlier life or another address.
     born: Time,
     /// The one used last stands last.
@@ -162,6 +164,7 @@
             addr,
             wanted: true,
             gone: false,
+            aside: false,
             born: f64::NEG_INFINITY,
             idle: Vec::new(),
             in_use: 0,
@@ -316,13 +319,21 @@
 
     /// Nothing new may go to a worker: what is idle closes, and who waits goes elsewhere, as a connection that comes up
     /// late would carry it there long after this.
-    pub fn turn_away(&mut self, worker: &str, orders: &mut Vec<Order>) {
+    fn turn_away(&mut self, worker: &str, orders: &mut Vec<Order>) {
         self.close_idle(worker, orders);
         if let Some(pool) = self.pools.get_mut(worker) {
             orders.extend(pool.waiters.drain(..).map(|w| Order::Fail(w, NoLink::Unknown)));
         }
     }
 
+    /// Takes a worker out by hand, or puts it back.
+    pub fn set_aside(&mut self, worker: &str, out: bool, orders: &mut Vec<Order>) {
+        self.pools.get_mut(worker).into_iter().for_each(|pool| pool.aside = out);
+        if out {
+            self.turn_away(worker, orders);
+        }
+    }
+
     /// A whole list has come: those that it does not name are gone.
     pub fn only(&mut self, named: impl Fn(&str) -> bool, orders: &mut Vec<Order>) {
         let unnamed: Vec<ServerId> = self.pools.keys().filter(|id| !named(id)).cloned().collect();
@@ -336,7 +347,7 @@
 
     /// Where a worker is that no list has named yet.
     pub fn told(&mut self, now: Time, worker: &ServerId, addr: SocketAddr) {
-        self.pools.entry(worker.clone()).or_insert_with(|| Pool { wanted: false, ..Pool::new(addr, now) });
+        self.pools.entry(worker.clone()).or_insert_with(|| Pool::new(addr, now));
     }
 
     pub fn retune(&mut self, now: Time, limits: Limits, orders: &mut Vec<Order>) {
@@ -432,6 +443,10 @@
     pub fn ask(&mut self, now: Time, worker: &ServerId, orders: &mut Vec<Order>) -> Asked {
         let (keep, memory) = (self.limits.keep, self.memory());
         let Some(pool) = self.pools.get_mut(worker) else { return Asked::No(NoLink::Unknown) };
+        if !pool.wanted || pool.aside {
+            // It was told between the decision and this.
+            return Asked::No(NoLink::Unknown);
+        }
         if pool.suspect.is_none() {
             // The one used last first: the rest stay idle and go.
             while let Some(idle) = pool.idle.pop() {
@@ -866,6 +881,29 @@
         (!from.is_empty()).then(|| from.keys().nth(rng.usize(..from.len())).copied()).flatten()
     }
 
+    /// Between the decision to send and the task that asks there is no event that a test of the whole program could
+    /// put the news at.
+    #[test]
+    fn who_asks_after_a_worker_was_turned_away_has_no_connection_and_begins_none() {
+        let id: ServerId = "a".into();
+        for by_hand in [false, true] {
+            let mut world = World::new(8, 1);
+            world.list(&id, 1, 0.0, true);
+            if by_hand {
+                world.book.set_aside(&id, true, &mut world.orders);
+            } else {
+                world.list(&id, 1, 0.0, false);
+            }
+            assert_eq!(world.ask(&id), Asked::No(NoLink::Unknown));
+            assert_eq!(world.book.open(), 0);
+            // Lists do not put back what is out by hand.
+            world.list(&id, 1, 0.0, true);
+            assert_eq!(matches!(world.ask(&id), Asked::No(_)), by_hand);
+            world.book.set_aside(&id, false, &mut world.orders);
+            assert!(matches!(world.ask(&id), Asked::Wait(_)));
+        }
+    }
+
     #[test]
     fn whatever_happens_each_connection_is_counted_and_has_one_holder_and_nobody_waits_for_nothing() {
         for seed in 0..150 {
