--- a/src/logic.rs
+++ b/src/logic.rs
@@ -735,11 +735,7 @@
     fn fall_back(&mut self, id: JobId, plan: &Plan, why: Reason) {
         let Request { units, view, .. } = self.jobs[&id].request;
         let why = if view.is_some() { Reason::View } else { why };
-        if self.share_covers(&id, plan) {
-            self.spend(id, units, why);
-        } else {
-            self.beyond(id, plan, why);
-        }
+        if self.share_covers(&id, plan) { self.spend(id, units, why) } else { self.beyond(id, plan, why) }
     }
 
     fn spend(&mut self, id: JobId, units: f64, paid: Reason) {
