Decide at once where a request's time ends before the counter's answer can come

A class with a deadline of 40 ms and a counter with 50 ms to answer had every request refused, within its quota and with a lease in hand, as its time was under what a hold may take. Now only what leaves no time for any answer is refused at once; nearer than the hold's end the even share decides at once while the count is asked all the same, so that the next finds its lease. The test that had the old name asserts the same under a name that says what it shows; the new one was seen to fail without the change.

--- a/src/logic.rs
+++ b/src/logic.rs
@@ -607,7 +607,7 @@
         }
         let (plans, classes) = (self.set.plans.len(), self.set.classes.len());
         let known = request.class < classes && request.plan < plans && request.units.is_finite();
-        let time = request.expires > self.now + HOLD_SHARE * self.set.count_limit + 4.0 * self.set.step;
+        let time = request.expires > self.now + 4.0 * self.set.step;
         let full = self.jobs.len() >= self.set.max_open as usize || request.units < 0.0;
         let job = Job {
             request: request.clone(),
@@ -652,6 +652,8 @@
         let saved = CALLS_SAVED.0.max(CALLS_SAVED.1 * self.known.call_rate);
         let bucket = self.known.tokens.refill(self.now, self.known.call_rate, saved);
         let usable = bucket >= price && self.set.has_counter;
+        let hold = self.now + HOLD_SHARE * self.set.count_limit + 4.0 * self.set.step;
+        let waits = self.jobs[&id].request.expires > hold; // Else it is over before an answer comes.
         let customer = self.known.customers.get_mut(&key).expect("admitted customers are known");
         if customer.window != window(plan, &key, self.now).0 {
             customer.lease = 0.0; // It lapses with its window.
@@ -659,7 +661,7 @@
         if customer.lease >= units {
             return self.spend(id, units, Reason::Lease);
         }
-        if customer.asking.is_some() && !customer.late {
+        if customer.asking.is_some() && !customer.late && waits {
             customer.held.push_back(id);
             return;
         }
@@ -672,9 +674,9 @@
             let unseen = customer.level.is_none() && plan.burst >= f64::from(customer.spread) * units;
             customer.held.push_back(id.clone());
             self.ask(&key, plan);
-            if unseen && self.share_covers(&id, plan) {
+            if !waits || unseen && self.share_covers(&id, plan) {
                 self.known.customers.get_mut(&key).expect("still known").held.pop_back();
-                self.spend(id, units, Reason::Unseen);
+                self.fall_back(id, plan, Reason::Unseen);
             }
             return;
         }
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -42,13 +42,35 @@
 }
 
 #[test]
-fn a_deadline_nearer_than_the_holds_is_refused_at_once() {
+fn a_deadline_too_near_for_any_answer_is_refused_at_once() {
     let mut rig = Rig::new(settings());
     let mut near = request("j", rig.now);
     near.expires = rig.now + 0.003;
     assert_eq!(refused(&rig.event(Event::Request(near))), 1);
 }
 
+#[test]
+fn a_deadline_nearer_than_the_holds_end_is_decided_at_once_and_the_count_is_asked_all_the_same() {
+    let mut s = settings();
+    s.count_limit = 0.05;
+    let mut rig = Rig::new(s);
+    let ask = |rig: &mut Rig, job: &str| {
+        let mut near = request(job, rig.now);
+        near.expires = rig.now + 0.04;
+        rig.event(Event::Request(near))
+    };
+    let first = ask(&mut rig, "j");
+    assert_eq!((sends(&first).len(), refused(&first)), (1, 0), "the even share has it");
+    let [(counter, amount)] = counts(&first)[..] else { panic!("one call") };
+    assert!(amount >= 1.0, "what it takes is asked for");
+    // While the call is out, too: nothing is held.
+    let second = ask(&mut rig, "k");
+    assert_eq!(sends(&second).len() + refused(&second), 1);
+    rig.counted(counter, Status::Ok, amount);
+    let third = ask(&mut rig, "l");
+    assert_eq!(sends(&third).len(), 1, "what was granted is there");
+}
+
 #[test]
 fn an_unsafe_request_that_may_have_run_is_neither_repeated_nor_refused() {
     let mut rig = Rig::new(plain(Effect::Unsafe));
