Force the crossings of a request's time, of answers not taken at the end, and of the window

A process that is stopped (SIGSTOP) while a time runs out and something comes meets both at once: a counter's answer, a connection, two answers of one request, a connection after the window for repeats. An answer that its client has not taken when the process is told to end goes out whole, and a client that takes nothing does not keep the process.

--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -40,6 +40,12 @@
         Self { listener, _line: line, addr }
     }
 
+    /// Takes whoever has come, all of its line and one more, and says nothing.
+    fn admit(&self) -> Vec<TcpStream> {
+        let most = self._line.len() + 1;
+        (0..most).map(|_| self.listener.accept().expect("somebody comes").0).collect()
+    }
+
     /// Takes whoever comes and answers what is asked; tells the requests' ids in their order.
     fn open(self) -> Receiver<String> {
         self.open_and_say("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
@@ -64,6 +70,14 @@
     }
 }
 
+/// No byte was written on any of these.
+fn nothing_came(line: Vec<TcpStream>) {
+    for mut socket in line {
+        socket.set_nonblocking(true).expect("a socket");
+        assert!(!socket.read(&mut [0; 64]).is_ok_and(|n| n > 0), "something was written");
+    }
+}
+
 /// A counter that answers what has come once the gate is open, and tells of each call for units.
 fn counter(gate: Arc<Gate>) -> (SocketAddr, Receiver<String>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
@@ -318,6 +332,84 @@
     }
 }
 
+// ---- Times that end as something comes ----
+
+/// How long these clients wait. The process stands still meanwhile, so that it meets both at once.
+const TIME: Duration = Duration::from_millis(1500);
+
+/// One whose client's time ends, whatever it waits for, while the process stands still.
+fn short(ask: Ask) -> Ask {
+    ask.with("X-Remaining", &format!("{:.1}", TIME.as_secs_f64()))
+}
+
+#[test]
+fn a_counters_answer_that_comes_as_the_requests_time_ends_sends_nothing_and_its_unit_is_there_for_the_next() {
+    let (worker, gate) = (Worker::start(Does::Serves("ok")), Arc::new(Gate::default()));
+    let (mut setup, _discovery) = patient(&[&worker]);
+    setup.settings["Domain"]["CountLimit"] = json!(1.2);
+    let (addr, calls) = counter(gate.clone());
+    setup.counter = Some(addr);
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&short(Ask::submit("late").with("X-Plan", "pieni")));
+    calls.recv_timeout(LIMIT).expect("it asks for a block");
+    node.pause();
+    gate.open();
+    thread::sleep(TIME);
+    node.resume();
+    let status = client.answer().expect("one answer").status();
+    assert!(status == 429 || status == 502, "{status}");
+    assert_eq!(client.ask(&Ask::submit("next").with("X-Plan", "pieni")).status(), 200);
+    assert_eq!(worker.request().1.header("x-txn"), "next");
+}
+
+#[test]
+fn a_connection_that_comes_up_as_the_requests_time_ends_carries_nothing() {
+    let shut = Shut::new();
+    let (mut setup, discovery) = patient(&[]);
+    discovery.change(entry("w0", shut.addr, "SERVING"));
+    setup.known.push(entry("w0", shut.addr, "SERVING"));
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&short(Ask::submit("late")));
+    node.pool("w0", |p| p["waiting"] == 1);
+    node.pause();
+    let line = shut.admit();
+    thread::sleep(TIME);
+    node.resume();
+    assert_eq!(client.answer().expect("one answer").status(), 429, "it was not sent");
+    node.pool("w0", |p| p["connecting"] == 0 && p["in_use"] == 0);
+    nothing_came(line);
+}
+
+#[test]
+fn of_two_answers_that_come_as_the_requests_time_ends_its_client_gets_one_end() {
+    let gate = Arc::new(Gate::default());
+    let workers = [(); 2].map(|()| Worker::start(Does::Waits(gate.clone())));
+    let (mut setup, _discovery) = patient(&[&workers[0], &workers[1]]);
+    // A second copy goes out after 0.2 s.
+    (setup.settings["Classes"][0]["Slo"], setup.settings["Classes"][0]["LateWorth"]) =
+        (json!(0.5), json!(0.5));
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&short(Ask::new("late")));
+    workers.iter().for_each(|w| assert_eq!(w.request().1.header("x-txn"), "late"));
+    node.pause();
+    gate.open();
+    thread::sleep(TIME);
+    node.resume();
+    let answer = client.answer().expect("one answer");
+    assert!(answer.status() != 200 || answer.body == b"waited", "a whole one");
+    // Nothing is left of the other: not for its client, and not on its connection.
+    workers.iter().for_each(|w| w.now(Does::Serves("next")));
+    for i in 0..2 {
+        node.pool(&format!("w{i}"), |p| p["in_use"] == 0);
+    }
+    for i in 0..4 {
+        assert_eq!(client.ask(&Ask::new(&format!("n{i}"))).body, b"next");
+    }
+}
+
 // ---- Repeats ----
 
 /// How long workers know a keyed request again. What is to come before its end has all of it.
@@ -339,23 +431,30 @@
 
 #[test]
 fn a_further_attempt_whose_connection_comes_up_after_the_window_for_repeats_is_not_sent() {
-    let (gate, shut) = (Arc::new(Gate::default()), Shut::new());
-    let worker = Worker::start(Does::WaitsAndResets(gate.clone()));
-    let (setup, discovery) = repeats(&[&worker]);
-    let node = setup.start();
-    let mut client = node.client();
-    client.send(&note("n"));
-    worker.request();
-    discovery.told(discovery.change(entry("w1", shut.addr, "SERVING")));
-    // It may have run, and goes elsewhere in time; the connection there does not come up.
-    gate.open();
-    node.pool("w1", |p| p["waiting"] == 1);
-    // However long this takes, the window is over then.
-    thread::sleep(WINDOW);
-    let told = shut.open();
-    assert_eq!(client.answer().expect("an answer").status(), 429, "a client's repeat does no harm");
-    node.pool("w1", |p| p["connecting"] == 0 && p["in_use"] == 0);
-    assert!(told.try_recv().is_err(), "nothing reaches it");
+    // Met one after the other, and both at once.
+    for at_once in [false, true] {
+        let (gate, shut) = (Arc::new(Gate::default()), Shut::new());
+        let worker = Worker::start(Does::WaitsAndResets(gate.clone()));
+        let (setup, discovery) = repeats(&[&worker]);
+        let node = setup.start();
+        let mut client = node.client();
+        client.send(&note("n"));
+        worker.request();
+        discovery.told(discovery.change(entry("w1", shut.addr, "SERVING")));
+        // It may have run, and goes elsewhere in time; the connection there does not come up.
+        gate.open();
+        node.pool("w1", |p| p["waiting"] == 1);
+        if at_once {
+            node.pause();
+        }
+        // However long this takes, the window is over then.
+        thread::sleep(WINDOW);
+        let line = shut.admit();
+        node.resume();
+        assert_eq!(client.answer().expect("an answer").status(), 429, "a client's repeat does no harm");
+        node.pool("w1", |p| p["connecting"] == 0 && p["in_use"] == 0);
+        nothing_came(line);
+    }
 }
 
 #[test]
@@ -402,6 +501,41 @@
     assert!(node.exit().success());
 }
 
+/// A worker whose answer is this long, and a node before it.
+fn gives(length: usize) -> (Node, Discovery) {
+    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n");
+    let answer: &'static str = Box::leak((head + &"x".repeat(length)).into_boxed_str());
+    let worker = Worker::start(Does::Says(answer));
+    let (setup, discovery) = Setup::new(&[&worker]);
+    (setup.start(), discovery)
+}
+
+#[test]
+fn an_answer_that_its_client_has_not_taken_yet_is_not_cut_off_by_the_end() {
+    let length = 12 << 20;
+    let (mut node, _discovery) = gives(length);
+    let (mut slow, mut idle) = (node.client(), node.client());
+    assert!(!idle.ask(&Ask::new("before")).body.is_empty());
+    slow.send(&Ask::new("slow"));
+    // It has begun to come, and more is left than the sockets hold.
+    assert!(!slow.reader.fill_buf().expect("an answer").is_empty());
+    node.terminate();
+    assert_eq!(idle.reader.read(&mut [0]).expect("an end in good order"), 0);
+    let answer = slow.answer().expect("the whole of it");
+    assert_eq!((answer.status(), answer.body.len()), (200, length));
+    assert!(node.exit().success());
+}
+
+#[test]
+fn a_client_that_takes_nothing_of_its_answer_does_not_keep_the_process_from_its_end() {
+    let (mut node, _discovery) = gives(12 << 20);
+    let mut client = node.client();
+    client.send(&Ask::new("deaf"));
+    assert!(!client.reader.fill_buf().expect("an answer").is_empty());
+    node.terminate();
+    assert!(node.exit().success(), "before it is killed, which nobody does here");
+}
+
 // ---- Discovery ----
 
 /// How a watch ends whose agent has something to tell.
--- a/tests/fakes/mod.rs
+++ b/tests/fakes/mod.rs
@@ -650,6 +650,21 @@
         assert!(sent.success());
     }
 
+    /// Stops it as it stands. What happens until [`Node::resume`] it meets all at once.
+    pub fn pause(&self) {
+        self.signal("-STOP");
+        let start = Instant::now();
+        let stat = || std::fs::read_to_string(format!("/proc/{}/stat", self.child.id())).expect("a process");
+        while !stat().rsplit(") ").next().is_some_and(|rest| rest.starts_with('T')) {
+            assert!(start.elapsed() < LIMIT, "it does not stop");
+            thread::yield_now();
+        }
+    }
+
+    pub fn resume(&self) {
+        self.signal("-CONT");
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
