--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -25,6 +25,10 @@
 const TOLD: usize = 20;
 /// What a unit sent on beyond its quota costs, of its worth.
 const OVERRUN: f64 = 0.8;
+/// What waited when its client left may be sent on for so long after.
+const GONE_S: f64 = 0.3;
+/// Share of those that may be sent on later, where there are so many of them at least.
+const GONE_MOST: (f64, usize) = (0.25, 5);
 /// A gateway that came back may owe its clients nothing for so long: their connections were reset.
 const EXCUSED_S: f64 = 0.3;
 
@@ -57,6 +61,8 @@
     Ceiling,
     /// No gateway ends by itself.
     Crash,
+    /// What waited for its first attempt when its client left is not sent on.
+    Gone,
 }
 
 impl fmt::Display for Rule {
@@ -151,6 +157,9 @@
     pub latency_ms: [f64; 3],
     /// Share of the workers' work that nobody got an answer from.
     pub wasted: f64,
+    /// Requests that waited for their first attempt when their client left, and those of them that were sent on later
+    /// than they may be.
+    pub gone: [u64; 2],
     pub probes_a_request: f64,
     pub calls_a_try: f64,
     /// Share of the tries refused at each gateway: least and most.
@@ -234,6 +243,7 @@
     judge.gather();
     judge.answers();
     judge.repeats();
+    judge.gone();
     judge.workers();
     judge.quotas();
     judge.worth();
@@ -451,6 +461,35 @@
         self.tell(found);
     }
 
+    /// Sends for clients that have left.
+    fn gone(&mut self) {
+        let excuses = self.excuses();
+        let machine = self.recording.meter.late_ms[2] / 1e3;
+        let (mut waited, mut sent) = (0, Vec::new());
+        for (txn, tried) in &self.tries {
+            let Some((left, Outcome::Left)) = tried.answer else { continue };
+            let first = tried.sent.first().map_or(f64::INFINITY, |s| s.at);
+            // A gateway that the lab has cut off from its clients, stopped or killed can't know.
+            let excused = excuses
+                .get(&tried.gate)
+                .is_some_and(|e| e.iter().any(|(from, to)| *from <= left && left <= *to));
+            if first <= left || excused {
+                continue;
+            }
+            waited += 1;
+            if first.is_finite() && first > left + GONE_S + machine {
+                sent.push((first, *txn));
+            }
+        }
+        self.verdict.gone = [waited as u64, sent.len() as u64];
+        let (share, least) = GONE_MOST;
+        if waited >= least && sent.len() as f64 > share * waited as f64 {
+            let found =
+                |(at, txn)| (Rule::Gone, at, format!("{txn:016x} was sent on after its client had left"));
+            self.tell(sent.into_iter().map(found).collect());
+        }
+    }
+
     /// Sends and refusals after one that may have run.
     fn repeats(&mut self) {
         let mut found = Vec::new();
--- a/lab/src/judge/tests.rs
+++ b/lab/src/judge/tests.rs
@@ -100,6 +100,33 @@
     assert!(!Tape::new().judged().passed());
 }
 
+#[test]
+fn what_is_sent_on_for_clients_that_have_left_is_counted_and_over_a_quarter_breaks_a_rule() {
+    // Eight leave 0.1 s after they came, some of them with an attempt out; so many are sent on `later` than that.
+    let play = |out: u64, sent: u64, later: f64, state: Option<GateState>| {
+        let mut tape = Tape::new();
+        for i in 0..8 {
+            tape.tries(1.0, i, READ, 0, i as usize);
+            if i < out {
+                tape.sends(1.05, i, 0);
+            }
+            tape.answers(1.1, i, Outcome::Left);
+            if (out..out + sent).contains(&i) {
+                tape.sends(1.1 + later, i, 0);
+            }
+        }
+        state.into_iter().for_each(|state| tape.note(1.0, Event::Gate { gate: 0, state }));
+        let verdict = tape.judged();
+        (verdict.gone, verdict.broken_by.contains_key(&Rule::Gone))
+    };
+    assert_eq!(play(0, 3, 0.4, None), ([8, 3], true));
+    assert_eq!(play(0, 3, 0.2, None), ([8, 0], false), "it may be that late");
+    assert_eq!(play(0, 2, 0.4, None), ([8, 2], false), "no more than a quarter");
+    assert_eq!(play(2, 3, 0.4, None), ([6, 3], true), "what was with a worker did not wait");
+    assert_eq!(play(4, 4, 0.4, None), ([4, 4], false), "too few to tell");
+    assert_eq!(play(0, 3, 0.4, Some(GateState::Paused)), ([0, 0], false), "one that stands still can't know");
+}
+
 #[test]
 fn a_request_that_gets_no_answer_is_found_unless_the_lab_took_its_gateway() {
     for outcome in [Outcome::Never, Outcome::Broken] {
--- a/lab/src/scenario.rs
+++ b/lab/src/scenario.rs
@@ -333,6 +333,9 @@
     Roll,
     /// A new configuration and SIGHUP.
     Reload,
+    // On clients.
+    /// `share` of those that wait for an answer of `gates` close their connections, once.
+    Leave,
     // On workers.
     /// Dead, and back and cold after `for_s`.
     Crash,
@@ -967,6 +970,7 @@
         "bad-links",
         "load-shift",
         "wide-reset-stale",
+        "leave-burst",
     ]
 }
 
--- a/lab/src/world/faults.rs
+++ b/lab/src/world/faults.rs
@@ -90,6 +90,10 @@
                     let _ = self.gates[*gate].reload();
                 }
             }
+            What::Leave => {
+                let leave = |g: &usize| self.gates[*g].leave.send_modify(|l| *l = (l.0 + 1, fault.share));
+                gates.iter().for_each(leave);
+            }
             What::Crash => self.crash(&fault, &workers, &mut rng).await,
             What::Replace => self.replace(&fault, &workers).await,
             What::Slow | What::Errors | What::Silent | What::Spoil | What::Stall | What::BreakOff => {
--- a/lab/src/world/front.rs
+++ b/lab/src/world/front.rs
@@ -166,14 +166,38 @@
                 None => Outcome::Nobody,
             }
         };
-        let outcome = match leaves {
-            Some(after) => timeout(Duration::from_secs_f64(after), exchange).await.unwrap_or(Outcome::Left),
-            None => exchange.await,
+        let alone = async {
+            match leaves {
+                Some(after) => sleep(Duration::from_secs_f64(after)).await,
+                None => std::future::pending().await,
+            }
+        };
+        // Dropping the exchange closes its connection.
+        let outcome = tokio::select! {
+            biased;
+            outcome = exchange => outcome,
+            () = alone => Outcome::Left,
+            () = self.leaves_with_others(gate, txn) => Outcome::Left,
         };
         self.log.note(Event::Answer { txn, outcome: outcome.clone() });
         outcome
     }
 
+    /// Waits until a burst of clients that leave takes this one along.
+    async fn leaves_with_others(&self, gate: Option<usize>, txn: u64) {
+        let Some(gate) = gate else { return std::future::pending().await };
+        let mut bursts = self.gates[gate].leave.subscribe();
+        while bursts.changed().await.is_ok() {
+            let (burst, share) = *bursts.borrow_and_update();
+            // The top bits, as a number from 0 to 1.
+            let draw = (mix(txn ^ mix(burst)) >> 11) as f64 / (1_u64 << 53) as f64;
+            if draw < share {
+                return;
+            }
+        }
+        std::future::pending().await
+    }
+
     async fn connect(&self, gate: usize) -> Option<Conn> {
         let gate = &self.gates[gate];
         let state = gate.front.state();
--- a/lab/src/world/gates.rs
+++ b/lab/src/world/gates.rs
@@ -78,6 +78,8 @@
     config: Mutex<Option<Value>>,
     /// Its agent is at the second address.
     moved: AtomicBool,
+    /// Which burst of clients that leave is the last one, and the share that leaves.
+    pub leave: watch::Sender<(u64, f64)>,
     /// What its folder held at the last look, for a disk that loses writes.
     earlier: Mutex<Vec<(PathBuf, Vec<u8>)>>,
 }
@@ -112,6 +114,7 @@
             used: Mutex::default(),
             config: Mutex::default(),
             moved: AtomicBool::new(false),
+            leave: watch::channel((0, 0.0)).0,
             earlier: Mutex::default(),
         }))
     }
--- a/tests/fleetlab.rs
+++ b/tests/fleetlab.rs
@@ -2,7 +2,7 @@
 
 use fleetlab::{
     judge::{Verdict, judge},
-    record::{Ending, Event, GateState, Outcome, Recording},
+    record::{Ending, Event, GateState, Outcome, Recording, Seen},
     scenario::Scenario,
     world::{Play, Progress, WorldError},
 };
@@ -104,6 +104,24 @@
     assert!(verdict.goodput > 0.3, "{}", verdict.goodput);
 }
 
+#[test]
+fn a_fleet_sends_nothing_on_for_clients_that_left_in_a_burst_while_their_requests_waited() {
+    let (recording, verdict) = play(
+        "name = 'leave'\nlength_s = 8\n
+        [[fault]]\nwhat = 'reset'\npeers = 'workers:0..6'\nat_s = 1.99
+        [[fault]]\nwhat = 'cut'\npeers = 'workers:0..6'\nat_s = 2\nfor_s = 4
+        [[fault]]\nwhat = 'counter-slow'\ntimes = 50\nat_s = 2\nfor_s = 4
+        [[fault]]\nwhat = 'leave'\nat_s = 2.2
+        [[fault]]\nwhat = 'leave'\nat_s = 3
+        [[fault]]\nwhat = 'leave'\nat_s = 4
+        [[fault]]\nwhat = 'leave'\nat_s = 5",
+    );
+    let left = |s: &Seen| matches!(s.event, Event::Answer { outcome: Outcome::Left, .. });
+    assert!(recording.seen.iter().any(left), "some have left");
+    // How many waited is chance; that none is sent on is not.
+    assert_eq!(verdict.gone[1], 0, "of {} that waited", verdict.gone[0]);
+}
+
 #[test]
 fn a_fleet_keeps_the_rules_while_it_is_parted_and_datagrams_are_lost_doubled_and_late() {
     let (recording, verdict) = play(
