Let a keyed request whose class has no window for repeats be sent at all

Where no repeat may follow, the first attempt has all its time. The test of the decisions now shows until when each attempt may be sent, and for which effects.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -100,6 +100,24 @@
     assert_eq!((sends(&out).len(), refused(&out), failed(&out)), (0, 0, 1), "the group has forgotten it");
 }
 
+#[test]
+fn an_attempt_may_be_sent_until_the_window_of_the_first_ends_where_a_repeat_may_follow() {
+    let until = |out: &[Action]| match out.iter().find(|a| matches!(a, Action::Send { .. })) {
+        Some(Action::Send { until, server, .. }) => (*until, server.clone()),
+        _ => panic!("it is sent"),
+    };
+    let mut rig = Rig::new(plain(Effect::Keyed { group: Group::All, window: 1.0 }));
+    let start = rig.now;
+    let (first, server) = until(&rig.ask("j"));
+    assert_eq!(first, start + 1.0, "a second copy may run before it");
+    rig.now += 0.5;
+    assert_eq!(until(&rig.outcome("j", 0, &server, Status::Reset)).0, first);
+    for effect in [Effect::Keyed { group: Group::All, window: 0.0 }, Effect::Safe, Effect::Unsafe] {
+        let mut rig = Rig::new(plain(effect));
+        assert_eq!(until(&rig.ask("j")).0, f64::INFINITY, "{effect:?}");
+    }
+}
+
 #[test]
 fn no_second_copy_where_none_is_allowed() {
     let mut s = plain(Effect::Safe);
