Have who waits for a worker that has started anew choose again

Seen on reading, a sibling of the drained waiters: a request that waits for a connection was chosen for what the old process bore, and reached the new, cold one when its connect came up, past the cold budget that all gateways share. It is now chosen again by what holds for the new one. A worker that only has another address is the same one: who waits follows it there as before. The test was seen to fail without the mend.

--- a/src/bin/yardspur/pools/state.rs
+++ b/src/bin/yardspur/pools/state.rs
@@ -219,6 +219,11 @@
         self.peak_at = now;
     }
 
+    /// Who waits is to choose anew: it was not sent.
+    fn fail_waiters(&mut self, orders: &mut Vec<Order>) {
+        orders.extend(self.waiters.drain(..).map(|w| Order::Fail(w, NoLink::Unknown)));
+    }
+
     fn close(&mut self, why: Closed) {
         if let Some(count) = self.counts.closed.get_mut(why as usize) {
             *count += 1;
@@ -297,6 +302,7 @@
         };
         (pool.wanted, pool.gone) = (wanted, gone);
         let mut born = pool.born.max(started.min(now));
+        let anew = born > pool.born;
         if let Some(addr) = addr.filter(|addr| *addr != pool.addr) {
             // Whoever is there now is not who was there before.
             (pool.addr, born) = (addr, now);
@@ -307,6 +313,10 @@
             if !unheard {
                 (pool.bound, pool.pause, pool.suspect) = (UNBOUND, f64::NEG_INFINITY, None);
             }
+            if anew {
+                // It was chosen for what the old one bore.
+                pool.fail_waiters(orders);
+            }
         }
         if wanted {
             self.close_where(worker, orders, |pool, idle| {
@@ -321,9 +331,7 @@
     /// late would carry it there long after this.
     fn turn_away(&mut self, worker: &str, orders: &mut Vec<Order>) {
         self.close_idle(worker, orders);
-        if let Some(pool) = self.pools.get_mut(worker) {
-            orders.extend(pool.waiters.drain(..).map(|w| Order::Fail(w, NoLink::Unknown)));
-        }
+        self.pools.get_mut(worker).into_iter().for_each(|pool| pool.fail_waiters(orders));
     }
 
     /// Takes a worker out by hand, or puts it back.
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -13,7 +13,7 @@
         mpsc::{Receiver, channel},
     },
     thread,
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
 // ---- Stand-ins ----
@@ -305,8 +305,10 @@
 // ---- Workers to which nothing new may go ----
 
 #[test]
-fn who_waits_for_a_connection_to_a_worker_that_drains_is_not_carried_there_later() {
-    for way in ["DRAINING", "DELETED", "by hand"] {
+fn who_waits_for_a_connection_to_a_worker_that_is_no_longer_what_was_chosen_is_not_carried_there_later() {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock");
+    let unix_ms = now.as_secs_f64() * 1000.0;
+    for way in ["DRAINING", "DELETED", "by hand", "started anew"] {
         let shut = Shut::new();
         let (mut setup, discovery) = patient(&[]);
         let worker = entry("w0", shut.addr, "SERVING");
@@ -316,10 +318,15 @@
         let mut client = node.client();
         client.send(&Ask::submit("waits"));
         node.pool("w0", |p| p["waiting"] == 1);
-        if way == "by hand" {
-            assert_eq!(node.call("POST /control/workers/w0/offline"), 200);
-        } else {
-            discovery.told(discovery.change(entry("w0", shut.addr, way)));
+        let mut news = entry("w0", shut.addr, "SERVING");
+        match way {
+            "by hand" => assert_eq!(node.call("POST /control/workers/w0/offline"), 200),
+            // A cold one was not chosen, and has its own bounds.
+            "started anew" => news["started_ms"] = json!(unix_ms),
+            state => news["state"] = json!(state),
+        }
+        if way != "by hand" {
+            discovery.told(discovery.change(news));
         }
         // From here on nothing new may reach it, and the connection comes up now.
         let told = shut.open();
