--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -141,7 +141,11 @@
         pool: &Pool,
         caller: &impl Caller,
     ) -> Ending {
+        let begun = Instant::now();
         let build = |progress: &Rc<Progress>| {
+            // The time of a body that still comes runs from its last byte.
+            let waited = if what.body.is_some() { begun.elapsed().as_secs_f64() } else { 0.0 };
+            let left = (wait - waited).max(0.0);
             let body = match &what.body {
                 Some(gathered) => Sent::Whole(Some(gathered.whole())),
                 None => {
@@ -159,8 +163,8 @@
             if let Some(key) = &what.idempotency_key {
                 headers.insert("idempotency-key", key.clone());
             }
-            if let Ok(wait) = header::HeaderValue::try_from(format!("{wait:.3}")) {
-                headers.insert("x-remaining", wait);
+            if let Ok(left) = header::HeaderValue::try_from(format!("{left:.3}")) {
+                headers.insert("x-remaining", left);
             }
             if let Some(kind) = &what.content_type {
                 headers.insert(header::CONTENT_TYPE, kind.clone());
--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -389,6 +389,30 @@
     nothing_came(line);
 }
 
+#[test]
+fn a_worker_is_told_the_time_that_is_left_when_its_connection_is_there() {
+    let shut = Shut::new();
+    let (mut setup, discovery) = patient(&[]);
+    discovery.change(entry("w0", shut.addr, "SERVING"));
+    setup.known.push(entry("w0", shut.addr, "SERVING"));
+    let node = setup.start();
+    let mut client = node.client();
+    client.send(&Ask::new("waits").with("X-Remaining", "10.0"));
+    node.pool("w0", |p| p["waiting"] == 1);
+    let waits = Duration::from_millis(300);
+    thread::sleep(waits);
+    let (tell, told) = channel();
+    for socket in shut.admit() {
+        let tell = tell.clone();
+        thread::spawn(move || {
+            let message = read_message(&mut BufReader::new(socket));
+            message.into_iter().for_each(|m| drop(tell.send(m.header("x-remaining").to_owned())));
+        });
+    }
+    let left: f64 = told.recv_timeout(LIMIT).expect("the request").parse().expect("a number");
+    assert!(left > 0.0 && left <= 10.0 - waits.as_secs_f64(), "{left}");
+}
+
 #[test]
 fn of_two_answers_that_come_as_the_requests_time_ends_its_client_gets_one_end() {
     let gate = Arc::new(Gate::default());
