Keep no timers for requests that have ended long before their time

Each request has a timer at its client's time, and those of ended ones went only when they came to the front of the heap: with deadlines of minutes they pile up at the rate of the requests (about 100 bytes each), and an upload's stays for an hour. Above a bound those that no longer matter are let go, which costs a constant share of a push. The test was seen to fail without it; the two tests on a hub share its making now.

--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -79,6 +79,9 @@
     }
 }
 
+/// Timers that may be kept for what has ended, beside as many as matter.
+const TIMERS: usize = 4096;
+
 /// The one final answer to a client.
 pub enum Answer {
     Served(body::Answer),
@@ -299,6 +302,8 @@
     jobs: Cell<u64>,
     timers: RefCell<BinaryHeap<Timer>>,
     timer_order: Cell<u64>,
+    /// With so many it is looked which of them matter.
+    timers_most: Cell<usize>,
     lag: Lag,
     earlier: Notify,
     pools: Rc<Pools>,
@@ -345,6 +350,7 @@
             jobs: Cell::new(0),
             timers: RefCell::default(),
             timer_order: Cell::new(0),
+            timers_most: Cell::new(TIMERS),
             lag: Lag::default(),
             earlier: Notify::new(),
             workers: Workers::new(pools.clone()),
@@ -914,6 +920,11 @@
         let mut timers = self.timers.borrow_mut();
         let first = timers.peek().is_none_or(|t| at < t.at);
         timers.push(Timer { at, order: self.timer_order.get(), due });
+        if timers.len() > self.timers_most.get() {
+            // Where clients wait for minutes, all but a few of their requests have ended long before.
+            timers.retain(|t| !self.stale(&t.due));
+            self.timers_most.set(2 * timers.len() + TIMERS);
+        }
         if first {
             self.earlier.notify_one();
         }
@@ -1031,34 +1042,54 @@
         assert_eq!(lag.at(9.0), LAG.1, "it was stopped");
     }
 
-    /// Between the last answers and the end there is no event that a client could wait for.
-    #[test]
-    fn what_comes_once_the_process_is_about_to_end_is_answered_at_once() {
+    fn demand(hub: &Hub) -> Demand {
+        Demand {
+            class: 0,
+            plan: 0,
+            customer: "00000000b4d65521".into(),
+            units: 1.0,
+            spread: 1,
+            first: 0,
+            remaining: LONGEST,
+            repeat: false,
+            forward: Forward {
+                method: hyper::Method::GET,
+                uri: hyper::Uri::from_static("/read"),
+                txn: hyper::header::HeaderValue::from_static("t"),
+                idempotency_key: None,
+                content_type: None,
+                body: Some(Gathered::new(hub.pool())),
+                upload: RefCell::default(),
+            },
+        }
+    }
+
+    fn with_hub(play: impl FnOnce(Rc<Hub>)) {
         let (config, _) = crate::config::check(crate::config::tests::file().to_string().as_bytes(), None)
             .unwrap_or_else(|_| panic!("a good configuration"));
         let runtime =
             tokio::runtime::Builder::new_current_thread().enable_all().build_local(Default::default());
-        runtime.expect("a runtime").block_on(async {
-            let hub = Hub::new(&config, 64).expect("usable settings");
-            let demand = || Demand {
-                class: 0,
-                plan: 0,
-                customer: "00000000b4d65521".into(),
-                units: 1.0,
-                spread: 1,
-                first: 0,
-                remaining: 2.0,
-                repeat: false,
-                forward: Forward {
-                    method: hyper::Method::GET,
-                    uri: hyper::Uri::from_static("/read"),
-                    txn: hyper::header::HeaderValue::from_static("t"),
-                    idempotency_key: None,
-                    content_type: None,
-                    body: Some(Gathered::new(hub.pool())),
-                    upload: RefCell::default(),
-                },
-            };
+        runtime.expect("a runtime").block_on(async { play(Hub::new(&config, 64).expect("usable settings")) });
+    }
+
+    #[test]
+    fn timers_of_requests_that_have_ended_are_not_kept_for_as_long_as_their_clients_would_have_waited() {
+        with_hub(|hub| {
+            for _ in 0..10 * TIMERS {
+                let (job, _answer) = hub.take(demand(&hub));
+                hub.left(&job);
+            }
+            assert_eq!(hub.in_hand(), 0);
+            let kept = hub.timers.borrow().len();
+            assert!(kept <= 2 * TIMERS, "{kept}");
+        });
+    }
+
+    /// Between the last answers and the end there is no event that a client could wait for.
+    #[test]
+    fn what_comes_once_the_process_is_about_to_end_is_answered_at_once() {
+        with_hub(|hub| {
+            let demand = || demand(&hub);
             let (_, mut before) = hub.take(demand());
             hub.fail_all();
             let (_, mut after) = hub.take(demand());
