--- a/src/logic.rs
+++ b/src/logic.rs
@@ -997,7 +997,7 @@
             let units = job.request.units / fleet.max(1.0);
             note_demand(&mut self.known.warm_units, self.now, units, RATE_MEMORY);
             let (to, paid, until) = (server.clone(), job.paid, self.repeats_until(&job));
-            let until = if until > self.now { until } else { f64::INFINITY }; // No repeat may follow this one.
+            let until = if until > self.now { until } else { f64::INFINITY }; // No repeat may follow.
             self.out.push(Action::Send { job: id.clone(), server: to, timeout, until, paid });
             job.attempts.push(Attempt { server: server.clone(), sent: self.now, ran: Ran::Out });
             let delay = (HEDGE_AIM * class.aim).max(3.0 * self.known.latency);
