--- a/tests/crossings.rs
+++ b/tests/crossings.rs
@@ -70,6 +70,13 @@
     }
 }
 
+/// Has the worker behind `shut` known at the start and to discovery.
+fn list(setup: &mut Setup, discovery: &Discovery, id: &str, shut: &Shut) {
+    let worker = entry(id, shut.addr, "SERVING");
+    discovery.change(worker.clone());
+    setup.known.push(worker);
+}
+
 /// No byte was written on any of these.
 fn nothing_came(line: Vec<TcpStream>) {
     for mut socket in line {
@@ -241,9 +248,7 @@
         let (mut setup, discovery) = patient(&[]);
         let (addr, calls) = counter(gate.clone());
         setup.counter = Some(addr);
-        let worker = entry("w0", shut.addr, "SERVING");
-        discovery.change(worker.clone());
-        setup.known.push(worker);
+        list(&mut setup, &discovery, "w0", &shut);
         gate.open();
         let node = setup.start();
         let leaver = Leaver::send(&node, &Ask::new("gone").with("X-Plan", "pieni"), way);
@@ -311,9 +316,7 @@
     for way in ["DRAINING", "DELETED", "by hand", "started anew"] {
         let shut = Shut::new();
         let (mut setup, discovery) = patient(&[]);
-        let worker = entry("w0", shut.addr, "SERVING");
-        discovery.change(worker.clone());
-        setup.known.push(worker);
+        list(&mut setup, &discovery, "w0", &shut);
         let node = setup.start();
         let mut client = node.client();
         client.send(&Ask::submit("waits"));
@@ -374,8 +377,7 @@
 fn a_connection_that_comes_up_as_the_requests_time_ends_carries_nothing() {
     let shut = Shut::new();
     let (mut setup, discovery) = patient(&[]);
-    discovery.change(entry("w0", shut.addr, "SERVING"));
-    setup.known.push(entry("w0", shut.addr, "SERVING"));
+    list(&mut setup, &discovery, "w0", &shut);
     let node = setup.start();
     let mut client = node.client();
     client.send(&short(Ask::submit("late")));
@@ -393,8 +395,7 @@
 fn a_worker_is_told_the_time_that_is_left_when_its_connection_is_there() {
     let shut = Shut::new();
     let (mut setup, discovery) = patient(&[]);
-    discovery.change(entry("w0", shut.addr, "SERVING"));
-    setup.known.push(entry("w0", shut.addr, "SERVING"));
+    list(&mut setup, &discovery, "w0", &shut);
     let node = setup.start();
     let mut client = node.client();
     client.send(&Ask::new("waits").with("X-Remaining", "10.0"));
@@ -492,10 +493,8 @@
 fn a_first_attempt_whose_connection_comes_up_after_the_window_of_its_second_copy_is_not_sent() {
     let (one, other) = (Shut::new(), Shut::new());
     let (mut setup, discovery) = repeats(&[]);
-    for (id, shut) in [("w0", &one), ("w1", &other)] {
-        discovery.change(entry(id, shut.addr, "SERVING"));
-        setup.known.push(entry(id, shut.addr, "SERVING"));
-    }
+    list(&mut setup, &discovery, "w0", &one);
+    list(&mut setup, &discovery, "w1", &other);
     let node = setup.start();
     let mut client = node.client();
     client.send(&note("n"));
