--- /dev/null
+++ b/crates/configuration/src/lib.rs
@@ -0,0 +1,1 @@
+//! To be described.
--- /dev/null
+++ b/crates/wire/src/feed.rs
@@ -0,0 +1,267 @@
+//! The change feed: how control tells gatekeepers and stores what holds.
+//!
+//! Control state is divided into shards. A subscriber names the offset it holds of each shard and gets either the
+//! changes from there on or a snapshot. Offsets are the indexes of the shard's replicated log, so they mean the same
+//! at every control process. Within one incarnation of a subscriber offsets never go back.
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// The shard that holds the configuration, the control processes and the store map.
+pub const CONFIGURATION_SHARD: u16 = 0;
+/// Number of shards that hold the sessions of workers and gatekeepers, numbered from 1.
+pub const SESSION_SHARDS: u16 = 3;
+
+/// The shard that holds the sessions of a service's workers.
+#[must_use]
+pub fn shard_of_service(service: &str) -> u16 {
+    let hash = stable_hash(service.as_bytes());
+    1 + (hash % u64::from(SESSION_SHARDS)) as u16
+}
+
+/// A hash that is the same in every process and version (FNV-1a with a final mix).
+#[must_use]
+pub fn stable_hash(bytes: &[u8]) -> u64 {
+    let mut hash = 0xcbf2_9ce4_8422_2325_u64;
+    for byte in bytes {
+        hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0000_0100_0000_01b3);
+    }
+    hash ^= hash >> 33;
+    hash = hash.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    hash ^ (hash >> 33)
+}
+
+/// A control process.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
+pub struct ControlNode {
+    /// Drawn at the first start on an empty disk; a machine that lost its disk is another node.
+    pub identity: u64,
+    /// The machine's name.
+    pub node_name: String,
+    /// Where other processes of the tier reach it.
+    pub peer_address: String,
+    /// Where workers and the operator reach it.
+    pub control_address: String,
+    /// Its zone.
+    pub zone: String,
+}
+
+/// Whether a worker takes new requests.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
+pub enum WorkerState {
+    /// It takes requests.
+    Ready,
+    /// It finishes what it has and gets nothing new.
+    Draining,
+}
+
+/// A worker's session.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub struct Worker {
+    /// Its id, new at every start.
+    pub id: String,
+    /// The service it works for.
+    pub service: String,
+    /// Where it takes requests.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// The generation of its software.
+    pub generation: String,
+    /// Requests that it works on at a time.
+    pub capacity: u32,
+    /// Whether it takes new requests.
+    pub state: WorkerState,
+    /// Milliseconds for which it is still slow from its start, when it said so.
+    pub cold_remaining_ms: u64,
+    /// Rises with each of its calls.
+    pub sequence: u64,
+}
+
+/// Whether a store machine takes part.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreState {
+    /// It holds replicas.
+    Active,
+    /// Its replicas are being moved away.
+    Retiring,
+    /// It holds nothing any more.
+    Retired,
+}
+
+/// A store process.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
+pub struct StoreNode {
+    /// Drawn at the first start on an empty disk; a machine that lost its disk is another node.
+    pub identity: u64,
+    /// The machine's name.
+    pub node_name: String,
+    /// Where gatekeepers and other stores reach it.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// Whether it takes part.
+    pub state: StoreState,
+}
+
+/// One replica of a partition.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Replica {
+    /// The identity of its store.
+    pub store: u64,
+    /// It holds everything that was acknowledged. One that is still copying takes writes, but its answers count
+    /// towards no quorum.
+    pub whole: bool,
+}
+
+/// Where one partition of the stores' data lies.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq, Default)]
+pub struct Partition {
+    /// The replicas that hold it.
+    pub replicas: Vec<Replica>,
+    /// Former replicas that still have its data, to copy from while some replica is not whole.
+    pub sources: Vec<u64>,
+}
+
+impl Partition {
+    /// Whole replicas whose answers an operation needs.
+    #[must_use]
+    pub fn quorum(&self) -> usize {
+        self.replicas.len() / 2 + 1
+    }
+}
+
+/// Which store holds what. Operations carry the epoch; a store refuses those of an older one.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq, Default)]
+pub struct StoreMap {
+    /// Rises with each change of the map.
+    pub epoch: u64,
+    /// All stores that the map or a partition names.
+    pub stores: Vec<StoreNode>,
+    /// By number; empty until the first map is formed.
+    pub partitions: Vec<Partition>,
+}
+
+/// Number of partitions of the stores' data.
+pub const STORE_PARTITIONS: u16 = 32;
+
+/// The partition of a program's count or of a turn, by its name.
+#[must_use]
+pub fn partition_of(name: &str) -> u16 {
+    (stable_hash(name.as_bytes()) % u64::from(STORE_PARTITIONS)) as u16
+}
+
+/// One change of a shard's state.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub enum Change {
+    /// A configuration is in force: the operator's body as it was sent.
+    Configuration {
+        /// Its generation.
+        generation: u64,
+        /// The JSON body.
+        body: Vec<u8>,
+    },
+    /// The control processes.
+    ControlNodes(Vec<ControlNode>),
+    /// The store map.
+    StoreMap(StoreMap),
+    /// A worker has come or has changed.
+    Worker(Worker),
+    /// A worker has gone.
+    WorkerGone {
+        /// Its service.
+        service: String,
+        /// Its id.
+        id: String,
+    },
+}
+
+/// How far a subscriber knows a shard.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Position {
+    /// The shard.
+    pub shard: u16,
+    /// The offset up to which its changes are known.
+    pub offset: u64,
+}
+
+/// What a subscriber (an agent, a store, or a proxy at its agent) sends.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub enum FeedRequest {
+    /// Begins, and asks for the shards named; a shard at offset 0 begins with a snapshot.
+    Subscribe {
+        /// Who asks.
+        subscriber: Subscriber,
+        /// What it holds.
+        positions: Vec<Position>,
+    },
+    /// Sent about twice a second: what the subscriber has taken in, and that it lives.
+    Heartbeat {
+        /// What it holds now.
+        positions: Vec<Position>,
+        /// The generation of the configuration in force there.
+        generation: u64,
+    },
+    /// From a store: these partitions are whole here as of this epoch.
+    ReplicasWhole {
+        /// The store's identity.
+        store: u64,
+        /// The epoch of the map in which it became so.
+        epoch: u64,
+        /// The partitions.
+        partitions: Vec<u16>,
+    },
+}
+
+/// Who subscribes.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub enum Subscriber {
+    /// The agent beside a gatekeeper.
+    Gatekeeper {
+        /// The machine's name.
+        node_name: String,
+        /// Drawn at each start of the agent.
+        incarnation: u64,
+        /// Its zone.
+        zone: String,
+    },
+    /// A store.
+    Store {
+        /// Who it is; its `state` does not count.
+        node: StoreNode,
+        /// It has a disk from the first start of the system, or has copied since: what it held it still holds.
+        bootstrap: bool,
+    },
+    /// A proxy, at the agent beside it.
+    Proxy,
+}
+
+/// What a subscriber gets.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub enum FeedUpdate {
+    /// The whole state of a shard, which replaces what was known of it.
+    Snapshot {
+        /// The shard.
+        shard: u16,
+        /// The offset that it stands for.
+        offset: u64,
+        /// The state, as the changes that make it from nothing.
+        changes: Vec<Change>,
+    },
+    /// Changes that follow what is known.
+    Changes {
+        /// The shard.
+        shard: u16,
+        /// The offset after them.
+        offset: u64,
+        /// The changes, in order.
+        changes: Vec<Change>,
+    },
+    /// Sent a few times a second while this control process is in touch with a majority of its group: what it has sent
+    /// is fresh. A subscriber that misses these goes to another control process.
+    Fresh {
+        /// Gatekeepers with a session, over the whole tier.
+        gatekeepers: u32,
+    },
+    /// This process can't serve now: go to another one.
+    GoElsewhere,
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,11 @@
+//! The messages that the processes of the serving tier send to each other, and their encoding.
+//!
+//! Every message travels in a [`frame`]: a length, a checksum and an rkyv-encoded body.
+#![forbid(unsafe_code)]
+
+pub mod feed;
+pub mod frame;
+pub mod result_code;
+pub mod store;
+
+pub use result_code::ResultCode;
--- /dev/null
+++ b/crates/wire/src/result_code.rs
@@ -0,0 +1,52 @@
+//! Numbered result codes, the same in logs, answers and exit statuses. `docs/results.md` has the table.
+
+use std::fmt;
+
+/// What became of an operation, as a number that is stable over versions.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct ResultCode(pub u16);
+
+impl ResultCode {
+    /// The operation succeeded.
+    pub const OK: Self = Self(0);
+    /// A frame was longer than its receiver takes.
+    pub const FRAME_TOO_LONG: Self = Self(101);
+    /// A frame's checksum did not match its body.
+    pub const FRAME_CORRUPT: Self = Self(102);
+    /// A frame's body could not be decoded as the expected message.
+    pub const FRAME_UNREADABLE: Self = Self(103);
+    /// The other side speaks another version of the protocol.
+    pub const PROTOCOL_VERSION: Self = Self(104);
+    /// The settings file is missing, unreadable or wrong.
+    pub const SETTINGS_INVALID: Self = Self(201);
+    /// The operator's configuration is invalid.
+    pub const CONFIGURATION_INVALID: Self = Self(301);
+    /// Another configuration is current than the one a change was based on.
+    pub const CONFIGURATION_CONFLICT: Self = Self(302);
+    /// This process does not own the shard; another one does.
+    pub const NOT_OWNER: Self = Self(401);
+    /// No majority of the replica group can be reached.
+    pub const NO_QUORUM: Self = Self(402);
+    /// The named machine is unknown.
+    pub const UNKNOWN_NODE: Self = Self(403);
+    /// Too few store machines would be left.
+    pub const TOO_FEW_STORES: Self = Self(404);
+    /// A message names an older epoch of the store map than the receiver knows.
+    pub const STALE_EPOCH: Self = Self(501);
+    /// A replica is still copying data and can't answer for it.
+    pub const NOT_WHOLE: Self = Self(502);
+    /// The budget of a program does not hold another turn.
+    pub const BUDGET_SPENT: Self = Self(503);
+    /// The disk is full.
+    pub const DISK_FULL: Self = Self(601);
+    /// A file on disk is damaged where only a torn tail may be.
+    pub const DISK_CORRUPT: Self = Self(602);
+    /// A file on disk was written by a newer version of the program.
+    pub const DISK_NEWER: Self = Self(603);
+}
+
+impl fmt::Display for ResultCode {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "E{:03}", self.0)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/store.rs
@@ -0,0 +1,113 @@
+//! What gatekeepers and stores say to each other: counts of programs and retained turns.
+
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// One holder's entry in the count of a program. Only the holder writes it, with a rising sequence.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
+pub struct CountEntry {
+    /// The holder: drawn at each start of a gatekeeper's proxy.
+    pub holder: u64,
+    /// Rises with each write of the holder for this program.
+    pub sequence: u64,
+    /// Units that the holder has taken from the budget and not given back, over its life.
+    pub taken: u64,
+}
+
+/// A turn that was answered whole.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
+pub struct Turn {
+    /// The `Request-Id` of the turn.
+    pub id: String,
+    /// The turns before it, oldest first: the whole chain.
+    pub ancestors: Vec<String>,
+    /// What the turn itself brought.
+    pub input: Vec<u8>,
+    /// The data of each of its events, each followed by a line feed.
+    pub output: Vec<u8>,
+    /// Milliseconds for which it is to be kept from when it is written.
+    pub retention_ms: u64,
+    /// The worker that answered it, as a hint for the next turn.
+    pub worker: String,
+}
+
+/// A request to a store. `epoch` is that of the sender's map.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
+pub enum StoreRequest {
+    /// Writes a holder's entry durably and reads all entries of the program.
+    WriteCount {
+        /// The epoch of the sender's map.
+        epoch: u64,
+        /// The program.
+        program: String,
+        /// The entry.
+        entry: CountEntry,
+    },
+    /// Writes a turn durably.
+    PutTurn {
+        /// The epoch of the sender's map.
+        epoch: u64,
+        /// The turn.
+        turn: Turn,
+    },
+    /// Reads a turn.
+    GetTurn {
+        /// The epoch of the sender's map.
+        epoch: u64,
+        /// Its id.
+        id: String,
+    },
+    /// From another store: a page of everything that it holds of a partition, for a replica that is not whole.
+    CopyPartition {
+        /// The epoch of the asking store's map: the answer must come from a store that knows it, too.
+        epoch: u64,
+        /// The partition.
+        partition: u16,
+        /// Where the page begins; 0 at first.
+        cursor: u64,
+    },
+}
+
+/// A store's answer.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
+pub enum StoreReply {
+    /// The entry is durable; these are all entries of the program.
+    Count {
+        /// This replica is whole: its answer counts towards the quorum.
+        whole: bool,
+        /// All entries, the one written included.
+        entries: Vec<CountEntry>,
+    },
+    /// The turn is durable.
+    Stored {
+        /// This replica is whole.
+        whole: bool,
+    },
+    /// What is known of a turn.
+    Turn {
+        /// This replica is whole: a missing turn is really missing here.
+        whole: bool,
+        /// The turn, if it is here.
+        turn: Option<Turn>,
+    },
+    /// A page of a partition.
+    Page {
+        /// Entries of counts, by program.
+        counts: Vec<(String, CountEntry)>,
+        /// Turns, with the milliseconds that are left of their time.
+        turns: Vec<Turn>,
+        /// Where the next page begins; `None`: that was all.
+        next: Option<u64>,
+        /// The replica that answered is whole.
+        whole: bool,
+    },
+    /// The request names an older epoch than this store knows, or a partition that it does not hold.
+    StaleEpoch {
+        /// The epoch that the store knows.
+        epoch: u64,
+    },
+    /// The store can't do it now (a full disk, say): numbered as in `docs/results.md`.
+    Failed {
+        /// The result code.
+        code: u16,
+    },
+}
