--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -1,1 +1,22 @@
-//! To be described.
+//! Connections between the processes of the serving tier: frames over TCP, calls with answers, and the client of the
+//! change feed.
+//!
+//! Everything runs on one thread, inside a `tokio::task::LocalSet`.
+#![forbid(unsafe_code)]
+
+mod connection;
+mod error;
+mod message;
+mod reader;
+mod rpc_client;
+mod rpc_server;
+mod socket;
+mod writer;
+
+pub use connection::{Connection, Listener, connect};
+pub use error::{NetError, RpcError};
+pub use message::{Decode, Encode};
+pub use reader::FrameReader;
+pub use rpc_client::RpcClient;
+pub use rpc_server::{serve_connection, serve_rpc};
+pub use writer::FrameWriter;
--- /dev/null
+++ b/crates/net/src/rpc_server.rs
@@ -0,0 +1,79 @@
+//! Serving calls.
+
+use crate::{
+    connection::{Connection, Listener},
+    error::NetError,
+    message::{Decode, Encode, split_call},
+};
+use std::{rc::Rc, sync::Arc, time::Duration};
+use tokio::sync::Semaphore;
+
+/// Calls of one connection that may be under way; further ones wait unread.
+const CALLS_UNDER_WAY: usize = 256;
+/// Pause after a failure to accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Serves the calls of all connections, each call in a task of its own; answers go out in any order. Runs until it is
+/// dropped.
+pub async fn serve_rpc<Q, R, F, Fut>(listener: Listener, handler: F)
+where
+    Q: Decode + 'static,
+    R: Encode + 'static,
+    F: Fn(Q) -> Fut + 'static,
+    Fut: Future<Output = R> + 'static,
+{
+    let handler = Rc::new(handler);
+    loop {
+        match listener.accept().await {
+            Ok(connection) => {
+                tokio::task::spawn_local(serve_logged(connection, handler.clone()));
+            }
+            Err(error) => {
+                tracing::warn!(%error, "accepting a connection failed");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_logged<Q, R, F, Fut>(connection: Connection, handler: Rc<F>)
+where
+    Q: Decode + 'static,
+    R: Encode + 'static,
+    F: Fn(Q) -> Fut + 'static,
+    Fut: Future<Output = R> + 'static,
+{
+    let peer = connection.peer();
+    if let Err(error) = serve_connection(connection, handler).await {
+        tracing::debug!(%error, %peer, "a connection for calls failed");
+    }
+}
+
+/// Serves the calls of one connection until it ends.
+///
+/// # Errors
+/// Where the connection fails or carries something that is no call.
+pub async fn serve_connection<Q, R, F, Fut>(connection: Connection, handler: Rc<F>) -> Result<(), NetError>
+where
+    Q: Decode + 'static,
+    R: Encode + 'static,
+    F: Fn(Q) -> Fut + 'static,
+    Fut: Future<Output = R> + 'static,
+{
+    let (mut reader, writer) = connection.split();
+    let room = Arc::new(Semaphore::new(CALLS_UNDER_WAY));
+    while let Some(body) = reader.next_body().await? {
+        let read = split_call(&body).and_then(|(number, message)| Ok((number, Q::decode(message)?)));
+        let (number, request) = read.map_err(|source| NetError::Frame { source })?;
+        let Ok(permit) = room.clone().acquire_owned().await else { return Ok(()) };
+        let (handler, writer) = (handler.clone(), writer.clone());
+        tokio::task::spawn_local(async move {
+            let answer = handler(request).await;
+            if writer.send_call(number, &answer).is_err() {
+                writer.close();
+            }
+            drop(permit);
+        });
+    }
+    Ok(())
+}
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -81,10 +81,16 @@
     rkyv::from_bytes::<T, rancor::Error>(&aligned).map_err(|_| FrameError::Unreadable)
 }
 
+/// The checksum of a body.
+#[must_use]
+pub fn checksum(body: &[u8]) -> u32 {
+    crc32fast::hash(body)
+}
+
 /// Checks a body against its header.
 ///
 /// # Errors
 /// [`FrameError::Corrupt`] where the checksum differs.
 pub fn check(body: &[u8], checksum: u32) -> Result<(), FrameError> {
-    if crc32fast::hash(body) == checksum { Ok(()) } else { Err(FrameError::Corrupt) }
+    if self::checksum(body) == checksum { Ok(()) } else { Err(FrameError::Corrupt) }
 }
