--- a/crates/wire/src/result_code.rs
+++ b/crates/wire/src/result_code.rs
@@ -37,6 +37,10 @@
     pub const NOT_WHOLE: Self = Self(502);
     /// The budget of a program does not hold another turn.
     pub const BUDGET_SPENT: Self = Self(503);
+    /// No quorum of stores answered in time.
+    pub const STORES_UNAVAILABLE: Self = Self(504);
+    /// A later operation took this one's place.
+    pub const SUPERSEDED: Self = Self(505);
     /// The disk is full.
     pub const DISK_FULL: Self = Self(601);
     /// A file on disk is damaged where only a torn tail may be.
