--- /dev/null
+++ b/crates/configuration/src/check.rs
@@ -0,0 +1,308 @@
+//! Checks a body that could be read, and turns it into the typed configuration.
+
+use crate::document::{
+    DestinationDocument, Document, EngineDocument, LimitsDocument, RouteDocument, ServiceDocument,
+};
+use crate::index::RouteIndex;
+use crate::{Configuration, Destination, Engine, Limits, Problem, Route, RouteType, Service};
+use opalrun_wire::ResultCode;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Problems that are reported of one body at most.
+const MAX_PROBLEMS: usize = 100;
+/// The longest time a configuration can ask for; longer ones are cut to it.
+const LONGEST_MS: f64 = 30.0 * 24.0 * 3_600_000.0;
+/// The largest count or size a configuration can ask for; larger ones are cut to it.
+const LARGEST_NUMBER: f64 = 1e15;
+const DEFAULT_TIMEOUT_MS: f64 = 60_000.0;
+const DEFAULT_TARGET_LATENCY_MS: f64 = 1_000.0;
+const DEFAULT_RETENTION_S: f64 = 60.0;
+const DEFAULT_PRIORITY: f64 = 5.0;
+const DEFAULT_HEALTH_PATH: &str = "/healthz";
+const DEFAULT_MAX_CONNECTIONS: f64 = 64.0;
+const DEFAULT_CAPACITY: f64 = 1.0;
+const MS_IN_A_SECOND: f64 = 1_000.0;
+
+/// Checks a document as a whole.
+pub(crate) fn check(document: Document) -> Result<Configuration, Vec<Problem>> {
+    let mut checker = Checker::default();
+    let generation = checker.generation(document.generation);
+    let services = checker.services(document.services);
+    let (routes, index) = checker.routes(document.routes, &services);
+    let limits = checker.limits(document.limits);
+    if !checker.problems.is_empty() {
+        return Err(checker.problems);
+    }
+    Ok(Configuration { generation, routes, services, limits, index })
+}
+
+/// Collects problems while it goes through a document.
+#[derive(Default)]
+struct Checker {
+    problems: Vec<Problem>,
+}
+
+impl Checker {
+    fn report(&mut self, place: String, code: ResultCode, message: impl Into<String>) {
+        if self.problems.len() < MAX_PROBLEMS {
+            self.problems.push(Problem::new(place, code, message));
+        }
+    }
+
+    fn generation(&mut self, generation: i64) -> u64 {
+        u64::try_from(generation).unwrap_or_else(|_| {
+            self.report(
+                "generation".to_owned(),
+                ResultCode::CONFIGURATION_NUMBER,
+                "is negative or too large",
+            );
+            0
+        })
+    }
+
+    fn services(&mut self, documents: Vec<ServiceDocument>) -> HashMap<String, Arc<Service>> {
+        let mut services = HashMap::with_capacity(documents.len());
+        for (position, document) in documents.into_iter().enumerate() {
+            let place = format!("services[{position}]");
+            let service = self.service(&place, document);
+            let name = service.name.clone();
+            if services.insert(name.clone(), Arc::new(service)).is_some() {
+                let message = format!("another service is named `{name}`");
+                self.report(format!("{place}.name"), ResultCode::CONFIGURATION_DUPLICATE, message);
+            }
+        }
+        services
+    }
+
+    fn service(&mut self, place: &str, document: ServiceDocument) -> Service {
+        self.name(place, "name", &document.name);
+        let engine = document.engine.map(|engine| self.engine(&format!("{place}.engine"), engine));
+        Service {
+            name: document.name,
+            health_path: document.health_path.unwrap_or_else(|| DEFAULT_HEALTH_PATH.to_owned()),
+            max_connections: self.count(
+                place,
+                "max_connections",
+                document.max_connections,
+                DEFAULT_MAX_CONNECTIONS,
+            ),
+            engine,
+        }
+    }
+
+    fn engine(&mut self, place: &str, document: EngineDocument) -> Engine {
+        let models = document.models.unwrap_or_default();
+        Engine {
+            capacity: self.count(place, "capacity", document.capacity, DEFAULT_CAPACITY),
+            kv_capacity: self.number(place, "kv_capacity", document.kv_capacity, LARGEST_NUMBER) as u64,
+            chunk_tokens: (self.number(place, "chunk_tokens", document.chunk_tokens, 1.0).ceil() as u64)
+                .max(1),
+            models: models.into_iter().map(|model| model.name).collect(),
+        }
+    }
+
+    fn routes(
+        &mut self,
+        documents: Vec<RouteDocument>,
+        services: &HashMap<String, Arc<Service>>,
+    ) -> (Vec<Arc<Route>>, RouteIndex) {
+        let mut routes = Vec::with_capacity(documents.len());
+        let mut index = RouteIndex::default();
+        for (position, document) in documents.into_iter().enumerate() {
+            let place = format!("routes[{position}]");
+            let route = Arc::new(self.route(&place, document, services));
+            if let Err(other) = index.insert(&route) {
+                let message = format!("route `{}` has the same host and prefix", other.name);
+                self.report(format!("{place}.path_prefix"), ResultCode::CONFIGURATION_DUPLICATE, message);
+            }
+            routes.push(route);
+        }
+        (routes, index)
+    }
+
+    fn route(
+        &mut self,
+        place: &str,
+        document: RouteDocument,
+        services: &HashMap<String, Arc<Service>>,
+    ) -> Route {
+        self.name(place, "name", &document.name);
+        self.name(place, "host", &document.host);
+        self.prefix(place, &document.path_prefix);
+        let timeout = self.timeout(place, document.timeout_ms);
+        let destinations = self.destinations(place, document.backend, document.traffic_split, services);
+        Route {
+            name: document.name,
+            host: document.host,
+            path_prefix: document.path_prefix,
+            route_type: route_type(document.route_type.as_deref()),
+            timeout,
+            target_latency: self.milliseconds(
+                place,
+                "target_latency_ms",
+                document.target_latency_ms,
+                DEFAULT_TARGET_LATENCY_MS,
+            ),
+            priority: self.number(place, "priority", document.priority, DEFAULT_PRIORITY).min(255.0) as u8,
+            destinations,
+            max_attempts: self.count(place, "max_attempts", document.max_attempts, 1.0),
+            retained: document.retained.unwrap_or(false),
+            retention: self.retention(place, document.retention_s),
+            session_affinity: document.session_affinity.unwrap_or(false),
+            resumable: document.resumable.unwrap_or(false),
+            gap_aim: document
+                .gap_aim_ms
+                .map(|value| self.milliseconds(place, "gap_aim_ms", Some(value), value)),
+        }
+    }
+
+    /// A name must not be empty.
+    fn name(&mut self, place: &str, field: &str, name: &str) {
+        if name.is_empty() {
+            self.report(format!("{place}.{field}"), ResultCode::CONFIGURATION_EMPTY_NAME, "is empty");
+        }
+    }
+
+    fn prefix(&mut self, place: &str, prefix: &str) {
+        if !prefix.starts_with('/') || !prefix.ends_with('/') {
+            let message = format!("`{prefix}` does not begin and end with a slash");
+            self.report(format!("{place}.path_prefix"), ResultCode::CONFIGURATION_PREFIX, message);
+        }
+    }
+
+    fn timeout(&mut self, place: &str, value: Option<f64>) -> Duration {
+        if value == Some(0.0) {
+            self.report(format!("{place}.timeout_ms"), ResultCode::CONFIGURATION_TIMEOUT, "is 0");
+        }
+        self.milliseconds(place, "timeout_ms", value, DEFAULT_TIMEOUT_MS)
+    }
+
+    fn retention(&mut self, place: &str, value: Option<f64>) -> Duration {
+        let seconds = self.number(place, "retention_s", value, DEFAULT_RETENTION_S);
+        duration_of_ms(seconds * MS_IN_A_SECOND)
+    }
+
+    /// The services of a route: `traffic_split` if there is one, else `backend`.
+    fn destinations(
+        &mut self,
+        place: &str,
+        backend: Option<String>,
+        split: Option<Vec<DestinationDocument>>,
+        services: &HashMap<String, Arc<Service>>,
+    ) -> Vec<Destination> {
+        let split = split.unwrap_or_default();
+        if let Some(service) = &backend {
+            self.known_service(format!("{place}.backend"), service, services);
+        }
+        if !split.is_empty() {
+            return self.split(place, split, services);
+        }
+        match backend {
+            Some(service) => vec![Destination { service, weight: 1.0 }],
+            None => {
+                self.report(
+                    format!("{place}.backend"),
+                    ResultCode::CONFIGURATION_UNKNOWN_SERVICE,
+                    "is missing",
+                );
+                Vec::new()
+            }
+        }
+    }
+
+    fn split(
+        &mut self,
+        place: &str,
+        documents: Vec<DestinationDocument>,
+        services: &HashMap<String, Arc<Service>>,
+    ) -> Vec<Destination> {
+        let place = format!("{place}.traffic_split");
+        let mut total = 0.0;
+        let mut destinations = Vec::with_capacity(documents.len());
+        for (position, document) in documents.into_iter().enumerate() {
+            self.known_service(format!("{place}[{position}].backend"), &document.backend, services);
+            self.weight(format!("{place}[{position}].weight"), document.weight);
+            total += document.weight;
+            destinations.push(Destination { service: document.backend, weight: document.weight });
+        }
+        if total <= 0.0 {
+            self.report(place, ResultCode::CONFIGURATION_WEIGHTS, "the weights sum to 0");
+        }
+        destinations
+    }
+
+    fn known_service(&mut self, place: String, service: &str, services: &HashMap<String, Arc<Service>>) {
+        if !services.contains_key(service) {
+            let message = format!("there is no service `{service}`");
+            self.report(place, ResultCode::CONFIGURATION_UNKNOWN_SERVICE, message);
+        }
+    }
+
+    fn weight(&mut self, place: String, weight: f64) {
+        if !(0.0..=LARGEST_NUMBER).contains(&weight) {
+            self.report(place, ResultCode::CONFIGURATION_WEIGHTS, "is negative or too large");
+        }
+    }
+
+    fn limits(&mut self, document: Option<LimitsDocument>) -> Limits {
+        let defaults = Limits::default();
+        let Some(document) = document else {
+            return defaults;
+        };
+        Limits {
+            max_header_bytes: self.size(
+                "max_header_bytes",
+                document.max_header_bytes,
+                defaults.max_header_bytes,
+            ),
+            max_body_bytes: self.size("max_body_bytes", document.max_body_bytes, defaults.max_body_bytes),
+            header_timeout: self.limit_time(
+                "header_timeout_ms",
+                document.header_timeout_ms,
+                defaults.header_timeout,
+            ),
+            idle_timeout: self.limit_time("idle_timeout_ms", document.idle_timeout_ms, defaults.idle_timeout),
+        }
+    }
+
+    fn size(&mut self, field: &str, value: Option<f64>, default: usize) -> usize {
+        self.number("limits", field, value, default as f64) as usize
+    }
+
+    fn limit_time(&mut self, field: &str, value: Option<f64>, default: Duration) -> Duration {
+        self.milliseconds("limits", field, value, default.as_secs_f64() * MS_IN_A_SECOND)
+    }
+
+    fn milliseconds(&mut self, place: &str, field: &str, value: Option<f64>, default: f64) -> Duration {
+        duration_of_ms(self.number(place, field, value, default))
+    }
+
+    /// A count of which there is one at least.
+    fn count(&mut self, place: &str, field: &str, value: Option<f64>, default: f64) -> u32 {
+        let number = self.number(place, field, value, default);
+        number.clamp(1.0, f64::from(u32::MAX)) as u32
+    }
+
+    fn number(&mut self, place: &str, field: &str, value: Option<f64>, default: f64) -> f64 {
+        let value = value.unwrap_or(default);
+        if value.is_nan() || value < 0.0 {
+            self.report(format!("{place}.{field}"), ResultCode::CONFIGURATION_NUMBER, "is negative");
+            return default.max(0.0);
+        }
+        value.min(LARGEST_NUMBER)
+    }
+}
+
+fn duration_of_ms(milliseconds: f64) -> Duration {
+    Duration::from_secs_f64(milliseconds.min(LONGEST_MS) / MS_IN_A_SECOND)
+}
+
+fn route_type(name: Option<&str>) -> RouteType {
+    match name {
+        Some("safe") => RouteType::Safe,
+        Some("streaming") => RouteType::Streaming,
+        _ => RouteType::Unsafe,
+    }
+}
--- /dev/null
+++ b/crates/configuration/src/document.rs
@@ -0,0 +1,142 @@
+//! The form of the JSON body. Fields that are not named here are ignored.
+//!
+//! Numbers other than the generation are read as floating-point: an operator's tool may write `60` as `60.0`.
+
+use crate::Problem;
+use facet::Facet;
+use opalrun_wire::ResultCode;
+
+/// The deepest nesting of lists and objects that is read; the known fields need five levels.
+const MAX_DEPTH: usize = 64;
+/// The place of problems that concern the whole body.
+const WHOLE_BODY: &str = "body";
+
+/// The whole body.
+#[derive(Debug, Facet)]
+pub(crate) struct Document {
+    /// Negative when it was, or when it is past the range: `facet-json` wraps such numbers.
+    pub(crate) generation: i64,
+    pub(crate) routes: Vec<RouteDocument>,
+    pub(crate) services: Vec<ServiceDocument>,
+    pub(crate) limits: Option<LimitsDocument>,
+}
+
+/// An element of `routes`.
+#[derive(Debug, Facet)]
+pub(crate) struct RouteDocument {
+    pub(crate) name: String,
+    pub(crate) host: String,
+    pub(crate) path_prefix: String,
+    pub(crate) route_type: Option<String>,
+    pub(crate) timeout_ms: Option<f64>,
+    pub(crate) target_latency_ms: Option<f64>,
+    pub(crate) priority: Option<f64>,
+    pub(crate) backend: Option<String>,
+    pub(crate) traffic_split: Option<Vec<DestinationDocument>>,
+    pub(crate) max_attempts: Option<f64>,
+    pub(crate) retained: Option<bool>,
+    pub(crate) retention_s: Option<f64>,
+    pub(crate) session_affinity: Option<bool>,
+    pub(crate) resumable: Option<bool>,
+    pub(crate) gap_aim_ms: Option<f64>,
+}
+
+/// An element of `traffic_split`.
+#[derive(Debug, Facet)]
+pub(crate) struct DestinationDocument {
+    pub(crate) backend: String,
+    pub(crate) weight: f64,
+}
+
+/// An element of `services`.
+#[derive(Debug, Facet)]
+pub(crate) struct ServiceDocument {
+    pub(crate) name: String,
+    pub(crate) health_path: Option<String>,
+    pub(crate) max_connections: Option<f64>,
+    pub(crate) engine: Option<EngineDocument>,
+}
+
+/// The `engine` of a service.
+#[derive(Debug, Facet)]
+pub(crate) struct EngineDocument {
+    pub(crate) capacity: Option<f64>,
+    pub(crate) kv_capacity: Option<f64>,
+    pub(crate) chunk_tokens: Option<f64>,
+    pub(crate) models: Option<Vec<ModelDocument>>,
+}
+
+/// An element of an engine's `models`.
+#[derive(Debug, Facet)]
+pub(crate) struct ModelDocument {
+    pub(crate) name: String,
+}
+
+/// The `limits`.
+#[derive(Debug, Facet)]
+pub(crate) struct LimitsDocument {
+    pub(crate) max_header_bytes: Option<f64>,
+    pub(crate) max_body_bytes: Option<f64>,
+    pub(crate) header_timeout_ms: Option<f64>,
+    pub(crate) idle_timeout_ms: Option<f64>,
+}
+
+/// Reads a body.
+pub(crate) fn read(body: &[u8]) -> Result<Document, Problem> {
+    let text = std::str::from_utf8(body).map_err(unreadable)?;
+    if nested_deeper_than(body, MAX_DEPTH) {
+        return Err(unreadable(format!("nested more than {MAX_DEPTH} levels deep")));
+    }
+    check_syntax(text)?;
+    facet_json::from_str(text).map_err(wrong_form)
+}
+
+/// `facet-json` stops at the end of the first value and overlooks surplus commas, so `serde_json` checks that the text
+/// is one whole JSON value.
+fn check_syntax(text: &str) -> Result<(), Problem> {
+    serde_json::from_str::<serde::de::IgnoredAny>(text).map_err(unreadable)?;
+    Ok(())
+}
+
+fn unreadable(cause: impl ToString) -> Problem {
+    Problem::new(WHOLE_BODY, ResultCode::CONFIGURATION_UNREADABLE, cause.to_string())
+}
+
+/// A value of another type than the field wants, or a missing field.
+fn wrong_form(error: facet_json::DeserializeError) -> Problem {
+    let place = error.path.as_ref().map_or_else(String::new, |path| path.format());
+    let place = place.trim_start_matches('.');
+    let kind = error.kind.to_string();
+    // The text of some kinds goes on with the types that were being read.
+    let message = kind.split(" at Path {").next().unwrap_or_default();
+    let place = if place.is_empty() { WHOLE_BODY } else { place };
+    Problem::new(place, ResultCode::CONFIGURATION_UNREADABLE, message)
+}
+
+/// Whether lists and objects nest deeper than the limit: the reader calls itself at every level.
+fn nested_deeper_than(body: &[u8], limit: usize) -> bool {
+    let mut depth = 0_usize;
+    let mut in_string = false;
+    let mut escaped = false;
+    for byte in body {
+        if in_string {
+            match byte {
+                _ if escaped => escaped = false,
+                b'\\' => escaped = true,
+                b'"' => in_string = false,
+                _ => {}
+            }
+            continue;
+        }
+        match byte {
+            b'"' => in_string = true,
+            b'[' | b'{' => depth += 1,
+            b']' | b'}' => depth = depth.saturating_sub(1),
+            _ => {}
+        }
+        if depth > limit {
+            return true;
+        }
+    }
+    false
+}
--- a/crates/wire/src/result_code.rs
+++ b/crates/wire/src/result_code.rs
@@ -23,6 +23,22 @@
     pub const CONFIGURATION_INVALID: Self = Self(301);
     /// Another configuration is current than the one a change was based on.
     pub const CONFIGURATION_CONFLICT: Self = Self(302);
+    /// A configuration could not be read whole: cut short, followed by more bytes, or of the wrong form.
+    pub const CONFIGURATION_UNREADABLE: Self = Self(310);
+    /// A route names a service that the configuration does not have, or none at all.
+    pub const CONFIGURATION_UNKNOWN_SERVICE: Self = Self(311);
+    /// Two routes share host and prefix, or two services a name.
+    pub const CONFIGURATION_DUPLICATE: Self = Self(312);
+    /// The weights of a route sum to 0, or one of them is negative.
+    pub const CONFIGURATION_WEIGHTS: Self = Self(313);
+    /// A time-out is 0.
+    pub const CONFIGURATION_TIMEOUT: Self = Self(314);
+    /// A name is empty.
+    pub const CONFIGURATION_EMPTY_NAME: Self = Self(315);
+    /// A prefix does not begin and end with a slash.
+    pub const CONFIGURATION_PREFIX: Self = Self(316);
+    /// A number is negative or out of all bounds.
+    pub const CONFIGURATION_NUMBER: Self = Self(317);
     /// This process does not own the shard; another one does.
     pub const NOT_OWNER: Self = Self(401);
     /// No majority of the replica group can be reached.
