--- /dev/null
+++ b/crates/storage/src/data_directory.rs
@@ -0,0 +1,86 @@
+//! The folder that a process keeps its files in.
+
+use crate::{Disk, StorageError, SystemDisk, error::from_io};
+use std::{
+    path::{Path, PathBuf},
+    sync::Arc,
+};
+
+/// Ending of the name of a file that is being written aside.
+pub(crate) const ASIDE_SUFFIX: &str = ".tmp";
+
+/// The folder that a process keeps its files in.
+#[derive(Debug, Clone)]
+pub struct DataDirectory {
+    disk: Arc<dyn Disk>,
+    path: PathBuf,
+}
+
+impl DataDirectory {
+    /// Opens the folder on the machine's disk, makes it where it is missing, and removes what an earlier process left
+    /// unfinished.
+    ///
+    /// # Errors
+    /// [`StorageError::Io`] or [`StorageError::Full`].
+    pub fn open(path: impl Into<PathBuf>) -> Result<Self, StorageError> {
+        Self::open_on(Arc::new(SystemDisk), path)
+    }
+
+    /// The same on another disk.
+    ///
+    /// # Errors
+    /// [`StorageError::Io`] or [`StorageError::Full`].
+    pub fn open_on(disk: Arc<dyn Disk>, path: impl Into<PathBuf>) -> Result<Self, StorageError> {
+        let directory = Self { disk, path: path.into() };
+        directory
+            .disk
+            .create_directory(&directory.path)
+            .map_err(from_io("create folder", &directory.path))?;
+        directory.remove_unfinished()?;
+        Ok(directory)
+    }
+
+    /// Where it lies.
+    #[must_use]
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
+    /// Names of the files in it, sorted.
+    ///
+    /// # Errors
+    /// [`StorageError::Io`].
+    pub fn list(&self) -> Result<Vec<String>, StorageError> {
+        let mut names = self.disk.list(&self.path).map_err(from_io("list", &self.path))?;
+        names.sort_unstable();
+        Ok(names)
+    }
+
+    pub(crate) fn disk(&self) -> &dyn Disk {
+        &*self.disk
+    }
+
+    pub(crate) fn file(&self, name: &str) -> PathBuf {
+        self.path.join(name)
+    }
+
+    pub(crate) fn sync(&self) -> Result<(), StorageError> {
+        self.disk.sync_directory(&self.path).map_err(from_io("sync folder", &self.path))
+    }
+
+    /// Removes a file and makes that last.
+    pub(crate) fn remove(&self, name: &str) -> Result<(), StorageError> {
+        let path = self.file(name);
+        self.disk.remove(&path).map_err(from_io("remove", path))?;
+        self.sync()
+    }
+
+    fn remove_unfinished(&self) -> Result<(), StorageError> {
+        for name in self.list()? {
+            if name.ends_with(ASIDE_SUFFIX) {
+                self.remove(&name)?;
+            }
+        }
+        Ok(())
+    }
+}
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,1 +1,22 @@
-//! To be described.
+//! Files that survive a loss of power: versioned files that are replaced as a whole, and logs of records.
+//!
+//! All access goes through the [`Disk`] trait, so that tests can use a [`MemoryDisk`] that loses power, fills up or
+//! fails. Calls block; a process makes them from the thread that it keeps for the disk.
+#![forbid(unsafe_code)]
+
+mod data_directory;
+mod disk;
+mod error;
+mod memory_disk;
+mod record_log;
+mod segment;
+mod system_disk;
+mod versioned_file;
+
+pub use data_directory::DataDirectory;
+pub use disk::{Disk, DiskFile};
+pub use error::StorageError;
+pub use memory_disk::{MemoryDisk, PowerLoss};
+pub use record_log::{RecordLog, RecordLogOptions};
+pub use system_disk::SystemDisk;
+pub use versioned_file::VersionedFile;
--- /dev/null
+++ b/crates/storage/src/memory_disk.rs
@@ -0,0 +1,365 @@
+//! A disk in memory for tests, which loses power, fills up and fails on demand.
+
+use crate::{Disk, DiskFile};
+use std::{
+    collections::BTreeMap,
+    io,
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+};
+
+/// A disk in memory. Clones are the same disk.
+#[derive(Debug, Clone, Default)]
+pub struct MemoryDisk {
+    shared: Arc<Mutex<State>>,
+}
+
+/// What becomes of writes that were not synced when power is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum PowerLoss {
+    /// All of them are gone.
+    DropAll,
+    /// All of them are there.
+    KeepAll,
+    /// Each is present, missing or torn, as the seed says; each name made, renamed or removed is kept or lost.
+    Random {
+        /// Decides it all.
+        seed: u64,
+    },
+}
+
+#[derive(Debug, Default)]
+struct State {
+    directories: Vec<PathBuf>,
+    files: Vec<Content>,
+    /// Names as they are now.
+    names: BTreeMap<PathBuf, usize>,
+    /// Names as they last.
+    durable_names: BTreeMap<PathBuf, usize>,
+    /// Bytes that all files together may hold.
+    capacity: Option<usize>,
+    /// Operations left before every one fails, as after the end of power.
+    operations_left: Option<u64>,
+    operations: u64,
+    /// Rises with each loss of power; files opened before it are dead.
+    incarnation: u64,
+}
+
+#[derive(Debug, Default, Clone)]
+struct Content {
+    current: Vec<u8>,
+    durable: Vec<u8>,
+    unsynced: Vec<Step>,
+}
+
+#[derive(Debug, Clone)]
+enum Step {
+    Write { position: usize, bytes: Vec<u8> },
+    Truncate { length: usize },
+}
+
+impl Step {
+    fn apply(&self, content: &mut Vec<u8>) {
+        match self {
+            Self::Write { position, bytes } => {
+                let end = position + bytes.len();
+                if content.len() < end {
+                    content.resize(end, 0);
+                }
+                content[*position..end].copy_from_slice(bytes);
+            }
+            Self::Truncate { length } => content.resize(*length, 0),
+        }
+    }
+}
+
+impl MemoryDisk {
+    /// An empty disk without a limit.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// Limits the bytes that all files together may hold.
+    pub fn set_capacity(&self, bytes: Option<usize>) {
+        self.state().capacity = bytes;
+    }
+
+    /// Lets this many more writes, syncs, renames and removals succeed; all after them fail.
+    pub fn fail_after(&self, operations: Option<u64>) {
+        self.state().operations_left = operations;
+    }
+
+    /// Writes, syncs, renames and removals so far.
+    #[must_use]
+    pub fn operations(&self) -> u64 {
+        self.state().operations
+    }
+
+    /// Bytes that all files together hold.
+    #[must_use]
+    pub fn used(&self) -> usize {
+        let state = self.state();
+        state.names.values().map(|file| state.files[*file].current.len()).sum()
+    }
+
+    /// Loses power and comes back. Files that were open can't be used any more.
+    pub fn lose_power(&self, loss: PowerLoss) {
+        self.state().lose_power(loss);
+    }
+
+    /// Changes bytes of a file in place, as damage would.
+    pub fn damage(&self, path: &Path, change: impl FnOnce(&mut Vec<u8>)) {
+        let mut state = self.state();
+        let Some(file) = state.names.get(path).copied() else {
+            return;
+        };
+        let content = &mut state.files[file];
+        change(&mut content.current);
+        content.durable = content.current.clone();
+        content.unsynced.clear();
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.shared.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl State {
+    fn begin_operation(&mut self) -> io::Result<()> {
+        self.operations += 1;
+        match &mut self.operations_left {
+            None => Ok(()),
+            Some(0) => Err(io::Error::other("the disk does not answer")),
+            Some(left) => {
+                *left -= 1;
+                Ok(())
+            }
+        }
+    }
+
+    fn used(&self) -> usize {
+        self.names.values().map(|file| self.files[*file].current.len()).sum()
+    }
+
+    fn lose_power(&mut self, loss: PowerLoss) {
+        let mut random = SplitMix(match loss {
+            PowerLoss::Random { seed } => seed,
+            _ => 0,
+        });
+        self.names = match loss {
+            PowerLoss::DropAll => self.durable_names.clone(),
+            PowerLoss::KeepAll => self.names.clone(),
+            PowerLoss::Random { .. } => self.random_names(&mut random),
+        };
+        self.durable_names = self.names.clone();
+        for content in &mut self.files {
+            content.lose_power(loss, &mut random);
+        }
+        self.operations_left = None;
+        self.incarnation += 1;
+    }
+
+    fn random_names(&self, random: &mut SplitMix) -> BTreeMap<PathBuf, usize> {
+        let mut names = BTreeMap::new();
+        let all: std::collections::BTreeSet<_> = self.names.keys().chain(self.durable_names.keys()).collect();
+        for path in all {
+            let source = if random.next().is_multiple_of(2) { &self.names } else { &self.durable_names };
+            if let Some(file) = source.get(path) {
+                names.insert(path.clone(), *file);
+            }
+        }
+        names
+    }
+}
+
+impl Content {
+    fn lose_power(&mut self, loss: PowerLoss, random: &mut SplitMix) {
+        let mut content = std::mem::take(&mut self.durable);
+        for step in std::mem::take(&mut self.unsynced) {
+            match loss {
+                PowerLoss::DropAll => {}
+                PowerLoss::KeepAll => step.apply(&mut content),
+                PowerLoss::Random { .. } => apply_randomly(&step, &mut content, random),
+            }
+        }
+        self.current = content.clone();
+        self.durable = content;
+    }
+}
+
+fn apply_randomly(step: &Step, content: &mut Vec<u8>, random: &mut SplitMix) {
+    const SECTOR_BYTES: usize = 512;
+    match (random.next() % 4, step) {
+        (0, _) => {}
+        (1, step) => step.apply(content),
+        (2, Step::Write { position, bytes }) => {
+            let kept = random.next() as usize % (bytes.len() + 1);
+            Step::Write { position: *position, bytes: bytes[..kept].to_vec() }.apply(content);
+        }
+        (_, Step::Write { position, bytes }) => {
+            for (index, sector) in bytes.chunks(SECTOR_BYTES).enumerate() {
+                if random.next().is_multiple_of(2) {
+                    let position = position + index * SECTOR_BYTES;
+                    Step::Write { position, bytes: sector.to_vec() }.apply(content);
+                }
+            }
+        }
+        (_, step) => step.apply(content),
+    }
+}
+
+impl Disk for MemoryDisk {
+    fn create_directory(&self, path: &Path) -> io::Result<()> {
+        let mut state = self.state();
+        if !state.directories.iter().any(|known| known == path) {
+            state.directories.push(path.to_path_buf());
+        }
+        Ok(())
+    }
+
+    fn list(&self, directory: &Path) -> io::Result<Vec<String>> {
+        let state = self.state();
+        let inside = state.names.keys().filter(|path| path.parent() == Some(directory));
+        Ok(inside.filter_map(|path| Some(path.file_name()?.to_string_lossy().into_owned())).collect())
+    }
+
+    fn read(&self, path: &Path) -> io::Result<Option<Vec<u8>>> {
+        let state = self.state();
+        Ok(state.names.get(path).map(|file| state.files[*file].current.clone()))
+    }
+
+    fn create(&self, path: &Path) -> io::Result<Box<dyn DiskFile>> {
+        let mut state = self.state();
+        state.begin_operation()?;
+        let file = if let Some(file) = state.names.get(path).copied() {
+            state.files[file].step(Step::Truncate { length: 0 });
+            file
+        } else {
+            state.files.push(Content::default());
+            let file = state.files.len() - 1;
+            state.names.insert(path.to_path_buf(), file);
+            file
+        };
+        Ok(self.handle(&state, path, file, 0))
+    }
+
+    fn open_at(&self, path: &Path, position: u64) -> io::Result<Box<dyn DiskFile>> {
+        let state = self.state();
+        let file = state.names.get(path).copied().ok_or(io::ErrorKind::NotFound)?;
+        Ok(self.handle(&state, path, file, position as usize))
+    }
+
+    fn rename(&self, from: &Path, to: &Path) -> io::Result<()> {
+        let mut state = self.state();
+        state.begin_operation()?;
+        let file = state.names.remove(from).ok_or(io::ErrorKind::NotFound)?;
+        state.names.insert(to.to_path_buf(), file);
+        Ok(())
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        let mut state = self.state();
+        state.begin_operation()?;
+        state.names.remove(path).map(|_| ()).ok_or(io::ErrorKind::NotFound.into())
+    }
+
+    fn sync_directory(&self, path: &Path) -> io::Result<()> {
+        let mut state = self.state();
+        state.begin_operation()?;
+        state.durable_names.retain(|name, _| name.parent() != Some(path));
+        let inside: Vec<_> = state.names.iter().filter(|(name, _)| name.parent() == Some(path)).collect();
+        let inside: Vec<_> = inside.into_iter().map(|(name, file)| (name.clone(), *file)).collect();
+        state.durable_names.extend(inside);
+        Ok(())
+    }
+}
+
+impl MemoryDisk {
+    fn handle(&self, state: &State, path: &Path, file: usize, position: usize) -> Box<dyn DiskFile> {
+        Box::new(MemoryFile {
+            disk: self.clone(),
+            path: path.to_path_buf(),
+            file,
+            position,
+            incarnation: state.incarnation,
+        })
+    }
+}
+
+impl Content {
+    fn step(&mut self, step: Step) {
+        step.apply(&mut self.current);
+        self.unsynced.push(step);
+    }
+}
+
+#[derive(Debug)]
+struct MemoryFile {
+    disk: MemoryDisk,
+    path: PathBuf,
+    file: usize,
+    position: usize,
+    incarnation: u64,
+}
+
+impl MemoryFile {
+    fn operate(&mut self, action: impl FnOnce(&mut Self, &mut State) -> io::Result<()>) -> io::Result<()> {
+        let disk = self.disk.clone();
+        let mut state = disk.state();
+        if state.incarnation != self.incarnation {
+            return Err(io::Error::other("the file was open at a loss of power"));
+        }
+        state.begin_operation()?;
+        action(self, &mut state)
+    }
+}
+
+impl DiskFile for MemoryFile {
+    fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.operate(|file, state| {
+            let end = file.position + bytes.len();
+            let growth = end.saturating_sub(state.files[file.file].current.len());
+            let room = state.capacity.map_or(usize::MAX, |capacity| capacity.saturating_sub(state.used()));
+            let fitting = bytes.len() - growth.saturating_sub(room).min(bytes.len());
+            let step = Step::Write { position: file.position, bytes: bytes[..fitting].to_vec() };
+            state.files[file.file].step(step);
+            file.position += fitting;
+            if fitting < bytes.len() { Err(io::ErrorKind::StorageFull.into()) } else { Ok(()) }
+        })
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        self.operate(|file, state| {
+            let content = &mut state.files[file.file];
+            content.durable = content.current.clone();
+            content.unsynced.clear();
+            let is_new = !state.durable_names.values().any(|known| *known == file.file);
+            if is_new && state.names.get(&file.path) == Some(&file.file) {
+                state.durable_names.insert(file.path.clone(), file.file);
+            }
+            Ok(())
+        })
+    }
+
+    fn truncate(&mut self, length: u64) -> io::Result<()> {
+        self.operate(|file, state| {
+            state.files[file.file].step(Step::Truncate { length: length as usize });
+            file.position = length as usize;
+            Ok(())
+        })
+    }
+}
+
+/// A small generator, so that a seed always decides the same.
+struct SplitMix(u64);
+
+impl SplitMix {
+    fn next(&mut self) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut mixed = self.0;
+        mixed = (mixed ^ (mixed >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        mixed ^ (mixed >> 31)
+    }
+}
--- /dev/null
+++ b/crates/storage/src/record_log.rs
@@ -0,0 +1,383 @@
+//! A log of records in segment files: appended in batches, one sync for each batch.
+//!
+//! Records are numbered. Cutting the end off is written as a batch that begins at a lower number, and beginning anew
+//! as one that begins at a higher number, so a log's files only ever grow, and each such step is as safe as any batch.
+
+use crate::{
+    DataDirectory, DiskFile, StorageError,
+    error::from_io,
+    segment::{
+        Batch, BatchBuilder, FORMAT, HeaderReading, SEGMENT_HEADER_BYTES, SegmentHeader, holds_later_batch,
+    },
+};
+use std::{
+    collections::VecDeque,
+    path::{Path, PathBuf},
+};
+
+/// How a log is kept.
+#[derive(Debug, Clone, Copy)]
+pub struct RecordLogOptions {
+    /// A segment that has reached this many bytes is followed by a new one.
+    pub segment_bytes: u64,
+}
+
+impl Default for RecordLogOptions {
+    fn default() -> Self {
+        Self { segment_bytes: 1 << 20 }
+    }
+}
+
+/// A log of numbered records.
+#[derive(Debug)]
+pub struct RecordLog {
+    directory: DataDirectory,
+    name: String,
+    options: RecordLogOptions,
+    segments: VecDeque<Segment>,
+    file: Option<Box<dyn DiskFile>>,
+    batch: BatchBuilder,
+    first_record: u64,
+    /// The next record's number as far as the log is synced.
+    synced_next: u64,
+    next_sequence: u64,
+    failed: bool,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Segment {
+    number: u64,
+    bytes: u64,
+    /// The highest number that a record had in it, plus one.
+    end_record: u64,
+}
+
+impl RecordLog {
+    /// Opens the log and hands each record with its number to `replay`, in the order written. A record whose number
+    /// was handed over before replaces that one and all after it. At the end only the records from
+    /// [`first_record`](Self::first_record) to before [`next_record`](Self::next_record) count.
+    ///
+    /// A torn tail is cut off; it was never synced.
+    ///
+    /// # Errors
+    /// [`StorageError::Corrupt`] where anything else is damaged, [`StorageError::Newer`], or [`StorageError::Io`].
+    pub fn open(
+        directory: &DataDirectory,
+        name: &str,
+        options: RecordLogOptions,
+        mut replay: impl FnMut(u64, &[u8]),
+    ) -> Result<Self, StorageError> {
+        let mut log = Self {
+            directory: directory.clone(),
+            name: name.to_owned(),
+            options,
+            segments: VecDeque::new(),
+            file: None,
+            batch: BatchBuilder::default(),
+            first_record: 0,
+            synced_next: 0,
+            next_sequence: 0,
+            failed: false,
+        };
+        let numbers = log.segment_numbers()?;
+        for (position, number) in numbers.iter().enumerate() {
+            let is_last = position + 1 == numbers.len();
+            log.replay_segment(*number, is_last, &mut replay)?;
+        }
+        log.reopen_last()?;
+        Ok(log)
+    }
+
+    /// The number of the oldest record.
+    #[must_use]
+    pub fn first_record(&self) -> u64 {
+        self.first_record
+    }
+
+    /// The number that the next record gets.
+    #[must_use]
+    pub fn next_record(&self) -> u64 {
+        if self.batch.is_open() { self.batch.next_record() } else { self.synced_next }
+    }
+
+    /// Bytes on disk.
+    #[must_use]
+    pub fn bytes(&self) -> u64 {
+        self.segments.iter().map(|segment| segment.bytes).sum()
+    }
+
+    /// Adds a record and returns its number. It lasts after the next [`sync`](Self::sync).
+    pub fn append(&mut self, record: &[u8]) -> u64 {
+        if !self.batch.is_open() {
+            self.batch.begin(self.synced_next);
+        }
+        self.batch.push(record);
+        self.batch.next_record() - 1
+    }
+
+    /// Writes all records appended since the last sync and makes them last, with one sync.
+    ///
+    /// # Errors
+    /// The records appended since the last sync are not in the log. After [`StorageError::Full`] the space is given
+    /// back and the log can be used on; after other errors it takes no more writes until it is opened anew.
+    pub fn sync(&mut self) -> Result<(), StorageError> {
+        if self.failed {
+            self.batch.clear();
+            return Err(StorageError::Failed { path: self.last_path() });
+        }
+        if !self.batch.is_open() {
+            return Ok(());
+        }
+        let written = self.write_batch();
+        if written.is_ok() {
+            self.adopt_batch();
+        }
+        self.batch.clear();
+        written
+    }
+
+    /// Drops all records from number `record` on, and makes that last. Records that were appended and not yet synced
+    /// are synced first.
+    ///
+    /// # Errors
+    /// As for [`sync`](Self::sync).
+    pub fn truncate_from(&mut self, record: u64) -> Result<(), StorageError> {
+        self.sync()?;
+        if record >= self.synced_next {
+            return Ok(());
+        }
+        self.batch.begin(record);
+        self.sync()
+    }
+
+    /// Drops all records and begins anew at number `record`, and makes that last.
+    ///
+    /// # Errors
+    /// As for [`sync`](Self::sync).
+    pub fn reset(&mut self, record: u64) -> Result<(), StorageError> {
+        self.truncate_from(self.first_record)?;
+        if record != self.synced_next {
+            self.batch.begin(record);
+            self.sync()?;
+        }
+        self.drop_before(record)
+    }
+
+    /// Begins a new segment with the next batch, so that [`drop_before`](Self::drop_before) can remove all that came
+    /// earlier.
+    pub fn roll(&mut self) {
+        self.file = None;
+    }
+
+    /// Removes whole segments that hold only records before number `record`.
+    ///
+    /// # Errors
+    /// [`StorageError::Io`].
+    pub fn drop_before(&mut self, record: u64) -> Result<(), StorageError> {
+        // The newest segment stays: it says which sequence comes next.
+        while self.segments.len() > 1 && self.segments[0].end_record <= record {
+            // Each removal is made to last before the next, so that no segment in the middle is ever missing.
+            self.directory.remove(&self.segment_name(self.segments[0].number))?;
+            self.first_record = self.first_record.max(self.segments[0].end_record).min(self.synced_next);
+            self.segments.pop_front();
+        }
+        Ok(())
+    }
+
+    fn segment_name(&self, number: u64) -> String {
+        format!("{}-{number:016x}.log", self.name)
+    }
+
+    fn path(&self, number: u64) -> PathBuf {
+        self.directory.file(&self.segment_name(number))
+    }
+
+    fn last_path(&self) -> PathBuf {
+        self.path(self.segments.back().map_or(0, |segment| segment.number))
+    }
+
+    fn segment_numbers(&self) -> Result<Vec<u64>, StorageError> {
+        let mut numbers = Vec::new();
+        for name in self.directory.list()? {
+            let number = name
+                .strip_prefix(&self.name)
+                .and_then(|rest| rest.strip_prefix('-'))
+                .and_then(|rest| rest.strip_suffix(".log"));
+            if let Some(number) = number.and_then(|digits| u64::from_str_radix(digits, 16).ok()) {
+                numbers.push(number);
+            }
+        }
+        numbers.sort_unstable();
+        Ok(numbers)
+    }
+
+    fn replay_segment(
+        &mut self,
+        number: u64,
+        is_last: bool,
+        replay: &mut impl FnMut(u64, &[u8]),
+    ) -> Result<(), StorageError> {
+        let path = self.path(number);
+        let bytes = self.directory.disk().read(&path).map_err(from_io("read", &path))?.unwrap_or_default();
+        let header = match SegmentHeader::parse(&bytes) {
+            HeaderReading::Valid(header) if header.number == number => header,
+            HeaderReading::Newer(format) => return Err(StorageError::Newer { path, format, known: FORMAT }),
+            _ => return self.drop_torn_segment(number, is_last, &bytes),
+        };
+        self.check_follows(&header, path.clone())?;
+        let mut offset = SEGMENT_HEADER_BYTES;
+        let mut segment = Segment { number, bytes: 0, end_record: header.next_record };
+        while offset < bytes.len() {
+            let Some(batch) = Batch::parse(&bytes[offset..], self.next_sequence..=self.next_sequence) else {
+                let what = "a batch in the middle";
+                if !is_last || holds_later_batch(&bytes[offset..], self.next_sequence) {
+                    return Err(StorageError::Corrupt { path, offset: offset as u64, what });
+                }
+                self.cut_off(&path, offset as u64)?;
+                break;
+            };
+            self.replay_batch(&batch, &path, offset as u64, replay)?;
+            segment.end_record = segment.end_record.max(self.synced_next);
+            offset += batch.bytes;
+        }
+        segment.bytes = offset as u64;
+        self.segments.push_back(segment);
+        Ok(())
+    }
+
+    fn replay_batch(
+        &mut self,
+        batch: &Batch<'_>,
+        path: &Path,
+        offset: u64,
+        replay: &mut impl FnMut(u64, &[u8]),
+    ) -> Result<(), StorageError> {
+        let mut next = batch.first_record;
+        for record in batch.records() {
+            let what = "a record that does not fit its batch";
+            let Some(record) = record else {
+                return Err(StorageError::Corrupt { path: path.to_path_buf(), offset, what });
+            };
+            replay(next, record);
+            next += 1;
+        }
+        self.adopt(batch.sequence, batch.first_record, next);
+        Ok(())
+    }
+
+    /// Takes a batch that lasts into account.
+    fn adopt(&mut self, sequence: u64, first_record: u64, next_record: u64) {
+        if first_record > self.synced_next || first_record < self.first_record {
+            self.first_record = first_record;
+        }
+        self.synced_next = next_record;
+        self.next_sequence = sequence + 1;
+    }
+
+    fn check_follows(&mut self, header: &SegmentHeader, path: PathBuf) -> Result<(), StorageError> {
+        let Some(last) = self.segments.back() else {
+            self.first_record = header.next_record;
+            self.synced_next = header.next_record;
+            self.next_sequence = header.first_sequence;
+            return Ok(());
+        };
+        if last.number + 1 != header.number || header.first_sequence != self.next_sequence {
+            return Err(StorageError::Corrupt {
+                path,
+                offset: 0,
+                what: "does not follow the segment before it",
+            });
+        }
+        Ok(())
+    }
+
+    /// A last segment without a valid header was never synced.
+    fn drop_torn_segment(&mut self, number: u64, is_last: bool, bytes: &[u8]) -> Result<(), StorageError> {
+        let what = "the header of a segment";
+        if !is_last || holds_later_batch(bytes, self.next_sequence) {
+            return Err(StorageError::Corrupt { path: self.path(number), offset: 0, what });
+        }
+        self.directory.remove(&self.segment_name(number))
+    }
+
+    fn cut_off(&self, path: &Path, length: u64) -> Result<(), StorageError> {
+        let mut file = self.directory.disk().open_at(path, length).map_err(from_io("open", path))?;
+        file.truncate(length).map_err(from_io("cut off", path))?;
+        file.sync().map_err(from_io("sync", path))
+    }
+
+    fn reopen_last(&mut self) -> Result<(), StorageError> {
+        let Some(last) = self.segments.back() else {
+            return Ok(());
+        };
+        let path = self.path(last.number);
+        self.file = Some(self.directory.disk().open_at(&path, last.bytes).map_err(from_io("open", path))?);
+        Ok(())
+    }
+
+    fn write_batch(&mut self) -> Result<(), StorageError> {
+        let is_full = self.segments.back().is_some_and(|segment| segment.bytes >= self.options.segment_bytes);
+        if self.file.is_none() || is_full {
+            return self.write_in_new_segment();
+        }
+        let path = self.last_path();
+        let length = self.segments.back().map_or(0, |segment| segment.bytes);
+        let batch = self.batch.finish(self.next_sequence);
+        let Some(file) = self.file.as_mut() else {
+            return Ok(());
+        };
+        let written =
+            file.write_all(batch).map_err(from_io("write", &path)).and_then(|()| sync(&mut **file, &path));
+        let Err(error) = written else {
+            return Ok(());
+        };
+        // What was written in part must be gone before another batch takes its place.
+        let undone = file.truncate(length).and_then(|()| file.sync());
+        self.failed = !error.is_full() || undone.is_err();
+        Err(error)
+    }
+
+    fn write_in_new_segment(&mut self) -> Result<(), StorageError> {
+        let number = self.segments.back().map_or(0, |segment| segment.number + 1);
+        let header =
+            SegmentHeader { number, first_sequence: self.next_sequence, next_record: self.synced_next };
+        let path = self.path(number);
+        let mut content = header.encode().to_vec();
+        content.extend_from_slice(self.batch.finish(self.next_sequence));
+        let written = self.create_synced(&path, &content);
+        match written {
+            Ok(file) => {
+                self.file = Some(file);
+                let bytes = SEGMENT_HEADER_BYTES as u64;
+                self.segments.push_back(Segment { number, bytes, end_record: self.synced_next });
+                Ok(())
+            }
+            Err(error) => {
+                let undone = self.directory.disk().read(&path).is_ok_and(|file| file.is_none())
+                    || self.directory.remove(&self.segment_name(number)).is_ok();
+                self.failed = !error.is_full() || !undone;
+                Err(error)
+            }
+        }
+    }
+
+    fn create_synced(&self, path: &Path, content: &[u8]) -> Result<Box<dyn DiskFile>, StorageError> {
+        let mut file = self.directory.disk().create(path).map_err(from_io("create", path))?;
+        file.write_all(content).map_err(from_io("write", path))?;
+        sync(&mut *file, path)?;
+        Ok(file)
+    }
+
+    fn adopt_batch(&mut self) {
+        let next_record = self.batch.next_record();
+        if let Some(segment) = self.segments.back_mut() {
+            segment.bytes += self.batch.len() as u64;
+            segment.end_record = segment.end_record.max(next_record);
+        }
+        self.adopt(self.next_sequence, self.batch.first_record(), next_record);
+    }
+}
+
+fn sync(file: &mut dyn DiskFile, path: &Path) -> Result<(), StorageError> {
+    file.sync().map_err(from_io("sync", path))
+}
--- a/crates/wire/src/result_code.rs
+++ b/crates/wire/src/result_code.rs
@@ -63,6 +63,8 @@
     pub const DISK_CORRUPT: Self = Self(602);
     /// A file on disk was written by a newer version of the program.
     pub const DISK_NEWER: Self = Self(603);
+    /// An operation on the disk failed for another reason.
+    pub const DISK_FAILED: Self = Self(604);
 }
 
 impl fmt::Display for ResultCode {
