--- a/crates/gatekeeper/src/lib.rs
+++ b/crates/gatekeeper/src/lib.rs
@@ -1,1 +1,4 @@
-//! To be described.
+//! The gatekeeper on every edge machine: the proxy that carries the traffic, and the agent that feeds it.
+#![forbid(unsafe_code)]
+
+pub mod proxy;
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -0,0 +1,305 @@
+//! Chooses the worker for a request, from what the feed, answers and failures have shown.
+//!
+//! A worker of a language-model service is scored by the prompt tokens that stand before the request's first token
+//! there: what of its own prompt is not cached, and the prompts of others that are still being read. A new subject
+//! has one home by rendezvous hashing, the same at every gatekeeper, so that its shared part is not read everywhere. A
+//! worker of any other service is scored by how full it is.
+
+mod health;
+mod load;
+mod prefix;
+#[cfg(test)]
+mod tests;
+mod worker;
+
+pub use load::LoadReport;
+pub use prefix::PromptPart;
+
+use crate::proxy::balance::worker::WorkerEntry;
+use fnv::FnvHashMap;
+use opalrun_wire::feed::{self, stable_hash};
+use std::sync::Arc;
+use std::{rc::Rc, time::Duration};
+
+/// Names one incarnation of a worker.
+pub type WorkerId = Arc<str>;
+
+/// Prompt tokens that one running request costs another.
+const TOKENS_OF_A_RUNNING_REQUEST: f64 = 60.0;
+/// Prompt tokens that one waiting request of another gatekeeper stands for.
+const TOKENS_OF_A_WAITING_REQUEST: f64 = 1000.0;
+/// Prompt tokens by which each place in a subject's order of workers counts less.
+const TOKENS_OF_A_RANK: f64 = 120.0;
+/// How much more a shared part counts that a worker would have to read: it takes time from others there, too.
+const SHARED_PART_WEIGHT: f64 = 2.0;
+/// Places in that order that are told apart.
+const RANKS: usize = 6;
+/// What a worker without a free place is set back by, in prompt tokens.
+const TOKENS_WITHOUT_PLACE: f64 = 100_000.0;
+/// What a worker in another zone is set back by, as a share of its places.
+const OTHER_ZONE_LOAD: f64 = 0.1;
+/// What a worker that is still slow from its start is set back by, as a share of its places.
+const COLD_LOAD: f64 = 0.5;
+/// Requests beyond a worker's places, as a share of them, that the most urgent requests may still bring about.
+const WAITING_SHARE: f64 = 0.5;
+/// How much of that share a rank of priority takes away.
+const WAITING_SHARE_OF_A_RANK: f64 = 0.17;
+
+/// What the choice of a worker goes by.
+#[derive(Debug, Clone, Default)]
+pub struct Choice<'a> {
+    /// The parts of the prompt, in order.
+    pub parts: &'a [PromptPart],
+    /// Ids of workers that this request was sent to before.
+    pub tried: &'a [WorkerId],
+    /// The route's rank: 0 is the most urgent.
+    pub priority: u32,
+    /// The request goes on with a program that is under way.
+    pub under_way: bool,
+}
+
+/// Why there is no worker for a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoWorker {
+    /// None is known, or each was tried.
+    Absent,
+    /// All that might serve are full.
+    Full,
+}
+
+/// A worker that was chosen, and where it is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Chosen {
+    /// Its id.
+    pub id: WorkerId,
+    /// Its address.
+    pub address: Rc<str>,
+}
+
+/// Places a request takes at a worker, to be handed back when it ends.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Place {
+    worker: WorkerId,
+    prompt_tokens: u32,
+}
+
+/// The workers of one service.
+#[derive(Debug)]
+pub struct Balancer {
+    zone: String,
+    workers: FnvHashMap<WorkerId, WorkerEntry>,
+    /// Tokens that a worker's memory holds; 0: the service runs no language model.
+    memory_tokens: u32,
+}
+
+impl Balancer {
+    /// For a gatekeeper in `zone`.
+    #[must_use]
+    pub fn new(zone: &str) -> Self {
+        Self { zone: zone.to_owned(), workers: FnvHashMap::default(), memory_tokens: 0 }
+    }
+
+    /// Tokens that a worker's memory holds; 0 for a service without a language model.
+    pub fn set_memory_tokens(&mut self, tokens: u32) {
+        self.memory_tokens = tokens;
+    }
+
+    /// The feed's list of the service's workers; those that it does not name are gone.
+    pub fn set_workers<'a>(&mut self, now: Duration, workers: impl Iterator<Item = &'a feed::Worker>) {
+        self.workers.values_mut().for_each(|worker| worker.listed = false);
+        for worker in workers {
+            let local = worker.zone == self.zone;
+            self.workers
+                .entry(WorkerId::from(worker.id.as_str()))
+                .and_modify(|entry| entry.update(now, worker))
+                .or_insert_with(|| WorkerEntry::new(now, worker, local));
+        }
+        self.workers.retain(|_, worker| worker.listed || worker.in_flight > 0);
+    }
+
+    /// Whether the service has a worker that takes requests.
+    #[must_use]
+    pub fn has_ready(&self) -> bool {
+        self.workers.values().any(WorkerEntry::is_ready)
+    }
+
+    /// Whether a worker still takes requests.
+    #[must_use]
+    pub fn is_ready(&self, id: &str) -> bool {
+        self.workers.get(id).is_some_and(WorkerEntry::is_ready)
+    }
+
+    /// Chooses a worker.
+    ///
+    /// # Errors
+    /// Where none can serve.
+    pub fn choose(&self, now: Duration, choice: &Choice<'_>) -> Result<Chosen, NoWorker> {
+        let candidates = self.candidates(now, choice.tried);
+        if candidates.is_empty() {
+            return Err(NoWorker::Absent);
+        }
+        let ranks = self.ranks(&candidates, choice.parts);
+        let mut best: Option<(f64, &WorkerId, &WorkerEntry)> = None;
+        let mut turned_away = false;
+        for (id, worker) in &candidates {
+            if self.is_full(now, worker, choice) {
+                turned_away = true;
+                continue;
+            }
+            let rank = ranks.get(*id).copied().unwrap_or(RANKS);
+            let score = self.score(now, worker, choice, rank) + fastrand::f64() * 1e-3;
+            if best.as_ref().is_none_or(|(least, ..)| score < *least) {
+                best = Some((score, *id, *worker));
+            }
+        }
+        match best {
+            Some((_, id, worker)) => Ok(Chosen { id: id.clone(), address: worker.address.clone() }),
+            None if turned_away => Err(NoWorker::Full),
+            None => Err(NoWorker::Absent),
+        }
+    }
+
+    /// Ready workers that were not tried, without those that are paused unless all are.
+    fn candidates(&self, now: Duration, tried: &[WorkerId]) -> Vec<(&WorkerId, &WorkerEntry)> {
+        let ready = || self.workers.iter().filter(|(id, worker)| worker.is_ready() && !tried.contains(id));
+        let healthy: Vec<_> = ready().filter(|(_, worker)| worker.health.may_try(now)).collect();
+        // At most half may be paused: with more the fault is hardly theirs.
+        if healthy.len() * 2 >= ready().count() { healthy } else { ready().collect() }
+    }
+
+    /// The first workers in the order of a prompt's subject, by place.
+    fn ranks<'a>(
+        &self,
+        candidates: &[(&'a WorkerId, &WorkerEntry)],
+        parts: &[PromptPart],
+    ) -> FnvHashMap<&'a WorkerId, usize> {
+        // The last part is the request's own: the first one is what many requests share.
+        let Some(subject) = parts.first().filter(|_| self.memory_tokens > 0) else {
+            return FnvHashMap::default();
+        };
+        let mut order: Vec<(u64, &'a WorkerId)> =
+            candidates.iter().map(|(id, _)| (rendezvous(subject.id, id), *id)).collect();
+        order.sort_unstable_by(|a, b| b.cmp(a));
+        order.into_iter().take(RANKS).enumerate().map(|(rank, (_, id))| (id, rank)).collect()
+    }
+
+    fn score(&self, now: Duration, worker: &WorkerEntry, choice: &Choice<'_>, rank: usize) -> f64 {
+        if self.memory_tokens == 0 {
+            return plain_score(now, worker);
+        }
+        let mut cached = worker.prefixes.cached_tokens(choice.parts);
+        if rank == 0 && cached == 0 && choice.parts.len() > 1 {
+            // Another gatekeeper has probably sent the subject there.
+            cached = choice.parts.first().map_or(0, |part| part.tokens) / 2;
+        }
+        let all: u32 = choice.parts.iter().map(|part| part.tokens).sum();
+        let own = choice.parts.last().map_or(0, |part| part.tokens);
+        let own_unread = own.min(all.saturating_sub(cached));
+        let shared_unread = all.saturating_sub(own).saturating_sub(cached);
+        let unread = f64::from(own_unread)
+            + f64::from(shared_unread) * SHARED_PART_WEIGHT
+            + f64::from(worker.tokens_unread);
+        let load = worker.load(now);
+        let running = load.total() * TOKENS_OF_A_RUNNING_REQUEST;
+        let waiting = load.others_waiting * TOKENS_OF_A_WAITING_REQUEST;
+        let full = if load.total() >= f64::from(worker.capacity) { TOKENS_WITHOUT_PLACE } else { 0.0 };
+        unread + running + waiting + full + rank as f64 * TOKENS_OF_A_RANK
+    }
+
+    /// Whether a worker's queue is too long for a request of this rank.
+    fn is_full(&self, now: Duration, worker: &WorkerEntry, choice: &Choice<'_>) -> bool {
+        let rank = f64::from(choice.priority.min(3)) - if choice.under_way { 1.0 } else { 0.0 };
+        let share = (WAITING_SHARE - WAITING_SHARE_OF_A_RANK * rank.max(0.0)).max(0.0);
+        let most = f64::from(worker.capacity) * (1.0 + share);
+        worker.load(now).total() >= most.max(1.0)
+    }
+
+    // ---- What happens at a worker ----
+
+    /// A request is on its way to a worker.
+    pub fn sent(&mut self, now: Duration, id: &WorkerId, parts: &[PromptPart]) -> Place {
+        let memory = self.memory_tokens;
+        let mut prompt_tokens = 0;
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.in_flight += 1;
+            worker.health.tried(now);
+            if memory > 0 {
+                let all: u32 = parts.iter().map(|part| part.tokens).sum();
+                prompt_tokens = all.saturating_sub(worker.prefixes.cached_tokens(parts));
+                worker.prefixes.insert(parts, memory);
+                worker.tokens_unread += prompt_tokens;
+            }
+        }
+        Place { worker: id.clone(), prompt_tokens }
+    }
+
+    /// The worker has begun to answer: the prompt has been read.
+    pub fn begun(&mut self, now: Duration, place: &mut Place, report: Option<LoadReport>) {
+        let Some(worker) = self.workers.get_mut(&place.worker) else { return };
+        worker.tokens_unread = worker.tokens_unread.saturating_sub(place.prompt_tokens);
+        place.prompt_tokens = 0;
+        worker.health.answered();
+        if let Some(report) = report {
+            worker.reported(now, report);
+        }
+    }
+
+    /// The worker turned the request away, and said how full it is.
+    pub fn turned_away(&mut self, now: Duration, place: &Place, report: Option<LoadReport>) {
+        let Some(worker) = self.workers.get_mut(&place.worker) else { return };
+        match report {
+            Some(report) => worker.reported(now, report),
+            None => worker.seems_full(now),
+        }
+    }
+
+    /// The connection failed, or what came on it was no answer.
+    pub fn failed(&mut self, now: Duration, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.health.failed(now);
+        }
+    }
+
+    /// Another worker is at that address now: this one gets nothing more until the feed tells of it anew.
+    pub fn replaced(&mut self, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.replaced = true;
+        }
+    }
+
+    /// The request has ended there.
+    pub fn ended(&mut self, place: &Place) {
+        let Some(worker) = self.workers.get_mut(&place.worker) else { return };
+        worker.in_flight = worker.in_flight.saturating_sub(1);
+        worker.tokens_unread = worker.tokens_unread.saturating_sub(place.prompt_tokens);
+        if !worker.listed && worker.in_flight == 0 {
+            self.workers.remove(&place.worker);
+        }
+    }
+
+    /// Requests of this gatekeeper at a worker.
+    #[must_use]
+    pub fn in_flight(&self, id: &str) -> u32 {
+        self.workers.get(id).map_or(0, |worker| worker.in_flight)
+    }
+}
+
+/// How full a worker is, with what counts against it.
+fn plain_score(now: Duration, worker: &WorkerEntry) -> f64 {
+    let places = f64::from(worker.capacity.max(1));
+    let mut score = worker.load(now).total() / places;
+    if !worker.local {
+        score += OTHER_ZONE_LOAD;
+    }
+    if worker.is_cold(now) {
+        score += COLD_LOAD;
+    }
+    score
+}
+
+fn rendezvous(subject: u64, worker: &str) -> u64 {
+    let mut bytes = Vec::with_capacity(8 + worker.len());
+    bytes.extend_from_slice(&subject.to_le_bytes());
+    bytes.extend_from_slice(worker.as_bytes());
+    stable_hash(&bytes)
+}
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/balance/tests.rs
@@ -0,0 +1,223 @@
+use super::{Balancer, Choice, LoadReport, NoWorker, PromptPart, WorkerId};
+
+use opalrun_wire::feed::{Worker, WorkerState};
+use std::{collections::BTreeSet, time::Duration};
+
+const ENGINE_MEMORY: u32 = 230_000;
+
+fn worker(id: &str, zone: &str, capacity: u32) -> Worker {
+    Worker {
+        id: id.to_owned(),
+        service: "s".to_owned(),
+        address: format!("10.0.0.1:{}", 1000 + id.len()),
+        zone: zone.to_owned(),
+        generation: "v1".to_owned(),
+        capacity,
+        state: WorkerState::Ready,
+        cold_remaining_ms: 0,
+        sequence: 1,
+    }
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn balancer(count: usize, capacity: u32, memory: u32) -> Balancer {
+    let mut balancer = Balancer::new("here");
+    balancer.set_memory_tokens(memory);
+    let workers: Vec<_> = (0..count).map(|n| worker(&format!("w{n}"), "here", capacity)).collect();
+    balancer.set_workers(at(0), workers.iter());
+    balancer
+}
+
+fn parts(list: &[(u64, u32)]) -> Vec<PromptPart> {
+    list.iter().map(|(id, tokens)| PromptPart { id: *id, tokens: *tokens }).collect()
+}
+
+#[test]
+fn the_header_of_prompt_parts_is_read_and_garbage_ends_it() {
+    let read = PromptPart::parse_all("5c1e07a2:800,91bd3f06:410, e4402b7d:250");
+    assert_eq!(read, parts(&[(0x5c1e_07a2, 800), (0x91bd_3f06, 410), (0xe440_2b7d, 250)]));
+    assert_eq!(PromptPart::parse_all("5c:1,what"), parts(&[(0x5c, 1)]));
+    assert!(PromptPart::parse_all("").is_empty());
+    assert_eq!(LoadReport::parse("3, 0,8"), Some(LoadReport { running: 3, waiting: 0, slots: 8 }));
+    assert_eq!(LoadReport::parse("3,0"), None);
+}
+
+#[test]
+fn requests_of_a_plain_service_go_where_fewest_are() {
+    let mut balancer = balancer(3, 4, 0);
+    let mut used = BTreeSet::new();
+    for _ in 0..3 {
+        let chosen = balancer.choose(at(0), &Choice::default()).expect("all are free");
+        balancer.sent(at(0), &chosen.id, &[]);
+        used.insert(chosen.id);
+    }
+    assert_eq!(used.len(), 3);
+}
+
+#[test]
+fn what_others_have_at_a_worker_counts_and_is_forgotten() {
+    let mut balancer = balancer(2, 4, 0);
+    let first = WorkerId::from("w0");
+    let mut place = balancer.sent(at(0), &first, &[]);
+    balancer.begun(at(0), &mut place, Some(LoadReport { running: 4, waiting: 3, slots: 4 }));
+    balancer.ended(&place);
+    for _ in 0..8 {
+        assert_eq!(&*balancer.choose(at(1), &Choice::default()).expect("w1").id, "w1");
+    }
+    let later = (0..64).filter_map(|_| balancer.choose(at(60_000), &Choice::default()).ok()).collect_ids();
+    assert_eq!(later.len(), 2);
+}
+
+trait CollectIds {
+    fn collect_ids(self) -> BTreeSet<WorkerId>;
+}
+
+impl<I: Iterator<Item = super::Chosen>> CollectIds for I {
+    fn collect_ids(self) -> BTreeSet<WorkerId> {
+        self.map(|chosen| chosen.id).collect()
+    }
+}
+
+#[test]
+fn a_worker_that_drains_or_was_tried_or_replaced_gets_nothing() {
+    let mut balancer = balancer(3, 4, 0);
+    let mut list: Vec<_> = (0..3).map(|n| worker(&format!("w{n}"), "here", 4)).collect();
+    list[0].state = WorkerState::Draining;
+    balancer.set_workers(at(1), list.iter());
+    balancer.replaced("w1");
+    assert!(!balancer.is_ready("w0") && !balancer.is_ready("w1"));
+    assert_eq!(&*balancer.choose(at(1), &Choice::default()).expect("w2").id, "w2");
+    let tried = [WorkerId::from("w2")];
+    let choice = Choice { tried: &tried, ..Choice::default() };
+    assert_eq!(balancer.choose(at(1), &choice), Err(NoWorker::Absent));
+    balancer.set_workers(at(2), [].iter());
+    assert!(!balancer.has_ready());
+}
+
+#[test]
+fn a_replaced_worker_comes_back_only_at_another_address() {
+    let mut balancer = balancer(1, 4, 0);
+    balancer.replaced("w0");
+    let mut list = [worker("w0", "here", 4)];
+    balancer.set_workers(at(1), list.iter());
+    assert!(!balancer.is_ready("w0"));
+    list[0].address = "10.0.0.9:1".to_owned();
+    balancer.set_workers(at(2), list.iter());
+    assert!(balancer.is_ready("w0"));
+}
+
+#[test]
+fn failures_in_a_row_pause_a_worker_but_never_more_than_half() {
+    let mut balancer = balancer(3, 4, 0);
+    for _ in 0..3 {
+        balancer.failed(at(0), "w0");
+    }
+    let chosen = (0..64).filter_map(|_| balancer.choose(at(1), &Choice::default()).ok()).collect_ids();
+    assert!(!chosen.contains("w0"));
+    for name in ["w1", "w2"] {
+        (0..3).for_each(|_| balancer.failed(at(1), name));
+    }
+    let chosen = (0..64).filter_map(|_| balancer.choose(at(2), &Choice::default()).ok()).collect_ids();
+    assert_eq!(chosen.len(), 3, "all of them can hardly be at fault");
+    let after = at(10_000);
+    assert!((0..64).filter_map(|_| balancer.choose(after, &Choice::default()).ok()).collect_ids().len() == 3);
+}
+
+#[test]
+fn a_full_service_refuses_the_less_urgent_first_and_never_while_a_place_is_free() {
+    let mut balancer = balancer(1, 4, 0);
+    let only = WorkerId::from("w0");
+    let choice = |priority| Choice { priority, ..Choice::default() };
+    for sent in 0..4 {
+        assert!(balancer.choose(at(0), &choice(9)).is_ok(), "{sent} of 4 places are taken");
+        balancer.sent(at(0), &only, &[]);
+    }
+    assert_eq!(balancer.choose(at(0), &choice(9)), Err(NoWorker::Full));
+    assert!(balancer.choose(at(0), &choice(0)).is_ok());
+    balancer.sent(at(0), &only, &[]);
+    balancer.sent(at(0), &only, &[]);
+    assert_eq!(balancer.choose(at(0), &choice(0)), Err(NoWorker::Full));
+}
+
+#[test]
+fn a_session_returns_to_the_worker_that_keeps_its_prompt() {
+    let mut balancer = balancer(8, 32, ENGINE_MEMORY);
+    let first = parts(&[(1, 2500), (100, 500)]);
+    let choice = Choice { parts: &first, ..Choice::default() };
+    let home = balancer.choose(at(0), &choice).expect("all are free").id;
+    let mut place = balancer.sent(at(0), &home, &first);
+    balancer.begun(at(1), &mut place, None);
+    balancer.ended(&place);
+    let next = parts(&[(1, 2500), (100, 500), (101, 300)]);
+    for _ in 0..16 {
+        let choice = Choice { parts: &next, ..Choice::default() };
+        assert_eq!(balancer.choose(at(5), &choice).expect("free").id, home);
+    }
+}
+
+#[test]
+fn one_subject_has_the_same_home_at_every_gatekeeper_until_that_is_busy() {
+    let first = parts(&[(7, 2500), (100, 900)]);
+    let choice = Choice { parts: &first, ..Choice::default() };
+    let homes: BTreeSet<_> = (0..6)
+        .filter_map(|_| balancer(9, 32, ENGINE_MEMORY).choose(at(0), &choice).ok())
+        .map(|chosen| chosen.id)
+        .collect();
+    assert_eq!(homes.len(), 1);
+    let mut busy = balancer(9, 32, ENGINE_MEMORY);
+    let mut used = BTreeSet::new();
+    for n in 0..12 {
+        let next = parts(&[(7, 2500), (200 + n, 900)]);
+        let chosen = busy.choose(at(0), &Choice { parts: &next, ..Choice::default() }).expect("free");
+        busy.sent(at(0), &chosen.id, &next);
+        used.insert(chosen.id);
+    }
+    assert!((2..=5).contains(&used.len()), "a few workers share the subject: {}", used.len());
+}
+
+#[test]
+fn a_worker_in_this_zone_is_preferred_while_it_is_not_fuller() {
+    let mut balancer = Balancer::new("here");
+    let list = [worker("far", "there", 6), worker("near", "here", 6)];
+    balancer.set_workers(at(0), list.iter());
+    assert_eq!(&*balancer.choose(at(0), &Choice::default()).expect("free").id, "near");
+    balancer.sent(at(0), &WorkerId::from("near"), &[]);
+    balancer.sent(at(0), &WorkerId::from("near"), &[]);
+    assert_eq!(&*balancer.choose(at(0), &Choice::default()).expect("free").id, "far");
+}
+
+#[test]
+fn no_order_of_events_loses_count_of_what_is_in_flight() {
+    bolero::check!().with_type::<Vec<(u8, u8)>>().for_each(|events| {
+        let mut balancer = balancer(3, 4, ENGINE_MEMORY);
+        let mut places = Vec::new();
+        for (step, (what, which)) in events.iter().enumerate() {
+            let now = at(step as u64 * 10);
+            let id = WorkerId::from(format!("w{}", which % 3).as_str());
+            match what % 6 {
+                0 | 1 => places.push(balancer.sent(now, &id, &parts(&[(u64::from(*which), 100)]))),
+                2 => {
+                    if let Some(place) = places.first_mut() {
+                        balancer.begun(now, place, LoadReport::parse("1,2,3"));
+                    }
+                }
+                3 => balancer.failed(now, &id),
+                4 => balancer.turned_away(now, &balancer_place(&id), None),
+                _ => {
+                    if let Some(place) = places.pop() {
+                        balancer.ended(&place);
+                    }
+                }
+            }
+            let in_flight: u32 = (0..3).map(|n| balancer.in_flight(&format!("w{n}"))).sum();
+            assert_eq!(in_flight as usize, places.len());
+        }
+    });
+}
+
+fn balancer_place(id: &WorkerId) -> super::Place {
+    super::Place { worker: id.clone(), prompt_tokens: 0 }
+}
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/balance/worker.rs
@@ -0,0 +1,87 @@
+//! What is known of one worker.
+
+use crate::proxy::balance::{
+    health::Health,
+    load::{Load, LoadReport, ReportedLoad},
+    prefix::PrefixCache,
+};
+use opalrun_wire::feed::{self, WorkerState};
+use std::{rc::Rc, time::Duration};
+
+#[derive(Debug)]
+pub(super) struct WorkerEntry {
+    pub address: Rc<str>,
+    pub capacity: u32,
+    /// It is in this gatekeeper's zone.
+    pub local: bool,
+    /// The feed names it.
+    pub listed: bool,
+    /// It answered 421: its address is another worker's.
+    pub replaced: bool,
+    /// Requests of this gatekeeper that are there now.
+    pub in_flight: u32,
+    /// Prompt tokens of these that are not read yet.
+    pub tokens_unread: u32,
+    pub health: Health,
+    pub prefixes: PrefixCache,
+    state: WorkerState,
+    cold_until: Duration,
+    reported: ReportedLoad,
+}
+
+impl WorkerEntry {
+    pub fn new(now: Duration, worker: &feed::Worker, local: bool) -> Self {
+        Self {
+            address: Rc::from(worker.address.as_str()),
+            capacity: worker.capacity.max(1),
+            local,
+            listed: true,
+            replaced: false,
+            in_flight: 0,
+            tokens_unread: 0,
+            health: Health::default(),
+            prefixes: PrefixCache::default(),
+            state: worker.state,
+            cold_until: now + Duration::from_millis(worker.cold_remaining_ms),
+            reported: ReportedLoad::default(),
+        }
+    }
+
+    /// The feed names it, perhaps with news.
+    pub fn update(&mut self, now: Duration, worker: &feed::Worker) {
+        self.listed = true;
+        self.state = worker.state;
+        self.capacity = worker.capacity.max(1);
+        if *self.address != *worker.address {
+            self.address = Rc::from(worker.address.as_str());
+            self.replaced = false;
+        }
+        if worker.cold_remaining_ms > 0 && self.cold_until < now {
+            self.cold_until = now + Duration::from_millis(worker.cold_remaining_ms);
+        }
+    }
+
+    pub fn is_ready(&self) -> bool {
+        self.listed && !self.replaced && self.state == WorkerState::Ready
+    }
+
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+
+    /// Requests that are probably there now.
+    pub fn load(&self, now: Duration) -> Load {
+        self.reported.load(now, self.in_flight)
+    }
+
+    /// It said how full it is.
+    pub fn reported(&mut self, now: Duration, report: LoadReport) {
+        self.reported.set(now, report, self.in_flight);
+    }
+
+    /// It turned a request away without saying how full it is.
+    pub fn seems_full(&mut self, now: Duration) {
+        let report = LoadReport { running: self.capacity, waiting: self.capacity, slots: self.capacity };
+        self.reported.set(now, report, self.in_flight);
+    }
+}
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/event_stream/tests.rs
@@ -0,0 +1,75 @@
+use super::{Event, EventError, EventReader, MAX_EVENT_BYTES};
+
+fn read_all(reader: &mut EventReader) -> Vec<Event> {
+    std::iter::from_fn(|| reader.next_event()).collect()
+}
+
+#[test]
+fn events_come_out_whole_however_their_bytes_are_cut() {
+    let text = b"id: 1\ndata: a\n\nversions: 3\r\nid: 2\r\ndata: b\r\ndata: c\r\n\r\nid: 3\ndata:d\n\n";
+    for size in 1..text.len() {
+        let mut reader = EventReader::default();
+        let mut events = Vec::new();
+        for part in text.chunks(size) {
+            reader.push(part).expect("short events");
+            events.extend(read_all(&mut reader));
+        }
+        let ids: Vec<_> = events.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(1), Some(2), Some(3)], "in pieces of {size}");
+        let joined: Vec<u8> = events.iter().flat_map(|event| event.raw.to_vec()).collect();
+        assert_eq!(joined, text, "nothing is changed");
+        assert!(!reader.holds_part());
+    }
+}
+
+#[test]
+fn the_data_of_an_event_is_joined_by_line_feeds() {
+    let mut reader = EventReader::default();
+    reader.push(b"id: 7\ndata: one\ndata:  two\n\n: a comment\n\n").expect("short events");
+    let events = read_all(&mut reader);
+    let mut data = Vec::new();
+    events.iter().for_each(|event| event.append_data(&mut data));
+    assert_eq!(data, b"one\n two\n");
+    assert_eq!(events.iter().map(Event::has_data).collect::<Vec<_>>(), [true, false]);
+}
+
+#[test]
+fn a_part_of_an_event_is_held_back() {
+    let mut reader = EventReader::default();
+    reader.push(b"id: 1\ndata: a\n\nid: 2\nda").expect("short events");
+    assert_eq!(read_all(&mut reader).len(), 1);
+    assert!(reader.holds_part());
+    assert_eq!(&reader.take_rest()[..], b"id: 2\nda");
+    assert!(!reader.holds_part());
+}
+
+#[test]
+fn an_event_without_end_is_refused() {
+    let mut reader = EventReader::default();
+    let piece = vec![b'x'; MAX_EVENT_BYTES / 4];
+    for _ in 0..4 {
+        reader.push(&piece).expect("within the bound");
+        assert_eq!(reader.next_event(), None);
+    }
+    assert_eq!(reader.push(&piece), Err(EventError::TooLong));
+}
+
+#[test]
+fn no_bytes_make_it_fail_or_change_them() {
+    bolero::check!().with_type::<Vec<Vec<u8>>>().for_each(|pieces| {
+        let mut reader = EventReader::default();
+        let mut out = Vec::new();
+        for piece in pieces {
+            if reader.push(piece).is_err() {
+                return;
+            }
+            for event in read_all(&mut reader) {
+                out.extend_from_slice(&event.raw);
+                let mut data = Vec::new();
+                event.append_data(&mut data);
+            }
+        }
+        out.extend_from_slice(&reader.take_rest());
+        assert_eq!(out, pieces.concat());
+    });
+}
