--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -39,7 +39,8 @@
         self.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"))
     }
 
-    fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, io::Error> {
+    /// The head alone, and how many bytes it took; `None`: it is not whole yet.
+    pub(crate) fn parse_head(bytes: &[u8]) -> Result<Option<(Self, usize)>, io::Error> {
         let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else {
             return if bytes.len() > MOST { Err(unreadable()) } else { Ok(None) };
         };
@@ -51,11 +52,15 @@
             Some((name.to_ascii_lowercase(), value.trim().to_owned()))
         };
         let headers = lines.map(header).collect::<Option<Vec<_>>>().ok_or_else(unreadable)?;
-        let mut message = Self { line, headers, body: Vec::new() };
+        Ok(Some((Self { line, headers, body: Vec::new() }, end + 4)))
+    }
+
+    pub(crate) fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, io::Error> {
+        let Some((mut message, head)) = Self::parse_head(bytes)? else { return Ok(None) };
         if message.header("transfer-encoding").is_some_and(|v| v.eq_ignore_ascii_case("chunked")) {
-            let Some((body, used)) = chunks(&bytes[end + 4..])? else { return Ok(None) };
+            let Some((body, used)) = chunks(&bytes[head..])? else { return Ok(None) };
             message.body = body;
-            return Ok(Some((message, end + 4 + used)));
+            return Ok(Some((message, head + used)));
         }
         let length = match message.header("content-length") {
             Some(text) => text.parse::<usize>().map_err(|_| unreadable())?,
@@ -64,11 +69,11 @@
         if length > MOST_BODY {
             return Err(unreadable());
         }
-        let whole = end + 4 + length;
+        let whole = head + length;
         if bytes.len() < whole {
             return Ok(None);
         }
-        message.body = bytes[end + 4..whole].to_vec();
+        message.body = bytes[head..whole].to_vec();
         Ok(Some((message, whole)))
     }
 }
@@ -114,7 +119,7 @@
     bytes
 }
 
-fn unreadable() -> io::Error {
+pub(crate) fn unreadable() -> io::Error {
     io::ErrorKind::InvalidData.into()
 }
 
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod report;
 pub mod scenario;
 pub mod switchboard;
+pub mod tier;
 pub mod world;
--- /dev/null
+++ b/lab/src/tier/judge/control.rs
@@ -0,0 +1,182 @@
+//! DRAIN, CONFIG, and LOST round a planned stop.
+
+use super::{
+    Bounds, Broken, Rule,
+    index::{Index, Request, Version},
+};
+use crate::tier::{
+    configuration::services_for,
+    observation::{MachineEvent, Outcome},
+};
+
+/// Added to the grace of a SIGTERM before the rules on planned work end, in milliseconds.
+const AFTER_GRACE_MS: u64 = 1000;
+
+pub fn check(index: &Index<'_>, bounds: &Bounds) -> Vec<Broken> {
+    let mut broken = drains(index, bounds);
+    broken.extend(old_versions(index, bounds));
+    broken.extend(never_in_force(index));
+    broken.extend(answers_to_changes(index));
+    broken.extend(reads(index));
+    broken.extend(lost_at_stops(index, bounds));
+    broken
+}
+
+fn drains(index: &Index<'_>, bounds: &Bounds) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    for (left_ms, worker, leave) in &index.leaves {
+        for (id, request) in &index.requests {
+            let Some((_, sent)) = request.sent else { continue };
+            let late =
+                request.runs.iter().find(|r| r.worker == *worker && r.at_ms > left_ms + bounds.drain_ms);
+            let reached =
+                request.reached.iter().find(|(at, w)| w == worker && *at > left_ms + bounds.drain_ms);
+            let (Some(_), Some((at_ms, _))) = (late, reached) else { continue };
+            if index.in_touch(&sent.machine, *at_ms, bounds.contact_ms) {
+                let what = format!("{id} reached {worker} {} ms after {leave:?}", at_ms - left_ms);
+                broken.push(Broken { rule: Rule::Drain, at_ms: *at_ms, what });
+            }
+        }
+    }
+    broken
+}
+
+/// The versions that may be in force on a machine in touch for a request sent at a moment.
+fn may_be_in_force<'a>(index: &'a Index<'a>, at_ms: u64, apply_ms: u64) -> Vec<&'a Version<'a>> {
+    let applied = |v: &&Version<'_>| v.acknowledged_ms.is_some_and(|a| a + apply_ms < at_ms);
+    let newest = index.versions.iter().filter(applied).map(|v| v.generation).max();
+    let current = |v: &&Version<'_>| v.valid && newest.is_none_or(|n| v.generation >= n);
+    index.versions.iter().filter(current).collect()
+}
+
+fn old_versions(index: &Index<'_>, bounds: &Bounds) -> Vec<Broken> {
+    let handled = |(id, request): (&&str, &Request<'_>)| {
+        let (sent_ms, sent) = request.sent?;
+        if !index.in_touch(&sent.machine, sent_ms, bounds.contact_ms) {
+            return None;
+        }
+        let versions = may_be_in_force(index, sent_ms, bounds.config_apply_ms);
+        let routes = versions.iter().filter_map(|v| services_for(&v.json, &sent.host, &sent.path));
+        let routes: Vec<Vec<String>> = routes.collect();
+        let report = |what: String| Some(Broken { rule: Rule::Configuration, at_ms: sent_ms, what });
+        if let Some(run) = request.runs.first()
+            && !routes.iter().flatten().any(|s| s == run.service)
+        {
+            return report(format!("{id} ran at {} as only an older version allows", run.service));
+        }
+        let refused =
+            matches!(request.ended, Some((_, Outcome::Answered { status: 404, signature: None, .. })));
+        let always_there = !versions.is_empty() && routes.len() == versions.len();
+        if refused && always_there && sent.previous.is_none() {
+            return report(format!("{id} was answered 404 though its route is there"));
+        }
+        None
+    };
+    index.requests.iter().filter_map(handled).collect()
+}
+
+/// Runs that only a refused or invalid version allows.
+fn never_in_force(index: &Index<'_>) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    for (id, request) in &index.requests {
+        for run in &request.runs {
+            let allows = |v: &&Version<'_>| {
+                services_for(&v.json, run.host, run.path).is_some_and(|s| s.iter().any(|s| s == run.service))
+            };
+            let allowing: Vec<_> = index.versions.iter().filter(allows).collect();
+            let refused = |v: &&&Version<'_>| !v.valid || (400..500).contains(&v.status);
+            if !allowing.is_empty() && allowing.iter().all(|v| refused(&v)) {
+                let what = format!("{id} ran as only a refused configuration allows");
+                broken.push(Broken { rule: Rule::Configuration, at_ms: run.at_ms, what });
+            }
+        }
+    }
+    broken
+}
+
+fn answers_to_changes(index: &Index<'_>) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    let acknowledged: Vec<_> = index.versions.iter().filter(|v| v.acknowledged_ms.is_some()).collect();
+    for (i, version) in acknowledged.iter().enumerate() {
+        let at_ms = version.acknowledged_ms.unwrap_or(version.sent_ms);
+        if !version.valid {
+            let what = format!("the invalid configuration {} was acknowledged", version.generation);
+            broken.push(Broken { rule: Rule::Configuration, at_ms, what });
+        }
+        if acknowledged[..i].iter().any(|v| v.generation == version.generation) {
+            let what = format!("two changes to generation {} were acknowledged", version.generation);
+            broken.push(Broken { rule: Rule::Configuration, at_ms, what });
+        }
+        let later = acknowledged.iter().any(|v| v.generation > version.generation);
+        if !later && (400..500).contains(&version.status) {
+            let what = format!("generation {} was refused after it was acknowledged", version.generation);
+            broken.push(Broken { rule: Rule::Configuration, at_ms, what });
+        }
+    }
+    broken
+}
+
+fn reads(index: &Index<'_>) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    for (at_ms, body) in &index.reads {
+        let before = index.versions.iter().filter(|v| v.acknowledged_ms.is_some_and(|a| a <= *at_ms));
+        let newest = before.map(|v| v.generation).max().unwrap_or(0);
+        let report = |what: String| Broken { rule: Rule::Configuration, at_ms: *at_ms, what };
+        let Some(body) = body else {
+            broken.push(report("no configuration could be read back".to_owned()));
+            continue;
+        };
+        let Ok(read) = serde_json::from_slice::<serde_json::Value>(body) else {
+            broken.push(report("what was read back is no configuration".to_owned()));
+            continue;
+        };
+        let generation = read["generation"].as_u64().unwrap_or(0);
+        if generation < newest {
+            broken
+                .push(report(format!("read back {generation}, older than {newest}, which was acknowledged")));
+        }
+        if newest > 0 && !index.versions.iter().any(|v| v.valid && v.json == read) {
+            broken.push(report(format!("what was read back as {generation} was never sent so")));
+        }
+    }
+    broken
+}
+
+/// Requests whose connection ended without a whole answer round the planned stop of the machine that took them.
+fn lost_at_stops(index: &Index<'_>, bounds: &Bounds) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    let terminated = index.machines.iter().filter(|m| m.2 == MachineEvent::Terminated);
+    for (stopped_ms, machine, _) in terminated {
+        for (id, request) in &index.requests {
+            let Some((sent_ms, sent)) = request.sent else { continue };
+            let Some((at_ms, outcome)) = request.ended else { continue };
+            let cut = matches!(outcome, Outcome::Closed { .. } | Outcome::BrokenOff { .. });
+            let passed_on = !request.reached.is_empty();
+            let to_ms = stopped_ms + bounds.grace_ms + AFTER_GRACE_MS;
+            let during = at_ms >= *stopped_ms && at_ms <= to_ms;
+            if sent.machine != *machine || !cut || !passed_on || !during {
+                continue;
+            }
+            let by_worker = request.runs.iter().any(|r| r.answer.is_some_and(|a| !a.3))
+                || request.reached.iter().any(|(_, w)| index.crashed(w, sent_ms, at_ms));
+            if by_worker || unplanned(index, machine, sent_ms, at_ms, bounds) {
+                continue;
+            }
+            let what = format!("{id} was cut off {} ms after SIGTERM of {machine}", at_ms - stopped_ms);
+            broken.push(Broken { rule: Rule::Lost, at_ms, what });
+        }
+    }
+    broken
+}
+
+/// Whether unplanned trouble befell a machine from shortly before a request until its end.
+fn unplanned(index: &Index<'_>, machine: &str, sent_ms: u64, ended_ms: u64, bounds: &Bounds) -> bool {
+    let from = sent_ms.saturating_sub(bounds.contact_ms);
+    let trouble = |e: MachineEvent| {
+        matches!(
+            e,
+            MachineEvent::Killed | MachineEvent::Frozen | MachineEvent::Thawed | MachineEvent::DiskLost
+        )
+    };
+    index.machines.iter().any(|(at, m, e)| *m == machine && trouble(*e) && (from..=ended_ms).contains(at))
+}
--- /dev/null
+++ b/lab/src/tier/judge/mod.rs
@@ -0,0 +1,81 @@
+//! The rules of the tier, checked on what the stand-ins saw. A pure function of that list.
+
+mod control;
+mod index;
+mod programs;
+mod requests;
+mod streams;
+#[cfg(test)]
+mod tests;
+
+use super::observation::Seen;
+use index::Index;
+use std::fmt;
+
+/// A rule of the tier, by the name that the operators give it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Rule {
+    Mixed,
+    Unasked,
+    Twice,
+    Refused,
+    Budget,
+    Route,
+    Drain,
+    Configuration,
+    Order,
+    Lost,
+}
+
+/// A broken rule.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Broken {
+    pub rule: Rule,
+    /// Milliseconds since the log began.
+    pub at_ms: u64,
+    pub what: String,
+}
+
+impl fmt::Display for Broken {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let name = format!("{:?}", self.rule).to_uppercase();
+        write!(f, "{name} at {:.3} s: {}", self.at_ms as f64 / 1e3, self.what)
+    }
+}
+
+/// Times within which things must have happened, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Bounds {
+    /// How long a machine must have been without trouble for rules with a bound to hold.
+    pub contact_ms: u64,
+    pub drain_ms: u64,
+    pub config_apply_ms: u64,
+    pub downgrade_ms: u64,
+    pub grace_ms: u64,
+    pub retention_ms: u64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            contact_ms: 3000,
+            drain_ms: 2000,
+            config_apply_ms: 2000,
+            downgrade_ms: 250,
+            grace_ms: 8000,
+            retention_ms: 60_000,
+        }
+    }
+}
+
+/// Every broken rule, in the order of time.
+#[must_use]
+pub fn judge(seen: &[Seen], bounds: &Bounds) -> Vec<Broken> {
+    let index = Index::new(seen);
+    let mut broken = requests::check(&index);
+    broken.extend(streams::check(&index));
+    broken.extend(programs::check(&index, bounds));
+    broken.extend(control::check(&index, bounds));
+    broken.sort_by_key(|b| b.at_ms);
+    broken
+}
--- /dev/null
+++ b/lab/src/tier/judge/programs.rs
@@ -0,0 +1,58 @@
+//! BUDGET of programs, and LOST where a turn that is kept is said not to exist.
+
+use super::{Bounds, Broken, Rule, index::Index};
+use crate::tier::observation::Outcome;
+use std::collections::BTreeMap;
+
+/// What was seen of a program.
+struct Units {
+    budget: u64,
+    most: u64,
+    received: u64,
+    last_ms: u64,
+}
+
+pub fn check(index: &Index<'_>, bounds: &Bounds) -> Vec<Broken> {
+    let mut broken = budgets(index);
+    broken.extend(lost_turns(index, bounds));
+    broken
+}
+
+fn budgets(index: &Index<'_>) -> Vec<Broken> {
+    let mut programs: BTreeMap<&str, Units> = BTreeMap::new();
+    for request in index.requests.values() {
+        let Some((sent_ms, sent)) = request.sent else { continue };
+        let Some(program) = &sent.program else { continue };
+        let Some(budget) = program.budget else { continue };
+        let none = Units { budget, most: 0, received: 0, last_ms: 0 };
+        let units = programs.entry(&program.name).or_insert(none);
+        units.most = units.most.max(program.most);
+        units.received += request.received.len() as u64 * program.chunk_tokens;
+        units.last_ms = units.last_ms.max(request.ended.map_or(sent_ms, |e| e.0));
+    }
+    let beyond = programs.iter().filter(|(_, u)| u.received > u.budget + u.most);
+    let report = |(name, u): (&&str, &Units)| Broken {
+        rule: Rule::Budget,
+        at_ms: u.last_ms,
+        what: format!("program {name} got {} units of a budget of {} (+ {})", u.received, u.budget, u.most),
+    };
+    beyond.map(report).collect()
+}
+
+/// Turns answered 404 or 410 though what they continue was answered whole less than the retention ago.
+fn lost_turns(index: &Index<'_>, bounds: &Bounds) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    for (id, request) in &index.requests {
+        let Some((at_ms, Outcome::Answered { status: status @ (404 | 410), .. })) = request.ended else {
+            continue;
+        };
+        let Some(previous) = request.sent.and_then(|(_, sent)| sent.previous.as_deref()) else { continue };
+        let Some(kept) = index.requests.get(previous) else { continue };
+        let Some((ended_ms, outcome)) = kept.ended else { continue };
+        if outcome.is_success() && at_ms < ended_ms + bounds.retention_ms {
+            let what = format!("{id} was answered {status}, and {previous}, which it continues, is kept");
+            broken.push(Broken { rule: Rule::Lost, at_ms, what });
+        }
+    }
+    broken
+}
--- /dev/null
+++ b/lab/src/tier/judge/requests.rs
@@ -0,0 +1,167 @@
+//! MIXED, UNASKED, TWICE, REFUSED, BUDGET of tries, and ROUTE.
+
+use super::{
+    Broken, Rule,
+    index::{Index, Request, Run},
+};
+use crate::tier::{
+    configuration::services_for,
+    observation::{Outcome, RouteKind},
+};
+use std::collections::BTreeSet;
+
+/// Requests that may run on more workers than their route allows before it counts.
+const ATTEMPTS_ALLOWANCE: usize = 3;
+/// How far back a chain of turns is followed.
+const MOST_TURNS: usize = 1000;
+
+pub fn check(index: &Index<'_>) -> Vec<Broken> {
+    let mut broken = Vec::new();
+    let mut beyond_attempts = Vec::new();
+    for (id, request) in &index.requests {
+        broken.extend(unasked(index, id, request));
+        broken.extend(twice(id, request));
+        broken.extend(refused(id, request));
+        broken.extend(mixed(id, request));
+        broken.extend(route(index, id, request));
+        beyond_attempts.extend(attempts(index, id, request));
+    }
+    if beyond_attempts.len() > ATTEMPTS_ALLOWANCE {
+        broken.extend(beyond_attempts);
+    }
+    broken
+}
+
+fn unasked(index: &Index<'_>, id: &str, request: &Request<'_>) -> Option<Broken> {
+    let run = request.runs.first()?;
+    let report = |what: String| Some(Broken { rule: Rule::Unasked, at_ms: run.at_ms, what });
+    let Some((_, sent)) = request.sent else {
+        return report(format!("{id} ran at {} and no client sent it", run.worker));
+    };
+    let chain = match &sent.previous {
+        None => Some(Vec::new()),
+        Some(previous) => chain_of(index, previous),
+    };
+    let Some(mut wanted) = chain else {
+        return report(format!("{id} ran though it continues a turn that there is not"));
+    };
+    wanted.extend_from_slice(&sent.body);
+    for run in &request.runs {
+        let asked = (sent.method.as_str(), sent.host.as_str(), sent.path.as_str());
+        if (run.method, run.host, run.path) != asked {
+            return report(format!("{id} ran as {} {}{}, not as {asked:?}", run.method, run.host, run.path));
+        }
+        if run.body != wanted {
+            let (got, want) = (run.body.len(), wanted.len());
+            return report(format!("{id} ran with {got} bytes that are not the {want} wanted"));
+        }
+    }
+    None
+}
+
+/// The inputs and outputs of a turn and of all before it, oldest first; `None`: one of them was not answered whole.
+fn chain_of(index: &Index<'_>, turn: &str) -> Option<Vec<u8>> {
+    let mut turns = Vec::new();
+    let mut at = Some(turn);
+    while let Some(id) = at {
+        let request = index.requests.get(id)?;
+        let (_, sent) = request.sent?;
+        if !request.ended.is_some_and(|(_, outcome)| outcome.is_success()) {
+            return None;
+        }
+        let mut said = sent.body.clone();
+        for event in &request.received {
+            said.extend_from_slice(&event.data);
+            said.push(b'\n');
+        }
+        turns.push(said);
+        if turns.len() > MOST_TURNS {
+            return None;
+        }
+        at = sent.previous.as_deref();
+    }
+    Some(turns.into_iter().rev().flatten().collect())
+}
+
+fn twice(id: &str, request: &Request<'_>) -> Option<Broken> {
+    let second = request.runs.get(1)?;
+    if request.kind().is_idempotent() {
+        return None;
+    }
+    let what = format!("{id} ran {} times, and may run once", request.runs.len());
+    Some(Broken { rule: Rule::Twice, at_ms: second.at_ms, what })
+}
+
+fn refused(id: &str, request: &Request<'_>) -> Option<Broken> {
+    let (_, sent) = request.sent?;
+    let (at_ms, Outcome::Answered { status, .. }) = request.ended? else { return None };
+    let promised = match status {
+        402 => true,
+        408 | 421 | 429 | 503 => !sent.kind.is_idempotent(),
+        _ => false,
+    };
+    if !promised {
+        return None;
+    }
+    let run = request.runs.first()?;
+    let what = format!("{id} was answered {status} and ran at {}", run.worker);
+    Some(Broken { rule: Rule::Refused, at_ms, what })
+}
+
+fn mixed(id: &str, request: &Request<'_>) -> Option<Broken> {
+    let (at_ms, outcome) = request.ended?;
+    let report = |what: String| Some(Broken { rule: Rule::Mixed, at_ms, what });
+    match outcome {
+        Outcome::Answered { status, signature, body, .. } => {
+            let success = (200..300).contains(status);
+            let Some(signature) = signature.as_deref() else {
+                return if success { report(format!("{id}: a success without a signature")) } else { None };
+            };
+            if !made_by_worker(request, *status, signature) {
+                return report(format!(
+                    "{id}: {status} with a signature that no worker gave to such an answer"
+                ));
+            }
+            if success && !matches!(request.kind(), RouteKind::Streaming { .. }) {
+                let whole = |r: &Run<'_>| r.answer.is_some_and(|a| a.1 == signature && a.2 == body && a.3);
+                if !request.runs.iter().any(whole) {
+                    return report(format!("{id}: the body is not the one that its worker sent"));
+                }
+            }
+            None
+        }
+        Outcome::Unreadable if !request.runs.iter().any(|r| r.answer.is_none_or(|a| !a.3)) => {
+            report(format!("{id}: bytes that are no answer"))
+        }
+        _ => None,
+    }
+}
+
+fn made_by_worker(request: &Request<'_>, status: u16, signature: &str) -> bool {
+    let of_runs = request.runs.iter().filter_map(|r| r.answer.map(|a| (a.0, a.1)));
+    let mut all = of_runs.chain(request.rejections.iter().copied());
+    all.any(|made| made == (status, signature))
+}
+
+fn route(index: &Index<'_>, id: &str, request: &Request<'_>) -> Option<Broken> {
+    let strays = request.runs.iter().find(|run| {
+        let allowed = |v: &super::index::Version<'_>| {
+            services_for(&v.json, run.host, run.path).is_some_and(|s| s.iter().any(|s| s == run.service))
+        };
+        !index.versions.iter().any(allowed)
+    })?;
+    let what = format!("{id} ran at the service {}, which no configuration allows", strays.service);
+    Some(Broken { rule: Rule::Route, at_ms: strays.at_ms, what })
+}
+
+fn attempts(index: &Index<'_>, id: &str, request: &Request<'_>) -> Option<Broken> {
+    let (sent_ms, sent) = request.sent?;
+    let last = request.runs.last()?;
+    let lived = request.runs.iter().filter(|r| !index.crashed(r.worker, sent_ms, last.at_ms));
+    let workers: BTreeSet<&str> = lived.map(|r| r.worker).collect();
+    if workers.len() <= sent.max_attempts {
+        return None;
+    }
+    let what = format!("{id} ran at {} workers, of {} allowed", workers.len(), sent.max_attempts);
+    Some(Broken { rule: Rule::Budget, at_ms: last.at_ms, what })
+}
--- /dev/null
+++ b/lab/src/tier/judge/streams.rs
@@ -0,0 +1,46 @@
+//! ORDER: a client's stream is one run's, whole and in order, or that of several where it may be resumed.
+
+use super::{
+    Broken, Rule,
+    index::{Index, Request, Run},
+};
+use crate::tier::observation::RouteKind;
+
+pub fn check(index: &Index<'_>) -> Vec<Broken> {
+    index.requests.iter().filter_map(|(id, request)| stream(id, request)).collect()
+}
+
+fn stream(id: &str, request: &Request<'_>) -> Option<Broken> {
+    let RouteKind::Streaming { resumable } = request.kind() else { return None };
+    let (at_ms, outcome) = request.ended?;
+    let report = |what: String| Some(Broken { rule: Rule::Order, at_ms, what });
+    for pair in request.received.windows(2) {
+        if pair[1].id != pair[0].id + 1 {
+            return report(format!("{id}: the event {} follows the event {}", pair[1].id, pair[0].id));
+        }
+    }
+    let whole = outcome.is_success();
+    if resumable {
+        let unknown = request.received.iter().find(|e| !request.runs.iter().any(|r| r.events.contains(e)));
+        if let Some(event) = unknown {
+            return report(format!("{id}: no worker made its event {}", event.id));
+        }
+        let ended = |r: &Run<'_>| r.answer.is_some_and(|a| a.3) && r.events.last() == request.received.last();
+        let complete = request.runs.iter().any(ended);
+        return if whole && !complete {
+            report(format!("{id}: it ended as complete and is not"))
+        } else {
+            None
+        };
+    }
+    let of_one = |r: &&Run<'_>| r.events.starts_with(&request.received);
+    let Some(run) = request.runs.iter().find(of_one) else {
+        return if request.received.is_empty() {
+            None
+        } else {
+            report(format!("{id}: pieces of several runs"))
+        };
+    };
+    let complete = run.events.len() == request.received.len() && run.answer.is_some_and(|a| a.3);
+    if whole && !complete { report(format!("{id}: it ended as complete and is not")) } else { None }
+}
--- /dev/null
+++ b/lab/src/tier/judge/tests.rs
@@ -0,0 +1,329 @@
+//! Every rule: a list that keeps it and lists that break it.
+
+use super::*;
+use crate::tier::{
+    configuration::{Configuration, Route},
+    observation::{
+        Leave, MachineEvent, Observation, Outcome, ProgramFacts, RouteKind, Seen, StreamEvent, Try,
+    },
+};
+use std::sync::Arc;
+
+const STREAMING: RouteKind = RouteKind::Streaming { resumable: false };
+
+/// A list of observations that grows by 10 ms with each.
+#[derive(Default)]
+struct Story {
+    seen: Vec<Seen>,
+    at_ms: u64,
+}
+
+impl Story {
+    fn new() -> Self {
+        let mut story = Self::default();
+        story.configuration(1, &[("/safe/", "plain"), ("/turn/", "model")]);
+        story
+    }
+
+    fn note(&mut self, what: Observation) -> &mut Self {
+        self.at_ms += 10;
+        self.seen.push(Seen { at_ms: self.at_ms, what });
+        self
+    }
+
+    fn later(&mut self, ms: u64) -> &mut Self {
+        self.at_ms += ms;
+        self
+    }
+
+    fn body(generation: u64, routes: &[(&str, &str)]) -> Arc<Vec<u8>> {
+        let routes =
+            routes.iter().map(|(prefix, service)| Route::new(prefix, prefix, RouteKind::Safe, service));
+        Arc::new(Configuration { generation, routes: routes.collect(), services: Vec::new() }.body())
+    }
+
+    fn configuration(&mut self, generation: u64, routes: &[(&str, &str)]) -> Arc<Vec<u8>> {
+        let body = Self::body(generation, routes);
+        self.note(Observation::ConfigurationSent { generation, body: body.clone(), valid: true });
+        self.answered(generation, &body, 200);
+        body
+    }
+
+    fn answered(&mut self, generation: u64, body: &Arc<Vec<u8>>, status: u16) -> &mut Self {
+        self.note(Observation::ConfigurationAnswered { generation, body: body.clone(), status })
+    }
+
+    fn sent(&mut self, request: &str, kind: RouteKind) -> &mut Self {
+        self.sent_with(request, kind, |_| ())
+    }
+
+    fn sent_with(&mut self, request: &str, kind: RouteKind, change: impl FnOnce(&mut Try)) -> &mut Self {
+        let path = if kind == STREAMING { "/turn/1" } else { "/safe/1" };
+        let mut sent = Try {
+            request: request.to_owned(),
+            machine: "edge-1".to_owned(),
+            method: "POST".to_owned(),
+            host: "tier.example".to_owned(),
+            path: path.to_owned(),
+            body: request.as_bytes().to_vec(),
+            kind,
+            max_attempts: 1,
+            previous: None,
+            program: None,
+        };
+        change(&mut sent);
+        self.note(Observation::TrySent(Arc::new(sent)))
+    }
+
+    fn ran_with(&mut self, request: &str, worker: &str, service: &str, path: &str, body: &[u8]) -> &mut Self {
+        self.note(Observation::Reached { request: request.to_owned(), worker: worker.to_owned() });
+        self.note(Observation::Ran {
+            request: request.to_owned(),
+            worker: worker.to_owned(),
+            service: service.to_owned(),
+            method: "POST".to_owned(),
+            host: "tier.example".to_owned(),
+            path: path.to_owned(),
+            body: body.to_vec(),
+        })
+    }
+
+    fn ran(&mut self, request: &str, worker: &str) -> &mut Self {
+        self.ran_with(request, worker, "plain", "/safe/1", request.as_bytes())
+    }
+
+    fn made(&mut self, request: &str, worker: &str, body: &str) -> &mut Self {
+        self.note(Observation::WorkerAnswered {
+            request: request.to_owned(),
+            worker: worker.to_owned(),
+            status: 200,
+            signature: format!("{request}@{worker}"),
+            body: body.as_bytes().to_vec(),
+            whole: true,
+        })
+    }
+
+    fn got(&mut self, request: &str, signature: Option<&str>, body: &str) -> &mut Self {
+        let signature = signature.map(str::to_owned);
+        self.ended(
+            request,
+            Outcome::Answered { status: 200, signature, body: body.as_bytes().to_vec(), retry_after: None },
+        )
+    }
+
+    fn refused(&mut self, request: &str, status: u16) -> &mut Self {
+        self.ended(
+            request,
+            Outcome::Answered { status, signature: None, body: Vec::new(), retry_after: None },
+        )
+    }
+
+    fn ended(&mut self, request: &str, outcome: Outcome) -> &mut Self {
+        self.note(Observation::TryEnded { request: request.to_owned(), outcome })
+    }
+
+    /// A turn that one worker answers with `made` events, of which the client gets those named.
+    fn turn(
+        &mut self,
+        request: &str,
+        previous: Option<&str>,
+        body: &str,
+        made: u64,
+        got: &[u64],
+    ) -> &mut Self {
+        let previous = previous.map(str::to_owned);
+        self.sent_with(request, STREAMING, |t| t.previous = previous);
+        self.ran_with(request, "m", "model", "/turn/1", body.as_bytes());
+        let event = |id: u64| StreamEvent { id, data: format!("{request}{id}").into_bytes() };
+        for id in 1..=made {
+            let (request, worker) = (request.to_owned(), "m".to_owned());
+            self.note(Observation::EventMade { request, worker, event: event(id) });
+        }
+        self.made(request, "m", "");
+        for id in got {
+            self.note(Observation::EventReceived { request: request.to_owned(), event: event(*id) });
+        }
+        self.got(request, Some(&format!("{request}@m")), "")
+    }
+
+    fn machine(&mut self, event: MachineEvent) -> &mut Self {
+        self.note(Observation::Machine { machine: "edge-1".to_owned(), event })
+    }
+
+    fn rules(&self) -> Vec<Rule> {
+        judge(&self.seen, &Bounds::default()).into_iter().map(|b| b.rule).collect()
+    }
+}
+
+#[test]
+fn a_day_that_keeps_the_rules_breaks_none() {
+    let mut story = Story::new();
+    story.sent("a", RouteKind::Unsafe).ran("a", "w").made("a", "w", "said").got("a", Some("a@w"), "said");
+    story.sent("b", RouteKind::Unsafe).refused("b", 503);
+    story.turn("t", None, "t", 2, &[1, 2]).turn("u", Some("t"), "tt1\nt2\nu", 1, &[1]);
+    assert_eq!(story.rules(), []);
+}
+
+#[test]
+fn mixed_answers_are_found() {
+    let ran = || {
+        let mut story = Story::new();
+        story.sent("a", RouteKind::Unsafe).ran("a", "w").made("a", "w", "said");
+        story
+    };
+    assert_eq!(ran().got("a", None, "said").rules(), [Rule::Mixed], "no signature");
+    assert_eq!(ran().got("a", Some("b@w"), "said").rules(), [Rule::Mixed], "another's signature");
+    assert_eq!(ran().got("a", Some("a@w"), "sai").rules(), [Rule::Mixed], "cut short");
+    assert_eq!(ran().ended("a", Outcome::Unreadable).rules(), [Rule::Mixed], "no answer");
+    let (signature, body) = (Some("a@w".to_owned()), Vec::new());
+    let failed = Outcome::Answered { status: 500, signature, body, retry_after: None };
+    assert_eq!(ran().ended("a", failed).rules(), [Rule::Mixed], "another status");
+}
+
+#[test]
+fn requests_that_nobody_asked_for_are_found() {
+    assert_eq!(Story::new().ran("a", "w").rules(), [Rule::Unasked], "no client sent it");
+    let mut story = Story::new();
+    story.sent("a", RouteKind::Safe).ran_with("a", "w", "plain", "/safe/2", b"a");
+    assert!(story.rules().contains(&Rule::Unasked), "another path");
+    let mut story = Story::new();
+    story.turn("t", None, "t", 2, &[1, 2]).turn("u", Some("t"), "tt1\nu", 1, &[1]);
+    assert_eq!(story.rules(), [Rule::Unasked], "a chain that lacks an event");
+    let mut story = Story::new();
+    story.turn("u", Some("none"), "u", 1, &[1]);
+    assert_eq!(story.rules(), [Rule::Unasked], "no such turn");
+}
+
+#[test]
+fn requests_that_ran_though_they_might_not_are_found() {
+    let mut story = Story::new();
+    story.sent("a", RouteKind::Unsafe).ran("a", "v").ran("a", "w");
+    assert_eq!(story.rules(), [Rule::Twice]);
+    let mut story = Story::new();
+    story.sent("a", RouteKind::Safe).ran("a", "v").ran("a", "w");
+    assert_eq!(story.rules(), [], "three may, as may those that can be repeated");
+    let mut story = Story::new();
+    story.sent("a", RouteKind::Unsafe).refused("a", 503).ran("a", "w");
+    assert_eq!(story.rules(), [Rule::Refused]);
+    let mut story = Story::new();
+    for request in ["a", "b", "c", "d"] {
+        story.sent(request, RouteKind::Safe).ran(request, "v").ran(request, "w");
+    }
+    assert_eq!(story.rules(), [Rule::Budget; 4]);
+    let mut story = Story::new();
+    story.sent("a", RouteKind::Safe).ran_with("a", "w", "model", "/safe/1", b"a");
+    assert!(story.rules().contains(&Rule::Route));
+}
+
+#[test]
+fn streams_out_of_order_are_found() {
+    for (made, got) in [(3, &[1, 3][..]), (3, &[1, 2, 2, 3]), (3, &[1, 2])] {
+        let mut story = Story::new();
+        story.turn("t", None, "t", made, got);
+        assert_eq!(story.rules(), [Rule::Order], "{got:?} of {made}");
+    }
+    assert_eq!(Story::new().turn("t", None, "t", 3, &[1, 2, 3]).rules(), []);
+}
+
+#[test]
+fn programs_beyond_their_budget_are_found() {
+    let of = |budget: u64| {
+        let mut story = Story::new();
+        let facts = ProgramFacts { name: "p".to_owned(), budget: Some(budget), most: 6, chunk_tokens: 3 };
+        story.turn("t", None, "t", 4, &[1, 2, 3, 4]);
+        for seen in &mut story.seen {
+            if let Observation::TrySent(sent) = &mut seen.what {
+                Arc::make_mut(sent).program = Some(facts.clone());
+            }
+        }
+        story.rules()
+    };
+    assert_eq!(of(6), []);
+    assert_eq!(of(5), [Rule::Budget]);
+}
+
+#[test]
+fn turns_that_are_kept_and_not_found_are_lost() {
+    let asked = |previous: &'static str, later_ms: u64| {
+        let mut story = Story::new();
+        story.turn("t", None, "t", 1, &[1]).later(later_ms);
+        story.sent_with("u", STREAMING, |t| t.previous = Some(previous.to_owned())).refused("u", 404);
+        story.rules()
+    };
+    assert_eq!(asked("t", 0), [Rule::Lost]);
+    assert_eq!(asked("t", 61_000), []);
+    assert_eq!(asked("none", 0), []);
+}
+
+#[test]
+fn workers_that_have_left_get_nothing_new() {
+    let ran = |later_ms: u64| {
+        let mut story = Story::new();
+        let worker = "w".to_owned();
+        story.note(Observation::LeaveAcknowledged { worker, leave: Leave::Draining });
+        story.later(later_ms).sent("a", RouteKind::Safe).ran("a", "w");
+        story.rules()
+    };
+    assert_eq!(ran(0), []);
+    assert_eq!(ran(2000), [Rule::Drain]);
+}
+
+#[test]
+fn configurations_are_in_force_in_time_and_only_those() {
+    let dropped = |later_ms: u64| {
+        let mut story = Story::new();
+        story.configuration(2, &[("/turn/", "model")]);
+        story.later(later_ms).sent("a", RouteKind::Safe).ran("a", "w");
+        story.rules()
+    };
+    assert_eq!(dropped(0), []);
+    assert_eq!(dropped(2000), [Rule::Configuration], "it runs by a dropped route");
+    let mut story = Story::new();
+    story.later(3000).sent("a", RouteKind::Safe).refused("a", 404);
+    assert_eq!(story.rules(), [Rule::Configuration], "its route is there");
+    let mut story = Story::new();
+    let body = Story::body(2, &[("/safe/", "other")]);
+    story.note(Observation::ConfigurationSent { generation: 2, body: body.clone(), valid: true });
+    story.answered(2, &body, 412);
+    story.sent("a", RouteKind::Safe).ran_with("a", "w", "other", "/safe/1", b"a");
+    assert!(story.rules().contains(&Rule::Configuration), "it was refused");
+    let mut story = Story::new();
+    story.configuration(2, &[("/a/", "plain")]);
+    story.configuration(2, &[("/b/", "plain")]);
+    assert_eq!(story.rules(), [Rule::Configuration], "two of one generation");
+    let mut story = Story::new();
+    let body = story.configuration(2, &[("/a/", "plain")]);
+    story.answered(2, &body, 409);
+    assert_eq!(story.rules(), [Rule::Configuration], "a resend was refused");
+}
+
+#[test]
+fn what_is_read_back_is_the_newest() {
+    let read = |body: Option<Vec<u8>>| {
+        let mut story = Story::new();
+        story.configuration(2, &[("/a/", "plain")]);
+        story.note(Observation::ConfigurationRead { body });
+        story.rules()
+    };
+    let newest = Story::body(2, &[("/a/", "plain")]).to_vec();
+    let old = Story::body(1, &[("/safe/", "plain"), ("/turn/", "model")]).to_vec();
+    assert_eq!(read(Some(newest)), []);
+    assert_eq!(read(Some(old)), [Rule::Configuration]);
+    assert_eq!(read(Some(b"{".to_vec())), [Rule::Configuration]);
+    assert_eq!(read(None), [Rule::Configuration]);
+}
+
+#[test]
+fn requests_cut_off_by_a_planned_stop_are_lost() {
+    let closed = || Outcome::Closed { request_written: true };
+    let stopped = |event: MachineEvent| {
+        let mut story = Story::new();
+        story.sent("a", RouteKind::Unsafe).ran("a", "w").machine(event).ended("a", closed());
+        story.rules()
+    };
+    assert_eq!(stopped(MachineEvent::Terminated), [Rule::Lost]);
+    assert_eq!(stopped(MachineEvent::Killed), []);
+    let mut story = Story::new();
+    story.sent("a", RouteKind::Unsafe).machine(MachineEvent::Terminated).ended("a", closed());
+    assert_eq!(story.rules(), [], "it was not passed on");
+}
