--- a/crates/storage/src/record_log.rs
+++ b/crates/storage/src/record_log.rs
@@ -48,6 +48,8 @@
 struct Segment {
     number: u64,
     bytes: u64,
+    /// The lowest number that a record had in it, or that was due at its start.
+    start_record: u64,
     /// The highest number that a record had in it, plus one.
     end_record: u64,
 }
@@ -178,12 +180,17 @@
         while self.segments.len() > 1 && self.segments[0].end_record <= record {
             // Each removal is made to last before the next, so that no segment in the middle is ever missing.
             self.directory.remove(&self.segment_name(self.segments[0].number))?;
-            self.first_record = self.first_record.max(self.segments[0].end_record).min(self.synced_next);
             self.segments.pop_front();
+            self.forget_dropped();
         }
         Ok(())
     }
 
+    fn forget_dropped(&mut self) {
+        let lowest = self.segments.iter().map(|segment| segment.start_record).min();
+        self.first_record = self.first_record.max(lowest.unwrap_or_default());
+    }
+
     fn segment_name(&self, number: u64) -> String {
         format!("{}-{number:016x}.log", self.name)
     }
@@ -226,7 +233,8 @@
         };
         self.check_follows(&header, path.clone())?;
         let mut offset = SEGMENT_HEADER_BYTES;
-        let mut segment = Segment { number, bytes: 0, end_record: header.next_record };
+        let mut segment =
+            Segment { number, bytes: 0, start_record: header.next_record, end_record: header.next_record };
         while offset < bytes.len() {
             let Some(batch) = Batch::parse(&bytes[offset..], self.next_sequence..=self.next_sequence) else {
                 let what = "a batch in the middle";
@@ -237,6 +245,7 @@
                 break;
             };
             self.replay_batch(&batch, &path, offset as u64, replay)?;
+            segment.start_record = segment.start_record.min(batch.first_record);
             segment.end_record = segment.end_record.max(self.synced_next);
             offset += batch.bytes;
         }
@@ -349,7 +358,8 @@
             Ok(file) => {
                 self.file = Some(file);
                 let bytes = SEGMENT_HEADER_BYTES as u64;
-                self.segments.push_back(Segment { number, bytes, end_record: self.synced_next });
+                let next = self.synced_next;
+                self.segments.push_back(Segment { number, bytes, start_record: next, end_record: next });
                 Ok(())
             }
             Err(error) => {
@@ -372,6 +382,7 @@
         let next_record = self.batch.next_record();
         if let Some(segment) = self.segments.back_mut() {
             segment.bytes += self.batch.len() as u64;
+            segment.start_record = segment.start_record.min(self.batch.first_record());
             segment.end_record = segment.end_record.max(next_record);
         }
         self.adopt(self.next_sequence, self.batch.first_record(), next_record);
