--- /dev/null
+++ b/crates/gatekeeper/src/agent/mod.rs
@@ -0,0 +1,15 @@
+//! The agent beside the proxy: it keeps the link to the control processes.
+
+use opalrun_settings::Settings;
+use std::{convert::Infallible, future::pending};
+
+/// Runs the role until SIGTERM.
+///
+/// # Errors
+/// None yet.
+pub async fn run(_settings: Settings) -> Result<(), Infallible> {
+    tokio::select! {
+        () = opalrun_net::signals::terminated() => Ok(()),
+        never = pending() => never,
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 mod reader;
 mod rpc_client;
 mod rpc_server;
+pub mod signals;
 mod socket;
 mod writer;
 
--- /dev/null
+++ b/crates/settings/tests/settings.rs
@@ -0,0 +1,135 @@
+//! Settings files, right and wrong.
+
+use opalrun_settings::{Settings, SettingsError};
+use std::{path::Path, time::Duration};
+
+const EXAMPLE: &str = include_str!("example.toml");
+
+fn parse(text: &str) -> Result<Settings, SettingsError> {
+    Settings::parse(text, Path::new("settings.toml"))
+}
+
+/// What is wrong with the example after a replacement, one message a problem.
+fn problems(from: &str, to: &str) -> Vec<String> {
+    assert!(EXAMPLE.contains(from), "the example has no {from}");
+    match parse(&EXAMPLE.replace(from, to)) {
+        Err(SettingsError::Invalid { problems, .. }) => problems.iter().map(ToString::to_string).collect(),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[test]
+fn the_example_is_read_whole() {
+    let settings = parse(EXAMPLE).unwrap();
+    assert_eq!(settings.node_name, "core-pasig-hall-1");
+    assert_eq!(settings.peer_address().to_string(), "10.1.0.42:7380");
+    assert_eq!(settings.feed_address().to_string(), "10.1.0.42:7381");
+    assert_eq!(settings.seed_feed_addresses()[1].to_string(), "10.2.0.43:7381");
+    assert_eq!(settings.heartbeat, Duration::from_millis(1200));
+    assert_eq!(settings.bounds.catch_up, Duration::from_millis(4400));
+    assert_eq!(settings.bounds.drain, Duration::from_millis(2000));
+    assert_eq!(settings.required_data_dir().unwrap(), Path::new("/data/my-core"));
+    assert_eq!(settings.required_control_plane().unwrap().port(), 8144);
+    assert_eq!(settings.zones["quezon-hall"], "luzon");
+    assert_eq!(settings.replicas(), 3);
+    assert!(settings.guarantees("agent"));
+    assert!(!settings.guarantees("others"));
+}
+
+#[test]
+fn unknown_keys_are_ignored() {
+    let text = format!("future = [1, 2]\n{EXAMPLE}\nfuture_s = true\n[future_table]\nx = 1\n");
+    assert_eq!(parse(&text).unwrap(), parse(EXAMPLE).unwrap());
+}
+
+#[test]
+fn what_a_machine_has_not_may_be_missing_or_empty() {
+    let text = EXAMPLE.replace("data_dir = \"/data/my-core\"", "data_dir = \"\"");
+    let text = text.replace("control_plane = \"10.1.0.42:8144\"", "control_plane = \"\"\nfrontend = \"\"");
+    let settings = parse(&text).unwrap();
+    assert_eq!(settings.data_dir, None);
+    assert_eq!(settings.listen.control_plane, None);
+    let error = settings.required_data_dir().unwrap_err().to_string();
+    assert_eq!(error, "E201: settings.toml: `data_dir` is missing: wanted is a folder");
+    let text = EXAMPLE.replace("[listen]\ncontrol_plane = \"10.1.0.42:8144\"\n", "");
+    assert_eq!(parse(&text).unwrap().listen.control_plane, None);
+}
+
+#[test]
+fn bounds_may_be_missing_and_may_be_fractions() {
+    let text = EXAMPLE.replace("grace_s = 8\n", "").replace("drain_ms = 2000", "drain_ms = 1500.5");
+    let bounds = parse(&text).unwrap().bounds;
+    assert_eq!(bounds.grace, Duration::from_secs(8));
+    assert_eq!(bounds.drain, Duration::from_micros(1_500_500));
+}
+
+#[test]
+fn a_wrong_value_is_told_with_key_value_and_what_is_wanted() {
+    assert_eq!(
+        problems("cpu_quota = 0.6", "cpu_quota = 0"),
+        ["`limits.cpu_quota` is 0: wanted is a number above 0"]
+    );
+    assert_eq!(
+        problems("ip = \"10.1.0.42\"", "ip = \"core-1\""),
+        ["`ip` is \"core-1\": wanted is an IP address"]
+    );
+    assert_eq!(
+        problems("heartbeat_ms = 1200", "heartbeat_ms = \"often\""),
+        ["`heartbeat_ms` is \"often\": wanted is a number above 0"]
+    );
+    assert_eq!(
+        problems("port_range = [7380,7395]", "port_range = [7380,7380]"),
+        ["`port_range` is [7380, 7380]: wanted is a first port and a later last one"]
+    );
+    assert_eq!(problems("10.3.0.8:8144", "core-3:8144").len(), 1);
+    assert_eq!(problems("grace_s = 8", "grace_s = -8").len(), 1);
+    assert_eq!(problems("grace_s = 8", "grace_s = nan").len(), 1);
+    assert_eq!(problems("grace_s = 8", "grace_s = 1e300").len(), 1);
+    assert_eq!(problems("hosts_lost = 1", "hosts_lost = 0.5").len(), 1);
+    assert_eq!(problems("bootstrap = true", "bootstrap = 1").len(), 1);
+    assert_eq!(problems("[limits]", "[limits_of_others]").len(), 6);
+}
+
+#[test]
+fn all_problems_are_told_at_once() {
+    let text = EXAMPLE
+        .replace("node_name = \"core-pasig-hall-1\"\n", "")
+        .replace("memory_mb = 256", "memory_mb = \"much\"")
+        .replace("bootstrap = true", "bootstrap = \"yes\"");
+    let error = parse(&text).unwrap_err().to_string();
+    assert!(error.starts_with("E201: settings.toml: "), "{error}");
+    for key in ["`node_name` is missing", "`bootstrap` is \"yes\"", "`limits.memory_mb` is \"much\""] {
+        assert!(error.contains(key), "{error}");
+    }
+}
+
+#[test]
+fn what_is_no_toml_is_told_with_its_place() {
+    let error = parse("node_name = \n").unwrap_err();
+    assert!(matches!(error, SettingsError::Syntax { .. }));
+    assert!(error.to_string().contains("line 1"), "{error}");
+}
+
+#[test]
+fn a_file_is_loaded_and_loaded_again() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("settings.toml");
+    assert!(matches!(Settings::load(&path), Err(SettingsError::Read { .. })));
+    std::fs::write(&path, EXAMPLE).unwrap();
+    let settings = Settings::load(&path).unwrap();
+    std::fs::write(&path, EXAMPLE.replace("bootstrap = true", "bootstrap = false")).unwrap();
+    assert!(settings.bootstrap);
+    assert!(!settings.reload().unwrap().bootstrap);
+}
+
+#[test]
+fn any_text_is_read_or_refused() {
+    bolero::check!().with_type::<(usize, u8)>().for_each(|(place, byte)| {
+        let mut bytes = EXAMPLE.as_bytes().to_vec();
+        let place = place % bytes.len();
+        bytes[place] = *byte;
+        if let Ok(text) = String::from_utf8(bytes) {
+            let _ = parse(&text);
+        }
+    });
+}
