--- a/src/bin/yardspur/link.rs
+++ b/crates/transport/src/connection.rs
@@ -3,11 +3,11 @@
 //! The connection has no task of its own: whoever holds it drives it, so dropping it closes the socket at
 //! once, and nothing can be sent again behind the holder's back.
 
-use crate::body::Sent;
+use crate::body::RequestBody;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
-use hyper::client::conn::http1::{Builder, Connection, SendRequest};
+use hyper::client::conn::http1::{Builder, Connection as Driver, SendRequest};
 use hyper::{Request, Response, http::response::Parts};
 use hyper_util::rt::TokioIo;
 use std::{
@@ -129,14 +129,14 @@
     Reset,
 }
 
-pub struct Link {
-    sender: SendRequest<Sent>,
-    driver: Pin<Box<Connection<TokioIo<Counted>, Sent>>>,
+pub struct Connection {
+    sender: SendRequest<RequestBody>,
+    driver: Pin<Box<Driver<TokioIo<Counted>, RequestBody>>>,
     over: bool,
     progress: Rc<Progress>,
 }
 
-impl Link {
+impl Connection {
     /// Connects within `limit`.
     pub async fn open(addr: SocketAddr, limit: Duration) -> io::Result<Self> {
         let socket = tokio::time::timeout(limit, TcpStream::connect(addr)).await??;
@@ -166,7 +166,7 @@
     }
 
     /// Sends one request and reads its answer's head.
-    pub async fn send(&mut self, request: Request<Sent>) -> Result<Response<Incoming>, Failure> {
+    pub async fn send(&mut self, request: Request<RequestBody>) -> Result<Response<Incoming>, Failure> {
         self.progress.begin(request.body().size_hint().exact());
         let mut sending = pin!(self.sender.try_send_request(request));
         let (driver, over) = (&mut self.driver, &mut self.over);
@@ -213,7 +213,7 @@
     }
 
     /// Sends one request without a body and reads the whole answer.
-    pub async fn exchange(&mut self, request: Request<Sent>) -> Result<(Parts, Bytes), Failure> {
+    pub async fn exchange(&mut self, request: Request<RequestBody>) -> Result<(Parts, Bytes), Failure> {
         let (parts, mut body) = self.send(request).await?.into_parts();
         Ok((parts, self.whole(&mut body).await?))
     }
--- /dev/null
+++ b/crates/transport/src/pool/wakeups.rs
@@ -0,0 +1,45 @@
+//! Tells which idle connections have something to say.
+
+use super::state::ConnectionId;
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    task::{Wake, Waker},
+};
+use tokio::sync::Notify;
+
+/// Idle connections whose sockets have something to say.
+#[derive(Default)]
+pub struct Wakeups {
+    connections: Mutex<Vec<ConnectionId>>,
+    notify: Notify,
+}
+
+impl Wakeups {
+    /// Waits until a connection is woken.
+    pub async fn wait(&self) {
+        self.notify.notified().await;
+    }
+
+    /// Those that were woken since the last call.
+    pub fn take(&self) -> Vec<ConnectionId> {
+        std::mem::take(&mut *self.connections.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+}
+
+/// The waker of one connection while it is idle.
+struct IdleWaker {
+    connection: ConnectionId,
+    wakeups: Arc<Wakeups>,
+}
+
+impl Wake for IdleWaker {
+    fn wake(self: Arc<Self>) {
+        self.wakeups.connections.lock().unwrap_or_else(PoisonError::into_inner).push(self.connection);
+        self.wakeups.notify.notify_one();
+    }
+}
+
+/// The waker of `connection`, which notes it in `wakeups`.
+pub fn waker(wakeups: &Arc<Wakeups>, connection: ConnectionId) -> Waker {
+    Waker::from(Arc::new(IdleWaker { connection, wakeups: wakeups.clone() }))
+}
--- /dev/null
+++ b/crates/transport/src/server/mod.rs
@@ -0,0 +1,303 @@
+//! The server for the connections of clients: accepts as many as there is room for, hands each request to a handler and
+//! writes its answer, and closes connections that are idle, slow, or in the way of the process's end.
+
+mod handler;
+mod peer;
+mod settings;
+mod socket;
+#[cfg(test)]
+mod tests;
+
+pub use handler::{Client, Handler, HeldBody};
+pub use peer::Peer;
+pub use settings::Settings;
+
+use fnv::FnvHashMap;
+use hyper::{
+    Request, Response, body::Incoming, header, header::HeaderValue, server::conn::http1::Builder,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use peer::Busy;
+use socket::{Watched, gone};
+use std::{
+    any::Any,
+    cell::{Cell, RefCell},
+    convert::Infallible,
+    pin::pin,
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Notify, watch},
+};
+use tracing::warn;
+
+/// A connection that is to close has so long for its client to read the last answer.
+const UNREAD: Duration = Duration::from_secs(1);
+/// Between looks for idle connections while clients are sent away.
+const SHED: Duration = Duration::from_millis(100);
+/// Pause at the edge of the budget, and after the system had no descriptor left.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Serves the connections of server.
+pub struct Server<H: Handler> {
+    handler: H,
+    settings: Settings,
+    peers: RefCell<FnvHashMap<u64, Rc<Peer>>>,
+    numbers: Cell<u64>,
+    budget: Cell<usize>,
+    /// Connections are accepted.
+    accepting: watch::Sender<bool>,
+    /// The process began to accept.
+    begun: Cell<bool>,
+    /// Another process has taken over for good.
+    left: Cell<bool>,
+    /// A connection has ended.
+    freed: Notify,
+    stopping: Cell<bool>,
+    /// The operators send clients away, for a while.
+    away: Cell<bool>,
+    /// Idle connections are being closed.
+    shedding: Cell<bool>,
+}
+
+impl<H: Handler> Server<H> {
+    /// `budget` connections at most.
+    pub fn new(handler: H, settings: Settings, budget: usize) -> Rc<Self> {
+        let (numbers, freed) = (Cell::new(0), Notify::new());
+        let [stopping, away, shedding, begun, left] = [const { Cell::new(false) }; 5];
+        let (peers, budget, accepting) = (RefCell::default(), Cell::new(budget), watch::Sender::new(true));
+        Rc::new(Self {
+            handler,
+            settings,
+            peers,
+            numbers,
+            budget,
+            accepting,
+            begun,
+            left,
+            freed,
+            stopping,
+            away,
+            shedding,
+        })
+    }
+
+    /// From now on every answer closes its connection and `/up` says no.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// This process takes server.
+    pub fn ready(&self) -> bool {
+        self.begun.get() && !self.stopping.get() && *self.accepting.borrow()
+    }
+
+    /// From now on `budget` connections at most; those beyond it stay.
+    pub fn set_budget(&self, budget: usize) {
+        self.budget.set(budget);
+    }
+
+    /// Accepts no more: another process of this gatekeeper is about to.
+    pub fn hand_over(&self) {
+        self.accepting.send_replace(false);
+    }
+
+    /// That one serves: clients go to it as their connections end.
+    pub fn leave(self: &Rc<Self>) {
+        self.left.set(true);
+        self.shed();
+    }
+
+    /// That one has ended: this one accepts again.
+    pub fn take_back(&self) {
+        self.left.set(false);
+        self.accepting.send_replace(true);
+    }
+
+    /// Waits until another process has taken over, and no client has been left here for `settled`.
+    pub async fn all_left(&self, settled: Duration) {
+        loop {
+            let gone = || self.left.get() && self.connections() == 0;
+            while !gone() {
+                self.freed.notified().await;
+            }
+            tokio::time::sleep(settled).await;
+            // The other one may have ended meanwhile, and this one be needed again.
+            if gone() {
+                return;
+            }
+        }
+    }
+
+    pub fn sends_away(&self) -> bool {
+        self.away.get()
+    }
+
+    /// Sends clients away, or ends that: meanwhile `/up` says no, each answer closes its connection, and
+    /// idle ones are closed.
+    pub fn send_away(self: &Rc<Self>, away: bool) {
+        self.away.set(away);
+        self.shed();
+    }
+
+    /// Closes idle connections while answers close theirs.
+    fn shed(self: &Rc<Self>) {
+        if !self.closing() || self.shedding.replace(true) {
+            return;
+        }
+        let server = self.clone();
+        tokio::task::spawn_local(async move {
+            while server.closing() {
+                server.peers.borrow().values().filter(|p| p.idle()).for_each(|p| p.close.notify_one());
+                // One that waits for all to leave looks again.
+                server.freed.notify_waiters();
+                tokio::time::sleep(SHED).await;
+            }
+            server.shedding.set(false);
+        });
+    }
+
+    /// Answers close their connections.
+    fn closing(&self) -> bool {
+        self.stopping.get() || self.away.get() || self.left.get()
+    }
+
+    /// Whether the front is to send server. One that has handed over speaks for the process that serves.
+    fn up(&self) -> bool {
+        !self.away.get() && (self.left.get() || !self.stopping.get())
+    }
+
+    /// Closes each connection now if it is idle, else after the answer in hand.
+    pub fn close(&self) {
+        self.peers.borrow().values().for_each(|p| p.close.notify_one());
+    }
+
+    pub fn connections(&self) -> usize {
+        self.peers.borrow().len()
+    }
+
+    /// Waits until a connection ends.
+    pub async fn one_ended(&self) {
+        self.freed.notified().await;
+    }
+
+    /// Accepts for good.
+    pub async fn accept(self: &Rc<Self>, listener: &TcpListener) {
+        let mut open = self.accepting.subscribe();
+        self.begun.set(true);
+        loop {
+            if !*open.borrow_and_update() {
+                let _ = open.changed().await;
+                continue;
+            }
+            if self.connections() >= self.budget.get() {
+                // At the edge the connection that has stood idle longest makes room; if none has, new ones
+                // wait unaccepted until one ends or has.
+                self.close_longest_idle();
+                let _ = tokio::time::timeout(PAUSE, self.one_ended()).await;
+                continue;
+            }
+            let accepted = tokio::select! {
+                biased;
+                _ = open.changed() => continue,
+                accepted = listener.accept() => accepted,
+            };
+            match accepted {
+                Ok((socket, _)) => self.serve(socket),
+                Err(e) => {
+                    // No descriptor, or the client went at once: never a reason to spin or to stop.
+                    warn!("accept: {e}");
+                    self.close_longest_idle();
+                    tokio::time::sleep(PAUSE).await;
+                }
+            }
+        }
+    }
+
+    fn close_longest_idle(&self) {
+        let peers = self.peers.borrow();
+        if let Some(peer) = peers.values().filter(|p| p.idle()).min_by_key(|p| p.since.get()) {
+            peer.close.notify_one();
+        }
+    }
+
+    fn serve(self: &Rc<Self>, socket: TcpStream) {
+        let number = self.numbers.get();
+        self.numbers.set(number + 1);
+        let peer = Rc::new(Peer::new(self.settings));
+        self.peers.borrow_mut().insert(number, peer.clone());
+        let server = self.clone();
+        tokio::task::spawn_local(async move {
+            // Dropped however this task ends, so that the budget stays right.
+            let _place = Place { server: server.clone(), number };
+            // Without this an answer might wait for the acknowledgement of the one before.
+            let _ = socket.set_nodelay(true);
+            let service = service_fn(|request| {
+                let (server, peer) = (server.clone(), peer.clone());
+                async move { Ok::<_, Infallible>(server.handle(request, &peer).await) }
+            });
+            let mut builder = Builder::new();
+            builder.max_buf_size(server.settings.longest_head).auto_date_header(false);
+            let socket = Rc::new(RefCell::new(socket));
+            let watched = Watched { socket: socket.clone(), peer: peer.clone() };
+            let mut connection = pin!(builder.serve_connection(TokioIo::new(watched), service));
+            let mut gone = pin!(gone(&socket, &peer));
+            tokio::select! {
+                biased;
+                // How a client's connection ends is no news: its request, if any, says so when dropped.
+                _ = connection.as_mut() => return,
+                () = gone.as_mut() => return,
+                () = peer.overdue() => return,
+                () = peer.may_close() => connection.as_mut().graceful_shutdown(),
+            }
+            // One whose client does not read its answer must not keep its place for good.
+            loop {
+                tokio::select! {
+                    biased;
+                    _ = connection.as_mut() => return,
+                    () = gone.as_mut() => return,
+                    () = tokio::time::sleep(UNREAD) => {}
+                }
+                let owed = peer.busy() || peer.head.get().is_some();
+                if !owed || peer.taken.get().elapsed() >= server.settings.untaken_time {
+                    return;
+                }
+            }
+        });
+    }
+
+    async fn handle(
+        self: &Rc<Self>,
+        request: Request<Incoming>,
+        peer: &Rc<Peer>,
+    ) -> Response<HeldBody<H::Body>> {
+        peer.head.set(None);
+        peer.came.notify_one();
+        peer.taken.set(Instant::now());
+        // Also when the client goes and this is dropped half way.
+        let in_hand: Rc<dyn Any> = Rc::new(Busy::new(peer));
+        let client = Client { peer: peer.clone(), in_hand: in_hand.clone(), up: self.up() };
+        let mut response = self.handler.handle(request, client).await;
+        if self.closing() {
+            response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+        }
+        peer.taken.set(Instant::now());
+        response.map(|body| HeldBody { body, _in_hand: in_hand })
+    }
+}
+
+/// A connection's place in the budget.
+struct Place<H: Handler> {
+    server: Rc<Server<H>>,
+    number: u64,
+}
+
+impl<H: Handler> Drop for Place<H> {
+    fn drop(&mut self) {
+        self.server.peers.borrow_mut().remove(&self.number);
+        self.server.freed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/transport/src/server/peer.rs
@@ -0,0 +1,123 @@
+//! What is known of a client's connection while it is open.
+
+use super::Settings;
+use std::{
+    cell::Cell,
+    io,
+    rc::Rc,
+    task::Poll,
+    time::{Duration, Instant},
+};
+use tokio::sync::Notify;
+
+/// Between looks at a connection that has a request in hand.
+const BUSY_TIME: Duration = Duration::from_secs(1);
+
+/// A client's connection as the others see it.
+pub struct Peer {
+    settings: Settings,
+    /// Requests on it that are in hand: the rest of one that is answered may still be coming to its end when the
+    /// next has come.
+    pub(super) hands: Cell<usize>,
+    pub(super) since: Cell<Instant>,
+    /// It has carried a request.
+    pub(super) used: Cell<bool>,
+    /// When the first byte came of a head that is still coming.
+    pub(super) head: Cell<Option<Instant>>,
+    /// When its client last took something.
+    pub(super) taken: Cell<Instant>,
+    /// Something is left that its client has not taken yet.
+    pub(super) untaken: Cell<bool>,
+    pub(super) close: Notify,
+    /// A head has come whole.
+    pub(super) came: Notify,
+}
+
+impl Peer {
+    pub(super) fn new(settings: Settings) -> Self {
+        let now = Instant::now();
+        let (hands, used, untaken) = Default::default();
+        let (since, head, taken) = (Cell::new(now), Cell::new(None), Cell::new(now));
+        let (close, came) = Default::default();
+        Self { settings, hands, since, used, head, taken, untaken, close, came }
+    }
+
+    /// Since when it has been idle, or open where it has carried nothing yet.
+    pub fn idle_since(&self) -> Instant {
+        self.since.get()
+    }
+
+    /// It has carried a proper request.
+    pub fn used(&self) -> bool {
+        self.used.get()
+    }
+
+    /// A proper request has come on it, whole as far as it is gathered.
+    pub fn use_it(&self) {
+        self.used.set(true);
+    }
+
+    /// A request on it is in hand, or the last answer has not all gone out.
+    pub(super) fn busy(&self) -> bool {
+        self.hands.get() > 0 || self.untaken.get()
+    }
+
+    /// The socket took what it was offered, or takes nothing just now.
+    pub(super) fn wrote(&self, done: &Poll<io::Result<usize>>) {
+        if done.is_ready() {
+            self.taken.set(Instant::now());
+        }
+        if self.untaken.replace(done.is_pending()) && done.is_ready() {
+            // It may be idle from now on, and not from when its answer was made.
+            self.since.set(Instant::now());
+        }
+    }
+
+    /// One that has just come, or just had its answer, may have a request on its way.
+    pub(super) fn idle(&self) -> bool {
+        !self.busy() && self.head.get().is_none() && self.since.get().elapsed() > self.settings.spare_time
+    }
+
+    /// Waits until it may be closed from this side, where that is wanted: a request whose head has begun to come is
+    /// owed its answer first.
+    pub(super) async fn may_close(&self) {
+        self.close.notified().await;
+        while self.head.get().is_some() {
+            self.came.notified().await;
+        }
+    }
+
+    /// Waits until it is to be closed for bringing nothing, or for taking nothing.
+    pub(super) async fn overdue(&self) {
+        loop {
+            let until = match (self.busy(), self.head.get()) {
+                (true, _) if self.untaken.get() => self.taken.get() + self.settings.untaken_time,
+                (true, _) => (self.taken.get() + self.settings.untaken_time).max(Instant::now() + BUSY_TIME),
+                (false, Some(head)) if self.used.get() => head + self.settings.head_time,
+                (false, None) if self.used.get() => self.since.get() + self.settings.idle_time,
+                (false, _) => self.since.get() + self.settings.first_time,
+            };
+            if until <= Instant::now() {
+                return;
+            }
+            tokio::time::sleep_until(until.into()).await;
+        }
+    }
+}
+
+/// Counts a request on a connection as in hand until it is dropped.
+pub(super) struct Busy(Rc<Peer>);
+
+impl Busy {
+    pub(super) fn new(peer: &Rc<Peer>) -> Self {
+        peer.hands.set(peer.hands.get() + 1);
+        Self(peer.clone())
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.hands.set(self.0.hands.get() - 1);
+        self.0.since.set(Instant::now());
+    }
+}
--- a/src/bin/yardspur/discovery.rs
+++ b/src/bin/yardspur/discovery.rs
@@ -1,12 +1,11 @@
 //! Follows the list of workers: one watch after another, the whole list after any doubt.
 
 use crate::{
-    body::Sent,
     config::{Entry, List},
     gateway::Hub,
-    link::Link,
 };
 use hyper::{Request, StatusCode, Uri, header};
+use opalrun_transport::{body::RequestBody, connection::Connection};
 use std::{fmt, net::SocketAddr, rc::Rc, task::Waker, time::Duration};
 use tokio::sync::watch;
 use tracing::{info, warn};
@@ -105,16 +104,16 @@
     }
 }
 
-async fn call(addr: SocketAddr, kept: &mut Option<Link>, version: Option<u64>) -> Result<List, Fault> {
+async fn call(addr: SocketAddr, kept: &mut Option<Connection>, version: Option<u64>) -> Result<List, Fault> {
     let mut link = match kept.take().and_then(|mut link| link.ready(Waker::noop()).then_some(link)) {
         Some(link) => link,
-        None => Link::open(addr, CONNECT).await.map_err(|_| Fault::Connect)?,
+        None => Connection::open(addr, CONNECT).await.map_err(|_| Fault::Connect)?,
     };
     let (path, hold) = match version {
         Some(v) => (format!("/discovery/hosts?from={v}&hold_ms={}", HOLD.as_millis()), HOLD),
         None => ("/discovery/hosts".to_owned(), Duration::ZERO),
     };
-    let mut request = Request::new(Sent::empty());
+    let mut request = Request::new(RequestBody::empty());
     *request.uri_mut() = Uri::try_from(path).map_err(|_| Fault::Unreadable)?;
     request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("backend.local"));
     let answer = tokio::time::timeout(hold + PATIENCE, link.exchange(request)).await;
--- a/src/bin/yardspur/fleet/mod.rs
+++ b/src/bin/yardspur/fleet/mod.rs
@@ -8,9 +8,9 @@
 pub mod views;
 mod wire;
 
-use crate::clock::Clock;
 use fnv::FnvHashMap;
 use membership::{Id, Membership, News, Seen, Todo};
+use opalrun_transport::clock::Clock;
 use serde::{Deserialize, Serialize};
 use std::{
     cell::{Cell, RefCell},
--- a/src/bin/yardspur/gateway.rs
+++ b/src/bin/yardspur/gateway.rs
@@ -2,19 +2,21 @@
 //! carries out the actions. It decides nothing.
 
 use crate::{
-    body::{self, Gathered, Passing, Piece, Pool, Unwanted},
     clients::Clients,
-    clock::Clock,
     config::{Config, Entry, List, trial::Tally},
     counter::Counter,
     discovery,
     fleet::{Fleet, Site},
     handover::Word,
-    pools::Pools,
     recovery::{self, Progress, Recovery},
     workers::{Caller, Ending, Forward, KEPT_BACK, Terms, Trace, Workers, may_have_run},
 };
 use fnv::{FnvHashMap, FnvHashSet};
+use opalrun_transport::{
+    body::{self, Forwarding, Gathered, MemoryBudget, Piece, Unwanted},
+    clock::Clock,
+    pool::{self, Pools},
+};
 use serde_json::json;
 use std::{
     cell::{Cell, RefCell},
@@ -60,6 +62,15 @@
     remaining - (AHEAD + 2.0 * lag).min(AHEAD_MOST * remaining)
 }
 
+/// What the settings say of the connections to workers.
+fn pool_settings(options: &Options) -> pool::Settings {
+    pool::Settings {
+        idle_limit: options.conn_idle,
+        sharers: options.settings.gateways,
+        connect_timeout: Duration::from_secs_f64(options.connect_timeout),
+    }
+}
+
 /// How late this process was of late, at most.
 #[derive(Debug, Default)]
 struct Lag {
@@ -84,7 +95,7 @@
 
 /// The one final answer to a client.
 pub enum Answer {
-    Served(body::Answer),
+    Served(body::ResponseBody),
     /// With the advice to stay away for so many seconds; 0: none.
     Refused(f64),
     Failed,
@@ -110,7 +121,7 @@
     wait: f64,
     /// When its answer began to go to the client, and how it goes on: only a short one that its worker has stopped
     /// half way is ended from here.
-    answers: Option<(Time, Rc<Passing>)>,
+    answers: Option<(Time, Rc<Forwarding>)>,
     trace: Trace,
     task: AbortHandle,
 }
@@ -198,9 +209,9 @@
         gathered: Gathered,
         length: Option<u64>,
         last: Instant,
-    ) -> Option<(mpsc::Sender<Piece>, Rc<Passing>)> {
+    ) -> Option<(mpsc::Sender<Piece>, Rc<Forwarding>)> {
         let (pieces, rest) = mpsc::channel(1);
-        let passing = Rc::new(Passing::new(length, gathered.len() as usize, last));
+        let passing = Rc::new(Forwarding::new(length, gathered.len() as usize, last));
         {
             let mut table = self.hub.open.borrow_mut();
             let open = table.get_mut(&self.job)?;
@@ -208,7 +219,7 @@
             let answer = open.answer.take()?;
             attempt.answers = Some((self.hub.clock.now(), passing.clone()));
             self.hub.count(false);
-            let _ = answer.send(Answer::Served(body::Answer::streams(gathered, rest, length)));
+            let _ = answer.send(Answer::Served(body::ResponseBody::streams(gathered, rest, length)));
         }
         self.hub.call_off(&self.job);
         self.hub.post(Event::FirstByte { job: self.job.clone() });
@@ -318,7 +329,7 @@
     /// The process is about to be killed: what comes now is answered at once.
     ending: Cell<bool>,
     /// What may be gathered of bodies.
-    pool: Pool,
+    pool: MemoryBudget,
     /// Bodies that nobody wants any more.
     drains: mpsc::UnboundedSender<Unwanted>,
     seed: u64,
@@ -337,8 +348,8 @@
         let gateway = Gateway::new(config.options.settings.clone(), config.seed)?;
         let limit = Duration::from_secs_f64(config.options.settings.count_limit);
         let counter = config.counter.filter(|_| config.options.settings.has_counter);
-        let clock = Clock::new();
-        let pools = Pools::new(share / 2, &config.options, clock, config.seed);
+        let clock = Clock::unix();
+        let pools = Pools::new(share / 2, pool_settings(&config.options), clock, config.seed);
         let (drains, unwanted) = mpsc::unbounded_channel();
         tokio::task::spawn_local(body::drain(unwanted));
         let hub = Rc::new(Self {
@@ -361,7 +372,7 @@
             answers: Cell::default(),
             leaving: Cell::new(false),
             ending: Cell::new(false),
-            pool: Pool::new(config.memory / GATHER_SHARE),
+            pool: MemoryBudget::new(config.memory / GATHER_SHARE),
             drains,
             seed: config.seed,
             fleet: RefCell::default(),
@@ -400,7 +411,7 @@
     pub fn commit(&self, ready: Ready, counter: Option<SocketAddr>) {
         let Ready { retune, options } = ready;
         self.gateway.borrow_mut().commit(retune);
-        self.pools.retune(&options);
+        self.pools.retune(pool_settings(&options));
         self.fleet.borrow().iter().for_each(|f| f.retune(plans(&options)));
         if let Some(part) = &self.counter {
             part.retune(Duration::from_secs_f64(options.settings.count_limit));
@@ -440,7 +451,7 @@
         self.answers.set(Tally { answers: answers + 1, failed: before + u64::from(failed) });
     }
 
-    pub fn pool(&self) -> &Pool {
+    pub fn pool(&self) -> &MemoryBudget {
         &self.pool
     }
 
@@ -714,7 +725,7 @@
         if let Some((body, answer)) = answer {
             self.count(false);
             // A receiver that is gone belongs to a client that is gone, and says so itself.
-            let _ = answer.send(Answer::Served(body::Answer::whole(body)));
+            let _ = answer.send(Answer::Served(body::ResponseBody::whole(body)));
         }
         let over = open.answer.is_none();
         drop(table);
--- a/src/bin/yardspur/main.rs
+++ b/src/bin/yardspur/main.rs
@@ -2,9 +2,7 @@
 #![deny(unsafe_code)]
 
 mod admin;
-mod body;
 mod clients;
-mod clock;
 mod config;
 mod counter;
 mod discovery;
@@ -12,8 +10,6 @@
 mod fleet;
 mod gateway;
 mod handover;
-mod link;
-mod pools;
 mod recovery;
 mod workers;
 
@@ -121,7 +117,7 @@
     let timers = tokio::task::spawn_local(hub.clone().run_timers());
     let sweeps = tokio::task::spawn_local(sweep(hub.clone(), configuration.clone()));
     // An attempt may be out for each client, so both get the same.
-    let clients = Clients::new(hub.clone(), share / 2);
+    let clients = clients::new(hub.clone(), share / 2);
     let place = handover::place(inherited);
     let link = match &place {
         Some(place) => handover::take_over(place, &hub, &clients, &configuration).await,
--- a/src/bin/yardspur/recovery/mod.rs
+++ b/src/bin/yardspur/recovery/mod.rs
@@ -14,15 +14,13 @@
 mod tests;
 pub mod tool;
 
-use crate::{
-    clock::Clock,
-    config::{Entry, List},
-};
+use crate::config::{Entry, List};
 use away::Moment;
 use disk::Folder;
 use fnv::FnvHashSet;
 use journal::{Found, Journal};
 use keeper::Keeper;
+use opalrun_transport::clock::Clock;
 use record::{BATCH, Entered, Image, Record};
 use serde::Serialize;
 use serde_json::json;
--- a/src/bin/yardspur/workers.rs
+++ b/src/bin/yardspur/workers.rs
@@ -1,15 +1,15 @@
 //! Attempts and probes: one exchange each on a connection of the pools, and how it ended.
 
-use crate::{
-    body::{Gathered, Passing, Piece, Pool, Sent, Upload},
-    link::{Failure, Progress},
-    pools::{Lease, NoLink, Pools},
-};
 use hyper::{
     HeaderMap, Method, Request, Response, StatusCode, Uri,
     body::{Body, Incoming},
     header,
 };
+use opalrun_transport::{
+    body::{Forwarding, Gathered, MemoryBudget, Piece, RequestBody, Upload},
+    connection::{Failure, Progress},
+    pool::{Lease, NoConnection, Pools},
+};
 use std::{
     cell::RefCell,
     pin::pin,
@@ -52,7 +52,7 @@
         gathered: Gathered,
         length: Option<u64>,
         last: Instant,
-    ) -> Option<(mpsc::Sender<Piece>, Rc<Passing>)>;
+    ) -> Option<(mpsc::Sender<Piece>, Rc<Forwarding>)>;
 }
 
 /// What an attempt may take.
@@ -85,11 +85,11 @@
     trace.borrow().as_ref().is_some_and(|p| p.sent_whole())
 }
 
-fn status(why: NoLink) -> Status {
+fn status(why: NoConnection) -> Status {
     match why {
-        NoLink::Refused | NoLink::TimedOut => Status::ConnectFailed,
+        NoConnection::Refused | NoConnection::TimedOut => Status::ConnectFailed,
         // It was never sent, and this says nothing of the worker.
-        NoLink::Unknown | NoLink::NoDescriptor | NoLink::Bound => Status::Moot,
+        NoConnection::Unknown | NoConnection::NoDescriptor | NoConnection::Bound => Status::Moot,
     }
 }
 
@@ -108,7 +108,7 @@
         &self,
         worker: &ServerId,
         trace: &Trace,
-        build: impl Fn(&Rc<Progress>) -> Option<Request<Sent>>,
+        build: impl Fn(&Rc<Progress>) -> Option<Request<RequestBody>>,
     ) -> Result<(Lease, Response<Incoming>), Status> {
         loop {
             let mut lease = self.pools.lease(worker).await.map_err(status)?;
@@ -116,7 +116,7 @@
             // A body that went with a connection is not there for another.
             let request = build(&progress).ok_or(Status::ConnectFailed)?;
             *trace.borrow_mut() = Some(progress);
-            match lease.link().send(request).await {
+            match lease.connection().send(request).await {
                 Ok(response) => {
                     lease.heard();
                     return Ok((lease, response));
@@ -138,7 +138,7 @@
         what: &Forward,
         Terms { wait, until }: Terms,
         trace: &Trace,
-        pool: &Pool,
+        pool: &MemoryBudget,
         caller: &impl Caller,
     ) -> Ending {
         let begun = Instant::now();
@@ -147,11 +147,11 @@
             let waited = if what.body.is_some() { begun.elapsed().as_secs_f64() } else { 0.0 };
             let left = (wait - waited).max(0.0);
             let body = match &what.body {
-                Some(gathered) => Sent::Whole(Some(gathered.whole())),
+                Some(gathered) => RequestBody::Whole(Some(gathered.whole())),
                 None => {
                     let upload = what.upload.borrow_mut().take()?;
                     caller.begun();
-                    Sent::Streams(Box::new(upload), progress.clone())
+                    RequestBody::Streams(Box::new(upload), progress.clone())
                 }
             };
             let mut request = Request::new(body);
@@ -198,7 +198,7 @@
     /// Reads an answer that says enough by its head, and keeps the connection if there is little of it.
     async fn pass_over(&self, mut lease: Lease, mut body: Incoming, status: Status) -> Ending {
         if body.size_hint().upper().is_some_and(|n| n <= PASSED_OVER) {
-            let rest = async { while let Ok(Some(_)) = lease.link().piece(&mut body).await {} };
+            let rest = async { while let Ok(Some(_)) = lease.connection().piece(&mut body).await {} };
             if tokio::time::timeout(KEPT_BACK, rest).await.is_ok() {
                 lease.give_back(status == Status::Full);
             }
@@ -207,7 +207,13 @@
     }
 
     /// Reads an answer: whole while it is short, else passes it on as it comes.
-    async fn serve(&self, mut lease: Lease, mut body: Incoming, pool: &Pool, caller: &impl Caller) -> Ending {
+    async fn serve(
+        &self,
+        mut lease: Lease,
+        mut body: Incoming,
+        pool: &MemoryBudget,
+        caller: &impl Caller,
+    ) -> Ending {
         let length = body.size_hint().exact();
         let mut gathered = Gathered::new(pool);
         let long = length.is_some_and(|n| usize::try_from(n).is_ok_and(|n| !gathered.fits(n)));
@@ -215,7 +221,7 @@
         while !long && gathered.fits(1) {
             let piece = tokio::select! {
                 biased;
-                piece = lease.link().piece(&mut body) => piece,
+                piece = lease.connection().piece(&mut body) => piece,
                 () = patience.as_mut(), if length.is_none() => break,
             };
             match piece {
@@ -235,7 +241,7 @@
         };
         loop {
             let piece = tokio::select! {
-                piece = tokio::time::timeout(SILENT, lease.link().piece(&mut body)) => piece,
+                piece = tokio::time::timeout(SILENT, lease.connection().piece(&mut body)) => piece,
                 () = client.closed() => return Ending::of(Status::Cancelled),
             };
             let piece = match piece {
@@ -262,7 +268,7 @@
     /// Asks the worker how it is.
     pub async fn probe(&self, worker: &ServerId) -> Ending {
         let build = |_: &Rc<Progress>| {
-            let mut request = Request::new(Sent::empty());
+            let mut request = Request::new(RequestBody::empty());
             *request.uri_mut() = Uri::from_static("/metrics/load");
             request.headers_mut().insert(header::HOST, header::HeaderValue::from_static("backend.local"));
             Some(request)
@@ -275,7 +281,7 @@
         if parts.status != StatusCode::OK {
             return self.pass_over(lease, body, Status::Error).await;
         }
-        match lease.link().whole(&mut body).await {
+        match lease.connection().whole(&mut body).await {
             Ok(body) => {
                 lease.give_back(false);
                 let load = std::str::from_utf8(&body).map(report).unwrap_or_default();
