--- /dev/null
+++ b/crates/control/src/api/answer.rs
@@ -0,0 +1,122 @@
+//! Answers to the requests of the HTTP interface.
+
+use super::{
+    body::{json_string, read_heartbeat},
+    request::ApiRequest,
+};
+use crate::{
+    process::{ConfigurationAnswer, ControlProcess, RetireAnswer, Unavailable},
+    store_map::RetireState,
+};
+use bytes::Bytes;
+use http_body_util::Full;
+use opalrun_wire::ResultCode;
+use std::rc::Rc;
+use viz::{IntoResponse, Response, StatusCode, header::CONTENT_TYPE, header::HeaderValue};
+
+/// Most problems of an invalid configuration that are named in its answer.
+const PROBLEMS_NAMED: usize = 20;
+
+/// An answer with a JSON body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ApiAnswer {
+    /// The status.
+    pub status: StatusCode,
+    /// The body.
+    pub body: Bytes,
+}
+
+impl ApiAnswer {
+    fn new(status: StatusCode, body: impl Into<Bytes>) -> Self {
+        Self { status, body: body.into() }
+    }
+
+    fn ok() -> Self {
+        Self::new(StatusCode::OK, "{}")
+    }
+
+    fn refusal(status: StatusCode, code: ResultCode, reason: &str) -> Self {
+        let reason = json_string(reason);
+        Self::new(status, format!("{{\"code\":\"{code}\",\"reason\":{reason}}}"))
+    }
+
+    fn unavailable() -> Self {
+        Self::refusal(StatusCode::SERVICE_UNAVAILABLE, ResultCode::NO_QUORUM, "no majority can be reached now")
+    }
+}
+
+impl IntoResponse for ApiAnswer {
+    fn into_response(self) -> Response {
+        let mut response = Response::new(viz::Body::from(Full::new(self.body)));
+        *response.status_mut() = self.status;
+        response.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+        response
+    }
+}
+
+/// Does what a request wants and answers it.
+pub async fn answer(process: &Rc<ControlProcess>, request: ApiRequest) -> ApiAnswer {
+    let done = match request {
+        ApiRequest::Heartbeat { id, body } => heartbeat(process, &id, &body).await,
+        ApiRequest::RemoveWorker { id } => process.remove_worker(&id).await.map(|()| ApiAnswer::ok()),
+        ApiRequest::PutConfiguration { if_match, body } => put_configuration(process, if_match, &body).await,
+        ApiRequest::ReadConfiguration => read_configuration(process).await,
+        ApiRequest::Retire { node_name } => process.retire(&node_name).await.map(retire_answer),
+        ApiRequest::RetireState { node_name } => process.retire_state(&node_name).await.map(retire_answer),
+    };
+    done.unwrap_or_else(|Unavailable| ApiAnswer::unavailable())
+}
+
+async fn heartbeat(process: &Rc<ControlProcess>, id: &str, body: &[u8]) -> Result<ApiAnswer, Unavailable> {
+    match read_heartbeat(id, body) {
+        Ok(worker) => process.heartbeat(worker).await.map(|()| ApiAnswer::ok()),
+        Err(reason) => Ok(ApiAnswer::refusal(StatusCode::BAD_REQUEST, ResultCode::INSTANCE_INVALID, &reason)),
+    }
+}
+
+async fn put_configuration(
+    process: &Rc<ControlProcess>,
+    if_match: Option<u64>,
+    body: &[u8],
+) -> Result<ApiAnswer, Unavailable> {
+    let Some(if_match) = if_match else {
+        let reason = "If-Match names no generation";
+        return Ok(ApiAnswer::refusal(StatusCode::BAD_REQUEST, ResultCode::CONFIGURATION_INVALID, reason));
+    };
+    Ok(match process.put_configuration(if_match, body.to_vec()).await? {
+        ConfigurationAnswer::Accepted => ApiAnswer::ok(),
+        ConfigurationAnswer::Conflict { current } => ApiAnswer::refusal(
+            StatusCode::PRECONDITION_FAILED,
+            ResultCode::CONFIGURATION_CONFLICT,
+            &format!("generation {current} is current"),
+        ),
+        ConfigurationAnswer::Invalid(problems) => {
+            let named: Vec<String> = problems.into_iter().take(PROBLEMS_NAMED).collect();
+            let reason = named.join("; ");
+            ApiAnswer::refusal(StatusCode::BAD_REQUEST, ResultCode::CONFIGURATION_INVALID, &reason)
+        }
+    })
+}
+
+async fn read_configuration(process: &Rc<ControlProcess>) -> Result<ApiAnswer, Unavailable> {
+    Ok(match process.read_configuration().await? {
+        Some(body) => ApiAnswer::new(StatusCode::OK, body),
+        None => {
+            let reason = "there is no configuration yet";
+            ApiAnswer::refusal(StatusCode::NOT_FOUND, ResultCode::NO_CONFIGURATION, reason)
+        }
+    })
+}
+
+fn retire_answer(answer: RetireAnswer) -> ApiAnswer {
+    match answer {
+        RetireAnswer::State(RetireState::Active) => ApiAnswer::new(StatusCode::OK, r#"{"state":"active"}"#),
+        RetireAnswer::State(RetireState::Completed) => ApiAnswer::new(StatusCode::OK, r#"{"state":"completed"}"#),
+        RetireAnswer::UnknownNode => {
+            ApiAnswer::refusal(StatusCode::NOT_FOUND, ResultCode::UNKNOWN_NODE, "no such store machine is known")
+        }
+        RetireAnswer::TooFewStores => {
+            ApiAnswer::refusal(StatusCode::CONFLICT, ResultCode::TOO_FEW_STORES, "too few store machines would be left")
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/calls.rs
@@ -0,0 +1,80 @@
+//! What control processes ask of each other, beside the replication of their shards.
+
+use opalrun_wire::feed::ControlNode;
+use rkyv::{Archive, Deserialize, Serialize};
+
+/// A question to another control process.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub enum ControlCall {
+    /// To the owner of a shard: have this command committed.
+    Submit {
+        /// The shard.
+        shard: u16,
+        /// The encoded command.
+        command: Vec<u8>,
+    },
+    /// To the owner of a shard: the offset that a read must have seen.
+    Barrier {
+        /// The shard.
+        shard: u16,
+    },
+    /// Answered once the state holds the command of an index.
+    AwaitApplied {
+        /// The shard.
+        shard: u16,
+        /// The index.
+        index: u64,
+        /// Milliseconds after which it is answered in any case.
+        limit_ms: u64,
+    },
+    /// Answered once the gatekeepers that subscribe here have a configuration in force.
+    AwaitGeneration {
+        /// The generation.
+        generation: u64,
+        /// Milliseconds after which it is answered in any case.
+        limit_ms: u64,
+    },
+    /// To the owner of a shard of sessions: these workers were heard.
+    Renew {
+        /// The shard.
+        shard: u16,
+        /// The ids of the workers.
+        ids: Vec<String>,
+    },
+    /// To the owner of shard 0: these stores were heard.
+    StoresHeard {
+        /// Their identities.
+        identities: Vec<u64>,
+    },
+    /// To the owner of shard 0: so many gatekeepers subscribe here.
+    Gatekeepers {
+        /// The identity of the process that counted.
+        from: u64,
+        /// How many.
+        count: u32,
+    },
+    /// A control process wants to be a member.
+    Hello(ControlNode),
+}
+
+/// The answer to a [`ControlCall`].
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
+pub enum ControlAnswer {
+    /// The command is committed.
+    Submitted {
+        /// Its index.
+        index: u64,
+        /// The encoded outcome.
+        outcome: Vec<u8>,
+    },
+    /// The process does not own the shard; nothing was done.
+    NotOwner,
+    /// The process can't tell, or can't do it now.
+    Unavailable,
+    /// The offset that a read must have seen.
+    Offset(u64),
+    /// Gatekeepers over the whole tier.
+    Gatekeepers(u32),
+    /// It is done.
+    Done,
+}
--- /dev/null
+++ b/crates/control/src/configuration_shard/tests.rs
@@ -0,0 +1,116 @@
+//! Shard 0 through orders of events.
+
+use super::{ConfigurationCommand, ConfigurationOutcome, ConfigurationShard};
+use opalrun_wire::feed::{Change, ControlNode};
+
+fn put(shard: &mut ConfigurationShard, if_match: u64, generation: u64, body: &str) -> ConfigurationOutcome {
+    let mut sha256 = [0; 32];
+    for (place, byte) in body.bytes().enumerate() {
+        sha256[place % 32] ^= byte;
+    }
+    let command =
+        ConfigurationCommand::PutConfiguration { if_match, generation, body: body.as_bytes().to_vec(), sha256 };
+    shard.apply(command).0
+}
+
+fn node(identity: u64, name: &str) -> ControlNode {
+    ControlNode {
+        identity,
+        node_name: name.to_owned(),
+        peer_address: format!("10.0.0.{identity}:7000"),
+        control_address: format!("{name}:8000"),
+        zone: "zone".to_owned(),
+    }
+}
+
+fn admit(shard: &mut ConfigurationShard, node: ControlNode) -> Vec<Change> {
+    shard.apply(ConfigurationCommand::AdmitControl { node }).1
+}
+
+fn identities(shard: &ConfigurationShard) -> Vec<u64> {
+    shard.directory().nodes().iter().map(|node| node.identity).collect()
+}
+
+#[test]
+fn of_two_changes_on_the_same_version_one_wins() {
+    let mut shard = ConfigurationShard::default();
+    assert_eq!(put(&mut shard, 0, 3, "first"), ConfigurationOutcome::Accepted);
+    assert_eq!(put(&mut shard, 3, 5, "winner"), ConfigurationOutcome::Accepted);
+    assert_eq!(put(&mut shard, 3, 5, "loser"), ConfigurationOutcome::Conflict { current: 5 });
+    assert_eq!(put(&mut shard, 3, 6, "loser"), ConfigurationOutcome::Conflict { current: 5 });
+    assert_eq!(shard.configuration().map(|held| held.body.clone()), Some(b"winner".to_vec()));
+}
+
+#[test]
+fn a_change_that_is_sent_again_is_acknowledged_again_and_does_nothing() {
+    let mut shard = ConfigurationShard::default();
+    put(&mut shard, 0, 3, "first");
+    assert_eq!(put(&mut shard, 0, 3, "first"), ConfigurationOutcome::AlreadyAccepted);
+    put(&mut shard, 3, 5, "second");
+    assert_eq!(put(&mut shard, 0, 3, "first"), ConfigurationOutcome::AlreadyAccepted);
+    assert_eq!(shard.generation(), 5);
+}
+
+#[test]
+fn a_generation_has_to_rise() {
+    let mut shard = ConfigurationShard::default();
+    assert_eq!(put(&mut shard, 0, 0, "zero"), ConfigurationOutcome::NotAbove { current: 0 });
+    put(&mut shard, 0, 3, "first");
+    assert_eq!(put(&mut shard, 3, 3, "same"), ConfigurationOutcome::NotAbove { current: 3 });
+    assert_eq!(put(&mut shard, 3, 2, "lower"), ConfigurationOutcome::NotAbove { current: 3 });
+    assert_eq!(shard.generation(), 3);
+}
+
+#[test]
+fn a_first_change_on_a_version_that_is_not_there_is_a_conflict() {
+    let mut shard = ConfigurationShard::default();
+    assert_eq!(put(&mut shard, 4, 5, "late"), ConfigurationOutcome::Conflict { current: 0 });
+    assert!(shard.configuration().is_none());
+}
+
+#[test]
+fn subscribers_learn_of_a_configuration_once() {
+    let mut shard = ConfigurationShard::default();
+    let command = ConfigurationCommand::PutConfiguration {
+        if_match: 0,
+        generation: 1,
+        body: b"body".to_vec(),
+        sha256: [1; 32],
+    };
+    let expected = Change::Configuration { generation: 1, body: b"body".to_vec() };
+    assert_eq!(shard.apply(command.clone()).1, [expected.clone()]);
+    assert_eq!(shard.apply(command).1, []);
+    assert_eq!(shard.changes(), [expected]);
+}
+
+#[test]
+fn a_wiped_control_process_takes_the_place_of_its_old_identity() {
+    let mut shard = ConfigurationShard::default();
+    for identity in 1..=3 {
+        admit(&mut shard, node(identity, &format!("core-{identity}")));
+    }
+    admit(&mut shard, node(12, "core-2"));
+    assert_eq!(identities(&shard), [1, 3, 12]);
+    admit(&mut shard, node(2, "core-2"));
+    assert_eq!(identities(&shard), [1, 3, 12], "a late hello does not bring the old one back");
+}
+
+#[test]
+fn a_control_process_that_says_hello_again_changes_nothing() {
+    let mut shard = ConfigurationShard::default();
+    assert_eq!(admit(&mut shard, node(1, "core-1")).len(), 1);
+    assert!(admit(&mut shard, node(1, "core-1")).is_empty());
+    let moved = ControlNode { peer_address: "10.0.0.9:7000".to_owned(), ..node(1, "core-1") };
+    assert_eq!(admit(&mut shard, moved.clone()), [Change::ControlNodes(vec![moved])]);
+}
+
+#[test]
+fn a_dropped_control_process_may_come_back() {
+    let mut shard = ConfigurationShard::default();
+    admit(&mut shard, node(1, "core-1"));
+    admit(&mut shard, node(2, "core-2"));
+    shard.apply(ConfigurationCommand::DropControl { identity: 2 });
+    assert_eq!(identities(&shard), [1]);
+    admit(&mut shard, node(2, "core-2"));
+    assert_eq!(identities(&shard), [1, 2]);
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,16 +1,21 @@
-//! The control process: it knows the machines and keeps the configuration.
+//! The control process: it knows the machines and workers, keeps the operator's configuration and tells gatekeepers.
+//!
+//! Its state is divided into [`shards`], each a replicated group of its own. The state machines
+//! ([`configuration_shard`], [`sessions`], [`store_map`]) read no clock and do no I/O; [`process`] joins them with the
+//! replicated host, the HTTP interface ([`api`]) and the change feed ([`feed`]).
 #![forbid(unsafe_code)]
 
-use opalrun_settings::Settings;
-use std::{convert::Infallible, future::pending};
+pub mod api;
+pub mod calls;
+pub mod configuration_shard;
+mod error;
+pub mod feed;
+pub mod process;
+pub mod sessions;
+pub mod shards;
+pub mod stand_in;
+pub mod store_map;
+#[doc(hidden)]
+pub use stand_in as host;
 
-/// Runs the role until SIGTERM.
-///
-/// # Errors
-/// None yet.
-pub async fn run(_settings: Settings) -> Result<(), Infallible> {
-    tokio::select! {
-        () = opalrun_net::signals::terminated() => Ok(()),
-        never = pending() => never,
-    }
-}
+pub use error::ControlError;
--- /dev/null
+++ b/crates/control/src/process/call_handler.rs
@@ -0,0 +1,126 @@
+//! Answers to what other control processes ask.
+
+use super::{ControlProcess, operations::Submission};
+use crate::{
+    calls::{ControlAnswer, ControlCall},
+    configuration_shard::ConfigurationCommand,
+    shards::SHARDS,
+};
+use opalrun_wire::{
+    feed::CONFIGURATION_SHARD,
+    frame::{decode, encode},
+};
+use std::{rc::Rc, time::Duration};
+use tokio::time::timeout;
+
+/// A count of gatekeepers that was not renewed for so long does not count.
+const COUNT_LASTS: Duration = Duration::from_secs(3);
+
+impl ControlProcess {
+    /// Answers an encoded call.
+    pub(crate) async fn answer_bytes(self: Rc<Self>, bytes: Vec<u8>) -> Vec<u8> {
+        let answer = match decode::<ControlCall>(&bytes) {
+            Ok(call) => self.answer(call).await,
+            Err(_) => ControlAnswer::Unavailable,
+        };
+        encode(&answer).to_vec()
+    }
+
+    /// Answers a call.
+    pub(super) async fn answer(self: &Rc<Self>, call: ControlCall) -> ControlAnswer {
+        match call {
+            ControlCall::Submit { shard, .. } | ControlCall::Barrier { shard } if shard >= SHARDS => {
+                ControlAnswer::Unavailable
+            }
+            ControlCall::Submit { shard, command } => self.answer_submit(shard, command).await,
+            ControlCall::Barrier { shard } => self.answer_barrier(shard).await,
+            ControlCall::AwaitApplied { shard, index, limit_ms } => {
+                if shard < SHARDS {
+                    let _ = timeout(Duration::from_millis(limit_ms), self.shards.wait_for(shard, index)).await;
+                }
+                ControlAnswer::Done
+            }
+            ControlCall::AwaitGeneration { generation, limit_ms } => {
+                self.wait_in_force(generation, Duration::from_millis(limit_ms)).await;
+                ControlAnswer::Done
+            }
+            ControlCall::Renew { shard, ids } => self.answer_renew(shard, &ids),
+            ControlCall::StoresHeard { identities } => self.answer_stores_heard(&identities),
+            ControlCall::Gatekeepers { from, count } => self.answer_gatekeepers(from, count),
+            ControlCall::Hello(node) => {
+                let command = ConfigurationCommand::AdmitControl { node };
+                match self.submit_configuration(&command).await {
+                    Ok(_) => ControlAnswer::Done,
+                    Err(_) => ControlAnswer::Unavailable,
+                }
+            }
+        }
+    }
+
+    async fn answer_submit(&self, shard: u16, command: Vec<u8>) -> ControlAnswer {
+        if !self.host.is_owner(shard) {
+            return ControlAnswer::NotOwner;
+        }
+        match self.propose(shard, command).await {
+            Submission::Committed(index, outcome) => ControlAnswer::Submitted { index, outcome },
+            Submission::NotOwner => ControlAnswer::NotOwner,
+            Submission::Unclear => ControlAnswer::Unavailable,
+        }
+    }
+
+    async fn answer_barrier(&self, shard: u16) -> ControlAnswer {
+        match self.host.read_barrier(shard).await {
+            Ok(()) => ControlAnswer::Offset(self.shards.offset(shard)),
+            Err(_) => ControlAnswer::Unavailable,
+        }
+    }
+
+    /// Waits until the gatekeepers that subscribe here have a configuration in force.
+    async fn wait_in_force(&self, generation: u64, limit: Duration) {
+        let mut changed = self.subscribers.borrow().changed();
+        let wait = async {
+            while !self.subscribers.borrow().all_have(generation, self.now()) {
+                if changed.changed().await.is_err() {
+                    return;
+                }
+            }
+        };
+        let _ = timeout(limit, wait).await;
+    }
+
+    fn answer_renew(&self, shard: u16, ids: &[String]) -> ControlAnswer {
+        if !self.host.is_owner(shard) {
+            return ControlAnswer::NotOwner;
+        }
+        let now = self.now();
+        if let Some(watch) = self.silences.borrow_mut().get_mut(usize::from(shard)) {
+            for id in ids {
+                watch.heard(id, now);
+            }
+        }
+        ControlAnswer::Done
+    }
+
+    fn answer_stores_heard(&self, identities: &[u64]) -> ControlAnswer {
+        if !self.host.is_owner(CONFIGURATION_SHARD) {
+            return ControlAnswer::NotOwner;
+        }
+        let now = self.now();
+        let mut stores = self.stores.borrow_mut();
+        for identity in identities {
+            stores.heard(*identity, now);
+        }
+        ControlAnswer::Done
+    }
+
+    fn answer_gatekeepers(&self, from: u64, count: u32) -> ControlAnswer {
+        if !self.host.is_owner(CONFIGURATION_SHARD) {
+            return ControlAnswer::NotOwner;
+        }
+        let now = self.now();
+        let mut counted = self.gatekeepers_counted.borrow_mut();
+        counted.insert(from, (count, now));
+        counted.retain(|_, (_, at)| now.saturating_sub(*at) <= COUNT_LASTS);
+        ControlAnswer::Gatekeepers(counted.values().map(|(count, _)| *count).sum())
+    }
+}
--- /dev/null
+++ b/crates/control/src/store_map/mod.rs
@@ -0,0 +1,341 @@
+//! The table of stores and the map of partitions to stores, as a deterministic state machine.
+//!
+//! [`StoreTable::apply`] takes commands in the order of the replicated log; nothing here reads a clock. Judgements that
+//! need time (a store is silent, a new one has settled) are made by the owner of the shard and arrive as commands.
+
+mod placement;
+mod plan;
+#[cfg(test)]
+mod tests;
+
+use opalrun_wire::feed::{Partition, Replica, STORE_PARTITIONS, StoreMap, StoreNode, StoreState};
+use rkyv::{Archive, Deserialize, Serialize};
+use std::collections::VecDeque;
+
+/// Identities of wiped stores that are remembered.
+const WIPED_KEPT: usize = 256;
+
+/// How long a store has said nothing, in the judgement of the shard's owner.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Silence {
+    /// It is heard.
+    Heard,
+    /// Long enough that a store without replicas may take its place.
+    Short,
+    /// Long enough that any other store may take its place.
+    Long,
+}
+
+/// A store that is known.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
+pub struct StoreEntry {
+    /// Who it is.
+    pub node: StoreNode,
+    /// Whether it is heard.
+    pub silence: Silence,
+    /// It has been there long enough to be given replicas of stores that are well.
+    pub settled: bool,
+}
+
+/// Where a partition lies, with what is needed to judge reports about it.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq, Default)]
+pub struct PartitionEntry {
+    /// What is published.
+    pub partition: Partition,
+    /// The epoch in which its set of replicas last changed. A copy that began earlier may lack writes.
+    pub changed_epoch: u64,
+}
+
+/// A command to the table.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
+pub enum StoreCommand {
+    /// A store has made itself known.
+    Hello {
+        /// Who it is; its `state` does not count.
+        node: StoreNode,
+    },
+    /// The first map is to be formed of the stores that are known.
+    Form {
+        /// Replicas of each partition.
+        replicas: u16,
+    },
+    /// A store has been there long enough.
+    Settled {
+        /// The store's identity.
+        identity: u64,
+    },
+    /// A store is heard again, or silent.
+    Silence {
+        /// The store's identity.
+        identity: u64,
+        /// The judgement.
+        silence: Silence,
+    },
+    /// A store has copied partitions.
+    ReplicasWhole {
+        /// The store's identity.
+        store: u64,
+        /// The epoch of the map under which it copied.
+        epoch: u64,
+        /// The partitions.
+        partitions: Vec<u16>,
+    },
+    /// The operator wants a machine emptied.
+    Retire {
+        /// The machine's name.
+        node_name: String,
+    },
+}
+
+/// What became of a command.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreOutcome {
+    /// It was done, or had been done before.
+    Done,
+    /// No such machine is known.
+    UnknownNode,
+    /// Too few stores would be left.
+    TooFewStores,
+    /// The first map is not formed yet.
+    NotFormed,
+}
+
+/// Whether an order to empty a machine has been carried out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RetireState {
+    /// It holds replicas, or something still has to be copied from it.
+    Active,
+    /// Nothing needs it any more.
+    Completed,
+}
+
+/// All stores and the map.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq, Default)]
+pub struct StoreTable {
+    stores: Vec<StoreEntry>,
+    partitions: Vec<PartitionEntry>,
+    replicas_wanted: u16,
+    published: StoreMap,
+    /// Names of machines that were ordered to be emptied.
+    retired_nodes: Vec<String>,
+    /// Identities whose disks are gone, so that a late hello does not bring one back.
+    wiped: VecDeque<u64>,
+}
+
+impl StoreTable {
+    /// Applies a command; afterwards [`Self::map`] is up to date.
+    pub fn apply(&mut self, command: &StoreCommand) -> StoreOutcome {
+        let outcome = match command {
+            StoreCommand::Hello { node } => self.hello(node),
+            StoreCommand::Form { replicas } => self.form(*replicas),
+            StoreCommand::Settled { identity } => self.settled(*identity),
+            StoreCommand::Silence { identity, silence } => self.silence(*identity, *silence),
+            StoreCommand::ReplicasWhole { store, epoch, partitions } => self.replicas_whole(*store, *epoch, partitions),
+            StoreCommand::Retire { node_name } => self.retire(node_name),
+        };
+        if self.is_formed() {
+            self.replan();
+            self.finish_retirements();
+            self.forget_lost_stores();
+            self.publish();
+        }
+        outcome
+    }
+
+    /// The map as it is published; its epoch is 0 until it is formed.
+    #[must_use]
+    pub fn map(&self) -> &StoreMap {
+        &self.published
+    }
+
+    /// All stores that are known.
+    #[must_use]
+    pub fn stores(&self) -> &[StoreEntry] {
+        &self.stores
+    }
+
+    /// A store by its identity.
+    #[must_use]
+    pub fn store(&self, identity: u64) -> Option<&StoreEntry> {
+        self.stores.iter().find(|entry| entry.node.identity == identity)
+    }
+
+    /// Whether the first map is formed.
+    #[must_use]
+    pub fn is_formed(&self) -> bool {
+        !self.partitions.is_empty()
+    }
+
+    /// How far the order to empty a machine is; `None` where the machine is unknown.
+    #[must_use]
+    pub fn retire_state(&self, node_name: &str) -> Option<RetireState> {
+        let ordered = self.retired_nodes.iter().any(|name| name == node_name);
+        match self.stores.iter().find(|entry| entry.node.node_name == node_name) {
+            Some(entry) if entry.node.state == StoreState::Retired => Some(RetireState::Completed),
+            Some(_) => Some(RetireState::Active),
+            None => ordered.then_some(RetireState::Completed),
+        }
+    }
+
+    fn hello(&mut self, node: &StoreNode) -> StoreOutcome {
+        if self.wiped.contains(&node.identity) {
+            return StoreOutcome::Done;
+        }
+        if let Some(known) = self.stores.iter_mut().find(|entry| entry.node.identity == node.identity) {
+            known.node.address.clone_from(&node.address);
+            known.node.node_name.clone_from(&node.node_name);
+            known.node.zone.clone_from(&node.zone);
+            known.silence = Silence::Heard;
+            return StoreOutcome::Done;
+        }
+        let wiped = self
+            .stores
+            .iter()
+            .position(|entry| entry.node.node_name == node.node_name || entry.node.address == node.address);
+        let state = if self.retired_nodes.contains(&node.node_name) { StoreState::Retiring } else { StoreState::Active };
+        let entry =
+            StoreEntry { node: StoreNode { state, ..node.clone() }, silence: Silence::Heard, settled: wiped.is_some() };
+        match wiped {
+            Some(place) => {
+                let lost = self.stores[place].node.identity;
+                self.stores[place] = entry;
+                self.remember_wiped(lost);
+                self.substitute_wiped(lost, node.identity, state);
+            }
+            None => self.stores.push(entry),
+        }
+        StoreOutcome::Done
+    }
+
+    fn remember_wiped(&mut self, identity: u64) {
+        if self.wiped.len() == WIPED_KEPT {
+            self.wiped.pop_front();
+        }
+        self.wiped.push_back(identity);
+    }
+
+    fn form(&mut self, replicas: u16) -> StoreOutcome {
+        if self.is_formed() || self.stores.is_empty() || replicas == 0 {
+            return StoreOutcome::Done;
+        }
+        self.replicas_wanted = replicas;
+        for entry in &mut self.stores {
+            entry.settled = true;
+        }
+        let candidates: Vec<&StoreNode> = self.stores.iter().map(|entry| &entry.node).collect();
+        self.partitions = (0..STORE_PARTITIONS)
+            .map(|number| {
+                let chosen = placement::choose(number, &candidates, usize::from(replicas));
+                let replicas = chosen.into_iter().map(|store| Replica { store, whole: true }).collect();
+                PartitionEntry { partition: Partition { replicas, sources: Vec::new() }, changed_epoch: 1 }
+            })
+            .collect();
+        StoreOutcome::Done
+    }
+
+    fn settled(&mut self, identity: u64) -> StoreOutcome {
+        if let Some(entry) = self.stores.iter_mut().find(|entry| entry.node.identity == identity) {
+            entry.settled = true;
+        }
+        StoreOutcome::Done
+    }
+
+    fn silence(&mut self, identity: u64, silence: Silence) -> StoreOutcome {
+        if let Some(entry) = self.stores.iter_mut().find(|entry| entry.node.identity == identity) {
+            entry.silence = silence;
+        }
+        StoreOutcome::Done
+    }
+
+    fn replicas_whole(&mut self, store: u64, epoch: u64, partitions: &[u16]) -> StoreOutcome {
+        for number in partitions {
+            let Some(entry) = self.partitions.get_mut(usize::from(*number)) else { continue };
+            if epoch < entry.changed_epoch {
+                continue;
+            }
+            for replica in &mut entry.partition.replicas {
+                if replica.store == store {
+                    replica.whole = true;
+                }
+            }
+        }
+        StoreOutcome::Done
+    }
+
+    fn retire(&mut self, node_name: &str) -> StoreOutcome {
+        if self.retired_nodes.iter().any(|name| name == node_name) {
+            return StoreOutcome::Done;
+        }
+        if !self.stores.iter().any(|entry| entry.node.node_name == node_name) {
+            return StoreOutcome::UnknownNode;
+        }
+        if !self.is_formed() {
+            return StoreOutcome::NotFormed;
+        }
+        let left = self
+            .stores
+            .iter()
+            .filter(|entry| entry.node.state == StoreState::Active && entry.node.node_name != node_name)
+            .filter(|entry| entry.silence != Silence::Long)
+            .filter(|entry| entry.silence == Silence::Heard || self.is_named(entry.node.identity))
+            .count();
+        if left < usize::from(self.replicas_wanted) {
+            return StoreOutcome::TooFewStores;
+        }
+        self.retired_nodes.push(node_name.to_owned());
+        for entry in self.stores.iter_mut().filter(|entry| entry.node.node_name == node_name) {
+            entry.node.state = StoreState::Retiring;
+        }
+        StoreOutcome::Done
+    }
+
+    /// Whether a partition names the store as a replica or a source.
+    fn is_named(&self, identity: u64) -> bool {
+        self.partitions.iter().any(|entry| {
+            entry.partition.replicas.iter().any(|replica| replica.store == identity)
+                || entry.partition.sources.contains(&identity)
+        })
+    }
+
+    fn finish_retirements(&mut self) {
+        let all_whole = self.partitions.iter().all(|entry| plan::all_whole(&entry.partition));
+        let done: Vec<u64> = self
+            .stores
+            .iter()
+            .filter(|entry| entry.node.state == StoreState::Retiring)
+            .map(|entry| entry.node.identity)
+            .filter(|identity| all_whole && !self.is_named(*identity))
+            .collect();
+        for entry in &mut self.stores {
+            if done.contains(&entry.node.identity) {
+                entry.node.state = StoreState::Retired;
+            }
+        }
+    }
+
+    /// Drops stores that were lost for long and that nothing names any more.
+    fn forget_lost_stores(&mut self) {
+        let lost: Vec<u64> = self
+            .stores
+            .iter()
+            .filter(|entry| entry.silence == Silence::Long && entry.node.state != StoreState::Retiring)
+            .map(|entry| entry.node.identity)
+            .filter(|identity| !self.is_named(*identity))
+            .collect();
+        self.stores.retain(|entry| !lost.contains(&entry.node.identity));
+    }
+
+    fn publish(&mut self) {
+        let stores: Vec<StoreNode> = self
+            .stores
+            .iter()
+            .filter(|entry| self.is_named(entry.node.identity))
+            .map(|entry| entry.node.clone())
+            .collect();
+        let partitions: Vec<Partition> = self.partitions.iter().map(|entry| entry.partition.clone()).collect();
+        if stores != self.published.stores || partitions != self.published.partitions {
+            let epoch = self.published.epoch + 1;
+            self.published = StoreMap { epoch, stores, partitions };
+        }
+    }
+}
--- /dev/null
+++ b/crates/control/src/store_map/placement.rs
@@ -0,0 +1,29 @@
+//! Rendezvous hashing of partitions over stores.
+
+use opalrun_wire::feed::{StoreNode, stable_hash};
+
+/// The weight of a store for a partition. It goes by the machine's name, so that a wiped machine gets its places back.
+pub(super) fn weight(partition: u16, node_name: &str) -> u64 {
+    let mut key = Vec::with_capacity(node_name.len() + 2);
+    key.extend_from_slice(&partition.to_le_bytes());
+    key.extend_from_slice(node_name.as_bytes());
+    stable_hash(&key)
+}
+
+/// The stores that should hold a partition, in other zones each as far as there are so many.
+pub(super) fn choose(partition: u16, candidates: &[&StoreNode], count: usize) -> Vec<u64> {
+    let mut ordered: Vec<&StoreNode> = candidates.to_vec();
+    ordered.sort_by_key(|node| (std::cmp::Reverse(weight(partition, &node.node_name)), node.identity));
+    let mut chosen: Vec<&StoreNode> = Vec::with_capacity(count);
+    for node in &ordered {
+        if chosen.len() < count && chosen.iter().all(|other| other.zone != node.zone) {
+            chosen.push(node);
+        }
+    }
+    for node in &ordered {
+        if chosen.len() < count && chosen.iter().all(|other| other.identity != node.identity) {
+            chosen.push(node);
+        }
+    }
+    chosen.into_iter().map(|node| node.identity).collect()
+}
--- /dev/null
+++ b/crates/control/src/store_map/tests.rs
@@ -0,0 +1,356 @@
+//! The table of stores through orders of events.
+
+use super::{RetireState, Silence, StoreCommand, StoreOutcome, StoreTable, placement};
+use opalrun_wire::feed::{STORE_PARTITIONS, StoreMap, StoreNode, StoreState};
+use std::collections::BTreeSet;
+
+const REPLICAS: u16 = 3;
+
+fn node(identity: u64, name: &str) -> StoreNode {
+    StoreNode {
+        identity,
+        node_name: name.to_owned(),
+        address: format!("10.0.0.{identity}:7000"),
+        zone: format!("zone-{}", identity % 10),
+        state: StoreState::Active,
+    }
+}
+
+fn hello(table: &mut StoreTable, identity: u64, name: &str) {
+    table.apply(&StoreCommand::Hello { node: node(identity, name) });
+}
+
+fn silence(table: &mut StoreTable, identity: u64, silence: Silence) {
+    table.apply(&StoreCommand::Silence { identity, silence });
+}
+
+fn formed(stores: u64) -> StoreTable {
+    let mut table = StoreTable::default();
+    for identity in 1..=stores {
+        hello(&mut table, identity, &format!("store-{identity}"));
+    }
+    table.apply(&StoreCommand::Form { replicas: REPLICAS });
+    table
+}
+
+fn retire(table: &mut StoreTable, name: &str) -> StoreOutcome {
+    table.apply(&StoreCommand::Retire { node_name: name.to_owned() })
+}
+
+/// Every replica that is not whole reports that it is; returns whether there was one.
+fn all_report(table: &mut StoreTable) -> bool {
+    let epoch = table.map().epoch;
+    let copying: BTreeSet<u64> = table.map().partitions.iter().flat_map(|partition| {
+        partition.replicas.iter().filter(|replica| !replica.whole).map(|replica| replica.store)
+    }).collect();
+    for store in &copying {
+        let partitions = (0..STORE_PARTITIONS).collect();
+        table.apply(&StoreCommand::ReplicasWhole { store: *store, epoch, partitions });
+    }
+    !copying.is_empty()
+}
+
+fn settle(table: &mut StoreTable) {
+    for _ in 0..100 {
+        if !all_report(table) {
+            return;
+        }
+    }
+    panic!("the table never comes to rest: {:?}", table.map());
+}
+
+fn holders(map: &StoreMap) -> BTreeSet<u64> {
+    map.partitions.iter().flat_map(|partition| partition.replicas.iter().map(|replica| replica.store)).collect()
+}
+
+fn whole_quorum_everywhere(map: &StoreMap) -> bool {
+    map.partitions.iter().all(|partition| {
+        partition.replicas.iter().filter(|replica| replica.whole).count() >= partition.quorum()
+    })
+}
+
+#[test]
+fn the_first_map_is_whole_and_has_three_replicas_of_each_partition() {
+    let table = formed(4);
+    assert_eq!(table.map().epoch, 1);
+    assert_eq!(table.map().partitions.len(), usize::from(STORE_PARTITIONS));
+    for partition in &table.map().partitions {
+        let stores: BTreeSet<u64> = partition.replicas.iter().map(|replica| replica.store).collect();
+        assert_eq!(stores.len(), 3);
+        assert!(partition.replicas.iter().all(|replica| replica.whole));
+    }
+    assert_eq!(holders(table.map()).len(), 4);
+}
+
+#[test]
+fn fewer_stores_than_replicas_hold_everything_and_a_later_one_is_added() {
+    let mut table = formed(2);
+    assert!(table.map().partitions.iter().all(|partition| partition.replicas.len() == 2));
+    hello(&mut table, 3, "store-3");
+    table.apply(&StoreCommand::Settled { identity: 3 });
+    settle(&mut table);
+    assert!(table.map().partitions.iter().all(|partition| partition.replicas.len() == 3));
+}
+
+#[test]
+fn a_map_is_formed_once() {
+    let mut table = formed(3);
+    let map = table.map().clone();
+    table.apply(&StoreCommand::Form { replicas: 1 });
+    assert_eq!(*table.map(), map);
+}
+
+#[test]
+fn a_store_that_starts_again_changes_nothing() {
+    let mut table = formed(3);
+    let map = table.map().clone();
+    silence(&mut table, 2, Silence::Short);
+    hello(&mut table, 2, "store-2");
+    assert_eq!(*table.map(), map);
+}
+
+#[test]
+fn a_silent_store_keeps_its_places_while_no_other_could_take_them() {
+    let mut table = formed(3);
+    let map = table.map().clone();
+    silence(&mut table, 2, Silence::Short);
+    silence(&mut table, 2, Silence::Long);
+    assert_eq!(*table.map(), map);
+}
+
+#[test]
+fn a_wiped_store_takes_its_old_places_and_is_not_whole() {
+    let mut table = formed(3);
+    hello(&mut table, 12, "store-2");
+    assert!(!holders(table.map()).contains(&2));
+    for partition in &table.map().partitions {
+        let replica = partition.replicas.iter().find(|replica| replica.store == 12).expect("it has its place");
+        assert!(!replica.whole);
+        assert!(partition.sources.is_empty(), "what it held is gone");
+    }
+    settle(&mut table);
+    assert!(table.map().partitions.iter().all(super::plan::all_whole));
+}
+
+#[test]
+fn a_late_hello_of_a_wiped_identity_is_not_taken() {
+    let mut table = formed(3);
+    hello(&mut table, 12, "store-2");
+    settle(&mut table);
+    let map = table.map().clone();
+    hello(&mut table, 2, "store-2");
+    assert_eq!(*table.map(), map);
+    assert!(table.store(2).is_none());
+}
+
+#[test]
+fn a_copy_that_began_before_the_replicas_changed_does_not_count() {
+    let mut table = formed(3);
+    hello(&mut table, 12, "store-2");
+    let stale = table.map().epoch - 1;
+    table.apply(&StoreCommand::ReplicasWhole { store: 12, epoch: stale, partitions: vec![0] });
+    assert!(!super::plan::all_whole(&table.map().partitions[0]));
+}
+
+#[test]
+fn a_new_store_takes_the_places_of_one_that_is_silent() {
+    let mut table = formed(3);
+    hello(&mut table, 4, "store-4");
+    assert_eq!(holders(table.map()), BTreeSet::from([1, 2, 3]));
+    silence(&mut table, 2, Silence::Short);
+    assert_eq!(holders(table.map()), BTreeSet::from([1, 3, 4]));
+    assert!(whole_quorum_everywhere(table.map()));
+    assert!(table.map().partitions.iter().all(|partition| partition.sources == [2]));
+    settle(&mut table);
+    assert!(table.map().partitions.iter().all(|partition| partition.sources.is_empty()));
+}
+
+#[test]
+fn a_settled_new_store_gets_its_share_and_quorums_stay_whole() {
+    let mut table = formed(3);
+    hello(&mut table, 4, "store-4");
+    let epoch = table.map().epoch;
+    assert_eq!(epoch, 1, "a store without replicas does not change the map");
+    table.apply(&StoreCommand::Settled { identity: 4 });
+    for _ in 0..100 {
+        assert!(whole_quorum_everywhere(table.map()));
+        if !all_report(&mut table) {
+            break;
+        }
+    }
+    let share = table.map().partitions.iter().filter(|partition| {
+        partition.replicas.iter().any(|replica| replica.store == 4)
+    }).count();
+    assert!((16..32).contains(&share), "it holds {share} partitions");
+}
+
+#[test]
+fn a_coming_or_going_store_changes_one_replica_of_a_partition_at_most() {
+    let nodes: Vec<StoreNode> = (1..=6).map(|identity| node(identity, &format!("store-{identity}"))).collect();
+    for partition in 0..STORE_PARTITIONS {
+        let all: Vec<&StoreNode> = nodes.iter().collect();
+        let fewer: Vec<&StoreNode> = nodes.iter().take(5).collect();
+        let with: BTreeSet<u64> = placement::choose(partition, &all, 3).into_iter().collect();
+        let without: BTreeSet<u64> = placement::choose(partition, &fewer, 3).into_iter().collect();
+        assert!(with.difference(&without).count() <= 1);
+    }
+}
+
+#[test]
+fn replicas_lie_in_other_zones_where_there_are_enough() {
+    let mut nodes: Vec<StoreNode> = (1..=6).map(|identity| node(identity, &format!("store-{identity}"))).collect();
+    for node in &mut nodes {
+        node.zone = format!("zone-{}", node.identity % 3);
+    }
+    let candidates: Vec<&StoreNode> = nodes.iter().collect();
+    for partition in 0..STORE_PARTITIONS {
+        let chosen = placement::choose(partition, &candidates, 3);
+        let zones: BTreeSet<u64> = chosen.iter().map(|identity| identity % 3).collect();
+        assert_eq!(zones.len(), 3);
+    }
+}
+
+#[test]
+fn retiring_moves_everything_away_and_then_completes() {
+    let mut table = formed(4);
+    assert_eq!(retire(&mut table, "store-1"), StoreOutcome::Done);
+    assert_eq!(table.retire_state("store-1"), Some(RetireState::Active));
+    for _ in 0..100 {
+        assert!(whole_quorum_everywhere(table.map()));
+        if !all_report(&mut table) {
+            break;
+        }
+        let named = holders(table.map()).contains(&1);
+        assert!(!(named && table.retire_state("store-1") == Some(RetireState::Completed)));
+    }
+    assert_eq!(holders(table.map()), BTreeSet::from([2, 3, 4]));
+    assert_eq!(table.retire_state("store-1"), Some(RetireState::Completed));
+    assert_eq!(retire(&mut table, "store-1"), StoreOutcome::Done);
+}
+
+#[test]
+fn a_completed_store_stays_completed_when_its_machine_is_gone() {
+    let mut table = formed(4);
+    retire(&mut table, "store-1");
+    settle(&mut table);
+    silence(&mut table, 1, Silence::Long);
+    assert_eq!(table.retire_state("store-1"), Some(RetireState::Completed));
+    assert!(table.store(1).is_none());
+}
+
+#[test]
+fn retiring_is_refused_where_too_few_would_be_left_or_the_machine_is_unknown() {
+    let mut table = formed(3);
+    assert_eq!(retire(&mut table, "store-1"), StoreOutcome::TooFewStores);
+    assert_eq!(retire(&mut table, "store-9"), StoreOutcome::UnknownNode);
+    assert_eq!(table.retire_state("store-9"), None);
+    let mut table = formed(4);
+    assert_eq!(retire(&mut table, "store-1"), StoreOutcome::Done);
+    assert_eq!(retire(&mut table, "store-2"), StoreOutcome::TooFewStores);
+}
+
+#[test]
+fn a_retiring_store_that_is_wiped_gets_nothing_back() {
+    let mut table = formed(4);
+    retire(&mut table, "store-1");
+    hello(&mut table, 11, "store-1");
+    settle(&mut table);
+    assert_eq!(holders(table.map()), BTreeSet::from([2, 3, 4]));
+    assert_eq!(table.retire_state("store-1"), Some(RetireState::Completed));
+}
+
+#[test]
+fn a_store_that_comes_back_after_it_was_replaced_has_to_copy() {
+    let mut table = formed(3);
+    hello(&mut table, 4, "store-4");
+    silence(&mut table, 2, Silence::Short);
+    settle(&mut table);
+    silence(&mut table, 2, Silence::Heard);
+    for partition in &table.map().partitions {
+        assert!(partition.replicas.iter().all(|replica| replica.store != 2 || !replica.whole));
+    }
+    settle(&mut table);
+    assert!(whole_quorum_everywhere(table.map()));
+}
+
+#[test]
+fn partitions_whose_every_copy_was_wiped_begin_anew() {
+    let mut table = formed(3);
+    for identity in 1..=3 {
+        hello(&mut table, identity + 10, &format!("store-{identity}"));
+    }
+    assert!(table.map().partitions.iter().all(super::plan::all_whole));
+}
+
+/// Random orders of events: the map's epoch never falls, a partition never has a store twice, a whole replica has held
+/// its partition without a break since it became whole, and in the end, with all well, the table comes to rest.
+#[test]
+fn random_orders_keep_the_map_sound() {
+    bolero::check!().with_type::<Vec<(u8, u8)>>().for_each(|events| {
+        let mut table = formed(3);
+        let mut next_identity = 100;
+        let mut epoch = table.map().epoch;
+        for (kind, choice) in events {
+            let identities: Vec<(u64, String)> =
+                table.stores().iter().map(|entry| (entry.node.identity, entry.node.node_name.clone())).collect();
+            let (identity, name) = identities[usize::from(*choice) % identities.len()].clone();
+            let before = table.map().clone();
+            let mut reported = None;
+            match kind % 9 {
+                0 => {
+                    next_identity += 1;
+                    hello(&mut table, next_identity, &name);
+                }
+                1 if identities.len() < 6 => {
+                    next_identity += 1;
+                    hello(&mut table, next_identity, &format!("store-{next_identity}"));
+                }
+                2 => silence(&mut table, identity, Silence::Short),
+                3 => silence(&mut table, identity, Silence::Long),
+                4 => silence(&mut table, identity, Silence::Heard),
+                5 => {
+                    retire(&mut table, &name);
+                }
+                6 => {
+                    table.apply(&StoreCommand::Settled { identity });
+                }
+                _ => {
+                    reported = Some(identity);
+                    let partitions = (0..STORE_PARTITIONS).collect();
+                    table.apply(&StoreCommand::ReplicasWhole { store: identity, epoch, partitions });
+                }
+            }
+            assert!(table.map().epoch >= epoch);
+            epoch = table.map().epoch;
+            check_step(&before, table.map(), reported);
+        }
+        let identities: Vec<u64> = table.stores().iter().map(|entry| entry.node.identity).collect();
+        for identity in identities {
+            silence(&mut table, identity, Silence::Heard);
+            table.apply(&StoreCommand::Settled { identity });
+        }
+        settle(&mut table);
+    });
+}
+
+fn check_step(before: &StoreMap, after: &StoreMap, reported: Option<u64>) {
+    for (number, partition) in after.partitions.iter().enumerate() {
+        let stores: BTreeSet<u64> = partition.replicas.iter().map(|replica| replica.store).collect();
+        assert_eq!(stores.len(), partition.replicas.len(), "a store twice in one partition");
+        assert!(partition.sources.iter().all(|source| !stores.contains(source)));
+        let old = &before.partitions[number];
+        let something_was_left = old.replicas.iter().any(|replica| replica.whole) || !old.sources.is_empty();
+        for replica in partition.replicas.iter().filter(|replica| replica.whole) {
+            let was_whole = old.replicas.iter().any(|old| old.store == replica.store && old.whole);
+            let has_reported = reported == Some(replica.store);
+            assert!(was_whole || has_reported || !something_was_left || all_wiped(old, after), "whole without a copy");
+        }
+    }
+}
+
+/// None of the stores that had data of a partition is known any more.
+fn all_wiped(old: &opalrun_wire::feed::Partition, after: &StoreMap) -> bool {
+    let whole = old.replicas.iter().filter(|replica| replica.whole).map(|replica| replica.store);
+    let mut had_data = whole.chain(old.sources.iter().copied());
+    had_data.all(|identity| after.stores.iter().all(|store| store.identity != identity))
+}
--- a/crates/wire/src/result_code.rs
+++ b/crates/wire/src/result_code.rs
@@ -39,6 +39,10 @@
     pub const CONFIGURATION_PREFIX: Self = Self(316);
     /// A number is negative or out of all bounds.
     pub const CONFIGURATION_NUMBER: Self = Self(317);
+    /// There is no configuration yet.
+    pub const NO_CONFIGURATION: Self = Self(303);
+    /// A worker's call can't be read.
+    pub const INSTANCE_INVALID: Self = Self(304);
     /// This process does not own the shard; another one does.
     pub const NOT_OWNER: Self = Self(401);
     /// No majority of the replica group can be reached.
