--- a/crates/control/src/api/answer.rs
+++ b/crates/control/src/api/answer.rs
@@ -41,7 +41,11 @@
     }
 
     fn unavailable() -> Self {
-        Self::refusal(StatusCode::SERVICE_UNAVAILABLE, ResultCode::NO_QUORUM, "no majority can be reached now")
+        Self::refusal(
+            StatusCode::SERVICE_UNAVAILABLE,
+            ResultCode::NO_QUORUM,
+            "no majority can be reached now",
+        )
     }
 }
 
@@ -111,12 +115,18 @@
 fn retire_answer(answer: RetireAnswer) -> ApiAnswer {
     match answer {
         RetireAnswer::State(RetireState::Active) => ApiAnswer::new(StatusCode::OK, r#"{"state":"active"}"#),
-        RetireAnswer::State(RetireState::Completed) => ApiAnswer::new(StatusCode::OK, r#"{"state":"completed"}"#),
-        RetireAnswer::UnknownNode => {
-            ApiAnswer::refusal(StatusCode::NOT_FOUND, ResultCode::UNKNOWN_NODE, "no such store machine is known")
-        }
-        RetireAnswer::TooFewStores => {
-            ApiAnswer::refusal(StatusCode::CONFLICT, ResultCode::TOO_FEW_STORES, "too few store machines would be left")
+        RetireAnswer::State(RetireState::Completed) => {
+            ApiAnswer::new(StatusCode::OK, r#"{"state":"completed"}"#)
         }
+        RetireAnswer::UnknownNode => ApiAnswer::refusal(
+            StatusCode::NOT_FOUND,
+            ResultCode::UNKNOWN_NODE,
+            "no such store machine is known",
+        ),
+        RetireAnswer::TooFewStores => ApiAnswer::refusal(
+            StatusCode::CONFLICT,
+            ResultCode::TOO_FEW_STORES,
+            "too few store machines would be left",
+        ),
     }
 }
--- a/crates/control/src/api/request.rs
+++ b/crates/control/src/api/request.rs
@@ -120,7 +120,9 @@
     let reading = Limited::new(body, most_bytes).collect();
     match timeout(BODY_LIMIT, reading).await {
         Ok(Ok(collected)) => Ok(collected.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(StatusCode::PAYLOAD_TOO_LARGE),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(StatusCode::PAYLOAD_TOO_LARGE)
+        }
         Ok(Err(_)) => Err(StatusCode::BAD_REQUEST),
         Err(_) => Err(StatusCode::REQUEST_TIMEOUT),
     }
--- a/crates/control/src/configuration_shard/directory.rs
+++ b/crates/control/src/configuration_shard/directory.rs
@@ -26,7 +26,8 @@
         let same_machine = |known: &ControlNode| {
             known.node_name == node.node_name || known.control_address == node.control_address
         };
-        let wiped: Vec<u64> = self.nodes.iter().filter(|known| same_machine(known)).map(|known| known.identity).collect();
+        let wiped: Vec<u64> =
+            self.nodes.iter().filter(|known| same_machine(known)).map(|known| known.identity).collect();
         for identity in wiped.into_iter().filter(|identity| *identity != node.identity) {
             self.remember_wiped(identity);
         }
--- a/crates/control/src/configuration_shard/mod.rs
+++ b/crates/control/src/configuration_shard/mod.rs
@@ -180,7 +180,8 @@
         let epoch_before = self.stores.map().epoch;
         let outcome = self.stores.apply(command);
         let map = self.stores.map();
-        let changes = if map.epoch == epoch_before { Vec::new() } else { vec![Change::StoreMap(map.clone())] };
+        let changes =
+            if map.epoch == epoch_before { Vec::new() } else { vec![Change::StoreMap(map.clone())] };
         (ConfigurationOutcome::Store(outcome), changes)
     }
 
--- a/crates/control/src/configuration_shard/tests.rs
+++ b/crates/control/src/configuration_shard/tests.rs
@@ -8,8 +8,12 @@
     for (place, byte) in body.bytes().enumerate() {
         sha256[place % 32] ^= byte;
     }
-    let command =
-        ConfigurationCommand::PutConfiguration { if_match, generation, body: body.as_bytes().to_vec(), sha256 };
+    let command = ConfigurationCommand::PutConfiguration {
+        if_match,
+        generation,
+        body: body.as_bytes().to_vec(),
+        sha256,
+    };
     shard.apply(command).0
 }
 
--- a/crates/control/src/feed/connection.rs
+++ b/crates/control/src/feed/connection.rs
@@ -57,7 +57,9 @@
         positions: &[Position],
     ) -> Self {
         let asked = positions.iter().filter(|position| position.shard < SHARDS);
-        let held = asked.map(|position| (position.shard, (position.offset > 0).then_some(position.offset))).collect();
+        let held = asked
+            .map(|position| (position.shard, (position.offset > 0).then_some(position.offset)))
+            .collect();
         Self { process, writer, number, subscriber, held, hello_under_way: Rc::default() }
     }
 
@@ -65,7 +67,9 @@
         let now = self.process.now();
         let mut subscribers = self.process.subscribers().borrow_mut();
         match &self.subscriber {
-            Subscriber::Gatekeeper { node_name, .. } => subscribers.add_gatekeeper(self.number, node_name.clone(), now),
+            Subscriber::Gatekeeper { node_name, .. } => {
+                subscribers.add_gatekeeper(self.number, node_name.clone(), now)
+            }
             Subscriber::Store { node, .. } => subscribers.add_store(self.number, node.identity, now),
             Subscriber::Proxy => {}
         }
@@ -106,7 +110,9 @@
     fn send_updates(&mut self) -> Result<(), NetError> {
         for (shard, held) in &mut self.held {
             let Some(update) = self.process.shards().update_since(*shard, *held) else { continue };
-            let (FeedUpdate::Snapshot { offset, .. } | FeedUpdate::Changes { offset, .. }) = &update else { continue };
+            let (FeedUpdate::Snapshot { offset, .. } | FeedUpdate::Changes { offset, .. }) = &update else {
+                continue;
+            };
             *held = Some(*offset);
             self.writer.send(&update)?;
         }
--- a/crates/control/src/process/call_handler.rs
+++ b/crates/control/src/process/call_handler.rs
@@ -36,7 +36,8 @@
             ControlCall::Barrier { shard } => self.answer_barrier(shard).await,
             ControlCall::AwaitApplied { shard, index, limit_ms } => {
                 if shard < SHARDS {
-                    let _ = timeout(Duration::from_millis(limit_ms), self.shards.wait_for(shard, index)).await;
+                    let _ =
+                        timeout(Duration::from_millis(limit_ms), self.shards.wait_for(shard, index)).await;
                 }
                 ControlAnswer::Done
             }
--- a/crates/control/src/process/duties.rs
+++ b/crates/control/src/process/duties.rs
@@ -159,7 +159,9 @@
         }
         let count = self.subscribers.borrow().gatekeepers(self.now());
         let call = ControlCall::Gatekeepers { from: self.host.identity(), count };
-        if let Some(ControlAnswer::Gatekeepers(total)) = self.ask_owner(CONFIGURATION_SHARD, call, REPORT_LIMIT).await {
+        if let Some(ControlAnswer::Gatekeepers(total)) =
+            self.ask_owner(CONFIGURATION_SHARD, call, REPORT_LIMIT).await
+        {
             self.gatekeepers.set(total);
         }
     }
--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -143,7 +143,12 @@
     }
 
     /// Asks the owner of a shard, which may be this process.
-    async fn ask_owner(self: &Rc<Self>, shard: u16, call: ControlCall, limit: Duration) -> Option<ControlAnswer> {
+    async fn ask_owner(
+        self: &Rc<Self>,
+        shard: u16,
+        call: ControlCall,
+        limit: Duration,
+    ) -> Option<ControlAnswer> {
         let owner = self.host.owner(shard)?;
         if owner == self.host.identity() {
             return Some(self.answer(call).await);
@@ -177,5 +182,4 @@
     fn is_in_directory(&self) -> bool {
         self.shards.with_configuration(|shard| shard.directory().nodes().contains(&self.options.node))
     }
-
 }
--- a/crates/control/src/process/operations.rs
+++ b/crates/control/src/process/operations.rs
@@ -196,9 +196,9 @@
                 Ok(ConfigurationAnswer::Accepted)
             }
             ConfigurationOutcome::Conflict { current } => Ok(ConfigurationAnswer::Conflict { current }),
-            ConfigurationOutcome::NotAbove { current } => {
-                Ok(ConfigurationAnswer::Invalid(vec![format!("generation: {generation} is not above {current}")]))
-            }
+            ConfigurationOutcome::NotAbove { current } => Ok(ConfigurationAnswer::Invalid(vec![format!(
+                "generation: {generation} is not above {current}"
+            )])),
             ConfigurationOutcome::Directory | ConfigurationOutcome::Store(_) => Err(Unavailable),
         }
     }
--- a/crates/control/src/process/store_watch.rs
+++ b/crates/control/src/process/store_watch.rs
@@ -91,10 +91,13 @@
         if some_silent {
             return Vec::new();
         }
-        let unsettled = table.stores().iter().filter(|entry| !entry.settled && entry.silence == Silence::Heard);
+        let unsettled =
+            table.stores().iter().filter(|entry| !entry.settled && entry.silence == Silence::Heard);
         unsettled
             .map(|entry| entry.node.identity)
-            .filter(|identity| self.first_seen.get(identity).is_some_and(|at| now.saturating_sub(*at) >= SETTLING))
+            .filter(|identity| {
+                self.first_seen.get(identity).is_some_and(|at| now.saturating_sub(*at) >= SETTLING)
+            })
             .map(|identity| StoreCommand::Settled { identity })
             .collect()
     }
--- a/crates/control/src/sessions/tests.rs
+++ b/crates/control/src/sessions/tests.rs
@@ -83,7 +83,13 @@
 const HEARTBEAT: Duration = Duration::from_millis(1000);
 
 /// Looks four times a second from `from` to `to`, each worker named in `heard` being heard at each look.
-fn watch(silences: &mut SilenceWatch, sessions: &[String], heard: &[&str], from: u64, to: u64) -> Vec<String> {
+fn watch(
+    silences: &mut SilenceWatch,
+    sessions: &[String],
+    heard: &[&str],
+    from: u64,
+    to: u64,
+) -> Vec<String> {
     let mut silent = Vec::new();
     for millis in (from..to).step_by(250) {
         let now = Duration::from_millis(millis);
--- a/crates/control/src/stand_in.rs
+++ b/crates/control/src/stand_in.rs
@@ -36,7 +36,10 @@
     index: Cell<u64>,
 }
 impl Host {
-    pub async fn start(options: HostOptions, machines: Vec<Box<dyn StateMachine>>) -> Result<Rc<Self>, ProposeError> {
+    pub async fn start(
+        options: HostOptions,
+        machines: Vec<Box<dyn StateMachine>>,
+    ) -> Result<Rc<Self>, ProposeError> {
         let identity = options.node.identity;
         Ok(Rc::new(Self { identity, machines: RefCell::new(machines), index: Cell::new(0) }))
     }
@@ -60,7 +63,12 @@
     pub fn fresh(&self, _shard: u16) -> bool {
         true
     }
-    pub async fn call(&self, _identity: u64, _bytes: Vec<u8>, _limit: Duration) -> Result<Vec<u8>, ProposeError> {
+    pub async fn call(
+        &self,
+        _identity: u64,
+        _bytes: Vec<u8>,
+        _limit: Duration,
+    ) -> Result<Vec<u8>, ProposeError> {
         Err(ProposeError::TimedOut)
     }
     pub fn set_call_handler(&self, _handler: impl Fn(Vec<u8>) -> CallFuture + 'static) {}
--- a/crates/control/src/store_map/mod.rs
+++ b/crates/control/src/store_map/mod.rs
@@ -130,7 +130,9 @@
             StoreCommand::Form { replicas } => self.form(*replicas),
             StoreCommand::Settled { identity } => self.settled(*identity),
             StoreCommand::Silence { identity, silence } => self.silence(*identity, *silence),
-            StoreCommand::ReplicasWhole { store, epoch, partitions } => self.replicas_whole(*store, *epoch, partitions),
+            StoreCommand::ReplicasWhole { store, epoch, partitions } => {
+                self.replicas_whole(*store, *epoch, partitions)
+            }
             StoreCommand::Retire { node_name } => self.retire(node_name),
         };
         if self.is_formed() {
@@ -192,9 +194,16 @@
             .stores
             .iter()
             .position(|entry| entry.node.node_name == node.node_name || entry.node.address == node.address);
-        let state = if self.retired_nodes.contains(&node.node_name) { StoreState::Retiring } else { StoreState::Active };
-        let entry =
-            StoreEntry { node: StoreNode { state, ..node.clone() }, silence: Silence::Heard, settled: wiped.is_some() };
+        let state = if self.retired_nodes.contains(&node.node_name) {
+            StoreState::Retiring
+        } else {
+            StoreState::Active
+        };
+        let entry = StoreEntry {
+            node: StoreNode { state, ..node.clone() },
+            silence: Silence::Heard,
+            settled: wiped.is_some(),
+        };
         match wiped {
             Some(place) => {
                 let lost = self.stores[place].node.identity;
@@ -332,7 +341,8 @@
             .filter(|entry| self.is_named(entry.node.identity))
             .map(|entry| entry.node.clone())
             .collect();
-        let partitions: Vec<Partition> = self.partitions.iter().map(|entry| entry.partition.clone()).collect();
+        let partitions: Vec<Partition> =
+            self.partitions.iter().map(|entry| entry.partition.clone()).collect();
         if stores != self.published.stores || partitions != self.published.partitions {
             let epoch = self.published.epoch + 1;
             self.published = StoreMap { epoch, stores, partitions };
--- a/crates/control/src/store_map/plan.rs
+++ b/crates/control/src/store_map/plan.rs
@@ -126,7 +126,8 @@
     /// A partition whose every copy was wiped has nothing to copy from: it begins anew, empty.
     fn give_up_if_nothing_is_left(&mut self, number: usize) {
         let partition = &mut self.partitions[number].partition;
-        let something_left = partition.replicas.iter().any(|replica| replica.whole) || !partition.sources.is_empty();
+        let something_left =
+            partition.replicas.iter().any(|replica| replica.whole) || !partition.sources.is_empty();
         if !something_left {
             for replica in &mut partition.replicas {
                 replica.whole = true;
@@ -162,9 +163,10 @@
     fn may_move(&self, number: usize) -> bool {
         let partition = &self.partitions[number].partition;
         all_whole(partition)
-            && partition.replicas.iter().all(|replica| {
-                self.store(replica.store).is_some_and(|entry| entry.silence == Silence::Heard)
-            })
+            && partition
+                .replicas
+                .iter()
+                .all(|replica| self.store(replica.store).is_some_and(|entry| entry.silence == Silence::Heard))
     }
 
     /// Adds a replica to a partition that has fewer than it should.
--- a/crates/control/src/store_map/tests.rs
+++ b/crates/control/src/store_map/tests.rs
@@ -40,9 +40,14 @@
 /// Every replica that is not whole reports that it is; returns whether there was one.
 fn all_report(table: &mut StoreTable) -> bool {
     let epoch = table.map().epoch;
-    let copying: BTreeSet<u64> = table.map().partitions.iter().flat_map(|partition| {
-        partition.replicas.iter().filter(|replica| !replica.whole).map(|replica| replica.store)
-    }).collect();
+    let copying: BTreeSet<u64> = table
+        .map()
+        .partitions
+        .iter()
+        .flat_map(|partition| {
+            partition.replicas.iter().filter(|replica| !replica.whole).map(|replica| replica.store)
+        })
+        .collect();
     for store in &copying {
         let partitions = (0..STORE_PARTITIONS).collect();
         table.apply(&StoreCommand::ReplicasWhole { store: *store, epoch, partitions });
@@ -60,7 +65,10 @@
 }
 
 fn holders(map: &StoreMap) -> BTreeSet<u64> {
-    map.partitions.iter().flat_map(|partition| partition.replicas.iter().map(|replica| replica.store)).collect()
+    map.partitions
+        .iter()
+        .flat_map(|partition| partition.replicas.iter().map(|replica| replica.store))
+        .collect()
 }
 
 fn whole_quorum_everywhere(map: &StoreMap) -> bool {
@@ -124,7 +132,8 @@
     hello(&mut table, 12, "store-2");
     assert!(!holders(table.map()).contains(&2));
     for partition in &table.map().partitions {
-        let replica = partition.replicas.iter().find(|replica| replica.store == 12).expect("it has its place");
+        let replica =
+            partition.replicas.iter().find(|replica| replica.store == 12).expect("it has its place");
         assert!(!replica.whole);
         assert!(partition.sources.is_empty(), "what it held is gone");
     }
@@ -178,15 +187,19 @@
             break;
         }
     }
-    let share = table.map().partitions.iter().filter(|partition| {
-        partition.replicas.iter().any(|replica| replica.store == 4)
-    }).count();
+    let share = table
+        .map()
+        .partitions
+        .iter()
+        .filter(|partition| partition.replicas.iter().any(|replica| replica.store == 4))
+        .count();
     assert!((16..32).contains(&share), "it holds {share} partitions");
 }
 
 #[test]
 fn a_coming_or_going_store_changes_one_replica_of_a_partition_at_most() {
-    let nodes: Vec<StoreNode> = (1..=6).map(|identity| node(identity, &format!("store-{identity}"))).collect();
+    let nodes: Vec<StoreNode> =
+        (1..=6).map(|identity| node(identity, &format!("store-{identity}"))).collect();
     for partition in 0..STORE_PARTITIONS {
         let all: Vec<&StoreNode> = nodes.iter().collect();
         let fewer: Vec<&StoreNode> = nodes.iter().take(5).collect();
@@ -198,7 +211,8 @@
 
 #[test]
 fn replicas_lie_in_other_zones_where_there_are_enough() {
-    let mut nodes: Vec<StoreNode> = (1..=6).map(|identity| node(identity, &format!("store-{identity}"))).collect();
+    let mut nodes: Vec<StoreNode> =
+        (1..=6).map(|identity| node(identity, &format!("store-{identity}"))).collect();
     for node in &mut nodes {
         node.zone = format!("zone-{}", node.identity % 3);
     }
@@ -291,8 +305,11 @@
         let mut next_identity = 100;
         let mut epoch = table.map().epoch;
         for (kind, choice) in events {
-            let identities: Vec<(u64, String)> =
-                table.stores().iter().map(|entry| (entry.node.identity, entry.node.node_name.clone())).collect();
+            let identities: Vec<(u64, String)> = table
+                .stores()
+                .iter()
+                .map(|entry| (entry.node.identity, entry.node.node_name.clone()))
+                .collect();
             let (identity, name) = identities[usize::from(*choice) % identities.len()].clone();
             let before = table.map().clone();
             let mut reported = None;
@@ -343,7 +360,10 @@
         for replica in partition.replicas.iter().filter(|replica| replica.whole) {
             let was_whole = old.replicas.iter().any(|old| old.store == replica.store && old.whole);
             let has_reported = reported == Some(replica.store);
-            assert!(was_whole || has_reported || !something_was_left || all_wiped(old, after), "whole without a copy");
+            assert!(
+                was_whole || has_reported || !something_was_left || all_wiped(old, after),
+                "whole without a copy"
+            );
         }
     }
 }
