--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 pub mod feed;
 pub mod process;
+mod run;
 pub mod sessions;
 pub mod shards;
 pub mod stand_in;
@@ -19,3 +20,4 @@
 pub use stand_in as host;
 
 pub use error::ControlError;
+pub use run::run;
--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -88,6 +88,26 @@
         })
     }
 
+    /// Lets the host bring what other control processes ask.
+    pub fn connect(self: &Rc<Self>) {
+        let process = Rc::downgrade(self);
+        self.host.set_call_handler(move |bytes| {
+            let process = process.upgrade();
+            Box::pin(async move {
+                match process {
+                    Some(process) => process.answer_bytes(bytes).await,
+                    None => Vec::new(),
+                }
+            })
+        });
+        let process = Rc::downgrade(self);
+        self.host.set_hello_handler(move |node| {
+            if let Some(process) = process.upgrade() {
+                tokio::task::spawn_local(async move { process.admit(node).await });
+            }
+        });
+    }
+
     /// The state of all shards.
     #[must_use]
     pub fn shards(&self) -> &Shards {
--- /dev/null
+++ b/crates/control/src/run.rs
@@ -0,0 +1,97 @@
+//! The role: starts the parts, joins them, and ends them in order.
+
+use crate::{
+    api,
+    error::{ControlError, FeedSnafu, HostSnafu, ListenSnafu, MissingSnafu},
+    feed,
+    host::{Host, HostOptions, StateMachine},
+    process::{ControlProcess, ProcessOptions},
+    shards::{SHARDS, ShardMachine, Shards},
+};
+use opalrun_net::{Listener, signals};
+use opalrun_settings::Settings;
+use opalrun_wire::feed::ControlNode;
+use snafu::{OptionExt, ResultExt};
+use std::{net::SocketAddr, rc::Rc, time::Duration};
+use tokio::time::{sleep, timeout};
+
+/// How long handing over ownership may take at the end.
+const HAND_OVER_LIMIT: Duration = Duration::from_millis(1500);
+/// How long calls in hand may take at the end.
+const LAST_CALLS_LIMIT: Duration = Duration::from_millis(800);
+
+/// Runs the role until SIGTERM.
+///
+/// # Errors
+/// Where the settings lack something, an address can't be listened on or the replicated state can't be opened.
+pub async fn run(settings: Settings) -> Result<(), ControlError> {
+    let api_address = settings.listen.control_plane.context(MissingSnafu { key: "listen.control_plane" })?;
+    let feed_address = SocketAddr::new(settings.ip, settings.ports.feed());
+    let api_server = api::bind(api_address).await.context(ListenSnafu { address: api_address })?;
+    let feed_listener = Listener::bind(feed_address).await.context(FeedSnafu)?;
+    let process = start(&settings, api_address).await?;
+    tracing::info!(identity = process.host().identity(), "the control process serves");
+    tokio::task::spawn_local(feed::serve(Rc::clone(&process), feed_listener));
+    let serving = tokio::task::spawn_local(api_server.serve(Rc::clone(&process)));
+    signals::terminated().await;
+    end(&process).await;
+    serving.abort();
+    Ok(())
+}
+
+/// Starts the replicated host and the process over it.
+///
+/// # Errors
+/// Where the settings lack something or the replicated state can't be opened.
+async fn start(settings: &Settings, api_address: SocketAddr) -> Result<Rc<ControlProcess>, ControlError> {
+    let shards = Shards::new();
+    let host =
+        Host::start(host_options(settings, api_address)?, machines(&shards)).await.context(HostSnafu)?;
+    let node = ControlNode { identity: host.identity(), ..control_node(settings, api_address) };
+    let tolerance = settings.fault_tolerance;
+    let lost_at_once = tolerance.hosts_lost.max(tolerance.zones).max(tolerance.regions);
+    let options = ProcessOptions {
+        node,
+        hosts_lost: tolerance.hosts_lost,
+        store_replicas: (2 * lost_at_once + 1) as u16,
+        heartbeat: settings.heartbeat,
+    };
+    let process = ControlProcess::new(options, host, shards);
+    process.connect();
+    process.start_duties();
+    Ok(process)
+}
+
+fn control_node(settings: &Settings, api_address: SocketAddr) -> ControlNode {
+    ControlNode {
+        identity: 0,
+        node_name: settings.node_name.clone(),
+        peer_address: SocketAddr::new(settings.ip, settings.ports.peer()).to_string(),
+        control_address: api_address.to_string(),
+        zone: settings.zone.clone(),
+    }
+}
+
+fn host_options(settings: &Settings, api_address: SocketAddr) -> Result<HostOptions, ControlError> {
+    let data_directory = settings.data_dir.clone().context(MissingSnafu { key: "data_dir" })?;
+    Ok(HostOptions {
+        node: control_node(settings, api_address),
+        bootstrap: settings.bootstrap,
+        seeds: settings.seed_nodes.iter().map(ToString::to_string).collect(),
+        peer_port: settings.ports.peer(),
+        hosts_lost: settings.fault_tolerance.hosts_lost,
+        data_directory,
+    })
+}
+
+fn machines(shards: &Shards) -> Vec<Box<dyn StateMachine>> {
+    let machine = |shard| Box::new(ShardMachine::new(shards.clone(), shard)) as Box<dyn StateMachine>;
+    (0..SHARDS).map(machine).collect()
+}
+
+/// Hands over what the process owns, sends subscribers elsewhere and lets calls in hand end.
+async fn end(process: &Rc<ControlProcess>) {
+    let _ = timeout(HAND_OVER_LIMIT, process.host().hand_over()).await;
+    process.stop();
+    sleep(LAST_CALLS_LIMIT).await;
+}
--- a/crates/control/src/shards.rs
+++ b/crates/control/src/shards.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     configuration_shard::{ConfigurationCommand, ConfigurationShard},
+    host::StateMachine,
     sessions::{SessionCommand, SessionShard},
 };
 use opalrun_wire::{
@@ -227,3 +228,31 @@
         &self.shards[usize::from(number)]
     }
 }
+
+/// One shard as the replicated host runs it.
+pub struct ShardMachine {
+    shards: Shards,
+    shard: u16,
+}
+
+impl ShardMachine {
+    /// The machine of one of the shards.
+    #[must_use]
+    pub fn new(shards: Shards, shard: u16) -> Self {
+        Self { shards, shard }
+    }
+}
+
+impl StateMachine for ShardMachine {
+    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+        self.shards.apply(self.shard, index, command)
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        self.shards.snapshot(self.shard)
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<(), FrameError> {
+        self.shards.restore(self.shard, bytes)
+    }
+}
--- a/crates/control/src/stand_in.rs
+++ b/crates/control/src/stand_in.rs
@@ -29,6 +29,10 @@
     NoQuorum,
     TimedOut,
 }
+#[derive(Debug, snafu::Snafu)]
+pub enum HostError {
+    Never,
+}
 pub type CallFuture = Pin<Box<dyn Future<Output = Vec<u8>>>>;
 pub struct Host {
     identity: u64,
@@ -39,7 +43,7 @@
     pub async fn start(
         options: HostOptions,
         machines: Vec<Box<dyn StateMachine>>,
-    ) -> Result<Rc<Self>, ProposeError> {
+    ) -> Result<Rc<Self>, HostError> {
         let identity = options.node.identity;
         Ok(Rc::new(Self { identity, machines: RefCell::new(machines), index: Cell::new(0) }))
     }
--- a/crates/control/src/store_map/plan.rs
+++ b/crates/control/src/store_map/plan.rs
@@ -78,9 +78,13 @@
             .collect()
     }
 
-    /// The best store for a partition that does not hold it yet.
+    /// The best store for a partition that does not hold it yet. While too few replicas are whole, a store that others
+    /// have to copy from stays what it is.
     fn best_other(&self, number: usize, settled_only: bool) -> Option<u64> {
-        let replicas = &self.partitions[number].partition.replicas;
+        let partition = &self.partitions[number].partition;
+        let replicas = &partition.replicas;
+        let whole = replicas.iter().filter(|replica| replica.whole).count();
+        let sources_needed = whole < partition.quorum();
         let zones: Vec<&str> = replicas
             .iter()
             .filter_map(|replica| self.store(replica.store))
@@ -90,6 +94,7 @@
         self.candidates(settled_only)
             .into_iter()
             .filter(|node| replicas.iter().all(|replica| replica.store != node.identity))
+            .filter(|node| !(sources_needed && partition.sources.contains(&node.identity)))
             .max_by_key(|node| {
                 let own_zone = !zones.contains(&node.zone.as_str());
                 (own_zone, placement::weight(number as u16, &node.node_name), node.identity)
