--- /dev/null
+++ b/crates/gatekeeper/src/lease/state.rs
@@ -0,0 +1,429 @@
+//! The leases of all programs at one gatekeeper, as a state machine.
+//!
+//! Times are those of a steady clock. What is to be done comes out as [`Action`]s, in order.
+
+use super::program::{ProgramLease, Waiting};
+use super::{LeaseError, Terms};
+use fnv::{FnvHashMap, FnvHashSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Units that lie free for one to two such spans are given back.
+const SWEEP_INTERVAL: Duration = Duration::from_millis(250);
+/// How long a turn that the count does not hold waits for units that other gatekeepers hold to come back. Theirs lie
+/// idle for two sweeps at most; after that, what they hold is spent or set aside.
+const RECLAIM_LIMIT: Duration = Duration::from_millis(600);
+/// The pause before the count is asked again at first. It doubles with each time, and is drawn between half of it and
+/// all of it, so that two gatekeepers don't keep seeing each other's raise.
+const FIRST_RETRY_PAUSE: Duration = Duration::from_millis(10);
+const MAX_RETRY_DOUBLINGS: u32 = 4;
+/// How long a program is remembered after its last turn: longer than the stores keep its count.
+const FORGET_AFTER: Duration = Duration::from_secs(15 * 60);
+const FORGET_INTERVAL: Duration = Duration::from_secs(60);
+/// Programs that are remembered at most; beyond that new ones are told to come back.
+const MAX_PROGRAMS: usize = 50_000;
+
+/// A turn, from its begin to its end.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TurnId(u64);
+
+/// What is to be done.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Action {
+    /// Raise this gatekeeper's entry in the program's count from `held` to `wanted`, then call
+    /// [`Leases::granted`] or [`Leases::unavailable`]. No other write of the program comes before that.
+    Raise {
+        /// The program.
+        program: Rc<str>,
+        /// What the entry stands at.
+        held: u64,
+        /// What it is to be raised to.
+        wanted: u64,
+    },
+    /// Write the entry, without waiting: units are given back.
+    Write {
+        /// The program.
+        program: Rc<str>,
+        /// What the entry is to stand at.
+        taken: u64,
+    },
+    /// The turn's most is set aside, or it must not be sent.
+    Decide {
+        /// The turn.
+        turn: TurnId,
+        /// Whether it is covered.
+        decision: Result<(), LeaseError>,
+    },
+}
+
+/// A turn that has begun and not ended.
+#[derive(Debug)]
+struct Turn {
+    program: Rc<str>,
+    /// What is set aside for it and not relayed; 0 while it waits.
+    aside: u64,
+}
+
+/// The leases of all programs.
+#[derive(Debug)]
+pub struct Leases {
+    programs: FnvHashMap<Rc<str>, ProgramLease>,
+    /// Programs with something under way or something to give back.
+    active: FnvHashSet<Rc<str>>,
+    turns: FnvHashMap<TurnId, Turn>,
+    actions: Vec<Action>,
+    last_turn: u64,
+    next_sweep: Duration,
+    next_forgetting: Duration,
+    draining: bool,
+    random: fastrand::Rng,
+}
+
+impl Leases {
+    /// No leases. The seed is that of the pauses between raises.
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            programs: FnvHashMap::default(),
+            active: FnvHashSet::default(),
+            turns: FnvHashMap::default(),
+            actions: Vec::new(),
+            last_turn: 0,
+            next_sweep: SWEEP_INTERVAL,
+            next_forgetting: FORGET_INTERVAL,
+            draining: false,
+            random: fastrand::Rng::with_seed(seed),
+        }
+    }
+
+    /// What is to be done since the last call.
+    pub fn take_actions(&mut self) -> Vec<Action> {
+        std::mem::take(&mut self.actions)
+    }
+
+    /// A turn has come. An [`Action::Decide`] tells, at once or later, whether it may be sent.
+    pub fn begin(&mut self, program: &str, terms: Terms, now: Duration) -> TurnId {
+        self.last_turn += 1;
+        let turn = TurnId(self.last_turn);
+        let Some(program) = self.program_name(program) else {
+            self.decide(turn, Err(LeaseError::Unavailable));
+            return turn;
+        };
+        self.turns.insert(turn, Turn { program: Rc::clone(&program), aside: 0 });
+        self.activate(&program, now);
+        let lease = self.programs.entry(Rc::clone(&program)).or_default();
+        lease.budget = if lease.largest_turn == 0 { terms.budget } else { lease.budget.min(terms.budget) };
+        lease.largest_turn = lease.largest_turn.max(terms.most);
+        lease.last_used = now;
+        if lease.is_beyond_budget(terms.most) {
+            self.decide(turn, Err(LeaseError::BudgetSpent));
+            return turn;
+        }
+        lease.waiting.push(Waiting { turn, most: terms.most, asked: false, refuse_at: None });
+        self.advance(&program, now);
+        turn
+    }
+
+    /// Units are about to be relayed to the turn's client.
+    pub fn event(&mut self, turn: TurnId, units: u64, now: Duration) {
+        let Some(running) = self.turns.get_mut(&turn) else {
+            return;
+        };
+        let from_aside = units.min(running.aside);
+        running.aside -= from_aside;
+        let program = Rc::clone(&running.program);
+        if let Some(lease) = self.programs.get_mut(&program) {
+            lease.spend(units, from_aside, now);
+        }
+    }
+
+    /// The turn has ended, however it did; a turn that still waits is given up.
+    pub fn end(&mut self, turn: TurnId, now: Duration) {
+        let Some(ended) = self.turns.remove(&turn) else {
+            return;
+        };
+        let Some(lease) = self.programs.get_mut(&ended.program) else {
+            return;
+        };
+        lease.release(ended.aside, now);
+        lease.waiting.retain(|waiting| waiting.turn != turn);
+        self.advance(&ended.program, now);
+        self.trim(&ended.program);
+    }
+
+    /// A raise was written, and the others' entries were read after that.
+    pub fn granted(&mut self, program: &str, others_taken: u64, now: Duration) {
+        let Some((program, lease)) = Self::known(&mut self.programs, program) else {
+            return;
+        };
+        let Some(wanted) = lease.raising.take() else {
+            return;
+        };
+        let granted_whole = lease.grant(wanted, others_taken);
+        self.cover_waiting(&program);
+        if granted_whole {
+            self.ask_again(&program);
+        } else {
+            self.hold_or_refuse(&program, now);
+        }
+        self.settle_entry(&program, wanted);
+        self.advance(&program, now);
+    }
+
+    /// A raise was given up: no quorum has answered in time.
+    pub fn unavailable(&mut self, program: &str, now: Duration) {
+        let Some((program, lease)) = Self::known(&mut self.programs, program) else {
+            return;
+        };
+        lease.raising = None;
+        let (given_up, kept) = lease.waiting.drain(..).partition(|waiting: &Waiting| waiting.asked);
+        lease.waiting = kept;
+        for waiting in given_up as Vec<Waiting> {
+            self.decide(waiting.turn, Err(LeaseError::Unavailable));
+        }
+        self.advance(&program, now);
+        self.trim(&program);
+    }
+
+    /// When [`tick`](Self::tick) is to be called next; `None`: not before another input.
+    #[must_use]
+    pub fn next_wake(&self) -> Option<Duration> {
+        if self.active.is_empty() {
+            return None;
+        }
+        let retries = self.active.iter().filter_map(|program| self.programs.get(program)?.retry_at);
+        retries.chain([self.next_sweep]).min()
+    }
+
+    /// Time has passed.
+    pub fn tick(&mut self, now: Duration) {
+        let is_due = |lease: &ProgramLease| lease.retry_at.is_some_and(|at| at <= now);
+        let due = self.active.iter().filter(|program| self.programs.get(*program).is_some_and(is_due));
+        for program in due.map(Rc::clone).collect::<Vec<_>>() {
+            self.retry(&program, now);
+        }
+        if self.next_sweep <= now {
+            self.next_sweep = now + SWEEP_INTERVAL;
+            self.sweep(now);
+        }
+        if self.next_forgetting <= now {
+            self.next_forgetting = now + FORGET_INTERVAL;
+            self.forget(now);
+        }
+    }
+
+    /// The process is about to end: from now on nothing is held that no turn needs.
+    pub fn drain(&mut self) {
+        self.draining = true;
+        for program in self.active_programs() {
+            self.trim(&program);
+        }
+    }
+
+    /// Gives back what lay free for a whole span.
+    fn sweep(&mut self, now: Duration) {
+        for program in self.active_programs() {
+            let Some(lease) = self.programs.get_mut(&program) else {
+                continue;
+            };
+            let idle = lease.low;
+            if lease.raising.is_none() && idle > 0 {
+                let taken = lease.taken - idle;
+                self.write(&program, taken);
+            }
+            self.trim(&program);
+            self.advance(&program, now);
+            let Some(lease) = self.programs.get_mut(&program) else {
+                continue;
+            };
+            lease.begin_span();
+            if lease.is_at_rest() {
+                self.active.remove(&program);
+            }
+        }
+    }
+
+    /// Drops programs that have been at rest for so long that the stores have dropped them, too.
+    fn forget(&mut self, now: Duration) {
+        let active = &self.active;
+        self.programs
+            .retain(|program, lease| active.contains(program) || now < lease.last_used + FORGET_AFTER);
+    }
+
+    fn retry(&mut self, program: &Rc<str>, now: Duration) {
+        let Some(lease) = self.programs.get_mut(program) else {
+            return;
+        };
+        lease.retry_at = None;
+        self.ask_again(program);
+        self.advance(program, now);
+    }
+
+    /// Has the next raise count in all turns that wait.
+    fn ask_again(&mut self, program: &Rc<str>) {
+        if let Some(lease) = self.programs.get_mut(program) {
+            lease.waiting.iter_mut().for_each(|waiting| waiting.asked = false);
+        }
+    }
+
+    /// Covers what can be covered, and asks for what is missing.
+    fn advance(&mut self, program: &Rc<str>, now: Duration) {
+        self.cover_waiting(program);
+        let Some(lease) = self.programs.get_mut(program) else {
+            return;
+        };
+        let has_new = lease.waiting.iter().any(|waiting| !waiting.asked);
+        if lease.raising.is_some() || !has_new {
+            return;
+        }
+        for waiting in &mut lease.waiting {
+            waiting.asked = true;
+        }
+        let (held, wanted) = (lease.taken, lease.wanted(now));
+        lease.raising = Some(wanted);
+        lease.retry_at = None;
+        self.actions.push(Action::Raise { program: Rc::clone(program), held, wanted });
+    }
+
+    /// Sets aside the most of each turn that waits, as far as the lease reaches. Refuses those that the budget can't hold
+    /// beside what this gatekeeper has sent already.
+    fn cover_waiting(&mut self, program: &Rc<str>) {
+        let Some(lease) = self.programs.get_mut(program) else {
+            return;
+        };
+        let mut decided = Vec::new();
+        let waiting = std::mem::take(&mut lease.waiting);
+        for turn in waiting {
+            if lease.cover(turn.most) {
+                decided.push((turn, Ok(())));
+            } else if lease.is_beyond_budget(turn.most) {
+                decided.push((turn, Err(LeaseError::BudgetSpent)));
+            } else {
+                lease.waiting.push(turn);
+            }
+        }
+        if lease.waiting.is_empty() {
+            lease.retry_at = None;
+            lease.retries = 0;
+        }
+        for (waiting, decision) in decided {
+            if let Some(turn) = self.turns.get_mut(&waiting.turn) {
+                turn.aside = waiting.most;
+            }
+            self.decide(waiting.turn, decision);
+        }
+    }
+
+    /// After a raise that did not fit the budget: refuses the turns that it was for, or holds them for a while when
+    /// other gatekeepers may give units back.
+    fn hold_or_refuse(&mut self, program: &Rc<str>, now: Duration) {
+        let Some(lease) = self.programs.get_mut(program) else {
+            return;
+        };
+        let others = lease.others_taken;
+        let hopeless = others == 0 || lease.settled_others == Some(others);
+        let mut refused = Vec::new();
+        lease.waiting.retain_mut(|waiting| {
+            if !waiting.asked {
+                return true;
+            }
+            let refuse_at = *waiting.refuse_at.get_or_insert(now + RECLAIM_LIMIT);
+            let refuse = hopeless || now >= refuse_at;
+            if refuse {
+                refused.push(waiting.turn);
+            }
+            !refuse
+        });
+        if !refused.is_empty() {
+            lease.settled_others = Some(others);
+        }
+        self.plan_retry(program, now);
+        for turn in refused {
+            self.decide(turn, Err(LeaseError::BudgetSpent));
+        }
+    }
+
+    fn plan_retry(&mut self, program: &Rc<str>, now: Duration) {
+        let Some(lease) = self.programs.get_mut(program) else {
+            return;
+        };
+        if lease.waiting.is_empty() {
+            lease.retries = 0;
+            return;
+        }
+        let pause = FIRST_RETRY_PAUSE * (1 << lease.retries.min(MAX_RETRY_DOUBLINGS));
+        lease.retries += 1;
+        lease.retry_at = Some(now + pause.mul_f64(0.5 + self.random.f64() / 2.0));
+    }
+
+    /// After a raise to `written`: brings the entry to what this gatekeeper keeps of it.
+    fn settle_entry(&mut self, program: &Rc<str>, written: u64) {
+        let Some(lease) = self.programs.get_mut(program) else {
+            return;
+        };
+        let kept = lease.trimmed(self.draining);
+        lease.taken = written;
+        self.write(program, kept);
+    }
+
+    /// Gives back what may not be held for later.
+    fn trim(&mut self, program: &Rc<str>) {
+        let Some(lease) = self.programs.get(program) else {
+            return;
+        };
+        if lease.raising.is_none() {
+            let kept = lease.trimmed(self.draining);
+            self.write(program, kept);
+        }
+    }
+
+    /// Writes the entry if it stands at something else. No raise may be out.
+    fn write(&mut self, program: &Rc<str>, taken: u64) {
+        let Some(lease) = self.programs.get_mut(program) else {
+            return;
+        };
+        if lease.taken == taken {
+            return;
+        }
+        lease.taken = taken;
+        lease.low = lease.low.min(lease.free());
+        self.actions.push(Action::Write { program: Rc::clone(program), taken });
+    }
+
+    fn decide(&mut self, turn: TurnId, decision: Result<(), LeaseError>) {
+        if decision.is_err() {
+            self.turns.remove(&turn);
+        }
+        self.actions.push(Action::Decide { turn, decision });
+    }
+
+    /// The one copy of a program's name; `None` when there is no room for a new program.
+    fn program_name(&self, program: &str) -> Option<Rc<str>> {
+        if let Some((name, _)) = self.programs.get_key_value(program) {
+            return Some(Rc::clone(name));
+        }
+        (self.programs.len() < MAX_PROGRAMS).then(|| Rc::from(program))
+    }
+
+    fn known<'a>(
+        programs: &'a mut FnvHashMap<Rc<str>, ProgramLease>,
+        program: &str,
+    ) -> Option<(Rc<str>, &'a mut ProgramLease)> {
+        let name = Rc::clone(programs.get_key_value(program)?.0);
+        Some((name, programs.get_mut(program)?))
+    }
+
+    fn activate(&mut self, program: &Rc<str>, now: Duration) {
+        if self.active.is_empty() {
+            self.next_sweep = now + SWEEP_INTERVAL;
+        }
+        self.active.insert(Rc::clone(program));
+    }
+
+    /// In the order of their names, so that a run can be repeated.
+    fn active_programs(&self) -> Vec<Rc<str>> {
+        let mut programs: Vec<_> = self.active.iter().cloned().collect();
+        programs.sort_unstable();
+        programs
+    }
+}
--- a/crates/gatekeeper/src/lib.rs
+++ b/crates/gatekeeper/src/lib.rs
@@ -2,4 +2,6 @@
 #![forbid(unsafe_code)]
 
 pub mod agent;
+pub mod lease;
 pub mod proxy;
+pub mod turns;
--- a/crates/wire/src/result_code.rs
+++ b/crates/wire/src/result_code.rs
@@ -61,6 +61,12 @@
     pub const STORES_UNAVAILABLE: Self = Self(504);
     /// A later operation took this one's place.
     pub const SUPERSEDED: Self = Self(505);
+    /// A turn's `Budget` or `Token-Usage` is missing or absurd.
+    pub const TURN_TERMS_INVALID: Self = Self(510);
+    /// The turn named by `Previous` does not exist.
+    pub const UNKNOWN_TURN: Self = Self(511);
+    /// The chain of a turn could not be read whole in time.
+    pub const CHAIN_UNAVAILABLE: Self = Self(512);
     /// The disk is full.
     pub const DISK_FULL: Self = Self(601);
     /// A file on disk is damaged where only a torn tail may be.
