--- /dev/null
+++ b/crates/gatekeeper/src/proxy/answer.rs
@@ -0,0 +1,53 @@
+//! The answers that the proxy gives by itself.
+
+use hyper::{Response, StatusCode, header, header::HeaderValue};
+use opalrun_transport::body::{Gathered, MemoryBudget, ResponseBody};
+use std::time::Duration;
+
+/// Shortest time to come back after, in seconds.
+const LEAST_RETRY_AFTER_S: f64 = 0.02;
+
+/// An answer to a client.
+pub type Answer = Response<ResponseBody>;
+
+/// An answer without a body.
+#[must_use]
+pub fn plain(status: StatusCode) -> Answer {
+    let mut answer = Response::new(ResponseBody::empty());
+    *answer.status_mut() = status;
+    answer
+}
+
+/// An answer whose body tells what is wrong with the request.
+#[must_use]
+pub fn explained(status: StatusCode, problem: &str) -> Answer {
+    let mut answer = whole(problem.to_owned().into());
+    *answer.status_mut() = status;
+    answer
+}
+
+/// An answer with this body.
+#[must_use]
+pub fn whole(bytes: bytes::Bytes) -> Answer {
+    let mut gathered = Gathered::new(&MemoryBudget::new(0));
+    gathered.push(bytes);
+    Response::new(ResponseBody::whole(gathered))
+}
+
+/// The request has not run and never will; the client may come back after about `pause`.
+#[must_use]
+pub fn refuse(pause: Duration) -> Answer {
+    let seconds = (pause.as_secs_f64() * (0.75 + 0.5 * fastrand::f64())).max(LEAST_RETRY_AFTER_S);
+    let mut answer = plain(StatusCode::SERVICE_UNAVAILABLE);
+    if let Ok(value) = HeaderValue::try_from(format!("{seconds:.3}")) {
+        answer.headers_mut().insert(header::RETRY_AFTER, value);
+    }
+    answer
+}
+
+/// The answer closes its connection.
+#[must_use]
+pub fn closing(mut answer: Answer) -> Answer {
+    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    answer
+}
--- a/crates/gatekeeper/src/proxy/attempt.rs
+++ b/crates/gatekeeper/src/proxy/attempt.rs
@@ -61,6 +61,12 @@
         self.workers_that_may_have_run_it > 0
     }
 
+    /// Whether another worker may be tried although the next one may run the request.
+    #[must_use]
+    pub fn may_try_more(&self) -> bool {
+        self.idempotent && self.workers_that_may_have_run_it + 1 < self.max_workers
+    }
+
     /// Tries that have ended.
     #[must_use]
     pub fn tries(&self) -> u32 {
--- a/crates/gatekeeper/src/proxy/event_stream.rs
+++ b/crates/gatekeeper/src/proxy/event_stream.rs
@@ -98,6 +98,12 @@
         Some(Event::new(self.bytes.split_to(end).freeze()))
     }
 
+    /// Whether a whole event is there.
+    #[must_use]
+    pub fn has_event(&self) -> bool {
+        self.end_of_event().is_some()
+    }
+
     /// Whether bytes of an event that has not ended are held.
     #[must_use]
     pub fn holds_part(&self) -> bool {
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -0,0 +1,238 @@
+//! Serves one request of a client: finds its route, tries workers, and answers.
+
+use crate::proxy::{
+    Proxy,
+    answer::{self, Answer},
+    attempt::{Attempts, Next, Outcome},
+    balance::{Choice, Chosen, NoWorker, WorkerId},
+    body::{self, BodyError},
+    headers::remove_connection_headers,
+    request::{self, ForwardedRequest},
+    stream::Stream,
+    terms::{NOT_EXECUTED, Terms},
+    upstream::Exchange,
+};
+use hyper::{Request, StatusCode, body::Incoming, header, http::response::Parts};
+use opalrun_configuration::{Configuration, Route, RouteType};
+use opalrun_transport::{
+    body::ResponseBody,
+    server::{Client, Handler},
+};
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Time to come back after while no configuration is known.
+const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(300);
+/// Share of the target latency after which a refused client may come back.
+const REFUSAL_PAUSE_SHARE: f64 = 0.3;
+/// How long a repeatable request waits for the head of an answer while another worker could be tried, as a multiple
+/// of its target latency.
+const PATIENCE_IN_TARGETS: u32 = 3;
+/// The least of that.
+const LEAST_PATIENCE: Duration = Duration::from_millis(400);
+
+/// Hands requests of clients to the proxy.
+pub struct ClientHandler(pub Rc<Proxy>);
+
+impl Handler for ClientHandler {
+    type Body = ResponseBody;
+
+    async fn handle(&self, request: Request<Incoming>, client: Client) -> Answer {
+        client.peer.use_it();
+        self.0.clone().serve(request).await
+    }
+}
+
+/// How a try at a worker ended.
+pub enum Tried {
+    /// An answer to pass on.
+    Answer(Answer),
+    /// The worker's own failure.
+    WorkerFailed(Answer),
+    /// A stream that has begun.
+    Stream(Box<Stream>),
+    /// No answer.
+    Ended(Outcome),
+}
+
+impl Proxy {
+    async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Answer {
+        match self.admit(request).await {
+            Ok(request) => self.try_workers(request).await,
+            Err(answer) => answer,
+        }
+    }
+
+    /// Finds the route, and reads the request whole.
+    async fn admit(&self, request: Request<Incoming>) -> Result<ForwardedRequest, Answer> {
+        let arrived = Instant::now();
+        let configuration = self.configuration().ok_or_else(|| answer::refuse(UNCONFIGURED_PAUSE))?;
+        let (mut head, incoming) = request.into_parts();
+        let route = route_of(&configuration, &head).ok_or_else(|| answer::plain(StatusCode::NOT_FOUND))?;
+        if header_bytes(&head) > configuration.limits.max_header_bytes {
+            return Err(answer::closing(answer::plain(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)));
+        }
+        let terms = Terms::read(&head.headers)
+            .map_err(|problem| answer::explained(StatusCode::BAD_REQUEST, &problem.to_string()))?;
+        let until = request::answer_by(arrived, &terms, &route);
+        let longest = configuration.limits.max_body_bytes;
+        let whole = body::read_whole(incoming, &self.memory, longest, until).await.map_err(unread)?;
+        remove_connection_headers(&mut head.headers);
+        let uri = head.uri.path_and_query().cloned().map(Into::into);
+        Ok(ForwardedRequest {
+            method: head.method,
+            uri: uri.ok_or_else(|| answer::plain(StatusCode::BAD_REQUEST))?,
+            headers: head.headers,
+            body: whole.bytes,
+            terms,
+            service: route.choose_service(fastrand::f64()).to_owned(),
+            route,
+            until,
+            taken: whole.taken,
+        })
+    }
+
+    /// Tries workers until one answers, or none may be tried any more.
+    async fn try_workers(self: &Rc<Self>, request: ForwardedRequest) -> Answer {
+        let request = Rc::new(request);
+        let mut attempts = Attempts::new(request.route.is_repeatable(), request.route.max_attempts);
+        let mut tried: Vec<WorkerId> = Vec::new();
+        loop {
+            let chosen = match self.choose(&request, &tried) {
+                Ok(chosen) => chosen,
+                Err(_) => return give_up(&request, &attempts),
+            };
+            tried.push(chosen.id.clone());
+            let more = attempts.may_try_more();
+            match self.try_at(&request, &chosen, more).await {
+                Tried::Answer(answer) => return answer,
+                Tried::Stream(stream) => return stream.relay(attempts, tried),
+                Tried::WorkerFailed(answer) => {
+                    if attempts.ended(Outcome::WorkerFailed, request.time_left()) != Next::TryAnother {
+                        return answer;
+                    }
+                }
+                Tried::Ended(outcome) => {
+                    if attempts.ended(outcome, request.time_left()) != Next::TryAnother {
+                        return give_up(&request, &attempts);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Chooses a worker for a request.
+    pub fn choose(&self, request: &ForwardedRequest, tried: &[WorkerId]) -> Result<Chosen, NoWorker> {
+        let choice = Choice {
+            parts: &request.terms.parts,
+            tried,
+            priority: u32::from(request.route.priority),
+            under_way: request.terms.previous.is_some(),
+        };
+        let now = self.now();
+        self.balance(&request.service, |balancer| balancer.choose(now, &choice))
+    }
+
+    /// Sends the request to one worker. `more`: another one could be tried after it.
+    async fn try_at(self: &Rc<Self>, request: &Rc<ForwardedRequest>, chosen: &Chosen, more: bool) -> Tried {
+        let until = patience(request, more);
+        let last_event_id = request.terms.last_event_id;
+        let exchange = match self.exchange(request, chosen, until, last_event_id).await {
+            Ok(exchange) => exchange,
+            Err(outcome) => return Tried::Ended(outcome),
+        };
+        if request.route.route_type == RouteType::Streaming && is_event_stream(&exchange.parts) {
+            return Stream::begin(self, request, exchange, until).await;
+        }
+        exchange.visit.begun(exchange.load_report());
+        self.plain_answer(request, exchange).await
+    }
+
+    /// Reads an answer that is no stream.
+    async fn plain_answer(&self, request: &ForwardedRequest, exchange: Exchange) -> Tried {
+        let Ok((parts, bytes)) = exchange.read_whole(request.until).await else {
+            return Tried::Ended(Outcome::MayHaveRun);
+        };
+        let status = parts.status;
+        if is_unfounded_promise(&parts) && !request.route.is_repeatable() {
+            // The status would promise that the request has not run, which the worker did not state.
+            return Tried::Ended(Outcome::MayHaveRun);
+        }
+        let answer = pass_on(parts, answer::whole(bytes));
+        if status.is_server_error() { Tried::WorkerFailed(answer) } else { Tried::Answer(answer) }
+    }
+}
+
+/// Whether a failure's status promises that the request has not run, and its worker does not say so.
+fn is_unfounded_promise(parts: &Parts) -> bool {
+    let promises = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::REQUEST_TIMEOUT,
+        StatusCode::MISDIRECTED_REQUEST,
+    ];
+    promises.contains(&parts.status) && !parts.headers.contains_key(&NOT_EXECUTED)
+}
+
+/// Whether an answer is a stream of events.
+pub fn is_event_stream(parts: &Parts) -> bool {
+    let kind = parts.headers.get(header::CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    parts.status == StatusCode::OK && kind.is_some_and(|kind| kind.starts_with("text/event-stream"))
+}
+
+/// An answer with the head of a worker's answer.
+pub fn pass_on(mut parts: Parts, answer: Answer) -> Answer {
+    remove_connection_headers(&mut parts.headers);
+    let mut answer = answer;
+    *answer.status_mut() = parts.status;
+    *answer.headers_mut() = parts.headers;
+    answer
+}
+
+/// Until when to wait for the head of a worker's answer.
+fn patience(request: &ForwardedRequest, more: bool) -> Instant {
+    let repeatable = request.route.is_repeatable();
+    if !repeatable || !more {
+        return request.until;
+    }
+    let patience = (request.route.target_latency * PATIENCE_IN_TARGETS).max(LEAST_PATIENCE);
+    request.until.min(Instant::now() + patience)
+}
+
+/// The answer when no worker can be tried any more.
+fn give_up(request: &ForwardedRequest, attempts: &Attempts) -> Answer {
+    match attempts.give_up() {
+        Next::Refuse => answer::refuse(request.route.target_latency.mul_f64(REFUSAL_PAUSE_SHARE)),
+        _ if request.time_left().is_zero() => answer::plain(StatusCode::GATEWAY_TIMEOUT),
+        _ => answer::plain(StatusCode::BAD_GATEWAY),
+    }
+}
+
+fn unread(problem: BodyError) -> Answer {
+    let status = match problem {
+        BodyError::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+        BodyError::TooSlow => StatusCode::REQUEST_TIMEOUT,
+        BodyError::Broken => StatusCode::BAD_REQUEST,
+        BodyError::NoMemory => return answer::closing(answer::refuse(UNCONFIGURED_PAUSE)),
+    };
+    answer::closing(answer::explained(status, &problem.to_string()))
+}
+
+fn route_of(configuration: &Configuration, head: &hyper::http::request::Parts) -> Option<Arc<Route>> {
+    let host = match head.uri.host() {
+        Some(host) => host,
+        None => head.headers.get(header::HOST)?.to_str().ok()?,
+    };
+    configuration.route(host, head.uri.path()).cloned()
+}
+
+/// About the length of a head.
+fn header_bytes(head: &hyper::http::request::Parts) -> usize {
+    const SEPARATORS: usize = ": \r\n".len();
+    let headers: usize =
+        head.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + SEPARATORS).sum();
+    headers + head.uri.path_and_query().map_or(0, |path| path.as_str().len())
+}
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/headers/tests.rs
@@ -0,0 +1,23 @@
+use super::{keep_alive_seconds, remove_connection_headers};
+use hyper::{HeaderMap, header::HeaderValue};
+
+#[test]
+fn headers_of_one_connection_stay_behind_and_all_others_go_along() {
+    let mut headers = HeaderMap::new();
+    for (name, value) in [
+        ("connection", "keep-alive, x-mine"),
+        ("keep-alive", "timeout=5"),
+        ("x-mine", "1"),
+        ("transfer-encoding", "chunked"),
+        ("content-length", "5"),
+        ("server-signature", "a"),
+        ("x-other", "b"),
+    ] {
+        headers.append(name, HeaderValue::from_static(value));
+    }
+    assert_eq!(keep_alive_seconds(&headers), Some(5));
+    remove_connection_headers(&mut headers);
+    let mut left: Vec<_> = headers.keys().map(|name| name.as_str().to_owned()).collect();
+    left.sort();
+    assert_eq!(left, ["server-signature", "x-other"]);
+}
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/request.rs
@@ -0,0 +1,53 @@
+//! A client's request, read whole and checked.
+
+use crate::proxy::{body::Taken, terms::Terms};
+use bytes::Bytes;
+use hyper::{HeaderMap, Method, Uri};
+use opalrun_configuration::Route;
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+/// Kept of the client's time for the answer's way back.
+const ANSWER_MARGIN: Duration = Duration::from_millis(15);
+/// The longest that a request is held, whatever the client and the operator say.
+const LONGEST_HOLD: Duration = Duration::from_secs(600);
+
+/// A request on its way to a worker.
+pub struct ForwardedRequest {
+    /// Its method.
+    pub method: Method,
+    /// Its path and query.
+    pub uri: Uri,
+    /// Its headers, without those of the client's connection.
+    pub headers: HeaderMap,
+    /// Its body, with the turns before it where these are retained.
+    pub body: Bytes,
+    /// What the headers say.
+    pub terms: Terms,
+    /// Its route.
+    pub route: Arc<Route>,
+    /// The service that is to answer it.
+    pub service: String,
+    /// When it is to have been answered.
+    pub until: Instant,
+    /// Keeps the body's place in memory.
+    pub taken: Taken,
+}
+
+impl ForwardedRequest {
+    /// How much time is left.
+    #[must_use]
+    pub fn time_left(&self) -> Duration {
+        self.until.saturating_duration_since(Instant::now())
+    }
+}
+
+/// When a request that came at `arrived` is to have been answered.
+#[must_use]
+pub fn answer_by(arrived: Instant, terms: &Terms, route: &Route) -> Instant {
+    let client = terms.deadline.unwrap_or(LONGEST_HOLD);
+    let client = client.saturating_sub(ANSWER_MARGIN.min(client / 10));
+    arrived + client.min(route.timeout).min(LONGEST_HOLD)
+}
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/terms.rs
@@ -0,0 +1,139 @@
+//! What a request's headers say about how it is to be served.
+
+use crate::proxy::balance::PromptPart;
+use hyper::{HeaderMap, header::HeaderName};
+use snafu::Snafu;
+use std::time::Duration;
+
+#[cfg(test)]
+mod tests;
+
+/// Names the try of a client.
+pub const REQUEST_ID: HeaderName = HeaderName::from_static("request-id");
+/// Milliseconds that the client will wait.
+pub const DEADLINE_MS: HeaderName = HeaderName::from_static("deadline-ms");
+/// The worker that is to serve the request.
+pub const EXPECT_INSTANCE: HeaderName = HeaderName::from_static("expect-instance");
+/// The rank of a request at its worker.
+pub const PRIORITY: HeaderName = HeaderName::from_static("priority");
+/// The last event that a client has of a stream.
+pub const LAST_EVENT_ID: HeaderName = HeaderName::from_static("last-event-id");
+/// A worker's statement that it did not run the request.
+pub const NOT_EXECUTED: HeaderName = HeaderName::from_static("not-executed");
+/// A worker's report of how full it is.
+pub const SERVER_LOAD: HeaderName = HeaderName::from_static("server-load");
+/// A worker's stamp on its answer.
+pub const SERVER_SIGNATURE: HeaderName = HeaderName::from_static("server-signature");
+/// The program that a request belongs to.
+pub const PROGRAM: HeaderName = HeaderName::from_static("program");
+/// Tokens that the turns of a program may emit together.
+pub const BUDGET: HeaderName = HeaderName::from_static("budget");
+/// Tokens of the prompt, and the most that may come out.
+pub const TOKEN_USAGE: HeaderName = HeaderName::from_static("token-usage");
+/// The parts of the prompt.
+pub const PROMPT_PREFIX: HeaderName = HeaderName::from_static("prompt-prefix");
+/// The turn that this one continues from.
+pub const PREVIOUS: HeaderName = HeaderName::from_static("previous");
+
+/// Longest `Request-Id`, `Program` or `Previous`, in bytes.
+const MAX_NAME_BYTES: usize = 256;
+
+/// Why a request can't be served at all.
+#[derive(Debug, Snafu, Clone, Copy, PartialEq, Eq)]
+pub enum BadRequest {
+    /// `Request-Id` is missing, doubled, empty or too long.
+    #[snafu(display("a request needs one Request-Id of 1 to {MAX_NAME_BYTES} characters"))]
+    RequestId,
+    /// `Budget` is no whole number.
+    #[snafu(display("Budget is to be a whole number"))]
+    Budget,
+    /// `Token-Usage` is not two whole numbers.
+    #[snafu(display("Token-Usage is to be two whole numbers separated by a comma"))]
+    TokenUsage,
+    /// `Program` is doubled, empty or too long.
+    #[snafu(display("Program is to be one text of 1 to {MAX_NAME_BYTES} characters"))]
+    Program,
+    /// `Previous` is doubled, empty or too long.
+    #[snafu(display("Previous is to be one text of 1 to {MAX_NAME_BYTES} characters"))]
+    Previous,
+}
+
+/// A program's budget as one of its turns names it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ProgramTerms {
+    /// The program.
+    pub program: String,
+    /// What its turns may emit together.
+    pub budget: u64,
+    /// What this turn emits at most.
+    pub most: u64,
+}
+
+/// What a request's headers say.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Terms {
+    /// Its `Request-Id`.
+    pub request_id: String,
+    /// How long the client will wait.
+    pub deadline: Option<Duration>,
+    /// The parts of its prompt.
+    pub parts: Vec<PromptPart>,
+    /// The program whose budget it draws on.
+    pub program: Option<ProgramTerms>,
+    /// The turn that it continues from.
+    pub previous: Option<String>,
+    /// The last event that the client has.
+    pub last_event_id: Option<u64>,
+}
+
+impl Terms {
+    /// Reads the headers.
+    ///
+    /// # Errors
+    /// Where one that decides what may be done can't be read.
+    pub fn read(headers: &HeaderMap) -> Result<Self, BadRequest> {
+        let request_id = name(headers, &REQUEST_ID).ok().flatten().ok_or(BadRequest::RequestId)?;
+        Ok(Self {
+            request_id,
+            deadline: number(headers, &DEADLINE_MS).map(Duration::from_millis),
+            parts: text(headers, &PROMPT_PREFIX).map(PromptPart::parse_all).unwrap_or_default(),
+            program: program(headers)?,
+            previous: name(headers, &PREVIOUS).map_err(|Improper| BadRequest::Previous)?,
+            last_event_id: number(headers, &LAST_EVENT_ID),
+        })
+    }
+}
+
+/// The terms of a turn that draws on a budget; other requests of programs name none.
+fn program(headers: &HeaderMap) -> Result<Option<ProgramTerms>, BadRequest> {
+    let program = name(headers, &PROGRAM).map_err(|Improper| BadRequest::Program)?;
+    let (Some(program), true) = (program, headers.contains_key(BUDGET)) else { return Ok(None) };
+    let budget = number(headers, &BUDGET).ok_or(BadRequest::Budget)?;
+    let usage = text(headers, &TOKEN_USAGE).and_then(|usage| usage.split_once(','));
+    let (_prompt, most) = usage.ok_or(BadRequest::TokenUsage)?;
+    let most = most.trim().parse().map_err(|_| BadRequest::TokenUsage)?;
+    Ok(Some(ProgramTerms { program, budget, most }))
+}
+
+/// A header that is doubled, empty, too long or no text.
+struct Improper;
+
+/// The text of a header that names something.
+fn name(headers: &HeaderMap, header: &HeaderName) -> Result<Option<String>, Improper> {
+    if !headers.contains_key(header) {
+        return Ok(None);
+    }
+    let value = text(headers, header).filter(|text| !text.is_empty() && text.len() <= MAX_NAME_BYTES);
+    value.map(|text| Some(text.to_owned())).ok_or(Improper)
+}
+
+fn number(headers: &HeaderMap, header: &HeaderName) -> Option<u64> {
+    text(headers, header)?.parse().ok()
+}
+
+/// The one value of a header; `None` where it is missing, doubled or no text.
+pub fn text<'a>(headers: &'a HeaderMap, header: &HeaderName) -> Option<&'a str> {
+    let mut values = headers.get_all(header).iter();
+    let value = values.next().filter(|_| values.next().is_none())?;
+    value.to_str().ok().map(str::trim)
+}
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/terms/tests.rs
@@ -0,0 +1,58 @@
+use super::{BadRequest, ProgramTerms, Terms};
+use hyper::{HeaderMap, header::HeaderName, header::HeaderValue};
+use std::time::Duration;
+
+fn headers(list: &[(&'static str, &str)]) -> HeaderMap {
+    let mut headers = HeaderMap::new();
+    for (name, value) in list {
+        let value = HeaderValue::from_str(value).expect("a proper value");
+        headers.append(HeaderName::from_static(name), value);
+    }
+    headers
+}
+
+#[test]
+fn a_turn_of_a_program_is_read() {
+    let terms = Terms::read(&headers(&[
+        ("request-id", "e5b2907c14da6f38"),
+        ("program", "3fa81c"),
+        ("session", "77d20b"),
+        ("budget", "1080"),
+        ("token-usage", "1840,135"),
+        ("deadline-ms", "5000"),
+        ("previous", "9c41"),
+        ("last-event-id", "12"),
+    ]));
+    let terms = terms.expect("a proper turn");
+    assert_eq!(
+        terms.program,
+        Some(ProgramTerms { program: "3fa81c".to_owned(), budget: 1080, most: 135 })
+    );
+    assert_eq!(terms.deadline, Some(Duration::from_secs(5)));
+    assert_eq!(terms.previous.as_deref(), Some("9c41"));
+    assert_eq!(terms.last_event_id, Some(12));
+}
+
+#[test]
+fn a_tool_call_of_a_program_draws_on_no_budget() {
+    let terms = Terms::read(&headers(&[("request-id", "1"), ("program", "3fa81c")]));
+    assert_eq!(terms.expect("a proper call").program, None);
+}
+
+#[test]
+fn what_decides_about_a_request_must_be_readable() {
+    let id = ("request-id", "1");
+    let program = ("program", "p");
+    let cases: [(&[(&'static str, &str)], BadRequest); 7] = [
+        (&[], BadRequest::RequestId),
+        (&[("request-id", "")], BadRequest::RequestId),
+        (&[id, ("request-id", "2")], BadRequest::RequestId),
+        (&[id, program, ("budget", "-3"), ("token-usage", "1,2")], BadRequest::Budget),
+        (&[id, program, ("budget", "5"), ("token-usage", "12")], BadRequest::TokenUsage),
+        (&[id, program, ("program", "q"), ("budget", "5")], BadRequest::Program),
+        (&[id, ("previous", "a"), ("previous", "b")], BadRequest::Previous),
+    ];
+    for (list, problem) in cases {
+        assert_eq!(Terms::read(&headers(list)), Err(problem), "{list:?}");
+    }
+}
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/upstream.rs
@@ -0,0 +1,252 @@
+//! One exchange with one worker: a connection, the request, and the head of the answer.
+
+use crate::proxy::{
+    Proxy,
+    attempt::Outcome,
+    balance::{Chosen, LoadReport, Place},
+    headers,
+    request::ForwardedRequest,
+    terms::{self, EXPECT_INSTANCE, LAST_EVENT_ID, NOT_EXECUTED, REQUEST_ID, SERVER_LOAD},
+};
+use bytes::{Bytes, BytesMut};
+use hyper::{Request, StatusCode, body::Incoming, header::HeaderValue, http::response::Parts};
+use opalrun_transport::{
+    body::RequestBody,
+    connection::{Failure, Progress},
+    pool::{Lease, NoConnection},
+};
+use std::{cell::RefCell, rc::Rc, time::Instant};
+use tokio::time::timeout_at;
+
+/// Connections tried in a row that turn out to be dead before a byte is written.
+const MAX_DEAD_CONNECTIONS: u32 = 4;
+/// Longest answer that is read whole, in bytes.
+const MAX_ANSWER_BYTES: usize = 16 << 20;
+
+/// A request's place at a worker, given back when this is dropped.
+pub struct Visit {
+    proxy: Rc<Proxy>,
+    service: String,
+    place: RefCell<Place>,
+}
+
+impl Visit {
+    fn begin(proxy: &Rc<Proxy>, request: &ForwardedRequest, chosen: &Chosen) -> Self {
+        let now = proxy.now();
+        let place = proxy.balance(&request.service, |b| b.sent(now, &chosen.id, &request.terms.parts));
+        Self { proxy: proxy.clone(), service: request.service.clone(), place: RefCell::new(place) }
+    }
+
+    /// The worker has begun to answer.
+    pub fn begun(&self, report: Option<LoadReport>) {
+        let now = self.proxy.now();
+        let place = &mut *self.place.borrow_mut();
+        self.proxy.balance(&self.service, |b| b.begun(now, place, report));
+    }
+
+    /// The worker turned the request away.
+    fn turned_away(&self, report: Option<LoadReport>) {
+        let now = self.proxy.now();
+        self.proxy.balance(&self.service, |b| b.turned_away(now, &self.place.borrow(), report));
+    }
+}
+
+impl Drop for Visit {
+    fn drop(&mut self) {
+        self.proxy.balance(&self.service, |b| b.ended(&self.place.borrow()));
+    }
+}
+
+/// An answer whose head has come.
+pub struct Exchange {
+    lease: Lease,
+    body: Incoming,
+    /// The head.
+    pub parts: Parts,
+    /// The request's place at the worker.
+    pub visit: Visit,
+}
+
+/// An answer's body can't be read on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct BrokenOff;
+
+impl Exchange {
+    /// How full the worker said it is.
+    pub fn load_report(&self) -> Option<LoadReport> {
+        terms::text(&self.parts.headers, &SERVER_LOAD).and_then(LoadReport::parse)
+    }
+
+    /// The next piece of the body; `None` at its end.
+    pub async fn piece(&mut self) -> Result<Option<Bytes>, BrokenOff> {
+        self.lease.connection().piece(&mut self.body).await.map_err(|_| BrokenOff)
+    }
+
+    /// Reads the body whole until `until` and gives the connection back.
+    pub async fn read_whole(mut self, until: Instant) -> Result<(Parts, Bytes), BrokenOff> {
+        let mut first: Option<Bytes> = None;
+        let mut joined = BytesMut::new();
+        while let Some(data) = timeout_at(until.into(), self.piece()).await.map_err(|_| BrokenOff)?? {
+            if joined.len() + data.len() > MAX_ANSWER_BYTES {
+                return Err(BrokenOff);
+            }
+            match first.take() {
+                None if joined.is_empty() => first = Some(data),
+                before => {
+                    joined.extend_from_slice(&before.unwrap_or_default());
+                    joined.extend_from_slice(&data);
+                }
+            }
+        }
+        let Self { lease, parts, .. } = self;
+        lease.give_back(false);
+        Ok((parts, first.unwrap_or_else(|| joined.freeze())))
+    }
+
+    /// The body has been read to its end: another request may have the connection.
+    pub fn finish(self) {
+        self.lease.give_back(false);
+    }
+}
+
+impl Proxy {
+    /// Sends the request to a worker and reads the head of its answer, until `until`.
+    ///
+    /// # Errors
+    /// How it ended without an answer to this request.
+    pub async fn exchange(
+        self: &Rc<Self>,
+        request: &ForwardedRequest,
+        chosen: &Chosen,
+        until: Instant,
+        last_event_id: Option<u64>,
+    ) -> Result<Exchange, Outcome> {
+        let visit = Visit::begin(self, request, chosen);
+        let mut dead_connections = 0;
+        loop {
+            let mut lease = self.connect(request, chosen, until).await?;
+            let progress = lease.progress();
+            let message = request_for(request, chosen, until, last_event_id);
+            let sent = timeout_at(until.into(), lease.connection().send(message)).await;
+            match sent {
+                Ok(Ok(response)) => {
+                    lease.heard();
+                    let (parts, body) = response.into_parts();
+                    let exchange = Exchange { lease, body, parts, visit };
+                    return self.check_head(request, chosen, exchange).await;
+                }
+                Ok(Err(Failure::Unsent)) if lease.kept() && dead_connections < MAX_DEAD_CONNECTIONS => {
+                    lease.stale();
+                    dead_connections += 1;
+                }
+                Ok(Err(_)) => {
+                    lease.cut_off();
+                    self.failed(request, chosen);
+                    return Err(outcome_of(&progress));
+                }
+                Err(_elapsed) => return Err(outcome_of(&progress)),
+            }
+        }
+    }
+
+    async fn connect(
+        self: &Rc<Self>,
+        request: &ForwardedRequest,
+        chosen: &Chosen,
+        until: Instant,
+    ) -> Result<Lease, Outcome> {
+        let lease = timeout_at(until.into(), self.pools.lease(&chosen.id)).await;
+        match lease {
+            Ok(Ok(lease)) => Ok(lease),
+            Ok(Err(NoConnection::Refused | NoConnection::TimedOut)) => {
+                self.failed(request, chosen);
+                Err(Outcome::NotSent)
+            }
+            Ok(Err(_)) | Err(_) => Err(Outcome::NotSent),
+        }
+    }
+
+    fn failed(&self, request: &ForwardedRequest, chosen: &Chosen) {
+        let now = self.now();
+        self.balance(&request.service, |b| b.failed(now, &chosen.id));
+    }
+
+    /// Whether the answer is one to this request, and not a statement that it was not run.
+    async fn check_head(
+        &self,
+        request: &ForwardedRequest,
+        chosen: &Chosen,
+        exchange: Exchange,
+    ) -> Result<Exchange, Outcome> {
+        if terms::text(&exchange.parts.headers, &REQUEST_ID) != Some(&request.terms.request_id) {
+            self.failed(request, chosen);
+            return Err(Outcome::MayHaveRun);
+        }
+        self.learn_keep_alive(chosen, &exchange.parts);
+        let status = exchange.parts.status;
+        let replaced = status == StatusCode::MISDIRECTED_REQUEST;
+        let not_executed = exchange.parts.headers.contains_key(&NOT_EXECUTED);
+        if !replaced && (!not_executed || status == StatusCode::BAD_REQUEST) {
+            return Ok(exchange);
+        }
+        if replaced {
+            self.balance(&request.service, |b| b.replaced(&chosen.id));
+        } else {
+            exchange.visit.turned_away(exchange.load_report());
+        }
+        exchange.discard().await;
+        Err(Outcome::NotExecuted)
+    }
+}
+
+impl Exchange {
+    /// Reads the short body of an answer that says enough by its head, so that the connection can be kept.
+    async fn discard(mut self) {
+        const MAX_PIECES: u32 = 4;
+        for _ in 0..MAX_PIECES {
+            match self.piece().await {
+                Ok(Some(_)) => {}
+                Ok(None) => return self.lease.give_back(true),
+                Err(BrokenOff) => return,
+            }
+        }
+    }
+}
+
+/// What is known of a request that got no answer.
+fn outcome_of(progress: &Progress) -> Outcome {
+    if progress.sent_whole() { Outcome::MayHaveRun } else { Outcome::NotSent }
+}
+
+/// The request as this worker gets it.
+fn request_for(
+    request: &ForwardedRequest,
+    chosen: &Chosen,
+    until: Instant,
+    last_event_id: Option<u64>,
+) -> Request<RequestBody> {
+    let mut message = Request::new(RequestBody::Whole(Some(request.body.clone())));
+    *message.method_mut() = request.method.clone();
+    *message.uri_mut() = request.uri.clone();
+    let headers = message.headers_mut();
+    headers.clone_from(&request.headers);
+    let left_ms = until.saturating_duration_since(Instant::now()).as_millis().max(1);
+    headers.insert(terms::DEADLINE_MS, HeaderValue::from(left_ms as u64));
+    headers.insert(terms::PRIORITY, HeaderValue::from(request.route.priority.min(9)));
+    if let Ok(id) = HeaderValue::from_str(&chosen.id) {
+        headers.insert(EXPECT_INSTANCE, id);
+    }
+    if let Some(id) = last_event_id {
+        headers.insert(LAST_EVENT_ID, HeaderValue::from(id));
+    }
+    message
+}
+
+impl Proxy {
+    /// Keeps idle connections to this worker for less time than it does.
+    fn learn_keep_alive(&self, chosen: &Chosen, parts: &Parts) {
+        if let Some(seconds) = headers::keep_alive_seconds(&parts.headers) {
+            self.note_keep_alive(&chosen.id, seconds);
+        }
+    }
+}
