--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -123,6 +123,11 @@
         self.workers.values().any(WorkerEntry::is_ready)
     }
 
+    /// The ids of all workers.
+    pub fn worker_ids(&self) -> impl Iterator<Item = &WorkerId> {
+        self.workers.keys()
+    }
+
     /// Whether a worker still takes requests.
     #[must_use]
     pub fn is_ready(&self, id: &str) -> bool {
--- a/crates/gatekeeper/src/proxy/mod.rs
+++ b/crates/gatekeeper/src/proxy/mod.rs
@@ -1,19 +1,19 @@
 //! The proxy: takes the requests of clients, has workers answer them, and passes the answers on.
 
+pub mod answer;
 pub mod attempt;
 pub mod balance;
+mod body;
 pub mod event_stream;
+mod handler;
+mod headers;
+mod readiness;
+mod request;
+mod run;
+mod state;
+mod stream;
+pub mod terms;
+mod upstream;
 
-use opalrun_settings::Settings;
-use std::{convert::Infallible, future::pending};
-
-/// Runs the role until SIGTERM.
-///
-/// # Errors
-/// None yet.
-pub async fn run(_settings: Settings) -> Result<(), Infallible> {
-    tokio::select! {
-        () = opalrun_net::signals::terminated() => Ok(()),
-        never = pending() => never,
-    }
-}
+pub use run::{ProxyError, run, serve};
+pub use state::Proxy;
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/readiness.rs
@@ -0,0 +1,30 @@
+//! Answers the platform's question whether this gatekeeper takes new connections.
+
+use crate::proxy::{
+    Proxy,
+    answer::{Answer, plain},
+};
+use hyper::{Request, StatusCode, body::Incoming};
+use opalrun_transport::{
+    body::ResponseBody,
+    server::{Client, Handler},
+};
+use std::rc::Rc;
+
+/// The path of the question.
+const READINESS_PATH: &str = "/opalrun/readyz";
+
+/// Answers the platform.
+pub struct ReadinessHandler(pub Rc<Proxy>);
+
+impl Handler for ReadinessHandler {
+    type Body = ResponseBody;
+
+    async fn handle(&self, request: Request<Incoming>, client: Client) -> Answer {
+        client.peer.use_it();
+        if request.uri().path() != READINESS_PATH {
+            return plain(StatusCode::NOT_FOUND);
+        }
+        plain(if self.0.is_ready() { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE })
+    }
+}
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/run.rs
@@ -0,0 +1,111 @@
+//! Starts the proxy, feeds it, and ends it without losing a request.
+
+use crate::proxy::{Proxy, handler::ClientHandler, readiness::ReadinessHandler, state};
+use opalrun_settings::{Settings, SettingsError};
+use opalrun_transport::server::{self, Server};
+use snafu::{ResultExt, Snafu};
+use std::{io, net::SocketAddr, rc::Rc, time::Duration};
+use tokio::{net::TcpListener, task::spawn_local};
+use tracing::info;
+
+/// Longest head of a request, in bytes, before the configuration's limit is applied.
+const LONGEST_HEAD: usize = 64 * 1024;
+/// Connections of the platform's readiness checks.
+const READINESS_CONNECTIONS: usize = 32;
+/// Between looks for idle connections to workers.
+const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
+/// After SIGTERM the platform still sends new connections until it has seen that the process is not ready.
+const NEW_CONNECTIONS_LINGER: Duration = Duration::from_millis(2500);
+/// Kept of the time until SIGKILL.
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+
+/// Why the proxy could not run.
+#[derive(Debug, Snafu)]
+pub enum ProxyError {
+    /// The settings lack something.
+    #[snafu(display("{source}"))]
+    Incomplete {
+        /// What is missing.
+        source: SettingsError,
+    },
+    /// An address can't be listened on.
+    #[snafu(display("can't listen on {address}: {source}"))]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        source: io::Error,
+    },
+}
+
+/// Runs the role until SIGTERM.
+///
+/// # Errors
+/// Where an address is missing or can't be listened on.
+pub async fn run(settings: Settings) -> Result<(), ProxyError> {
+    let frontend = settings.required_frontend().context(IncompleteSnafu)?;
+    let readiness = settings.required_readiness().context(IncompleteSnafu)?;
+    let clients = listen(frontend).await?;
+    let platform = listen(readiness).await?;
+    let proxy = Proxy::new(&settings);
+    spawn_local(sweep(proxy.clone()));
+    serve(proxy, &settings, clients, platform, opalrun_net::signals::terminated()).await;
+    Ok(())
+}
+
+/// Serves clients and the platform until `stop`, and then until no request is in hand.
+pub async fn serve(
+    proxy: Rc<Proxy>,
+    settings: &Settings,
+    clients: TcpListener,
+    platform: TcpListener,
+    stop: impl Future<Output = ()>,
+) {
+    let readiness = ReadinessHandler(proxy.clone());
+    let readiness = Server::new(readiness, server_settings(), READINESS_CONNECTIONS);
+    let answering = spawn_local(async move { readiness.accept(&platform).await });
+    let most = state::connections_of_clients(settings);
+    let server = Server::new(ClientHandler(proxy.clone()), server_settings(), most);
+    let acceptor = server.clone();
+    let accepting = spawn_local(async move { acceptor.accept(&clients).await });
+    stop.await;
+    info!("stopping");
+    proxy.stop();
+    server.stop();
+    server.send_away(true);
+    tokio::time::sleep(NEW_CONNECTIONS_LINGER).await;
+    accepting.abort();
+    server.close();
+    let until = settings.bounds.grace.saturating_sub(NEW_CONNECTIONS_LINGER + KILL_MARGIN);
+    let _ = tokio::time::timeout(until, all_ended(&server)).await;
+    answering.abort();
+}
+
+async fn all_ended(server: &Rc<Server<ClientHandler>>) {
+    while server.connections() > 0 {
+        server.one_ended().await;
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, ProxyError> {
+    TcpListener::bind(address).await.context(ListenSnafu { address })
+}
+
+fn server_settings() -> server::Settings {
+    server::Settings {
+        longest_head: LONGEST_HEAD,
+        head_time: Duration::from_secs(5),
+        first_time: Duration::from_secs(20),
+        idle_time: Duration::from_secs(60),
+        spare_time: Duration::from_millis(500),
+        untaken_time: Duration::from_secs(30),
+    }
+}
+
+/// Closes connections to workers that have been idle for long.
+async fn sweep(proxy: Rc<Proxy>) {
+    loop {
+        tokio::time::sleep(SWEEP_INTERVAL).await;
+        proxy.pools.sweep();
+    }
+}
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/state.rs
@@ -0,0 +1,190 @@
+//! What the proxy holds beside its requests: the configuration, the workers and the connections to them.
+
+use crate::proxy::{
+    balance::{Balancer, WorkerId},
+    body::BodyMemory,
+};
+use fnv::FnvHashMap;
+use opalrun_configuration::Configuration;
+use opalrun_settings::Settings;
+use opalrun_transport::{
+    clock::Clock,
+    pool::{self, Pools, WorkerLimits},
+};
+use opalrun_wire::feed::{Worker, WorkerState};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+/// Seconds after which a worker is taken to close an idle connection when it has not said.
+const USUAL_IDLE_LIMIT_S: f64 = 5.0;
+/// How long a connection to a worker may take to come up.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(200);
+/// Descriptors that are kept for other things than connections.
+const RESERVED_DESCRIPTORS: u64 = 260;
+/// Of all bodies together, this share of the memory may be held.
+const BODY_MEMORY_SHARE: f64 = 0.15;
+/// Connections that one worker takes where its service does not say.
+const USUAL_CONNECTIONS: u32 = 64;
+const BYTES_PER_MB: f64 = 1e6;
+
+/// The state of the proxy, shared by all its requests.
+pub struct Proxy {
+    zone: String,
+    started: Instant,
+    configuration: RefCell<Option<Rc<Configuration>>>,
+    services: RefCell<FnvHashMap<String, Balancer>>,
+    keep_alive: RefCell<FnvHashMap<WorkerId, u32>>,
+    gatekeepers: Cell<u32>,
+    informed: Cell<bool>,
+    stopping: Cell<bool>,
+    /// Connections to workers.
+    pub(super) pools: Rc<Pools>,
+    /// Memory for the bodies of requests.
+    pub(super) memory: BodyMemory,
+}
+
+impl Proxy {
+    /// With nothing known yet.
+    #[must_use]
+    pub fn new(settings: &Settings) -> Rc<Self> {
+        let pool_settings =
+            pool::Settings { idle_limit: USUAL_IDLE_LIMIT_S, sharers: 1, connect_timeout: CONNECT_TIMEOUT };
+        let budget = connections_to_workers(settings);
+        let body_bytes = (settings.limits.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE) as usize;
+        Rc::new(Self {
+            zone: settings.zone.clone(),
+            started: Instant::now(),
+            configuration: RefCell::default(),
+            services: RefCell::default(),
+            keep_alive: RefCell::default(),
+            gatekeepers: Cell::new(1),
+            informed: Cell::new(false),
+            stopping: Cell::new(false),
+            pools: Pools::new(budget, pool_settings, Clock::steady(), fastrand::u64(..)),
+            memory: BodyMemory::new(body_bytes),
+        })
+    }
+
+    /// Time since the start.
+    #[must_use]
+    pub fn now(&self) -> Duration {
+        self.started.elapsed()
+    }
+
+    /// The newest configuration.
+    #[must_use]
+    pub fn configuration(&self) -> Option<Rc<Configuration>> {
+        self.configuration.borrow().clone()
+    }
+
+    /// Whether new clients are welcome: the proxy knows what holds, and is not stopping.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.configuration.borrow().is_some() && self.informed.get() && !self.stopping.get()
+    }
+
+    /// The process is to end.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+    }
+
+    /// Works with the balancer of a service.
+    pub(super) fn balance<T>(&self, service: &str, work: impl FnOnce(&mut Balancer) -> T) -> T {
+        let mut services = self.services.borrow_mut();
+        if !services.contains_key(service) {
+            services.insert(service.to_owned(), Balancer::new(&self.zone));
+        }
+        let balancer = services.entry(service.to_owned()).or_insert_with(|| Balancer::new(&self.zone));
+        work(balancer)
+    }
+
+    // ---- What the feed tells ----
+
+    /// A newer configuration is in force; an older one is ignored.
+    pub fn set_configuration(&self, configuration: Rc<Configuration>) {
+        let known = self.configuration.borrow().as_ref().map(|known| known.generation);
+        if known.is_some_and(|known| known >= configuration.generation) {
+            return;
+        }
+        for service in configuration.services.values() {
+            let tokens = service.engine.as_ref().map_or(0, |engine| engine.kv_capacity);
+            let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
+            self.balance(&service.name, |balancer| balancer.set_memory_tokens(tokens));
+        }
+        self.configuration.replace(Some(configuration));
+        self.set_connection_limits();
+    }
+
+    /// So many gatekeepers share the connections that workers take.
+    pub fn set_gatekeepers(&self, gatekeepers: u32) {
+        if self.gatekeepers.replace(gatekeepers.max(1)) != gatekeepers.max(1) {
+            self.set_connection_limits();
+        }
+    }
+
+    /// What is known was fresh a moment ago.
+    pub fn set_informed(&self) {
+        self.informed.set(true);
+    }
+
+    /// All workers that are known; those that are not among them are gone.
+    pub fn set_workers(&self, workers: &FnvHashMap<String, Vec<Worker>>) {
+        let now = self.now();
+        for (service, listed) in workers {
+            self.balance(service, |balancer| balancer.set_workers(now, listed.iter()));
+        }
+        let mut services = self.services.borrow_mut();
+        let absent = services.iter_mut().filter(|(service, _)| !workers.contains_key(*service));
+        absent.for_each(|(_, balancer)| balancer.set_workers(now, [].iter()));
+        drop(services);
+        self.list_in_pools(workers);
+        self.set_connection_limits();
+    }
+
+    fn list_in_pools(&self, workers: &FnvHashMap<String, Vec<Worker>>) {
+        let all = || workers.values().flatten();
+        self.pools.only(|id| all().any(|worker| worker.id == id));
+        for worker in all() {
+            let ready = worker.state == WorkerState::Ready;
+            let id = WorkerId::from(worker.id.as_str());
+            self.pools.listed(&id, worker.address.parse().ok(), 0.0, ready, false);
+        }
+    }
+
+    /// Each worker's connections are shared evenly by the gatekeepers.
+    fn set_connection_limits(&self) {
+        let configuration = self.configuration.borrow();
+        let Some(configuration) = &*configuration else { return };
+        for (service, balancer) in &*self.services.borrow() {
+            let most = configuration.service(service).map_or(USUAL_CONNECTIONS, |s| s.max_connections);
+            let share = (most / self.gatekeepers.get()).max(1) as usize;
+            for id in balancer.worker_ids() {
+                let idle = self.keep_alive.borrow().get(id).copied().map(f64::from);
+                self.pools.set_worker_limits(id, WorkerLimits { connections: Some(share), idle });
+            }
+        }
+    }
+
+    /// A worker keeps idle connections for so many seconds.
+    pub(super) fn note_keep_alive(&self, worker: &WorkerId, seconds: u32) {
+        let before = self.keep_alive.borrow_mut().insert(worker.clone(), seconds);
+        if before != Some(seconds) {
+            self.set_connection_limits();
+        }
+    }
+}
+
+/// Connections to all workers together.
+fn connections_to_workers(settings: &Settings) -> usize {
+    let free = settings.limits.max_fds.saturating_sub(RESERVED_DESCRIPTORS);
+    usize::try_from(free / 3).unwrap_or(usize::MAX).max(1)
+}
+
+/// Connections of clients.
+pub(super) fn connections_of_clients(settings: &Settings) -> usize {
+    let free = settings.limits.max_fds.saturating_sub(RESERVED_DESCRIPTORS);
+    usize::try_from(free / 2).unwrap_or(usize::MAX).max(1)
+}
--- /dev/null
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -0,0 +1,196 @@
+//! Passes a stream of events on as it comes, and takes it up at another worker where its route allows that.
+
+use crate::proxy::{
+    Proxy,
+    answer::{self, Answer},
+    attempt::{Attempts, Next, Outcome},
+    balance::WorkerId,
+    event_stream::{Event, EventReader},
+    handler::{Tried, is_event_stream, pass_on},
+    request::ForwardedRequest,
+    upstream::{BrokenOff, Exchange},
+};
+use bytes::Bytes;
+use hyper::Response;
+use opalrun_transport::body::{Gathered, MemoryBudget, Piece, ResponseBody};
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+use tokio::{sync::mpsc, time::timeout_at};
+
+/// Events on their way to a client that does not read them yet.
+const EVENTS_AHEAD: usize = 16;
+/// After a pause of so many times the aim a stream that may be resumed goes on elsewhere.
+const PATIENCE_IN_GAPS: f64 = 2.5;
+/// The aim for pauses where the route names none.
+const USUAL_GAP: Duration = Duration::from_millis(500);
+
+/// A stream that has begun.
+pub struct Stream {
+    proxy: Rc<Proxy>,
+    request: Rc<ForwardedRequest>,
+    /// `None` while the stream is taken up elsewhere.
+    exchange: Option<Exchange>,
+    reader: EventReader,
+    /// The last event that the client has.
+    last_id: Option<u64>,
+}
+
+/// What came of waiting for more of a stream.
+enum Came {
+    Bytes,
+    End,
+    Broken,
+    ClientGone,
+}
+
+impl Stream {
+    /// Waits for the first event until `until`.
+    pub async fn begin(
+        proxy: &Rc<Proxy>,
+        request: &Rc<ForwardedRequest>,
+        exchange: Exchange,
+        until: Instant,
+    ) -> Tried {
+        let mut stream = Self {
+            proxy: proxy.clone(),
+            request: request.clone(),
+            exchange: Some(exchange),
+            reader: EventReader::default(),
+            last_id: request.terms.last_event_id,
+        };
+        while !stream.reader.has_event() {
+            match stream.read_on(until).await {
+                Came::Bytes => {}
+                Came::End => return stream.without_events(),
+                Came::Broken | Came::ClientGone => return Tried::Ended(Outcome::MayHaveRun),
+            }
+        }
+        stream.first_event_came();
+        Tried::Stream(Box::new(stream))
+    }
+
+    /// The worker's answer is whole and holds no event.
+    fn without_events(mut self) -> Tried {
+        let rest = self.reader.take_rest();
+        let Some(exchange) = self.exchange.take() else { return Tried::Ended(Outcome::MayHaveRun) };
+        let parts = exchange.parts.clone();
+        exchange.finish();
+        Tried::Answer(pass_on(parts, answer::whole(rest)))
+    }
+
+    fn first_event_came(&self) {
+        if let Some(exchange) = &self.exchange {
+            exchange.visit.begun(exchange.load_report());
+        }
+    }
+
+    /// The answer to the client, to which the events go from now on.
+    pub fn relay(self: Box<Self>, attempts: Attempts, tried: Vec<WorkerId>) -> Answer {
+        let (events, receiver) = mpsc::channel(EVENTS_AHEAD);
+        let body = ResponseBody::streams(Gathered::new(&MemoryBudget::new(0)), receiver, None);
+        let head = self.exchange.as_ref().map(|exchange| exchange.parts.clone());
+        let Some(head) = head else { return answer::plain(hyper::StatusCode::BAD_GATEWAY) };
+        tokio::task::spawn_local(self.run(events, attempts, tried));
+        pass_on(head, Response::new(body))
+    }
+
+    /// Passes events on until the stream's end. Ending without [`Piece::End`] cuts the client's connection.
+    async fn run(
+        mut self: Box<Self>,
+        events: mpsc::Sender<Piece>,
+        mut attempts: Attempts,
+        mut tried: Vec<WorkerId>,
+    ) {
+        loop {
+            while let Some(event) = self.reader.next_event() {
+                if !self.pass_event(event, &events).await {
+                    return;
+                }
+            }
+            let until = self.patience(&attempts);
+            let came = tokio::select! {
+                biased;
+                came = self.read_on(until) => came,
+                () = events.closed() => Came::ClientGone,
+            };
+            match came {
+                Came::Bytes => {}
+                Came::End => return self.end(&events).await,
+                Came::ClientGone => return,
+                Came::Broken => {
+                    self.exchange = None;
+                    if !self.take_up_elsewhere(&mut attempts, &mut tried).await {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Passes an event on, unless the client has it. `false`: the client has gone.
+    async fn pass_event(&mut self, event: Event, events: &mpsc::Sender<Piece>) -> bool {
+        if let (Some(id), Some(last)) = (event.id, self.last_id)
+            && id <= last
+        {
+            return true;
+        }
+        self.last_id = event.id.or(self.last_id);
+        events.send(Piece::Data(event.raw)).await.is_ok()
+    }
+
+    /// The worker's answer is whole.
+    async fn end(mut self: Box<Self>, events: &mpsc::Sender<Piece>) {
+        let rest: Bytes = self.reader.take_rest();
+        if let Some(exchange) = self.exchange.take() {
+            exchange.finish();
+        }
+        if !rest.is_empty() && events.send(Piece::Data(rest)).await.is_err() {
+            return;
+        }
+        let _ = events.send(Piece::End).await;
+    }
+
+    /// Reads what comes next, until `until`.
+    async fn read_on(&mut self, until: Instant) -> Came {
+        let Some(exchange) = &mut self.exchange else { return Came::Broken };
+        match timeout_at(until.into(), exchange.piece()).await {
+            Ok(Ok(Some(bytes))) if self.reader.push(&bytes).is_ok() => Came::Bytes,
+            Ok(Ok(None)) => Came::End,
+            Ok(Ok(Some(_)) | Err(BrokenOff)) | Err(_) => Came::Broken,
+        }
+    }
+
+    /// Until when the next event is waited for.
+    fn patience(&self, attempts: &Attempts) -> Instant {
+        if !attempts.may_try_more() {
+            return self.request.until;
+        }
+        let gap = self.request.route.gap_aim.unwrap_or(USUAL_GAP);
+        self.request.until.min(Instant::now() + gap.mul_f64(PATIENCE_IN_GAPS))
+    }
+
+    /// Goes on at another worker after the last event that the client has; `false`: nothing can be tried.
+    async fn take_up_elsewhere(&mut self, attempts: &mut Attempts, tried: &mut Vec<WorkerId>) -> bool {
+        // What came of an event that has not ended is no use: the next worker sends it whole.
+        self.reader = EventReader::default();
+        let mut outcome = Outcome::MayHaveRun;
+        while attempts.ended(outcome, self.request.time_left()) == Next::TryAnother {
+            let Ok(chosen) = self.proxy.choose(&self.request, tried) else { return false };
+            tried.push(chosen.id.clone());
+            let until = self.patience(attempts);
+            let exchange = self.proxy.exchange(&self.request, &chosen, until, self.last_id).await;
+            outcome = match exchange {
+                Ok(exchange) if is_event_stream(&exchange.parts) => {
+                    exchange.visit.begun(exchange.load_report());
+                    self.exchange = Some(exchange);
+                    return true;
+                }
+                Ok(_) => Outcome::WorkerFailed,
+                Err(outcome) => outcome,
+            };
+        }
+        false
+    }
+}
--- a/crates/gatekeeper/src/proxy/upstream.rs
+++ b/crates/gatekeeper/src/proxy/upstream.rs
@@ -20,6 +20,8 @@
 
 /// Connections tried in a row that turn out to be dead before a byte is written.
 const MAX_DEAD_CONNECTIONS: u32 = 4;
+/// The least urgent rank that workers know.
+const LEAST_URGENT: u8 = 9;
 /// Longest answer that is read whole, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
@@ -232,7 +234,7 @@
     headers.clone_from(&request.headers);
     let left_ms = until.saturating_duration_since(Instant::now()).as_millis().max(1);
     headers.insert(terms::DEADLINE_MS, HeaderValue::from(left_ms as u64));
-    headers.insert(terms::PRIORITY, HeaderValue::from(request.route.priority.min(9)));
+    headers.insert(terms::PRIORITY, HeaderValue::from(u16::from(request.route.priority.min(LEAST_URGENT))));
     if let Ok(id) = HeaderValue::from_str(&chosen.id) {
         headers.insert(EXPECT_INSTANCE, id);
     }
