--- a/crates/gatekeeper/src/proxy/state.rs
+++ b/crates/gatekeeper/src/proxy/state.rs
@@ -86,6 +86,12 @@
         self.configuration.borrow().is_some() && self.informed.get() && !self.stopping.get()
     }
 
+    /// Requests of this gatekeeper that are at a worker.
+    #[must_use]
+    pub fn in_flight(&self, service: &str, worker: &str) -> u32 {
+        self.balance(service, |balancer| balancer.in_flight(worker))
+    }
+
     /// The process is to end.
     pub fn stop(&self) {
         self.stopping.set(true);
--- /dev/null
+++ b/crates/gatekeeper/tests/proxy/forwarding.rs
@@ -0,0 +1,225 @@
+//! Requests whose answers are no streams.
+
+use crate::fakes::{Act, CONFIGURATION, FakeWorker, Gatekeeper, answer, not_executed, request, run};
+use opalrun_wire::feed::WorkerState;
+
+#[test]
+fn a_request_goes_through_unchanged_and_so_does_its_answer() {
+    run(async {
+        let worker = FakeWorker::start("w1", vec![answer("201 Created", "X-Own: 1\r\n", "the bytes")]).await;
+        let gatekeeper = Gatekeeper::with(&[&worker]).await;
+        let text =
+            request("POST", "/unsafe/a?b=c", "id-1", "X-Other: o\r\nConnection: keep-alive\r\n", "body");
+        let answer = gatekeeper.call(&text).await.expect("a whole answer");
+        assert_eq!((answer.status(), &answer.body[..]), (201, &b"the bytes"[..]));
+        assert_eq!(answer.header("server-signature"), Some("sig"));
+        assert_eq!((answer.header("x-own"), answer.header("request-id")), (Some("1"), Some("id-1")));
+        let seen = worker.request(0);
+        assert_eq!(seen.first_line, "POST /unsafe/a?b=c HTTP/1.1");
+        assert_eq!(seen.body, b"body");
+        assert_eq!(seen.header("host"), Some("h.example"));
+        assert_eq!(seen.header("request-id"), Some("id-1"));
+        assert_eq!(seen.header("x-other"), Some("o"));
+        assert_eq!(seen.header("connection"), None);
+        assert_eq!(seen.header("expect-instance"), Some("w1"));
+        assert_eq!(seen.header("priority"), Some("1"));
+        let left: u64 = seen.header("deadline-ms").and_then(|ms| ms.parse().ok()).expect("a deadline");
+        assert!((1..=5000).contains(&left));
+    });
+}
+
+#[test]
+fn a_request_that_was_turned_away_goes_to_another_worker() {
+    run(async {
+        for path in ["/unsafe/a", "/safe/a"] {
+            let full = FakeWorker::start("w1", vec![not_executed()]).await;
+            let gone = FakeWorker::start("w2", vec![answer("421 Misdirected Request", "", "")]).await;
+            let good = FakeWorker::start("w3", vec![answer("200 OK", "", "served")]).await;
+            let gatekeeper = Gatekeeper::with(&[&full, &gone, &good]).await;
+            for id in 0..6 {
+                let text = request("POST", path, &format!("id-{id}"), "", "");
+                let answer = gatekeeper.call(&text).await.expect("a whole answer");
+                assert_eq!((answer.status(), &answer.body[..]), (200, &b"served"[..]));
+            }
+            assert!(gone.count() <= 1, "a replaced worker gets nothing more");
+            assert_eq!(good.count(), 6);
+        }
+    });
+}
+
+#[test]
+fn a_request_that_may_have_run_is_never_sent_again_unless_it_is_safe() {
+    run(async {
+        let lost = FakeWorker::start("w1", vec![Act::Close]).await;
+        let also = FakeWorker::start("w2", vec![Act::Close]).await;
+        let gatekeeper = Gatekeeper::with(&[&lost, &also]).await;
+        let answer =
+            gatekeeper.call(&request("POST", "/unsafe/a", "id-1", "", "x")).await.expect("an answer");
+        assert_eq!(answer.status(), 502, "no promise is made");
+        assert_eq!(lost.count() + also.count(), 1);
+        let answer = gatekeeper.call(&request("GET", "/safe/a", "id-2", "", "")).await.expect("an answer");
+        assert_eq!(answer.status(), 502);
+        assert_eq!(lost.count() + also.count(), 3, "two workers for the safe one");
+    });
+}
+
+#[test]
+fn a_safe_request_is_served_by_a_second_worker() {
+    run(async {
+        let lost = FakeWorker::start("w1", vec![Act::Close]).await;
+        let cut = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nContent-Length: 50\r\n\r\nhalf";
+        let half = FakeWorker::start("w2", vec![Act::SendAndClose(cut.to_owned())]).await;
+        let good = FakeWorker::start("w3", vec![answer("200 OK", "", "served")]).await;
+        for bad in [&lost, &half] {
+            let gatekeeper = Gatekeeper::with(&[bad, &good]).await;
+            for id in 0..4 {
+                let text = request("GET", "/safe/a", &format!("id-{id}"), "", "");
+                assert_eq!(gatekeeper.call(&text).await.expect("an answer").status(), 200);
+            }
+        }
+    });
+}
+
+#[test]
+fn a_request_without_a_worker_is_refused_with_a_time_to_come_back() {
+    run(async {
+        let full = FakeWorker::start("w1", vec![not_executed()]).await;
+        let gatekeeper = Gatekeeper::with(&[&full]).await;
+        let text = request("POST", "/unsafe/a", "id-1", "", "");
+        for _ in 0..2 {
+            let answer = gatekeeper.call(&text).await.expect("an answer");
+            assert_eq!(answer.status(), 503);
+            let pause: f64 = answer.header("retry-after").and_then(|s| s.parse().ok()).expect("a pause");
+            assert!(pause > 0.0 && pause < 1.0);
+            assert_eq!(answer.header("server-signature"), None);
+            gatekeeper.list(&[]);
+        }
+        assert_eq!(full.count(), 1);
+    });
+}
+
+#[test]
+fn an_answer_to_another_request_is_never_passed_on() {
+    run(async {
+        let stray = "HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 5\r\n\r\nstray";
+        let worker = FakeWorker::start("w1", vec![Act::Send(stray.to_owned())]).await;
+        let gatekeeper = Gatekeeper::with(&[&worker]).await;
+        let answer = gatekeeper.call(&request("POST", "/unsafe/a", "id-1", "", "")).await.expect("an answer");
+        assert_eq!(answer.status(), 502);
+        assert!(answer.body.is_empty());
+    });
+}
+
+#[test]
+fn a_workers_own_failure_is_passed_on_and_a_promise_it_did_not_make_is_not() {
+    run(async {
+        let failing = FakeWorker::start("w1", vec![answer("500 Oops", "", "why")]).await;
+        let gatekeeper = Gatekeeper::with(&[&failing]).await;
+        let answered =
+            gatekeeper.call(&request("POST", "/unsafe/a", "id-1", "", "")).await.expect("an answer");
+        assert_eq!((answered.status(), &answered.body[..]), (500, &b"why"[..]));
+        let vague = FakeWorker::start("w2", vec![answer("503 Service Unavailable", "", "")]).await;
+        let gatekeeper = Gatekeeper::with(&[&vague]).await;
+        let answered =
+            gatekeeper.call(&request("POST", "/unsafe/a", "id-1", "", "")).await.expect("an answer");
+        assert_eq!((answered.status(), answered.header("server-signature")), (502, None));
+    });
+}
+
+#[test]
+fn a_connection_to_a_worker_is_used_again() {
+    run(async {
+        let worker = FakeWorker::start("w1", vec![answer("200 OK", "", "x")]).await;
+        let gatekeeper = Gatekeeper::with(&[&worker]).await;
+        for id in 0..3 {
+            gatekeeper
+                .call(&request("GET", "/safe/a", &format!("id-{id}"), "", ""))
+                .await
+                .expect("an answer");
+            // A connection rests for some milliseconds after an answer.
+            tokio::time::pause();
+            tokio::time::advance(std::time::Duration::from_millis(20)).await;
+            tokio::time::resume();
+        }
+        assert_eq!((worker.count(), worker.connections.get()), (3, 1));
+    });
+}
+
+#[test]
+fn what_has_no_route_or_breaks_a_limit_is_refused_before_any_worker_sees_it() {
+    run(async {
+        let worker = FakeWorker::start("w1", vec![answer("200 OK", "", "x")]).await;
+        let gatekeeper = Gatekeeper::with(&[&worker]).await;
+        let long_body = "x".repeat(1001);
+        let long_header = format!("X-Long: {}\r\n", "x".repeat(2000));
+        let cases = [
+            (request("GET", "/none/a", "id", "", ""), 404),
+            (request("GET", "/safe/a", "id", "", "").replace("h.example", "other.example"), 404),
+            (request("POST", "/unsafe/a", "id", "", &long_body), 413),
+            (request("GET", "/safe/a", "id", &long_header, ""), 431),
+            (request("GET", "/safe/a", "id", "Request-Id: second\r\n", ""), 400),
+            (request("GET", "/safe/a", "id", "", "").replace("Request-Id: id\r\n", ""), 400),
+            ("GET /safe/a HTTP/1.1\r\nHost: h.example\r\nnonsense\r\n\r\n".to_owned(), 400),
+        ];
+        for (text, status) in cases {
+            let answer = gatekeeper.call(&text).await.expect("an answer");
+            assert_eq!(answer.status(), status, "{}", &text[..60]);
+        }
+        assert_eq!(worker.count(), 0);
+    });
+}
+
+#[test]
+fn a_request_hidden_in_another_one_is_never_run() {
+    run(async {
+        let worker = FakeWorker::start("w1", vec![answer("200 OK", "", "x")]).await;
+        let gatekeeper = Gatekeeper::with(&[&worker]).await;
+        let hidden = request("POST", "/unsafe/hidden", "id-2", "", "");
+        let text = format!(
+            "POST /unsafe/a HTTP/1.1\r\nHost: h.example\r\nRequest-Id: id-1\r\nContent-Length: {}\r\n\
+             Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n{hidden}",
+            hidden.len()
+        );
+        gatekeeper.call(&text).await;
+        let requests = worker.requests.borrow();
+        assert!(requests.iter().all(|request| !request.first_line.contains("hidden")), "{requests:?}");
+    });
+}
+
+#[test]
+fn the_newest_configuration_decides_and_an_older_one_never_comes_back() {
+    run(async {
+        let worker = FakeWorker::start("w1", vec![answer("200 OK", "", "x")]).await;
+        let gatekeeper = Gatekeeper::start().await;
+        let text = request("GET", "/safe/a", "id", "", "");
+        let unconfigured = gatekeeper.call(&text).await.expect("an answer");
+        assert_eq!(unconfigured.status(), 503, "nobody knows yet whether the route exists");
+        gatekeeper.list(&[&worker]);
+        gatekeeper.configure(5, CONFIGURATION);
+        assert_eq!(gatekeeper.call(&text).await.expect("an answer").status(), 200);
+        gatekeeper.configure(7, &CONFIGURATION.replace("/safe/", "/other/"));
+        assert_eq!(gatekeeper.call(&text).await.expect("an answer").status(), 404);
+        gatekeeper.configure(6, CONFIGURATION);
+        assert_eq!(gatekeeper.call(&text).await.expect("an answer").status(), 404);
+    });
+}
+
+#[test]
+fn a_draining_worker_gets_nothing_new() {
+    run(async {
+        let leaving = FakeWorker::start("w1", vec![answer("200 OK", "", "x")]).await;
+        let staying = FakeWorker::start("w2", vec![answer("200 OK", "", "x")]).await;
+        let gatekeeper = Gatekeeper::with(&[&leaving, &staying]).await;
+        let mut draining = leaving.listed("s");
+        draining.state = WorkerState::Draining;
+        let listed = vec![draining, staying.listed("s")];
+        gatekeeper.proxy.set_workers(&[("s".to_owned(), listed)].into_iter().collect());
+        for id in 0..4 {
+            gatekeeper
+                .call(&request("GET", "/safe/a", &format!("id-{id}"), "", ""))
+                .await
+                .expect("an answer");
+        }
+        assert_eq!((leaving.count(), staying.count()), (0, 4));
+    });
+}
--- /dev/null
+++ b/crates/gatekeeper/tests/proxy/main.rs
@@ -0,0 +1,6 @@
+//! The whole proxy over loopback, between clients and fake workers.
+
+mod fakes;
+mod forwarding;
+mod planned_work;
+mod streams;
--- /dev/null
+++ b/crates/gatekeeper/tests/proxy/planned_work.rs
@@ -0,0 +1,46 @@
+//! The end of the process by SIGTERM.
+
+use crate::fakes::{Act, FakeWorker, Gatekeeper, LAST_CHUNK, Reader, events, request, run, stream_head};
+use std::rc::Rc;
+use tokio::{io::AsyncWriteExt, net::TcpStream, sync::Notify};
+
+async fn readiness(gatekeeper: &Gatekeeper) -> u16 {
+    let mut socket = TcpStream::connect(gatekeeper.readiness).await.expect("it listens");
+    let text = "GET /opalrun/readyz HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+    socket.write_all(text.as_bytes()).await.expect("it reads");
+    Reader::new(&mut socket).message().await.expect("an answer").status()
+}
+
+#[test]
+fn it_is_ready_once_it_knows_what_holds() {
+    run(async {
+        let gatekeeper = Gatekeeper::start().await;
+        assert_eq!(readiness(&gatekeeper).await, 503);
+        gatekeeper.configure(1, crate::fakes::CONFIGURATION);
+        assert_eq!(readiness(&gatekeeper).await, 503);
+        gatekeeper.proxy.set_informed();
+        assert_eq!(readiness(&gatekeeper).await, 200);
+    });
+}
+
+#[test]
+fn what_is_in_hand_is_answered_after_the_signal() {
+    run(async {
+        let go_on = Rc::new(Notify::new());
+        let act = Act::SendWaitSend(stream_head() + &events(1, 1), go_on.clone(), events(2, 2) + LAST_CHUNK);
+        let worker = FakeWorker::start("w1", vec![act]).await;
+        let gatekeeper = Gatekeeper::with(&[&worker]).await;
+        gatekeeper.proxy.set_informed();
+        let mut socket = gatekeeper.connect().await;
+        socket.write_all(request("POST", "/stream/a", "id", "", "x").as_bytes()).await.expect("it reads");
+        worker.came.notified().await;
+        gatekeeper.stop.notify_one();
+        while readiness(&gatekeeper).await == 200 {}
+        go_on.notify_one();
+        let answer = Reader::new(&mut socket).message().await.expect("a whole answer");
+        assert!(answer.body.ends_with(b"piece 2\n\n"));
+        // It ends by itself once nothing is in hand.
+        tokio::time::pause();
+        gatekeeper.ended.await.expect("it ends");
+    });
+}
