--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -20,4 +20,4 @@
 pub use stand_in as host;
 
 pub use error::ControlError;
-pub use run::run;
+pub use run::{Control, run};
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -13,7 +13,10 @@
 use opalrun_wire::feed::ControlNode;
 use snafu::{OptionExt, ResultExt};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
-use tokio::time::{sleep, timeout};
+use tokio::{
+    task::JoinHandle,
+    time::{sleep, timeout},
+};
 
 /// How long handing over ownership may take at the end.
 const HAND_OVER_LIMIT: Duration = Duration::from_millis(1500);
@@ -25,25 +28,63 @@
 /// # Errors
 /// Where the settings lack something, an address can't be listened on or the replicated state can't be opened.
 pub async fn run(settings: Settings) -> Result<(), ControlError> {
-    let api_address = settings.listen.control_plane.context(MissingSnafu { key: "listen.control_plane" })?;
-    let feed_address = SocketAddr::new(settings.ip, settings.ports.feed());
-    let api_server = api::bind(api_address).await.context(ListenSnafu { address: api_address })?;
-    let feed_listener = Listener::bind(feed_address).await.context(FeedSnafu)?;
-    let process = start(&settings, api_address).await?;
-    tracing::info!(identity = process.host().identity(), "the control process serves");
-    tokio::task::spawn_local(feed::serve(Rc::clone(&process), feed_listener));
-    let serving = tokio::task::spawn_local(api_server.serve(Rc::clone(&process)));
+    let control = Control::start(&settings).await?;
     signals::terminated().await;
-    end(&process).await;
-    serving.abort();
+    control.end().await;
     Ok(())
 }
 
+/// A control process that serves.
+pub struct Control {
+    process: Rc<ControlProcess>,
+    servers: Vec<JoinHandle<()>>,
+}
+
+impl Control {
+    /// Starts a control process, inside a `LocalSet`. When this returns, it listens at all its addresses.
+    ///
+    /// # Errors
+    /// As [`run`].
+    pub async fn start(settings: &Settings) -> Result<Self, ControlError> {
+        let api_address =
+            settings.listen.control_plane.context(MissingSnafu { key: "listen.control_plane" })?;
+        let feed_address = SocketAddr::new(settings.ip, settings.ports.feed());
+        let api_server = api::bind(api_address).await.context(ListenSnafu { address: api_address })?;
+        let feed_listener = Listener::bind(feed_address).await.context(FeedSnafu)?;
+        let process = start_process(settings, api_address).await?;
+        tracing::info!(identity = process.host().identity(), "the control process serves");
+        let servers = vec![
+            tokio::task::spawn_local(feed::serve(Rc::clone(&process), feed_listener)),
+            tokio::task::spawn_local(api_server.serve(Rc::clone(&process))),
+        ];
+        Ok(Self { process, servers })
+    }
+
+    /// The process that serves.
+    #[must_use]
+    pub fn process(&self) -> &Rc<ControlProcess> {
+        &self.process
+    }
+
+    /// Hands over what the process owns, sends subscribers elsewhere and lets calls in hand end.
+    pub async fn end(self) {
+        let _ = timeout(HAND_OVER_LIMIT, self.process.host().hand_over()).await;
+        self.process.stop();
+        sleep(LAST_CALLS_LIMIT).await;
+        for server in self.servers {
+            server.abort();
+        }
+    }
+}
+
 /// Starts the replicated host and the process over it.
 ///
 /// # Errors
 /// Where the settings lack something or the replicated state can't be opened.
-async fn start(settings: &Settings, api_address: SocketAddr) -> Result<Rc<ControlProcess>, ControlError> {
+async fn start_process(
+    settings: &Settings,
+    api_address: SocketAddr,
+) -> Result<Rc<ControlProcess>, ControlError> {
     let shards = Shards::new();
     let host =
         Host::start(host_options(settings, api_address)?, machines(&shards)).await.context(HostSnafu)?;
@@ -88,10 +129,3 @@
     let machine = |shard| Box::new(ShardMachine::new(shards.clone(), shard)) as Box<dyn StateMachine>;
     (0..SHARDS).map(machine).collect()
 }
-
-/// Hands over what the process owns, sends subscribers elsewhere and lets calls in hand end.
-async fn end(process: &Rc<ControlProcess>) {
-    let _ = timeout(HAND_OVER_LIMIT, process.host().hand_over()).await;
-    process.stop();
-    sleep(LAST_CALLS_LIMIT).await;
-}
--- /dev/null
+++ b/crates/control/tests/single.rs
@@ -0,0 +1,223 @@
+//! One control process over loopback: what workers, the operator, gatekeepers and stores get.
+
+mod support;
+
+use opalrun_wire::feed::{Change, FeedRequest, FeedUpdate, STORE_PARTITIONS, WorkerState, shard_of_service};
+use support::{
+    FeedCaller, call, configuration, heartbeat, machines, put_configuration, read_configuration, run_local,
+    try_call,
+};
+
+#[test]
+fn a_configuration_is_taken_once_and_read_back_as_it_was_sent() {
+    run_local(async {
+        let machine = machines(1, 1, 0).remove(0);
+        let _control = machine.start().await;
+        let api = [machine.api()];
+        assert_eq!(read_configuration(&api).await.status, 404);
+        assert_eq!(put_configuration(&api, 0, &configuration(3, 500)).await, 200);
+        assert_eq!(put_configuration(&api, 0, &configuration(3, 500)).await, 200, "sent again");
+        assert_eq!(
+            put_configuration(&api, 0, &configuration(3, 600)).await,
+            412,
+            "another one with its number"
+        );
+        assert_eq!(put_configuration(&api, 3, &configuration(3, 600)).await, 400, "not above");
+        assert_eq!(put_configuration(&api, 3, &configuration(5, 600)).await, 200);
+        assert_eq!(
+            put_configuration(&api, 0, &configuration(3, 500)).await,
+            200,
+            "taken once, some time ago"
+        );
+        let read = read_configuration(&api).await;
+        assert_eq!((read.status, read.body), (200, configuration(5, 600)));
+    });
+}
+
+#[test]
+fn invalid_configurations_are_refused() {
+    run_local(async {
+        let machine = machines(1, 1, 0).remove(0);
+        let _control = machine.start().await;
+        let api = [machine.api()];
+        let valid = configuration(3, 500);
+        let invalid = [
+            &valid[..valid.len() - 5],
+            "",
+            "{}}",
+            &configuration(3, 0),
+            &valid.replace("\"s\",\"max", "\"t\",\"max"),
+        ];
+        for body in invalid {
+            assert_eq!(put_configuration(&api, 0, body).await, 400, "{body}");
+        }
+        let no_version = call(&api, "PUT", "/opalrun/config", "", &valid).await;
+        assert_eq!(no_version.status, 400);
+        assert_eq!(read_configuration(&api).await.status, 404);
+    });
+}
+
+#[test]
+fn too_long_bodies_and_unknown_paths_are_refused() {
+    run_local(async {
+        let machine = machines(1, 1, 0).remove(0);
+        let _control = machine.start().await;
+        let api = [machine.api()];
+        let long = "x".repeat(70 << 10);
+        assert_eq!(call(&api, "PUT", "/opalrun/instances/i", "", &long).await.status, 413);
+        assert_eq!(call(&api, "PUT", "/opalrun/instances/i", "", "{").await.status, 400);
+        assert_eq!(call(&api, "GET", "/opalrun/nothing", "", "").await.status, 404);
+    });
+}
+
+#[test]
+fn gatekeepers_hear_of_workers_that_come_drain_and_go() {
+    run_local(async {
+        let machine = machines(1, 1, 0).remove(0);
+        let _control = machine.start().await;
+        let api = [machine.api()];
+        assert_eq!(heartbeat(&api, "a", "alpha", "ready", 1).await, 200);
+        let mut gatekeeper = FeedCaller::gatekeeper(machine.feed(), "edge-1").await;
+        let state = |wanted: WorkerState| {
+            move |change: &Change| match change {
+                Change::Worker(worker) if worker.id == "a" && worker.state == wanted => Some(()),
+                _ => None,
+            }
+        };
+        gatekeeper.wait_for(state(WorkerState::Ready)).await;
+        assert_eq!(heartbeat(&api, "a", "alpha", "ready", 2).await, 200);
+        assert_eq!(heartbeat(&api, "a", "alpha", "draining", 3).await, 200);
+        gatekeeper.wait_for(state(WorkerState::Draining)).await;
+        assert_eq!(call(&api, "DELETE", "/opalrun/instances/a", "", "").await.status, 200);
+        gatekeeper
+            .wait_for(|change| matches!(change, Change::WorkerGone { id, .. } if id == "a").then_some(()))
+            .await;
+        assert_eq!(heartbeat(&api, "a", "alpha", "ready", 4).await, 200);
+        assert_eq!(heartbeat(&api, "b", "alpha", "ready", 1).await, 200);
+        let first = gatekeeper.wait_for(|change| match change {
+            Change::Worker(worker) => Some(worker.id.clone()),
+            _ => None,
+        });
+        assert_eq!(first.await, "b", "a removed worker does not come back");
+    });
+}
+
+#[test]
+fn a_subscriber_goes_on_from_its_offset_and_hears_that_it_is_fresh() {
+    run_local(async {
+        let machine = machines(1, 1, 0).remove(0);
+        let _control = machine.start().await;
+        let api = [machine.api()];
+        let shard = shard_of_service("alpha");
+        assert_eq!(heartbeat(&api, "a", "alpha", "ready", 1).await, 200);
+        let mut first = FeedCaller::gatekeeper(machine.feed(), "edge-1").await;
+        let mut fresh = false;
+        let mut offset = 0;
+        while !fresh || offset == 0 {
+            match first.next().await {
+                FeedUpdate::Snapshot { shard: of, offset: at, changes }
+                    if of == shard && !changes.is_empty() =>
+                {
+                    offset = at
+                }
+                FeedUpdate::Fresh { .. } => fresh = true,
+                _ => {}
+            }
+        }
+        drop(first);
+        assert_eq!(heartbeat(&api, "b", "alpha", "ready", 1).await, 200);
+        let subscriber = opalrun_wire::feed::Subscriber::Proxy;
+        let mut second = FeedCaller::subscribe(machine.feed(), subscriber, &[(shard, offset)]).await;
+        loop {
+            match second.next().await {
+                FeedUpdate::Changes { changes, .. } => {
+                    let ids: Vec<&str> = changes
+                        .iter()
+                        .filter_map(|change| match change {
+                            Change::Worker(worker) => Some(worker.id.as_str()),
+                            _ => None,
+                        })
+                        .collect();
+                    assert_eq!(ids, ["b"]);
+                    return;
+                }
+                FeedUpdate::Snapshot { .. } => panic!("changes would have done"),
+                _ => {}
+            }
+        }
+    });
+}
+
+#[test]
+fn the_acknowledgement_of_a_configuration_waits_for_gatekeepers() {
+    run_local(async {
+        let machine = machines(1, 1, 0).remove(0);
+        let _control = machine.start().await;
+        let api = machine.api();
+        let mut gatekeeper = FeedCaller::gatekeeper(machine.feed(), "edge-1").await;
+        gatekeeper.next().await;
+        let body = configuration(3, 500);
+        let order = tokio::task::spawn_local(async move { put_configuration(&[api], 0, &body).await });
+        gatekeeper.wait_for(|change| matches!(change, Change::Configuration { .. }).then_some(())).await;
+        assert!(!order.is_finished());
+        gatekeeper.beat(3);
+        assert_eq!(order.await.expect("it is answered"), 200);
+    });
+}
+
+#[test]
+fn stores_are_placed_and_a_machine_is_emptied() {
+    run_local(async {
+        let machine = machines(1, 1, 0).remove(0);
+        let _control = machine.start().await;
+        let api = [machine.api()];
+        let mut one = FeedCaller::store(machine.feed(), 1, "storage-1").await;
+        let mut two = FeedCaller::store(machine.feed(), 2, "storage-2").await;
+        let map = |change: &Change| match change {
+            Change::StoreMap(map) => Some(map.clone()),
+            _ => None,
+        };
+        let first = one.wait_for(map).await;
+        assert_eq!(first.partitions.len(), usize::from(STORE_PARTITIONS));
+        assert_eq!(two.wait_for(map).await, first);
+        assert_eq!(
+            call(&api, "POST", "/opalrun/retire/storage-9", "", "{\"deadline_s\":10}").await.status,
+            404
+        );
+        assert_eq!(call(&api, "GET", "/opalrun/retire/storage-9", "", "").await.status, 404);
+        let order = call(&api, "POST", "/opalrun/retire/storage-1", "", "{\"deadline_s\":10}").await;
+        assert_eq!((order.status, order.body.as_str()), (200, "{\"state\":\"active\"}"));
+        assert_eq!(
+            call(&api, "POST", "/opalrun/retire/storage-2", "", "{\"deadline_s\":10}").await.status,
+            409
+        );
+        loop {
+            let latest = two.wait_for(map).await;
+            let partitions = (0..STORE_PARTITIONS).collect();
+            two.send(&FeedRequest::ReplicasWhole { store: 2, epoch: latest.epoch, partitions });
+            let state = call(&api, "GET", "/opalrun/retire/storage-1", "", "").await;
+            if state.body == "{\"state\":\"completed\"}" {
+                return;
+            }
+            one.beat(0);
+        }
+    });
+}
+
+#[test]
+fn a_call_that_is_cut_short_changes_nothing() {
+    run_local(async {
+        let machine = machines(1, 1, 0).remove(0);
+        let _control = machine.start().await;
+        let cut = try_call(
+            machine.api(),
+            "PUT",
+            "/opalrun/config",
+            "If-Match: 0\r\nTransfer-Encoding: chunked\r\n",
+            "zz",
+        );
+        let refused = cut.await.is_none_or(|answer| answer.status >= 400);
+        assert!(refused);
+        assert_eq!(read_configuration(&[machine.api()]).await.status, 404);
+    });
+}
