--- /dev/null
+++ b/crates/replication/src/follower.rs
@@ -0,0 +1,114 @@
+//! What a replica does with entries and snapshots from the leader.
+
+use crate::{Answer, Body, Replica, Snapshot, SnapshotHeader, entry::SharedEntry, replica::Role};
+use std::rc::Rc;
+
+/// A snapshot that is being received.
+#[derive(Debug)]
+pub(crate) struct IncomingSnapshot {
+    header: SnapshotHeader,
+    state: Vec<u8>,
+}
+
+impl Replica {
+    /// A message of the current term's leader came.
+    pub(crate) fn hear_leader(&mut self, leader: u64) {
+        if !matches!(self.role, Role::Follower) {
+            self.become_follower(self.hard_state.term, Some(leader));
+        }
+        self.leader = Some(leader);
+        self.leader_heard_at = Some(self.now);
+        self.reset_election_timer();
+    }
+
+    pub(crate) fn on_append(
+        &mut self,
+        leader: u64,
+        (previous_index, previous_term): (u64, u64),
+        entries: Vec<SharedEntry>,
+        commit: u64,
+        round: u64,
+    ) {
+        // What is committed is the same everywhere, so an entry before it needs no check.
+        let is_known = previous_index <= self.commit;
+        if !is_known && self.log.term(previous_index) != Some(previous_term) {
+            let hint = self.log.conflict_hint(previous_index, self.commit);
+            let answer = Answer::Rejected { previous_index, hint };
+            return self.send(leader, Body::AppendAnswer { round, answer });
+        }
+        let is_heartbeat = entries.is_empty();
+        let last = previous_index + entries.len() as u64;
+        self.take_entries(entries);
+        self.commit = self.commit.max(commit.min(last));
+        if is_heartbeat {
+            let matched = previous_index.min(self.durable_index);
+            let answer = Answer::Accepted { matched };
+            return self.send(leader, Body::AppendAnswer { round, answer });
+        }
+        self.send_after_sync(
+            leader,
+            Body::AppendAnswer { round, answer: Answer::Accepted { matched: last } },
+        );
+    }
+
+    fn take_entries(&mut self, entries: Vec<SharedEntry>) {
+        for entry in entries {
+            if entry.index <= self.commit || self.log.entry_term_matches(&entry) {
+                continue;
+            }
+            if entry.index > self.log.last_index() + 1 {
+                return;
+            }
+            if entry.index <= self.log.last_index() {
+                self.truncate_log(entry.index);
+            }
+            self.append_to_log(entry);
+        }
+    }
+
+    pub(crate) fn on_snapshot_chunk(
+        &mut self,
+        leader: u64,
+        header: SnapshotHeader,
+        total: u64,
+        offset: u64,
+        bytes: &[u8],
+        round: u64,
+    ) {
+        let index = header.index;
+        if index <= self.commit || self.log.term(index) == Some(header.term) {
+            self.incoming = None;
+            self.commit = self.commit.max(index);
+            let answer = Answer::Accepted { matched: index };
+            return self.send_after_sync(leader, Body::AppendAnswer { round, answer });
+        }
+        let mut incoming = match self.incoming.take() {
+            Some(incoming) if incoming.header == header => incoming,
+            _ => IncomingSnapshot { header, state: Vec::new() },
+        };
+        if offset == incoming.state.len() as u64 {
+            incoming.state.extend_from_slice(bytes);
+        }
+        let received = incoming.state.len() as u64;
+        if received < total {
+            self.incoming = Some(incoming);
+            return self.send(leader, Body::SnapshotAnswer { index, received, round });
+        }
+        self.install(Snapshot { header: incoming.header, state: incoming.state });
+        let answer = Answer::Accepted { matched: index };
+        self.send_after_sync(leader, Body::AppendAnswer { round, answer });
+    }
+
+    /// Replaces the whole log.
+    fn install(&mut self, snapshot: Snapshot) {
+        let index = snapshot.header.index;
+        self.limit_durable(0);
+        self.log = crate::log::Log::new(snapshot.header.clone());
+        self.commit = index;
+        self.applied = index;
+        let snapshot = Rc::new(snapshot);
+        self.begin_write().snapshot = Some(snapshot.clone());
+        self.output.committed.clear();
+        self.output.install = Some(snapshot);
+    }
+}
--- a/crates/replication/src/lib.rs
+++ b/crates/replication/src/lib.rs
@@ -1,1 +1,31 @@
-//! To be described.
+//! A replicated log for one group of processes, in the manner of Raft, without input or output of its own.
+//!
+//! A [`Replica`] takes inputs (time, messages, proposals, what the disk has synced) and returns an [`Output`]: messages
+//! to send, records to write and sync, entries to apply. The caller owns the disk, the network and the state machine.
+//!
+//! Beyond plain Raft:
+//! - an entry counts as committed when it is synced on a majority of the voters and on `hosts_lost + 1` of them;
+//! - elections begin with a pre-vote, and a vote is refused while a leader is heard, so a process that was cut off or
+//!   removed disturbs nobody;
+//! - a leader that hears no majority for an election time-out steps down;
+//! - reads are confirmed by a round of heartbeats, not by clocks;
+//! - members are identities: a process that lost its disk comes back as another one and has no vote until it is added.
+#![forbid(unsafe_code)]
+
+mod election;
+mod entry;
+mod follower;
+mod leader;
+mod log;
+mod members;
+mod message;
+mod output;
+mod progress;
+mod replica;
+mod snapshot;
+pub mod timing;
+
+pub use entry::{Entry, HardState, Member, Membership, Payload, Snapshot, SnapshotHeader};
+pub use message::{Answer, Body, Message};
+pub use output::{Output, ReadResult, Write};
+pub use replica::{Options, ProposeError, Replica, Restored};
--- /dev/null
+++ b/crates/replication/tests/simulation/main.rs
@@ -0,0 +1,78 @@
+//! Groups of replicas on a simulated network with simulated disks, through random orders of events.
+
+mod world;
+
+use world::{Faults, World};
+
+const QUIET: Faults =
+    Faults { drop_percent: 0, duplicate_percent: 0, slow_percent: 0, trouble_percent: 0, wipes: false };
+const ROUGH: Faults =
+    Faults { drop_percent: 5, duplicate_percent: 5, slow_percent: 5, trouble_percent: 2, wipes: false };
+const WIPES: Faults = Faults { wipes: true, ..ROUGH };
+
+#[test]
+fn quiet_group_elects_once_and_commits() {
+    let mut world = World::new(1, 3, 1, QUIET);
+    world.run(5_000);
+    assert!(world.acknowledged() > 50, "{} acknowledged", world.acknowledged());
+    assert_eq!(world.terms_with_leader(), 1);
+    world.settle();
+}
+
+#[test]
+fn single_member_commits_alone() {
+    let mut world = World::new(2, 1, 1, QUIET);
+    world.run(3_000);
+    assert!(world.acknowledged() > 50, "{} acknowledged", world.acknowledged());
+    world.settle();
+}
+
+#[test]
+fn three_members_through_cuts_kills_and_lost_messages() {
+    for seed in 0..250 {
+        let mut world = World::new(seed, 3, 1, ROUGH);
+        world.run(6_000);
+        world.settle();
+    }
+}
+
+#[test]
+fn five_members_that_may_lose_two() {
+    for seed in 0..120 {
+        let mut world = World::new(seed, 5, 2, ROUGH);
+        world.run(6_000);
+        world.settle();
+    }
+}
+
+#[test]
+fn wiped_members_come_back_as_strangers() {
+    for seed in 0..200 {
+        let mut world = World::new(seed, 3, 1, WIPES);
+        world.run(12_000);
+        world.settle();
+    }
+}
+
+#[test]
+fn five_members_of_which_some_are_wiped() {
+    for seed in 0..60 {
+        let mut world = World::new(seed, 5, 2, WIPES);
+        world.run(12_000);
+        world.settle();
+    }
+}
+
+#[test]
+fn leadership_is_handed_over_without_a_pause() {
+    for seed in 0..50 {
+        let mut world = World::new(seed, 3, 1, QUIET);
+        world.run(2_000);
+        let old = world.leader().expect("a quiet group has a leader");
+        world.transfer_from(old);
+        world.run(150);
+        let new = world.leader().expect("the successor leads at once");
+        assert_ne!(old, new, "seed {seed}");
+        world.settle();
+    }
+}
--- /dev/null
+++ b/crates/replication/tests/simulation/world.rs
@@ -0,0 +1,521 @@
+//! The simulated world: network, disks, clients, troubles, and the checks of what must always hold.
+
+use opalrun_replication::{
+    Entry, HardState, Member, Membership, Message, Options, Payload, ReadResult, Replica, Restored, Snapshot,
+    SnapshotHeader, Write, timing,
+};
+use std::{
+    collections::{BTreeMap, BTreeSet, VecDeque},
+    rc::Rc,
+};
+
+/// How rough the world is.
+#[derive(Debug, Clone, Copy)]
+pub struct Faults {
+    pub drop_percent: u8,
+    pub duplicate_percent: u8,
+    pub slow_percent: u8,
+    /// Chance of a cut, a kill or a wipe every 50 ms.
+    pub trouble_percent: u8,
+    pub wipes: bool,
+}
+
+/// The state machine: a register that changes by compare-and-set, and the number of commands applied.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+struct Register {
+    value: u64,
+    applied: u64,
+}
+
+impl Register {
+    fn apply(&mut self, command: &[u8]) -> bool {
+        let (expected, new) = decode(command);
+        self.applied += 1;
+        let matches = self.value == expected;
+        if matches {
+            self.value = new;
+        }
+        matches
+    }
+
+    /// Padded, so that it takes several chunks.
+    fn encode(self) -> Vec<u8> {
+        let mut bytes = vec![0; 600 << 10];
+        bytes[..8].copy_from_slice(&self.value.to_le_bytes());
+        bytes[8..16].copy_from_slice(&self.applied.to_le_bytes());
+        bytes
+    }
+
+    fn decode(bytes: &[u8]) -> Self {
+        let (value, applied) = decode(bytes);
+        Self { value, applied }
+    }
+}
+
+fn encode(a: u64, b: u64) -> Vec<u8> {
+    [a.to_le_bytes(), b.to_le_bytes()].concat()
+}
+
+fn decode(bytes: &[u8]) -> (u64, u64) {
+    let number = |at: usize| u64::from_le_bytes(bytes[at..at + 8].try_into().expect("eight bytes"));
+    (number(0), number(8))
+}
+
+#[derive(Debug, Clone, Default)]
+struct DiskState {
+    hard_state: HardState,
+    snapshot: Option<Rc<Snapshot>>,
+    base: SnapshotHeader,
+    entries: Vec<Rc<Entry>>,
+}
+
+impl DiskState {
+    fn write(&mut self, write: &Write) {
+        if let Some(hard_state) = write.hard_state {
+            self.hard_state = hard_state;
+        }
+        if let Some(snapshot) = &write.snapshot {
+            self.base = snapshot.header.clone();
+            self.entries.clear();
+            self.snapshot = Some(snapshot.clone());
+        }
+        for entry in &write.entries {
+            let kept = entry.index - self.base.index - 1;
+            assert!(kept as usize <= self.entries.len(), "a gap on disk");
+            self.entries.truncate(kept as usize);
+            self.entries.push(entry.clone());
+        }
+    }
+
+    fn compact(&mut self, snapshot: Snapshot) {
+        let covered = (snapshot.header.index - self.base.index).min(self.entries.len() as u64);
+        self.entries.drain(..covered as usize);
+        self.base = snapshot.header.clone();
+        self.snapshot = Some(Rc::new(snapshot));
+    }
+}
+
+struct Node {
+    identity: u64,
+    address: usize,
+    replica: Option<Replica>,
+    disk: DiskState,
+    writes: VecDeque<(u64, Write)>,
+    register: Register,
+    applied: u64,
+    back_at: u64,
+}
+
+struct Pending {
+    node: usize,
+    term: u64,
+    proposed: u64,
+}
+
+pub struct World {
+    random: fastrand::Rng,
+    faults: Faults,
+    hosts_lost: usize,
+    now: u64,
+    nodes: Vec<Node>,
+    /// By the time of delivery and a number.
+    messages: BTreeMap<(u64, u64), Message>,
+    next_number: u64,
+    cuts: BTreeSet<(usize, usize)>,
+    cuts_end: u64,
+    /// What every replica must agree on.
+    committed: BTreeMap<u64, Rc<Entry>>,
+    states: BTreeMap<u64, Register>,
+    leaders: BTreeMap<u64, u64>,
+    pending: BTreeMap<u64, Pending>,
+    reads: BTreeMap<u64, u64>,
+    highest_acknowledged: u64,
+    acknowledged: usize,
+    next_value: u64,
+    next_identity: u64,
+    wiped_at: u64,
+    healthy: bool,
+    clients_rest: bool,
+}
+
+impl World {
+    pub fn new(seed: u64, nodes: usize, hosts_lost: usize, faults: Faults) -> Self {
+        let member = |address: usize| Member {
+            identity: address as u64 + 1,
+            address: address.to_string(),
+            voter: true,
+        };
+        let first_members = Membership::new((0..nodes).map(member).collect());
+        let mut world = Self {
+            random: fastrand::Rng::with_seed(seed),
+            faults,
+            hosts_lost,
+            now: 0,
+            nodes: Vec::new(),
+            messages: BTreeMap::new(),
+            next_number: 0,
+            cuts: BTreeSet::new(),
+            cuts_end: 0,
+            committed: BTreeMap::new(),
+            states: BTreeMap::new(),
+            leaders: BTreeMap::new(),
+            pending: BTreeMap::new(),
+            reads: BTreeMap::new(),
+            highest_acknowledged: 0,
+            acknowledged: 0,
+            next_value: 1,
+            next_identity: 100,
+            wiped_at: 0,
+            healthy: false,
+            clients_rest: false,
+        };
+        for address in 0..nodes {
+            let base = SnapshotHeader { index: 0, term: 0, membership: first_members.clone() };
+            let disk = DiskState { base, ..DiskState::default() };
+            world.nodes.push(Node {
+                identity: address as u64 + 1,
+                address,
+                replica: None,
+                disk,
+                writes: VecDeque::new(),
+                register: Register::default(),
+                applied: 0,
+                back_at: 0,
+            });
+        }
+        world
+    }
+
+    pub fn run(&mut self, span: u64) {
+        let end = self.now + span;
+        while self.now < end {
+            self.now += 1;
+            self.step();
+        }
+    }
+
+    pub fn acknowledged(&self) -> usize {
+        self.acknowledged
+    }
+
+    pub fn terms_with_leader(&self) -> usize {
+        self.leaders.len()
+    }
+
+    pub fn leader(&self) -> Option<usize> {
+        let leads =
+            |node: &Node| node.replica.as_ref().filter(|replica| replica.is_leader()).map(Replica::term);
+        let newest = self.nodes.iter().filter_map(|node| Some((leads(node)?, node.address))).max()?;
+        Some(newest.1)
+    }
+
+    pub fn transfer_from(&mut self, node: usize) {
+        let replica = self.nodes[node].replica.as_mut().expect("it runs");
+        assert!(replica.transfer(None));
+        self.handle_output(node);
+    }
+
+    /// Ends all troubles and checks that the group works again and that nothing acknowledged is lost.
+    pub fn settle(&mut self) {
+        self.healthy = true;
+        self.cuts.clear();
+        let before = self.acknowledged;
+        self.run(6_000);
+        // What is under way reaches everyone.
+        self.clients_rest = true;
+        self.run(500);
+        assert!(self.acknowledged > before + 20, "no progress: {} acknowledged", self.acknowledged - before);
+        self.pending.clear();
+        let leader = self.leader().expect("a healthy group has a leader");
+        let leader = self.nodes[leader].replica.as_ref().expect("it runs");
+        let members = leader.membership().clone();
+        let identities: BTreeSet<u64> = self.nodes.iter().map(|node| node.identity).collect();
+        let voters: BTreeSet<u64> = members.voters().collect();
+        assert_eq!(voters, identities, "the members are those that run");
+        assert!(leader.commit_index() >= self.highest_acknowledged);
+        for node in &self.nodes {
+            assert!(node.applied >= self.highest_acknowledged, "a member lags");
+        }
+    }
+
+    fn step(&mut self) {
+        self.restart_nodes();
+        self.sync_disks();
+        self.deliver();
+        if self.now.is_multiple_of(timing::TICK_MS) {
+            self.tick();
+            self.make_trouble();
+        }
+        if self.now.is_multiple_of(20) && !self.clients_rest {
+            self.act_as_client();
+        }
+    }
+
+    fn chance(&mut self, percent: u8) -> bool {
+        self.random.u8(0..100) < percent
+    }
+
+    fn restart_nodes(&mut self) {
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].replica.is_some() || self.now < self.nodes[index].back_at {
+                continue;
+            }
+            let seed = self.random.u64(..);
+            let node = &mut self.nodes[index];
+            let restored = Restored {
+                hard_state: node.disk.hard_state,
+                base: node.disk.base.clone(),
+                entries: node.disk.entries.iter().map(|entry| (**entry).clone()).collect(),
+            };
+            let options = Options { identity: node.identity, hosts_lost: self.hosts_lost, seed };
+            node.register =
+                node.disk.snapshot.as_ref().map_or(Register::default(), |s| Register::decode(&s.state));
+            node.applied = node.disk.base.index;
+            node.replica = Some(Replica::new(options, restored, self.now));
+        }
+    }
+
+    fn sync_disks(&mut self) {
+        for index in 0..self.nodes.len() {
+            let node = &mut self.nodes[index];
+            let mut newest = None;
+            while node.writes.front().is_some_and(|(due, _)| *due <= self.now) {
+                if let Some((_, write)) = node.writes.pop_front() {
+                    node.disk.write(&write);
+                    newest = Some(write.sequence);
+                }
+            }
+            if let (Some(sequence), Some(replica)) = (newest, &mut node.replica) {
+                replica.persisted(sequence);
+                self.handle_output(index);
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let message = entry.remove();
+            let Some(index) = self.nodes.iter().position(|node| node.identity == message.to) else {
+                continue;
+            };
+            if let Some(replica) = &mut self.nodes[index].replica {
+                replica.receive(self.now, message);
+                self.handle_output(index);
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let desired: Vec<Member> = self.nodes.iter().map(as_member).collect();
+        for index in 0..self.nodes.len() {
+            if let Some(replica) = &mut self.nodes[index].replica {
+                replica.set_desired_members(desired.clone());
+                replica.tick(self.now);
+                self.handle_output(index);
+                self.compact(index);
+            }
+        }
+    }
+
+    fn compact(&mut self, index: usize) {
+        const KEPT_ENTRIES: u64 = 40;
+        let node = &mut self.nodes[index];
+        let Some(replica) = &mut node.replica else {
+            return;
+        };
+        // Only when the disk is idle, as a snapshot goes through the same queue as all else.
+        if node.applied < node.disk.base.index + KEPT_ENTRIES || !node.writes.is_empty() {
+            return;
+        }
+        let header = replica.applied_header();
+        assert_eq!(header.index, node.applied);
+        replica.compact(header.index);
+        node.disk.compact(Snapshot { header, state: node.register.encode() });
+    }
+
+    fn handle_output(&mut self, index: usize) {
+        loop {
+            let node = &mut self.nodes[index];
+            let Some(replica) = &mut node.replica else {
+                return;
+            };
+            let output = replica.take_output();
+            if replica.is_leader() {
+                let known = self.leaders.entry(replica.term()).or_insert(node.identity);
+                assert_eq!(*known, node.identity, "two leaders in term {}", replica.term());
+            }
+            for write in output.writes {
+                let due = self.now + self.random.u64(1..8);
+                let due = node.writes.back().map_or(due, |(last, _)| due.max(*last));
+                node.writes.push_back((due, write));
+            }
+            if let Some(snapshot) = output.install {
+                node.register = Register::decode(&snapshot.state);
+                node.applied = snapshot.header.index;
+                if let Some(expected) = self.states.get(&node.applied) {
+                    assert_eq!(*expected, node.register, "a snapshot of another state");
+                }
+            }
+            for entry in output.committed {
+                self.apply(index, &entry);
+            }
+            for read in output.reads {
+                self.finish_read(index, read);
+            }
+            for message in output.messages {
+                self.post(index, message);
+            }
+            if !output.snapshot_wanted {
+                return;
+            }
+            let node = &mut self.nodes[index];
+            let state = node.register.encode();
+            if let Some(replica) = &mut node.replica {
+                replica.offer_snapshot(state);
+            }
+        }
+    }
+
+    fn apply(&mut self, index: usize, entry: &Rc<Entry>) {
+        let node = &mut self.nodes[index];
+        assert_eq!(entry.index, node.applied + 1, "applied out of order");
+        node.applied = entry.index;
+        let known = self.committed.entry(entry.index).or_insert_with(|| entry.clone());
+        assert_eq!(known, entry, "a committed entry changed");
+        let mut succeeded = true;
+        if let Payload::Command(command) = &entry.payload {
+            succeeded = node.register.apply(command);
+        }
+        let state = self.states.entry(entry.index).or_insert(node.register);
+        assert_eq!(*state, node.register, "states differ");
+        if let Some(pending) = self.pending.get(&entry.index)
+            && pending.node == index
+        {
+            let is_ours = pending.term == entry.term;
+            assert!(!is_ours || pending.proposed <= self.now);
+            self.pending.remove(&entry.index);
+            if is_ours {
+                self.highest_acknowledged = self.highest_acknowledged.max(entry.index);
+                self.acknowledged += usize::from(succeeded);
+            }
+        }
+    }
+
+    fn finish_read(&mut self, index: usize, read: ReadResult) {
+        match read {
+            ReadResult::Ready { request, index: at } => {
+                let expected = self.reads.remove(&request).expect("asked for once");
+                assert!(at >= expected, "a read misses what was acknowledged before it");
+                assert!(self.nodes[index].applied >= at);
+            }
+            ReadResult::Failed { request } => {
+                self.reads.remove(&request);
+            }
+        }
+    }
+
+    fn act_as_client(&mut self) {
+        let index = self.random.usize(0..self.nodes.len());
+        let value = self.nodes[index].register.value;
+        let new = self.next_value;
+        self.next_value += 1;
+        let request = self.next_value;
+        let node = &mut self.nodes[index];
+        let Some(replica) = &mut node.replica else {
+            return;
+        };
+        if let Ok((at, term)) = replica.propose(encode(value, new)) {
+            self.pending.insert(at, Pending { node: index, term, proposed: self.now });
+        }
+        if replica.read(request).is_ok() {
+            self.reads.insert(request, self.highest_acknowledged);
+        }
+        self.handle_output(index);
+    }
+
+    fn post(&mut self, from: usize, message: Message) {
+        let is_cut = self
+            .nodes
+            .iter()
+            .any(|node| node.identity == message.to && self.cuts.contains(&(from, node.address)));
+        if is_cut || (!self.healthy && self.chance(self.faults.drop_percent)) {
+            return;
+        }
+        let copies = 1 + usize::from(!self.healthy && self.chance(self.faults.duplicate_percent));
+        for _ in 0..copies {
+            let is_slow = !self.healthy && self.chance(self.faults.slow_percent);
+            let delay = if is_slow { self.random.u64(50..900) } else { self.random.u64(1..6) };
+            self.next_number += 1;
+            self.messages.insert((self.now + delay, self.next_number), message.clone());
+        }
+    }
+
+    fn make_trouble(&mut self) {
+        if self.now >= self.cuts_end {
+            self.cuts.clear();
+        }
+        let percent = self.faults.trouble_percent;
+        if self.healthy || !self.chance(percent) {
+            return;
+        }
+        let index = self.random.usize(0..self.nodes.len());
+        match self.random.u8(0..4) {
+            0 => self.cut(),
+            1 if self.faults.wipes => self.wipe(index),
+            2 => (0..self.nodes.len()).for_each(|node| self.kill(node)),
+            _ => self.kill(index),
+        }
+    }
+
+    fn cut(&mut self) {
+        self.cuts_end = self.now + self.random.u64(200..2_500);
+        let one_way = self.random.bool();
+        let (from, to) = (self.random.usize(0..self.nodes.len()), self.random.usize(0..self.nodes.len()));
+        for other in 0..self.nodes.len() {
+            self.cuts.insert((from, if one_way { to } else { other }));
+            if !one_way {
+                self.cuts.insert((other, from));
+            }
+        }
+    }
+
+    /// Ends a process; of the writes under way a random number is on disk.
+    fn kill(&mut self, index: usize) {
+        let kept = self.random.usize(0..=self.nodes[index].writes.len());
+        let pause = self.random.u64(10..1_500);
+        let node = &mut self.nodes[index];
+        node.replica = None;
+        for (_, write) in node.writes.drain(..).take(kept) {
+            node.disk.write(&write);
+        }
+        node.back_at = self.now + pause;
+        self.pending.retain(|_, pending| pending.node != index);
+    }
+
+    /// Loses a disk, if the group has got over the last such loss.
+    fn wipe(&mut self, index: usize) {
+        const RECOVERY_MS: u64 = 4_000;
+        let has_recovered = self.leader().is_some_and(|leader| {
+            let replica = self.nodes[leader].replica.as_ref().expect("it leads");
+            let members: BTreeSet<u64> = replica.membership().voters().collect();
+            members == self.nodes.iter().map(|node| node.identity).collect()
+                && replica.commit_index() == replica.last_index()
+        });
+        if !has_recovered || self.now < self.wiped_at + RECOVERY_MS {
+            return;
+        }
+        self.wiped_at = self.now;
+        self.kill(index);
+        let node = &mut self.nodes[index];
+        node.identity = self.next_identity;
+        node.disk = DiskState::default();
+        self.next_identity += 1;
+    }
+}
+
+fn as_member(node: &Node) -> Member {
+    Member { identity: node.identity, address: node.address.to_string(), voter: true }
+}
