--- /dev/null
+++ b/crates/gatekeeper/src/lease/tests/mod.rs
@@ -0,0 +1,7 @@
+//! Tests of the leases.
+
+mod decisions;
+mod orders;
+mod shell;
+mod simulation;
+mod terms;
--- /dev/null
+++ b/crates/gatekeeper/src/lease/tests/shell.rs
@@ -0,0 +1,116 @@
+//! The leases over a stand-in of the count, in paused time.
+
+use crate::lease::{Count, LeaseError, ProgramLeases, Terms};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::task::LocalSet;
+
+const TERMS: Terms = Terms { budget: 1_000, most: 100 };
+
+/// A count of which the other holders have taken a fixed number of units; `None`: it is silent.
+#[derive(Clone, Default)]
+struct StandIn {
+    others_taken: Rc<RefCell<Option<u64>>>,
+    writes: Rc<RefCell<Vec<u64>>>,
+}
+
+impl StandIn {
+    fn with_others(others_taken: u64) -> Self {
+        let count = Self::default();
+        *count.others_taken.borrow_mut() = Some(others_taken);
+        count
+    }
+}
+
+impl Count for StandIn {
+    async fn raise(&self, _program: &str, _held: u64, wanted: u64, limit: Duration) -> Option<u64> {
+        self.writes.borrow_mut().push(wanted);
+        let others_taken = *self.others_taken.borrow();
+        let time = if others_taken.is_some() { Duration::from_millis(5) } else { limit };
+        tokio::time::sleep(time).await;
+        others_taken
+    }
+
+    fn write(&self, _program: &str, taken: u64) {
+        self.writes.borrow_mut().push(taken);
+    }
+
+    async fn flush(&self, _limit: Duration) -> bool {
+        true
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_turn_is_covered_relayed_and_ended() {
+    let count = StandIn::with_others(0);
+    let written = Rc::clone(&count.writes);
+    LocalSet::new()
+        .run_until(async {
+            let leases = ProgramLeases::new(count, 1);
+            let turn = leases.begin("p", TERMS).await.unwrap();
+            turn.event(30);
+            drop(turn);
+            assert!(leases.drain(Duration::from_secs(1)).await);
+        })
+        .await;
+    assert_eq!(*written.borrow(), [100, 30]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn idle_units_go_back_by_themselves() {
+    let count = StandIn::with_others(0);
+    let written = Rc::clone(&count.writes);
+    LocalSet::new()
+        .run_until(async {
+            let leases = ProgramLeases::new(count, 1);
+            let turn = leases.begin("p", TERMS).await.unwrap();
+            turn.event(30);
+            drop(turn);
+            tokio::time::advance(Duration::from_millis(300)).await;
+            tokio::time::sleep(Duration::from_millis(300)).await;
+        })
+        .await;
+    assert_eq!(*written.borrow(), [100, 30]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_silent_count_is_told_as_unavailable_in_time() {
+    LocalSet::new()
+        .run_until(async {
+            let leases = ProgramLeases::new(StandIn::default(), 1);
+            let begun = tokio::time::Instant::now();
+            let error = leases.begin("p", TERMS).await.err();
+            assert_eq!(error, Some(LeaseError::Unavailable));
+            assert!(begun.elapsed() <= Duration::from_millis(450));
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_spent_budget_is_told_as_such() {
+    LocalSet::new()
+        .run_until(async {
+            let leases = ProgramLeases::new(StandIn::with_others(950), 1);
+            assert_eq!(leases.begin("p", TERMS).await.err(), Some(LeaseError::BudgetSpent));
+            let begun = tokio::time::Instant::now();
+            assert_eq!(leases.begin("p", TERMS).await.err(), Some(LeaseError::BudgetSpent));
+            assert!(begun.elapsed() <= Duration::from_millis(10));
+        })
+        .await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_turn_whose_client_leaves_while_it_waits_takes_nothing() {
+    let count = StandIn::with_others(0);
+    let written = Rc::clone(&count.writes);
+    LocalSet::new()
+        .run_until(async {
+            let leases = ProgramLeases::new(count, 1);
+            let begin = leases.begin("p", TERMS);
+            assert!(tokio::time::timeout(Duration::from_millis(2), begin).await.is_err());
+            tokio::time::sleep(Duration::from_secs(1)).await;
+        })
+        .await;
+    assert_eq!(*written.borrow(), [100, 0]);
+}
--- /dev/null
+++ b/crates/gatekeeper/src/lease/tests/simulation.rs
@@ -0,0 +1,293 @@
+//! Several gatekeepers, one program and a model of its count, in simulated time.
+
+use crate::lease::{Action, LeaseError, Leases, Terms, TurnId};
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+/// After that time an ended turn counts with what it has emitted, no longer with its most.
+const SETTLE_TIME: Duration = Duration::from_secs(1);
+const COUNT_LIMIT: Duration = Duration::from_millis(400);
+const PROGRAM: &str = "p";
+
+/// How the count behaves.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Network {
+    /// The longest that one way to the count takes.
+    pub(super) longest_way: Duration,
+    /// Raises whose answer is lost, of 256.
+    pub(super) lost: u8,
+}
+
+/// An entry in the count.
+#[derive(Debug, Default)]
+struct Entry {
+    sequence: u64,
+    taken: u64,
+}
+
+/// A gatekeeper's process: a restarted one is another holder.
+struct Gatekeeper {
+    leases: Leases,
+    holder: usize,
+    next_sequence: u64,
+}
+
+/// A turn that has begun.
+pub(super) struct Turn {
+    holder: usize,
+    id: TurnId,
+    pub(super) most: u64,
+    pub(super) units: u64,
+    pub(super) decision: Option<Result<(), LeaseError>>,
+    ended: Option<Duration>,
+}
+
+impl Turn {
+    fn is_running(&self) -> bool {
+        self.decision == Some(Ok(())) && self.ended.is_none()
+    }
+}
+
+/// What reaches the count, or a gatekeeper.
+enum Message {
+    Write { holder: usize, sequence: u64, taken: u64 },
+    ReadOthers { holder: usize },
+    GiveUp { holder: usize, held: u64 },
+}
+
+pub(super) struct Simulation {
+    pub(super) now: Duration,
+    pub(super) budget: u64,
+    pub(super) turns: Vec<Turn>,
+    gatekeepers: Vec<Gatekeeper>,
+    entries: Vec<Entry>,
+    messages: BTreeMap<(Duration, u64), Message>,
+    last_message: u64,
+    network: Network,
+    random: fastrand::Rng,
+    /// Refusals of turns that the budget held by the rule of settled turns.
+    pub(super) false_refusals: usize,
+}
+
+impl Simulation {
+    pub(super) fn new(gatekeepers: usize, budget: u64, network: Network, seed: u64) -> Self {
+        let mut simulation = Self {
+            now: Duration::ZERO,
+            budget,
+            turns: Vec::new(),
+            gatekeepers: Vec::new(),
+            entries: Vec::new(),
+            messages: BTreeMap::new(),
+            last_message: 0,
+            network,
+            random: fastrand::Rng::with_seed(seed),
+            false_refusals: 0,
+        };
+        for _ in 0..gatekeepers {
+            let gatekeeper = simulation.new_process();
+            simulation.gatekeepers.push(gatekeeper);
+        }
+        simulation
+    }
+
+    fn new_process(&mut self) -> Gatekeeper {
+        self.entries.push(Entry::default());
+        let leases = Leases::new(self.random.u64(..));
+        Gatekeeper { leases, holder: self.entries.len() - 1, next_sequence: 1 }
+    }
+
+    pub(super) fn begin(&mut self, gatekeeper: usize, most: u64) -> usize {
+        let gatekeeper = gatekeeper % self.gatekeepers.len();
+        let (budget, now) = (self.budget, self.now);
+        let process = &mut self.gatekeepers[gatekeeper];
+        let id = process.leases.begin(PROGRAM, Terms { budget, most }, now);
+        self.turns.push(Turn { holder: process.holder, id, most, units: 0, decision: None, ended: None });
+        self.act(gatekeeper);
+        self.turns.len() - 1
+    }
+
+    /// One of the running turns.
+    pub(super) fn running(&self, choice: usize) -> Option<usize> {
+        let running: Vec<usize> =
+            (0..self.turns.len()).filter(|turn| self.turns[*turn].is_running()).collect();
+        (!running.is_empty()).then(|| running[choice % running.len()])
+    }
+
+    pub(super) fn event(&mut self, turn: usize, units: u64) {
+        let units = units.min(self.turns[turn].most - self.turns[turn].units);
+        self.turns[turn].units += units;
+        let (holder, id, now) = (self.turns[turn].holder, self.turns[turn].id, self.now);
+        if let Some(gatekeeper) = self.gatekeeper_of(holder) {
+            self.gatekeepers[gatekeeper].leases.event(id, units, now);
+            self.act(gatekeeper);
+        }
+    }
+
+    pub(super) fn end(&mut self, turn: usize) {
+        self.turns[turn].ended = Some(self.now);
+        let (holder, id, now) = (self.turns[turn].holder, self.turns[turn].id, self.now);
+        if let Some(gatekeeper) = self.gatekeeper_of(holder) {
+            self.gatekeepers[gatekeeper].leases.end(id, now);
+            self.act(gatekeeper);
+        }
+    }
+
+    /// The process is killed and started again. Its turns end broken off; what it sent may still arrive.
+    pub(super) fn kill(&mut self, gatekeeper: usize) {
+        let gatekeeper = gatekeeper % self.gatekeepers.len();
+        let process = self.new_process();
+        let killed = std::mem::replace(&mut self.gatekeepers[gatekeeper], process);
+        for turn in self.turns.iter_mut().filter(|turn| turn.holder == killed.holder && turn.ended.is_none())
+        {
+            turn.ended = Some(self.now);
+            turn.decision.get_or_insert(Err(LeaseError::Unavailable));
+        }
+    }
+
+    pub(super) fn advance(&mut self, time: Duration) {
+        let until = self.now + time;
+        loop {
+            let message = self.messages.first_key_value().map(|(key, _)| key.0);
+            let wakes = self.gatekeepers.iter().filter_map(|gatekeeper| gatekeeper.leases.next_wake());
+            let next = wakes.chain(message).min().filter(|at| *at <= until);
+            let Some(next) = next else {
+                break;
+            };
+            self.now = self.now.max(next);
+            self.deliver();
+            for gatekeeper in 0..self.gatekeepers.len() {
+                let now = self.now;
+                self.gatekeepers[gatekeeper].leases.tick(now);
+                self.act(gatekeeper);
+            }
+        }
+        self.now = until;
+    }
+
+    /// Units relayed, and those that turns under way may still relay.
+    pub(super) fn relayed_or_may_be(&self) -> u64 {
+        let units = |turn: &Turn| if turn.is_running() { turn.most } else { turn.units };
+        self.turns.iter().map(units).sum()
+    }
+
+    pub(super) fn relayed(&self) -> u64 {
+        self.turns.iter().map(|turn| turn.units).sum()
+    }
+
+    /// What the count says is taken.
+    pub(super) fn counted(&self) -> u64 {
+        self.entries.iter().map(|entry| entry.taken).sum()
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.messages.first_entry() {
+            if entry.key().0 > self.now {
+                return;
+            }
+            match entry.remove() {
+                Message::Write { holder, sequence, taken } => self.apply(holder, sequence, taken),
+                Message::ReadOthers { holder } => self.read_others(holder),
+                Message::GiveUp { holder, held } => self.give_up(holder, held),
+            }
+        }
+    }
+
+    fn apply(&mut self, holder: usize, sequence: u64, taken: u64) {
+        let entry = &mut self.entries[holder];
+        if sequence > entry.sequence {
+            *entry = Entry { sequence, taken };
+        }
+    }
+
+    fn read_others(&mut self, holder: usize) {
+        let others = self.entries.iter().enumerate().filter(|(other, _)| *other != holder);
+        let others_taken = others.map(|(_, entry)| entry.taken).sum();
+        if let Some(gatekeeper) = self.gatekeeper_of(holder) {
+            let now = self.now;
+            self.gatekeepers[gatekeeper].leases.granted(PROGRAM, others_taken, now);
+            self.act(gatekeeper);
+        }
+    }
+
+    fn give_up(&mut self, holder: usize, held: u64) {
+        if let Some(gatekeeper) = self.gatekeeper_of(holder) {
+            self.write(gatekeeper, held);
+            let now = self.now;
+            self.gatekeepers[gatekeeper].leases.unavailable(PROGRAM, now);
+            self.act(gatekeeper);
+        }
+    }
+
+    fn act(&mut self, gatekeeper: usize) {
+        for action in self.gatekeepers[gatekeeper].leases.take_actions() {
+            match action {
+                Action::Raise { held, wanted, .. } => self.raise(gatekeeper, held, wanted),
+                Action::Write { taken, .. } => {
+                    self.write(gatekeeper, taken);
+                }
+                Action::Decide { turn, decision } => self.decided(gatekeeper, turn, decision),
+            }
+        }
+    }
+
+    fn raise(&mut self, gatekeeper: usize, held: u64, wanted: u64) {
+        let holder = self.gatekeepers[gatekeeper].holder;
+        let written_at = self.write(gatekeeper, wanted);
+        if self.random.u8(..) < self.network.lost {
+            self.send(self.now + COUNT_LIMIT, Message::GiveUp { holder, held });
+        } else {
+            // What is read is what was there at some time after the write.
+            let read_at = written_at + self.way();
+            self.send(read_at, Message::ReadOthers { holder });
+        }
+    }
+
+    fn write(&mut self, gatekeeper: usize, taken: u64) -> Duration {
+        let process = &mut self.gatekeepers[gatekeeper];
+        let (holder, sequence) = (process.holder, process.next_sequence);
+        process.next_sequence += 1;
+        let at = self.now + self.way();
+        self.send(at, Message::Write { holder, sequence, taken });
+        at
+    }
+
+    fn decided(&mut self, gatekeeper: usize, id: TurnId, decision: Result<(), LeaseError>) {
+        let holder = self.gatekeepers[gatekeeper].holder;
+        let turn =
+            self.turns.iter().position(|turn| turn.holder == holder && turn.id == id).expect("a known turn");
+        assert_eq!(self.turns[turn].decision, None, "decided twice");
+        self.turns[turn].decision = Some(decision);
+        if decision.is_err() {
+            self.turns[turn].ended = Some(self.now);
+        }
+        if decision == Err(LeaseError::BudgetSpent)
+            && self.settled_use() + self.turns[turn].most <= self.budget
+        {
+            self.false_refusals += 1;
+        }
+    }
+
+    /// What counts by the rule: turns at their most until some time after their end.
+    fn settled_use(&self) -> u64 {
+        let units = |turn: &Turn| match (turn.decision, turn.ended) {
+            (Some(Ok(())), Some(ended)) if ended + SETTLE_TIME <= self.now => turn.units,
+            (Some(Err(_)), _) => 0,
+            _ => turn.most,
+        };
+        // The turn that is being decided does not count.
+        self.turns.iter().map(units).sum::<u64>()
+    }
+
+    fn gatekeeper_of(&self, holder: usize) -> Option<usize> {
+        self.gatekeepers.iter().position(|gatekeeper| gatekeeper.holder == holder)
+    }
+
+    fn way(&mut self) -> Duration {
+        Duration::from_micros(self.random.u64(0..=self.network.longest_way.as_micros() as u64))
+    }
+
+    fn send(&mut self, at: Duration, message: Message) {
+        self.last_message += 1;
+        self.messages.insert((at, self.last_message), message);
+    }
+}
