--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -32,6 +32,8 @@
 const TOKENS_OF_A_RANK: f64 = 120.0;
 /// How much more a shared part counts that a worker would have to read: it takes time from others there, too.
 const SHARED_PART_WEIGHT: f64 = 2.0;
+/// Share of a turn's prompt that the worker of the turn before it has probably kept.
+const SHARE_OF_A_CONTINUED_PROMPT: f64 = 0.8;
 /// Places in that order that are told apart.
 const RANKS: usize = 6;
 /// What a worker without a free place is set back by, in prompt tokens.
@@ -52,6 +54,8 @@
     pub parts: &'a [PromptPart],
     /// Ids of workers that this request was sent to before.
     pub tried: &'a [WorkerId],
+    /// The worker that answered the turn before this one, as another gatekeeper may have had it.
+    pub previous_worker: Option<&'a str>,
     /// The route's rank: 0 is the most urgent.
     pub priority: u32,
     /// The request goes on with a program that is under way.
@@ -152,7 +156,8 @@
                 continue;
             }
             let rank = ranks.get(*id).copied().unwrap_or(RANKS);
-            let score = self.score(now, worker, choice, rank) + fastrand::f64() * 1e-3;
+            let is_previous = choice.previous_worker == Some(&***id);
+            let score = self.score(now, worker, choice, rank, is_previous) + fastrand::f64() * 1e-3;
             if best.as_ref().is_none_or(|(least, ..)| score < *least) {
                 best = Some((score, *id, *worker));
             }
@@ -188,7 +193,14 @@
         order.into_iter().take(RANKS).enumerate().map(|(rank, (_, id))| (id, rank)).collect()
     }
 
-    fn score(&self, now: Duration, worker: &WorkerEntry, choice: &Choice<'_>, rank: usize) -> f64 {
+    fn score(
+        &self,
+        now: Duration,
+        worker: &WorkerEntry,
+        choice: &Choice<'_>,
+        rank: usize,
+        is_previous: bool,
+    ) -> f64 {
         if self.memory_tokens == 0 {
             return plain_score(now, worker);
         }
@@ -198,6 +210,9 @@
             cached = choice.parts.first().map_or(0, |part| part.tokens) / 2;
         }
         let all: u32 = choice.parts.iter().map(|part| part.tokens).sum();
+        if is_previous {
+            cached = cached.max((f64::from(all) * SHARE_OF_A_CONTINUED_PROMPT) as u32);
+        }
         let own = choice.parts.last().map_or(0, |part| part.tokens);
         let own_unread = own.min(all.saturating_sub(cached));
         let shared_unread = all.saturating_sub(own).saturating_sub(cached);
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -82,15 +82,18 @@
         let whole = body::read_whole(incoming, &self.memory, longest, until).await.map_err(unread)?;
         remove_connection_headers(&mut head.headers);
         let uri = head.uri.path_and_query().cloned().map(Into::into);
+        let service = route.choose_service(fastrand::f64()).to_owned();
+        let (turn, body) = self.begin_turn(&route, &service, &terms, whole.bytes).await?;
         Ok(ForwardedRequest {
             method: head.method,
             uri: uri.ok_or_else(|| answer::plain(StatusCode::BAD_REQUEST))?,
             headers: head.headers,
-            body: whole.bytes,
+            body,
             terms,
-            service: route.choose_service(fastrand::f64()).to_owned(),
+            service,
             route,
             until,
+            turn,
             taken: whole.taken,
         })
     }
@@ -130,6 +133,7 @@
             parts: &request.terms.parts,
             tried,
             priority: u32::from(request.route.priority),
+            previous_worker: request.turn.previous_worker(),
             under_way: request.terms.previous.is_some(),
         };
         let now = self.now();
@@ -145,7 +149,7 @@
             Err(outcome) => return Tried::Ended(outcome),
         };
         if request.route.route_type == RouteType::Streaming && is_event_stream(&exchange.parts) {
-            return Stream::begin(self, request, exchange, until).await;
+            return Stream::begin(self, request, &chosen.id, exchange, until).await;
         }
         exchange.visit.begun(exchange.load_report());
         self.plain_answer(request, exchange).await
--- a/crates/gatekeeper/src/proxy/mod.rs
+++ b/crates/gatekeeper/src/proxy/mod.rs
@@ -13,6 +13,7 @@
 mod state;
 mod stream;
 pub mod terms;
+mod turn;
 mod upstream;
 
 pub use run::{ProxyError, run, serve};
--- a/crates/gatekeeper/src/proxy/request.rs
+++ b/crates/gatekeeper/src/proxy/request.rs
@@ -1,6 +1,6 @@
 //! A client's request, read whole and checked.
 
-use crate::proxy::{body::Taken, terms::Terms};
+use crate::proxy::{body::Taken, terms::Terms, turn::Turn};
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 use opalrun_configuration::Route;
@@ -32,6 +32,8 @@
     pub service: String,
     /// When it is to have been answered.
     pub until: Instant,
+    /// What it is as a turn of a program.
+    pub turn: Turn,
     /// Keeps the body's place in memory.
     pub taken: Taken,
 }
--- a/crates/gatekeeper/src/proxy/run.rs
+++ b/crates/gatekeeper/src/proxy/run.rs
@@ -16,8 +16,10 @@
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// After SIGTERM the platform still sends new connections until it has seen that the process is not ready.
 const NEW_CONNECTIONS_LINGER: Duration = Duration::from_millis(2500);
+/// How long the stores may take to note what is given back of programs' budgets.
+const LEASE_RETURN_LIMIT: Duration = Duration::from_millis(500);
 /// Kept of the time until SIGKILL.
-const KILL_MARGIN: Duration = Duration::from_millis(700);
+const KILL_MARGIN: Duration = Duration::from_millis(1200);
 
 /// Why the proxy could not run.
 #[derive(Debug, Snafu)]
@@ -73,11 +75,13 @@
     proxy.stop();
     server.stop();
     server.send_away(true);
-    tokio::time::sleep(NEW_CONNECTIONS_LINGER).await;
+    let lingering = tokio::time::sleep(NEW_CONNECTIONS_LINGER);
+    tokio::join!(lingering, proxy.give_leases_back(LEASE_RETURN_LIMIT));
     accepting.abort();
     server.close();
     let until = settings.bounds.grace.saturating_sub(NEW_CONNECTIONS_LINGER + KILL_MARGIN);
     let _ = tokio::time::timeout(until, all_ended(&server)).await;
+    proxy.give_leases_back(LEASE_RETURN_LIMIT).await;
     answering.abort();
 }
 
--- a/crates/gatekeeper/src/proxy/state.rs
+++ b/crates/gatekeeper/src/proxy/state.rs
@@ -1,17 +1,22 @@
 //! What the proxy holds beside its requests: the configuration, the workers and the connections to them.
 
-use crate::proxy::{
-    balance::{Balancer, WorkerId},
-    body::BodyMemory,
+use crate::{
+    lease::ProgramLeases,
+    proxy::{
+        balance::{Balancer, WorkerId},
+        body::BodyMemory,
+    },
+    turns::Turns,
 };
 use fnv::FnvHashMap;
 use opalrun_configuration::Configuration;
 use opalrun_settings::Settings;
+use opalrun_store_client::StoreClient;
 use opalrun_transport::{
     clock::Clock,
     pool::{self, Pools, WorkerLimits},
 };
-use opalrun_wire::feed::{Worker, WorkerState};
+use opalrun_wire::feed::{StoreMap, Worker, WorkerState};
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -26,6 +31,8 @@
 const RESERVED_DESCRIPTORS: u64 = 260;
 /// Of all bodies together, this share of the memory may be held.
 const BODY_MEMORY_SHARE: f64 = 0.15;
+/// Memory for what was said in recent turns.
+const TURN_CACHE_BYTES: usize = 8 << 20;
 /// Connections that one worker takes where its service does not say.
 const USUAL_CONNECTIONS: u32 = 64;
 const BYTES_PER_MB: f64 = 1e6;
@@ -44,6 +51,11 @@
     pub(super) pools: Rc<Pools>,
     /// Memory for the bodies of requests.
     pub(super) memory: BodyMemory,
+    /// What programs may still spend here.
+    pub(super) leases: ProgramLeases<Rc<StoreClient>>,
+    /// What was said in earlier turns.
+    pub(super) turns: Turns<Rc<StoreClient>>,
+    store_client: Rc<StoreClient>,
 }
 
 impl Proxy {
@@ -53,6 +65,7 @@
         let pool_settings =
             pool::Settings { idle_limit: USUAL_IDLE_LIMIT_S, sharers: 1, connect_timeout: CONNECT_TIMEOUT };
         let budget = connections_to_workers(settings);
+        let store_client = StoreClient::new(fastrand::u64(..), &settings.zone);
         let body_bytes = (settings.limits.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE) as usize;
         Rc::new(Self {
             zone: settings.zone.clone(),
@@ -65,6 +78,9 @@
             stopping: Cell::new(false),
             pools: Pools::new(budget, pool_settings, Clock::steady(), fastrand::u64(..)),
             memory: BodyMemory::new(body_bytes),
+            leases: ProgramLeases::new(store_client.clone(), fastrand::u64(..)),
+            turns: Turns::new(store_client.clone(), TURN_CACHE_BYTES),
+            store_client,
         })
     }
 
@@ -131,6 +147,16 @@
         }
     }
 
+    /// Which store holds what.
+    pub fn set_store_map(&self, map: StoreMap) {
+        self.store_client.set_map(map);
+    }
+
+    /// Gives back what turns under way do not need of their programs' budgets; `false`: not all in time.
+    pub(super) async fn give_leases_back(&self, limit: Duration) -> bool {
+        self.leases.drain(limit).await
+    }
+
     /// What is known was fresh a moment ago.
     pub fn set_informed(&self) {
         self.informed.set(true);
--- a/crates/gatekeeper/src/proxy/stream.rs
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -8,6 +8,7 @@
     event_stream::{Event, EventReader},
     handler::{Tried, is_event_stream, pass_on},
     request::ForwardedRequest,
+    turn::NotKept,
     upstream::{BrokenOff, Exchange},
 };
 use bytes::Bytes;
@@ -18,6 +19,7 @@
     time::{Duration, Instant},
 };
 use tokio::{sync::mpsc, time::timeout_at};
+use tracing::warn;
 
 /// Events on their way to a client that does not read them yet.
 const EVENTS_AHEAD: usize = 16;
@@ -30,6 +32,8 @@
 pub struct Stream {
     proxy: Rc<Proxy>,
     request: Rc<ForwardedRequest>,
+    /// The worker that sends the events.
+    worker: WorkerId,
     /// `None` while the stream is taken up elsewhere.
     exchange: Option<Exchange>,
     reader: EventReader,
@@ -50,12 +54,14 @@
     pub async fn begin(
         proxy: &Rc<Proxy>,
         request: &Rc<ForwardedRequest>,
+        worker: &WorkerId,
         exchange: Exchange,
         until: Instant,
     ) -> Tried {
         let mut stream = Self {
             proxy: proxy.clone(),
             request: request.clone(),
+            worker: worker.clone(),
             exchange: Some(exchange),
             reader: EventReader::default(),
             last_id: request.terms.last_event_id,
@@ -63,7 +69,7 @@
         while !stream.reader.has_event() {
             match stream.read_on(until).await {
                 Came::Bytes => {}
-                Came::End => return stream.without_events(),
+                Came::End => return stream.without_events().await,
                 Came::Broken | Came::ClientGone => return Tried::Ended(Outcome::MayHaveRun),
             }
         }
@@ -72,14 +78,23 @@
     }
 
     /// The worker's answer is whole and holds no event.
-    fn without_events(mut self) -> Tried {
+    async fn without_events(mut self) -> Tried {
         let rest = self.reader.take_rest();
         let Some(exchange) = self.exchange.take() else { return Tried::Ended(Outcome::MayHaveRun) };
         let parts = exchange.parts.clone();
         exchange.finish();
+        if self.keep_turn().await.is_err() {
+            return Tried::Ended(Outcome::MayHaveRun);
+        }
         Tried::Answer(pass_on(parts, answer::whole(rest)))
     }
 
+    /// Keeps the turn, where its route is for turns that are retained.
+    async fn keep_turn(&self) -> Result<(), NotKept> {
+        let (request, worker) = (&self.request, &self.worker);
+        self.proxy.keep_turn(&request.turn, &request.terms.request_id, worker).await
+    }
+
     fn first_event_came(&self) {
         if let Some(exchange) = &self.exchange {
             exchange.visit.begun(exchange.load_report());
@@ -137,6 +152,7 @@
             return true;
         }
         self.last_id = event.id.or(self.last_id);
+        self.request.turn.event(&event);
         events.send(Piece::Data(event.raw)).await.is_ok()
     }
 
@@ -146,6 +162,10 @@
         if let Some(exchange) = self.exchange.take() {
             exchange.finish();
         }
+        if self.keep_turn().await.is_err() {
+            warn!("a turn could not be kept: its answer is cut");
+            return;
+        }
         if !rest.is_empty() && events.send(Piece::Data(rest)).await.is_err() {
             return;
         }
@@ -185,6 +205,7 @@
                 Ok(exchange) if is_event_stream(&exchange.parts) => {
                     exchange.visit.begun(exchange.load_report());
                     self.exchange = Some(exchange);
+                    self.worker = chosen.id;
                     return true;
                 }
                 Ok(_) => Outcome::WorkerFailed,
--- a/crates/gatekeeper/src/proxy/terms.rs
+++ b/crates/gatekeeper/src/proxy/terms.rs
@@ -1,8 +1,8 @@
 //! What a request's headers say about how it is to be served.
 
-use crate::proxy::balance::PromptPart;
+use crate::{lease, proxy::balance::PromptPart};
 use hyper::{HeaderMap, header::HeaderName};
-use snafu::Snafu;
+use snafu::{ResultExt, Snafu};
 use std::time::Duration;
 
 #[cfg(test)]
@@ -39,17 +39,17 @@
 const MAX_NAME_BYTES: usize = 256;
 
 /// Why a request can't be served at all.
-#[derive(Debug, Snafu, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Snafu, Clone, PartialEq, Eq)]
 pub enum BadRequest {
     /// `Request-Id` is missing, doubled, empty or too long.
     #[snafu(display("a request needs one Request-Id of 1 to {MAX_NAME_BYTES} characters"))]
     RequestId,
-    /// `Budget` is no whole number.
-    #[snafu(display("Budget is to be a whole number"))]
-    Budget,
-    /// `Token-Usage` is not two whole numbers.
-    #[snafu(display("Token-Usage is to be two whole numbers separated by a comma"))]
-    TokenUsage,
+    /// `Budget` or `Token-Usage` can't be meant.
+    #[snafu(display("{source}"))]
+    Budget {
+        /// Which one.
+        source: lease::TermsError,
+    },
     /// `Program` is doubled, empty or too long.
     #[snafu(display("Program is to be one text of 1 to {MAX_NAME_BYTES} characters"))]
     Program,
@@ -63,10 +63,8 @@
 pub struct ProgramTerms {
     /// The program.
     pub program: String,
-    /// What its turns may emit together.
-    pub budget: u64,
-    /// What this turn emits at most.
-    pub most: u64,
+    /// What its turns may emit together, and this one.
+    pub terms: lease::Terms,
 }
 
 /// What a request's headers say.
@@ -108,11 +106,9 @@
 fn program(headers: &HeaderMap) -> Result<Option<ProgramTerms>, BadRequest> {
     let program = name(headers, &PROGRAM).map_err(|Improper| BadRequest::Program)?;
     let (Some(program), true) = (program, headers.contains_key(BUDGET)) else { return Ok(None) };
-    let budget = number(headers, &BUDGET).ok_or(BadRequest::Budget)?;
-    let usage = text(headers, &TOKEN_USAGE).and_then(|usage| usage.split_once(','));
-    let (_prompt, most) = usage.ok_or(BadRequest::TokenUsage)?;
-    let most = most.trim().parse().map_err(|_| BadRequest::TokenUsage)?;
-    Ok(Some(ProgramTerms { program, budget, most }))
+    let terms =
+        lease::Terms::parse(text(headers, &BUDGET), text(headers, &TOKEN_USAGE)).context(BudgetSnafu)?;
+    Ok(Some(ProgramTerms { program, terms }))
 }
 
 /// A header that is doubled, empty, too long or no text.
--- a/crates/gatekeeper/src/proxy/terms/tests.rs
+++ b/crates/gatekeeper/src/proxy/terms/tests.rs
@@ -1,4 +1,5 @@
 use super::{BadRequest, ProgramTerms, Terms};
+use crate::lease;
 use hyper::{HeaderMap, header::HeaderName, header::HeaderValue};
 use std::time::Duration;
 
@@ -24,7 +25,9 @@
         ("last-event-id", "12"),
     ]));
     let terms = terms.expect("a proper turn");
-    assert_eq!(terms.program, Some(ProgramTerms { program: "3fa81c".to_owned(), budget: 1080, most: 135 }));
+    let expected =
+        ProgramTerms { program: "3fa81c".to_owned(), terms: lease::Terms { budget: 1080, most: 135 } };
+    assert_eq!(terms.program, Some(expected));
     assert_eq!(terms.deadline, Some(Duration::from_secs(5)));
     assert_eq!(terms.previous.as_deref(), Some("9c41"));
     assert_eq!(terms.last_event_id, Some(12));
@@ -40,16 +43,18 @@
 fn what_decides_about_a_request_must_be_readable() {
     let id = ("request-id", "1");
     let program = ("program", "p");
-    let cases: [(&[(&'static str, &str)], BadRequest); 7] = [
+    let cases: [(&[(&'static str, &str)], BadRequest); 5] = [
         (&[], BadRequest::RequestId),
         (&[("request-id", "")], BadRequest::RequestId),
         (&[id, ("request-id", "2")], BadRequest::RequestId),
-        (&[id, program, ("budget", "-3"), ("token-usage", "1,2")], BadRequest::Budget),
-        (&[id, program, ("budget", "5"), ("token-usage", "12")], BadRequest::TokenUsage),
         (&[id, program, ("program", "q"), ("budget", "5")], BadRequest::Program),
         (&[id, ("previous", "a"), ("previous", "b")], BadRequest::Previous),
     ];
     for (list, problem) in cases {
         assert_eq!(Terms::read(&headers(list)), Err(problem), "{list:?}");
     }
+    for list in [[("budget", "-3"), ("token-usage", "1,2")], [("budget", "5"), ("token-usage", "12")]] {
+        let read = Terms::read(&headers(&[&[id, program], &list[..]].concat()));
+        assert!(matches!(read, Err(BadRequest::Budget { .. })), "{list:?}");
+    }
 }
