--- a/crates/control/src/process/duties.rs
+++ b/crates/control/src/process/duties.rs
@@ -12,7 +12,10 @@
     frame::encode,
 };
 use std::{mem, rc::Rc, time::Duration};
-use tokio::time::{MissedTickBehavior, interval};
+use tokio::{
+    task::JoinHandle,
+    time::{MissedTickBehavior, interval},
+};
 
 /// How often the owner of a shard looks at what time has brought.
 const OWNER_PERIOD: Duration = Duration::from_millis(250);
@@ -27,11 +30,14 @@
 
 impl ControlProcess {
     /// Starts everything that the process does by itself.
-    pub fn start_duties(self: &Rc<Self>) {
-        tokio::task::spawn_local(Rc::clone(self).follow_directory());
-        tokio::task::spawn_local(Rc::clone(self).repeat_owner_duties());
-        tokio::task::spawn_local(Rc::clone(self).repeat_reports());
-        tokio::task::spawn_local(Rc::clone(self).repeat_hello());
+    #[must_use = "the tasks run on until they are aborted"]
+    pub fn start_duties(self: &Rc<Self>) -> Vec<JoinHandle<()>> {
+        vec![
+            tokio::task::spawn_local(Rc::clone(self).follow_directory()),
+            tokio::task::spawn_local(Rc::clone(self).repeat_owner_duties()),
+            tokio::task::spawn_local(Rc::clone(self).repeat_reports()),
+            tokio::task::spawn_local(Rc::clone(self).repeat_hello()),
+        ]
     }
 
     /// Lets the groups of replicas follow the directory.
--- a/crates/control/src/process/operations.rs
+++ b/crates/control/src/process/operations.rs
@@ -29,6 +29,8 @@
 const TOLD_LIMIT: Duration = Duration::from_millis(300);
 /// How long the acknowledgement of a configuration waits for the gatekeepers to have it in force.
 const IN_FORCE_LIMIT: Duration = Duration::from_millis(400);
+/// Within this time of its arrival a call is answered in any case, as callers go elsewhere after a second.
+const ANSWER_LIMIT: Duration = Duration::from_millis(900);
 /// How long out of touch this process may be and still acknowledge heartbeats that say nothing new.
 const HICCUP: Duration = Duration::from_millis(1500);
 
@@ -129,6 +131,7 @@
     /// # Errors
     /// Where what it says could not be committed in time.
     pub async fn heartbeat(self: &Rc<Self>, worker: Worker) -> Result<(), Unavailable> {
+        let arrived = Instant::now();
         let shard = shard_of_service(&worker.service);
         let nothing_new = self.shards.with_sessions(shard, |sessions| sessions.says_nothing_new(&worker));
         if nothing_new == Some(true) {
@@ -142,7 +145,7 @@
         let command = SessionCommand::Put(worker);
         let (index, _) = self.submit(shard, encode(&command).to_vec()).await?;
         self.note_renewal(shard, &id);
-        self.tell_others(shard, index).await;
+        self.tell_others(shard, index, arrived).await;
         Ok(())
     }
 
@@ -151,6 +154,7 @@
     /// # Errors
     /// Where that could not be committed in time.
     pub async fn remove_worker(self: &Rc<Self>, id: &str) -> Result<(), Unavailable> {
+        let arrived = Instant::now();
         let knows = |shard: &u16| {
             let known = self.shards.with_sessions(*shard, |sessions| sessions.workers().contains_key(id));
             known == Some(true)
@@ -165,7 +169,7 @@
             let command = encode(&SessionCommand::Remove { id: id.to_owned() }).to_vec();
             tasks.spawn_local(async move {
                 let (index, _) = process.submit(shard, command).await?;
-                process.tell_others(shard, index).await;
+                process.tell_others(shard, index, arrived).await;
                 Ok(())
             });
         }
@@ -182,6 +186,7 @@
         if_match: u64,
         body: Vec<u8>,
     ) -> Result<ConfigurationAnswer, Unavailable> {
+        let arrived = Instant::now();
         let generation = match Configuration::parse(&body) {
             Ok(configuration) => configuration.generation,
             Err(problems) => {
@@ -192,7 +197,7 @@
         let command = ConfigurationCommand::PutConfiguration { if_match, generation, body, sha256 };
         match self.submit_configuration(&command).await? {
             ConfigurationOutcome::Accepted | ConfigurationOutcome::AlreadyAccepted => {
-                self.await_in_force(generation).await;
+                self.await_in_force(generation, arrived).await;
                 Ok(ConfigurationAnswer::Accepted)
             }
             ConfigurationOutcome::Conflict { current } => Ok(ConfigurationAnswer::Conflict { current }),
@@ -259,15 +264,17 @@
     }
 
     /// Gives the other control processes, and so the gatekeepers that subscribe there, the time to hear of a change.
-    async fn tell_others(self: &Rc<Self>, shard: u16, index: u64) {
-        let limit_ms = TOLD_LIMIT.as_millis() as u64;
-        self.ask_all(ControlCall::AwaitApplied { shard, index, limit_ms }, TOLD_LIMIT).await;
+    async fn tell_others(self: &Rc<Self>, shard: u16, index: u64, arrived: Instant) {
+        let limit = TOLD_LIMIT.min(time_left(arrived));
+        let call = ControlCall::AwaitApplied { shard, index, limit_ms: limit.as_millis() as u64 };
+        self.ask_all(call, limit).await;
     }
 
     /// Waits a while until gatekeepers have a configuration in force.
-    async fn await_in_force(self: &Rc<Self>, generation: u64) {
-        let limit_ms = IN_FORCE_LIMIT.as_millis() as u64;
-        self.ask_all(ControlCall::AwaitGeneration { generation, limit_ms }, IN_FORCE_LIMIT).await;
+    async fn await_in_force(self: &Rc<Self>, generation: u64, arrived: Instant) {
+        let limit = IN_FORCE_LIMIT.min(time_left(arrived));
+        let call = ControlCall::AwaitGeneration { generation, limit_ms: limit.as_millis() as u64 };
+        self.ask_all(call, limit).await;
     }
 
     /// Asks all control processes, this one too, and waits for their answers, but not longer than `limit`.
@@ -293,6 +300,11 @@
     }
 }
 
+/// What is left of the time for an answer to a call.
+fn time_left(arrived: Instant) -> Duration {
+    (arrived + ANSWER_LIMIT).saturating_duration_since(Instant::now())
+}
+
 /// What became of one try to have a command committed.
 pub(super) enum Submission {
     /// It is committed at this index, with this outcome.
--- a/crates/control/src/process/store_watch.rs
+++ b/crates/control/src/process/store_watch.rs
@@ -57,10 +57,10 @@
     fn note_new_stores(&mut self, table: &StoreTable, now: Duration) {
         for entry in table.stores() {
             let identity = entry.node.identity;
-            if !self.first_seen.contains_key(&identity) {
-                self.first_seen.insert(identity, now);
+            self.first_seen.entry(identity).or_insert_with(|| {
                 self.last_new = Some(now);
-            }
+                now
+            });
         }
     }
 
--- a/crates/control/src/process/tests.rs
+++ b/crates/control/src/process/tests.rs
@@ -1,1 +1,177 @@
+//! What the owner of shard 0 concludes from the passing of time.
 
+use super::{member_watch::MemberWatch, store_watch::StoreWatch};
+use crate::store_map::{Silence, StoreCommand, StoreTable};
+use opalrun_wire::feed::{ControlNode, StoreNode, StoreState};
+use std::time::Duration;
+
+const REPLICAS: u16 = 3;
+
+fn millis(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn hello(table: &mut StoreTable, identity: u64) {
+    let node = StoreNode {
+        identity,
+        node_name: format!("store-{identity}"),
+        address: format!("10.0.0.{identity}:7000"),
+        zone: "zone".to_owned(),
+        state: StoreState::Active,
+    };
+    table.apply(&StoreCommand::Hello { node });
+}
+
+/// Looks four times a second from `from` to `to`, the stores in `heard` being heard at each look, and applies what
+/// follows; returns it.
+fn pass(
+    watch: &mut StoreWatch,
+    table: &mut StoreTable,
+    heard: &[u64],
+    from: u64,
+    to: u64,
+) -> Vec<(u64, StoreCommand)> {
+    let mut all = Vec::new();
+    for at in (from..to).step_by(250) {
+        for identity in heard {
+            watch.heard(*identity, millis(at));
+        }
+        for command in watch.look(table, REPLICAS, millis(at)) {
+            table.apply(&command);
+            all.push((at, command));
+        }
+    }
+    all
+}
+
+#[test]
+fn the_first_map_waits_a_second_for_further_stores() {
+    let (mut watch, mut table) = (StoreWatch::default(), StoreTable::default());
+    for identity in 1..=3 {
+        hello(&mut table, identity);
+    }
+    assert!(pass(&mut watch, &mut table, &[], 0, 750).is_empty());
+    hello(&mut table, 4);
+    let formed = pass(&mut watch, &mut table, &[1, 2, 3, 4], 750, 3000);
+    assert_eq!(formed, [(1750, StoreCommand::Form { replicas: REPLICAS })]);
+}
+
+#[test]
+fn too_few_stores_are_waited_for_longer() {
+    let (mut watch, mut table) = (StoreWatch::default(), StoreTable::default());
+    hello(&mut table, 1);
+    let formed = pass(&mut watch, &mut table, &[1], 0, 6000);
+    assert_eq!(formed, [(4000, StoreCommand::Form { replicas: REPLICAS })]);
+}
+
+#[test]
+fn no_stores_make_no_map() {
+    let (mut watch, mut table) = (StoreWatch::default(), StoreTable::default());
+    assert!(pass(&mut watch, &mut table, &[], 0, 20_000).is_empty());
+}
+
+fn three_stores() -> (StoreWatch, StoreTable) {
+    let (mut watch, mut table) = (StoreWatch::default(), StoreTable::default());
+    for identity in 1..=3 {
+        hello(&mut table, identity);
+    }
+    pass(&mut watch, &mut table, &[1, 2, 3], 0, 2000);
+    assert!(table.is_formed());
+    (watch, table)
+}
+
+#[test]
+fn a_store_that_falls_silent_is_noted_twice_and_once_when_it_is_back() {
+    let (mut watch, mut table) = three_stores();
+    let noted = pass(&mut watch, &mut table, &[1, 2], 2000, 14_000);
+    let of = |silence| StoreCommand::Silence { identity: 3, silence };
+    assert_eq!(
+        noted.iter().map(|(_, command)| command.clone()).collect::<Vec<_>>(),
+        [of(Silence::Short), of(Silence::Long)]
+    );
+    let back = pass(&mut watch, &mut table, &[1, 2, 3], 14_000, 15_000);
+    assert_eq!(back, [(14_000, of(Silence::Heard))]);
+}
+
+#[test]
+fn an_owner_that_did_not_run_blames_no_store() {
+    let (mut watch, mut table) = three_stores();
+    assert!(pass(&mut watch, &mut table, &[], 12_000, 14_000).is_empty());
+}
+
+#[test]
+fn a_silence_noted_by_an_owner_before_ends_when_the_store_is_heard() {
+    let (_, mut table) = three_stores();
+    table.apply(&StoreCommand::Silence { identity: 3, silence: Silence::Short });
+    let mut watch = StoreWatch::default();
+    assert!(pass(&mut watch, &mut table, &[1, 2], 0, 5000).is_empty());
+    assert_eq!(pass(&mut watch, &mut table, &[1, 2, 3], 5000, 6000).len(), 1);
+}
+
+#[test]
+fn a_new_store_settles_while_all_are_well() {
+    let (mut watch, mut table) = three_stores();
+    hello(&mut table, 4);
+    let settled = pass(&mut watch, &mut table, &[1, 2, 3, 4], 2000, 7000);
+    assert_eq!(settled, [(5000, StoreCommand::Settled { identity: 4 })]);
+}
+
+#[test]
+fn a_new_store_takes_the_place_of_a_silent_one_before_it_is_settled() {
+    let (mut watch, mut table) = three_stores();
+    hello(&mut table, 4);
+    let noted = pass(&mut watch, &mut table, &[1, 2, 4], 2000, 5000);
+    assert_eq!(noted.len(), 1);
+    let holds = table
+        .map()
+        .partitions
+        .iter()
+        .all(|partition| partition.replicas.iter().any(|replica| replica.store == 4));
+    assert!(holds);
+}
+
+fn members(count: u64) -> Vec<ControlNode> {
+    (1..=count)
+        .map(|identity| ControlNode {
+            identity,
+            node_name: format!("core-{identity}"),
+            peer_address: String::new(),
+            control_address: String::new(),
+            zone: String::new(),
+        })
+        .collect()
+}
+
+/// Looks from `from` to `to` with member 4 silent all the while.
+fn drop_while_silent(
+    watch: &mut MemberWatch,
+    members: &[ControlNode],
+    from: u64,
+    to: u64,
+) -> Option<(u64, u64)> {
+    let silent_for = |identity| if identity == 4 { Duration::MAX } else { Duration::ZERO };
+    (from..to).step_by(250).find_map(|at| Some((at, watch.look(members, 1, silent_for, millis(at))?)))
+}
+
+#[test]
+fn a_silent_member_is_dropped_if_enough_are_left() {
+    let mut watch = MemberWatch::new(3);
+    assert_eq!(drop_while_silent(&mut watch, &members(4), 0, 10_000), Some((2750, 4)));
+    let mut watch = MemberWatch::new(4);
+    assert_eq!(drop_while_silent(&mut watch, &members(4), 0, 10_000), None);
+}
+
+#[test]
+fn a_new_owner_watches_a_member_for_a_while_before_it_drops_it() {
+    let mut watch = MemberWatch::new(3);
+    assert_eq!(drop_while_silent(&mut watch, &members(4), 0, 2000), None);
+    watch.suspend();
+    assert_eq!(drop_while_silent(&mut watch, &members(4), 2000, 4500), None);
+}
+
+#[test]
+fn an_owner_that_did_not_run_drops_no_member() {
+    let mut watch = MemberWatch::new(3);
+    assert_eq!(drop_while_silent(&mut watch, &members(4), 0, 1000), None);
+    assert_eq!(drop_while_silent(&mut watch, &members(4), 6000, 8500), None);
+}
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -37,7 +37,7 @@
 /// A control process that serves.
 pub struct Control {
     process: Rc<ControlProcess>,
-    servers: Vec<JoinHandle<()>>,
+    tasks: Vec<JoinHandle<()>>,
 }
 
 impl Control {
@@ -53,11 +53,10 @@
         let feed_listener = Listener::bind(feed_address).await.context(FeedSnafu)?;
         let process = start_process(settings, api_address).await?;
         tracing::info!(identity = process.host().identity(), "the control process serves");
-        let servers = vec![
-            tokio::task::spawn_local(feed::serve(Rc::clone(&process), feed_listener)),
-            tokio::task::spawn_local(api_server.serve(Rc::clone(&process))),
-        ];
-        Ok(Self { process, servers })
+        let mut tasks = process.start_duties();
+        tasks.push(tokio::task::spawn_local(feed::serve(Rc::clone(&process), feed_listener)));
+        tasks.push(tokio::task::spawn_local(api_server.serve(Rc::clone(&process))));
+        Ok(Self { process, tasks })
     }
 
     /// The process that serves.
@@ -71,8 +70,8 @@
         let _ = timeout(HAND_OVER_LIMIT, self.process.host().hand_over()).await;
         self.process.stop();
         sleep(LAST_CALLS_LIMIT).await;
-        for server in self.servers {
-            server.abort();
+        for task in self.tasks {
+            task.abort();
         }
     }
 }
@@ -99,7 +98,6 @@
     };
     let process = ControlProcess::new(options, host, shards);
     process.connect();
-    process.start_duties();
     Ok(process)
 }
 
--- a/crates/control/src/shards.rs
+++ b/crates/control/src/shards.rs
@@ -22,7 +22,7 @@
 /// One shard's state.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone)]
 enum ShardState {
-    Configuration(ConfigurationShard),
+    Configuration(Box<ConfigurationShard>),
     Sessions(SessionShard),
 }
 
@@ -48,7 +48,7 @@
 impl Shard {
     fn new(number: u16) -> Self {
         let state = if number == CONFIGURATION_SHARD {
-            ShardState::Configuration(ConfigurationShard::default())
+            ShardState::Configuration(Box::default())
         } else {
             ShardState::Sessions(SessionShard::default())
         };
