--- /dev/null
+++ b/crates/store/src/journal.rs
@@ -0,0 +1,152 @@
+//! The thread that writes the log: all records that wait are written with one sync.
+
+use opalrun_storage::{RecordLog, StorageError};
+use opalrun_wire::ResultCode;
+use rkyv::util::AlignedVec;
+use std::{
+    sync::mpsc::{Receiver, Sender, channel},
+    thread,
+    time::Duration,
+};
+use tokio::sync::watch;
+
+/// Pause before a full disk is tried again.
+const FULL_DISK_PAUSE: Duration = Duration::from_millis(100);
+
+/// What the thread has done.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct JournalStatus {
+    /// All records before this number are on disk.
+    pub synced: u64,
+    /// Bytes of the log.
+    pub bytes: u64,
+    /// The disk is full; what was handed over waits until it takes it.
+    pub is_full: bool,
+    /// The disk has failed: nothing more is written.
+    pub failed: Option<ResultCode>,
+}
+
+/// The log's thread, seen from the store's.
+#[derive(Debug)]
+pub struct Journal {
+    commands: Sender<Command>,
+    status: watch::Receiver<JournalStatus>,
+}
+
+#[derive(Debug)]
+enum Command {
+    Write(Vec<AlignedVec>),
+    DropBefore(u64),
+}
+
+impl Journal {
+    /// Starts the thread.
+    #[must_use]
+    pub fn start(log: RecordLog) -> Self {
+        let (commands, received) = channel();
+        let status =
+            JournalStatus { synced: log.next_record(), bytes: log.bytes(), is_full: false, failed: None };
+        let (status_sender, status) = watch::channel(status);
+        thread::spawn(move || Writer { log, received, status: status_sender }.run());
+        Self { commands, status }
+    }
+
+    /// Hands over records. They last once [`synced`](Self::synced) says so.
+    pub fn write(&self, records: Vec<AlignedVec>) {
+        // A thread that has ended has told so in its status.
+        let _ = self.commands.send(Command::Write(records));
+    }
+
+    /// Drops the log's oldest part, as far as it holds only records before this number, after everything that was
+    /// handed over earlier is written.
+    pub fn drop_before(&self, record: u64) {
+        let _ = self.commands.send(Command::DropBefore(record));
+    }
+
+    /// What the thread has done by now.
+    #[must_use]
+    pub fn status(&self) -> JournalStatus {
+        *self.status.borrow()
+    }
+
+    /// Waits until a record is on disk.
+    ///
+    /// # Errors
+    /// The result code with which the disk failed.
+    pub async fn synced(&self, record: u64) -> Result<(), ResultCode> {
+        let mut status = self.status.clone();
+        let status = status.wait_for(|status| status.synced > record || status.failed.is_some()).await;
+        match status.map(|status| status.failed) {
+            Ok(None) => Ok(()),
+            Ok(Some(code)) => Err(code),
+            Err(_) => Err(ResultCode::DISK_FAILED),
+        }
+    }
+
+    /// Waits until the disk has failed.
+    pub async fn failed(&self) -> ResultCode {
+        let mut status = self.status.clone();
+        let status = status.wait_for(|status| status.failed.is_some()).await;
+        status.ok().and_then(|status| status.failed).unwrap_or(ResultCode::DISK_FAILED)
+    }
+}
+
+/// The thread's side.
+struct Writer {
+    log: RecordLog,
+    received: Receiver<Command>,
+    status: watch::Sender<JournalStatus>,
+}
+
+impl Writer {
+    fn run(mut self) {
+        while let Ok(first) = self.received.recv() {
+            if let Err(error) = self.run_batch(first) {
+                tracing::error!(%error, "the disk failed");
+                self.status.send_modify(|status| status.failed = Some(error.code()));
+                return;
+            }
+        }
+    }
+
+    /// Writes what waits with one sync, and drops the oldest part as far as was said.
+    fn run_batch(&mut self, first: Command) -> Result<(), StorageError> {
+        let mut records = Vec::new();
+        let mut drop_before = None;
+        let mut next = Some(first);
+        while let Some(command) = next {
+            match command {
+                Command::Write(more) => records.extend(more),
+                Command::DropBefore(record) => drop_before = Some(record),
+            }
+            next = self.received.try_recv().ok();
+        }
+        self.write(&records)?;
+        if let Some(record) = drop_before {
+            self.log.drop_before(record)?;
+        }
+        let (synced, bytes) = (self.log.next_record(), self.log.bytes());
+        self.status.send_modify(|status| {
+            status.synced = synced;
+            status.bytes = bytes;
+            status.is_full = false;
+        });
+        Ok(())
+    }
+
+    /// Writes records; a full disk is tried again until it takes them.
+    fn write(&mut self, records: &[AlignedVec]) -> Result<(), StorageError> {
+        loop {
+            for record in records {
+                self.log.append(record);
+            }
+            match self.log.sync() {
+                Err(error) if error.is_full() => {
+                    self.status.send_if_modified(|status| !std::mem::replace(&mut status.is_full, true));
+                    thread::sleep(FULL_DISK_PAUSE);
+                }
+                written => return written,
+            }
+        }
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,16 +1,15 @@
-//! The store: it keeps what programs have spent and said.
+//! The store: it keeps the counts of programs and the retained turns of the partitions that it is a replica of.
 #![forbid(unsafe_code)]
 
-use opalrun_settings::Settings;
-use std::{convert::Infallible, future::pending};
+pub mod copy;
+mod error;
+mod identity;
+mod journal;
+pub mod record;
+mod server;
+pub mod state;
 
-/// Runs the role until SIGTERM.
-///
-/// # Errors
-/// None yet.
-pub async fn run(_settings: Settings) -> Result<(), Infallible> {
-    tokio::select! {
-        () = opalrun_net::signals::terminated() => Ok(()),
-        never = pending() => never,
-    }
-}
+pub use error::StoreError;
+pub use identity::Identity;
+pub use journal::{Journal, JournalStatus};
+pub use server::StoreServer;
--- /dev/null
+++ b/crates/store/src/server.rs
@@ -0,0 +1,169 @@
+//! The store at work: requests, maps and copies around the state machine and the log.
+
+use crate::{
+    error::{RecordSnafu, StorageSnafu, StoreError},
+    journal::Journal,
+    state::{Handled, StoreLimits, StoreState},
+};
+use opalrun_storage::{DataDirectory, RecordLog, RecordLogOptions};
+use opalrun_wire::{
+    feed::{STORE_PARTITIONS, StoreMap},
+    frame::FrameError,
+    store::{CountEntry, StoreReply, StoreRequest, Turn},
+};
+use snafu::ResultExt;
+use std::{
+    cell::{Cell, Ref, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
+
+/// How long a request from a newer epoch waits for the map.
+const MAP_WAIT: Duration = Duration::from_millis(300);
+/// The log's name in the folder.
+const LOG_NAME: &str = "store";
+/// Size of a segment of the log.
+const SEGMENT_BYTES: u64 = 4 << 20;
+/// The log is cleaned when it is larger than twice the live data and this.
+const CLEANING_SLACK_BYTES: u64 = 12 << 20;
+/// Data written anew in one step of cleaning.
+const CLEANING_STEP_BYTES: usize = 256 << 10;
+
+/// A store's state with its log.
+pub struct StoreServer {
+    identity: u64,
+    state: RefCell<StoreState>,
+    journal: Journal,
+    started: Instant,
+    map_changed: Notify,
+    /// The partition that is looked through next for what has expired.
+    expire_next: Cell<u16>,
+}
+
+impl StoreServer {
+    /// Opens the log and takes its records in.
+    ///
+    /// # Errors
+    /// Where the log can't be read.
+    pub fn open(directory: &DataDirectory, identity: u64, limits: StoreLimits) -> Result<Rc<Self>, StoreError> {
+        let mut state = StoreState::new(identity, limits);
+        let mut unreadable: Option<(u64, FrameError)> = None;
+        let options = RecordLogOptions { segment_bytes: SEGMENT_BYTES };
+        let log = RecordLog::open(directory, LOG_NAME, options, |number, record| {
+            if let Err(error) = state.replay(number, record, Duration::ZERO) {
+                unreadable.get_or_insert((number, error));
+            }
+        })
+        .context(StorageSnafu)?;
+        if let Some((number, source)) = unreadable {
+            return Err(source).context(RecordSnafu { number });
+        }
+        state.start_at(log.next_record());
+        state.set_disk(log.bytes(), false);
+        Ok(Rc::new(Self {
+            identity,
+            state: RefCell::new(state),
+            journal: Journal::start(log),
+            started: Instant::now(),
+            map_changed: Notify::new(),
+            expire_next: Cell::new(0),
+        }))
+    }
+
+    /// The store's identity.
+    #[must_use]
+    pub fn identity(&self) -> u64 {
+        self.identity
+    }
+
+    /// The state.
+    #[must_use]
+    pub fn state(&self) -> Ref<'_, StoreState> {
+        self.state.borrow()
+    }
+
+    /// The log.
+    #[must_use]
+    pub fn journal(&self) -> &Journal {
+        &self.journal
+    }
+
+    /// Takes a newer store map; returns whether it was newer.
+    pub fn set_map(&self, map: Rc<StoreMap>) -> bool {
+        let is_newer = self.state.borrow_mut().set_map(map);
+        self.submit();
+        if is_newer {
+            self.map_changed.notify_waiters();
+        }
+        is_newer
+    }
+
+    /// Waits for the next change of the map.
+    pub async fn map_changed(&self) {
+        self.map_changed.notified().await;
+    }
+
+    /// Serves a request.
+    pub async fn serve(&self, request: StoreRequest) -> StoreReply {
+        let deadline = Instant::now() + MAP_WAIT;
+        loop {
+            let changed = self.map_changed.notified();
+            let handled = self.state.borrow_mut().handle(&request, self.started.elapsed());
+            self.submit();
+            match handled {
+                Handled::Reply(reply) => return reply,
+                Handled::AfterSync { record, reply } => return self.after_sync(record, reply).await,
+                Handled::NewerEpoch if timeout_at(deadline, changed).await.is_ok() => {}
+                Handled::NewerEpoch => return self.state.borrow().stale(),
+            }
+        }
+    }
+
+    /// Takes in a page of another store and waits until it is on disk.
+    pub async fn merge_page(&self, counts: Vec<(String, Vec<CountEntry>)>, turns: Vec<(Turn, u64)>) -> bool {
+        let record = self.state.borrow_mut().merge_page(counts, turns, self.started.elapsed());
+        self.submit();
+        self.journal.synced(record).await.is_ok()
+    }
+
+    /// The work of every second: forgets what has expired, and keeps the log short.
+    pub fn tidy(&self) {
+        let partitions_a_step = STORE_PARTITIONS / 8;
+        let now = self.started.elapsed();
+        let mut state = self.state.borrow_mut();
+        let first = self.expire_next.get();
+        for partition in first..first + partitions_a_step {
+            state.expire(partition, now);
+        }
+        self.expire_next.set((first + partitions_a_step) % STORE_PARTITIONS);
+        let status = self.journal.status();
+        if status.bytes > 2 * state.live_bytes() as u64 + CLEANING_SLACK_BYTES && !status.is_full {
+            state.rewrite_oldest(CLEANING_STEP_BYTES, now);
+        }
+        let oldest = state.oldest_record();
+        drop(state);
+        self.submit();
+        self.journal.drop_before(oldest);
+    }
+
+    async fn after_sync(&self, record: u64, reply: StoreReply) -> StoreReply {
+        match self.journal.synced(record).await {
+            Ok(()) => reply,
+            Err(code) => StoreReply::Failed { code: code.0 },
+        }
+    }
+
+    /// Hands new records over to the log, and takes in what is known of the disk.
+    fn submit(&self) {
+        let status = self.journal.status();
+        let mut state = self.state.borrow_mut();
+        state.set_disk(status.bytes, status.is_full);
+        if state.has_records() {
+            self.journal.write(state.take_records());
+        }
+    }
+}
--- /dev/null
+++ b/crates/store/src/state/partition.rs
@@ -0,0 +1,177 @@
+//! What a store holds of one partition: items in the order of the records that hold their newest state.
+
+use opalrun_wire::store::{CountEntry, Turn};
+use std::{
+    collections::{BTreeMap, HashMap},
+    rc::Rc,
+    time::Duration,
+};
+
+/// Bytes that an item is reckoned to take beside its data.
+const ITEM_OVERHEAD_BYTES: usize = 160;
+
+/// Everything that is held of a partition. Each item is numbered by the record of the log that holds its newest state.
+#[derive(Debug, Default)]
+pub struct PartitionData {
+    items: BTreeMap<u64, Item>,
+    programs: HashMap<Rc<str>, u64>,
+    turns: HashMap<Rc<str>, u64>,
+    bytes: usize,
+}
+
+/// A program's count or a turn.
+#[derive(Debug)]
+pub enum Item {
+    /// A program's count.
+    Program(ProgramCount),
+    /// A turn.
+    Turn(KeptTurn),
+}
+
+/// The count of a program.
+#[derive(Debug)]
+pub struct ProgramCount {
+    /// The program.
+    pub program: Rc<str>,
+    /// The newest entry of each holder.
+    pub entries: Vec<CountEntry>,
+    /// When it is forgotten, by the steady clock.
+    pub expires: Duration,
+}
+
+/// A turn and how long it is kept.
+#[derive(Debug)]
+pub struct KeptTurn {
+    /// Its id, shared with the index.
+    pub id: Rc<str>,
+    /// The turn.
+    pub turn: Turn,
+    /// When it is forgotten, by the steady clock.
+    pub expires: Duration,
+}
+
+impl Item {
+    /// Bytes of memory that it takes, about.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        let data = match self {
+            Self::Program(count) => count.program.len() + count.entries.len() * size_of::<CountEntry>(),
+            Self::Turn(kept) => turn_bytes(&kept.turn),
+        };
+        data + ITEM_OVERHEAD_BYTES
+    }
+
+    fn expires(&self) -> Duration {
+        match self {
+            Self::Program(count) => count.expires,
+            Self::Turn(kept) => kept.expires,
+        }
+    }
+}
+
+fn turn_bytes(turn: &Turn) -> usize {
+    let ancestors: usize = turn.ancestors.iter().map(|ancestor| ancestor.len() + size_of::<String>()).sum();
+    turn.id.len() + ancestors + turn.input.len() + turn.output.len() + turn.worker.len()
+}
+
+impl PartitionData {
+    /// Bytes of memory that the items take, about.
+    #[must_use]
+    pub fn bytes(&self) -> usize {
+        self.bytes
+    }
+
+    /// The lowest record that some item still needs.
+    #[must_use]
+    pub fn oldest_record(&self) -> Option<u64> {
+        self.items.first_key_value().map(|(number, _)| *number)
+    }
+
+    /// A program's count, with its record.
+    #[must_use]
+    pub fn program(&self, program: &str) -> Option<(u64, &ProgramCount)> {
+        let number = *self.programs.get(program)?;
+        match self.items.get(&number) {
+            Some(Item::Program(count)) => Some((number, count)),
+            _ => None,
+        }
+    }
+
+    /// A turn that has not expired, with its record.
+    #[must_use]
+    pub fn turn(&self, id: &str, now: Duration) -> Option<(u64, &KeptTurn)> {
+        let number = *self.turns.get(id)?;
+        match self.items.get(&number) {
+            Some(Item::Turn(kept)) if kept.expires > now => Some((number, kept)),
+            _ => None,
+        }
+    }
+
+    /// Puts a program's count at a record, in place of what was known of it.
+    pub fn put_program(&mut self, number: u64, program: &str, entries: Vec<CountEntry>, expires: Duration) {
+        let known = self.programs.get(program).copied();
+        if let Some(known) = known {
+            self.take(known);
+        }
+        let program: Rc<str> = Rc::from(program);
+        self.programs.insert(program.clone(), number);
+        self.insert(number, Item::Program(ProgramCount { program, entries, expires }));
+    }
+
+    /// Puts a turn at a record, in place of what was known of it.
+    pub fn put_turn(&mut self, number: u64, turn: Turn, expires: Duration) {
+        let known = self.turns.get(turn.id.as_str()).copied();
+        let known_expires =
+            known.and_then(|known| self.take(known)).map_or(Duration::ZERO, |item| item.expires());
+        let id: Rc<str> = Rc::from(turn.id.as_str());
+        self.turns.insert(id.clone(), number);
+        let expires = expires.max(known_expires);
+        self.insert(number, Item::Turn(KeptTurn { id, turn, expires }));
+    }
+
+    /// Keeps a program's count until `expires` at least.
+    pub fn extend_program(&mut self, program: &str, expires: Duration) {
+        let Some(number) = self.programs.get(program) else { return };
+        if let Some(Item::Program(count)) = self.items.get_mut(number) {
+            count.expires = count.expires.max(expires);
+        }
+    }
+
+    /// Keeps a turn until `expires` at least.
+    pub fn extend_turn(&mut self, id: &str, expires: Duration) {
+        let Some(number) = self.turns.get(id) else { return };
+        if let Some(Item::Turn(kept)) = self.items.get_mut(number) {
+            kept.expires = kept.expires.max(expires);
+        }
+    }
+
+    /// Removes the item at a record and returns it.
+    pub fn take(&mut self, number: u64) -> Option<Item> {
+        let item = self.items.remove(&number)?;
+        self.bytes -= item.bytes();
+        match &item {
+            Item::Program(count) => self.programs.remove(&count.program),
+            Item::Turn(kept) => self.turns.remove(&kept.id),
+        };
+        Some(item)
+    }
+
+    /// Removes what has expired.
+    pub fn expire(&mut self, now: Duration) {
+        let expired: Vec<u64> =
+            self.items.iter().filter(|(_, item)| item.expires() <= now).map(|(number, _)| *number).collect();
+        for number in expired {
+            self.take(number);
+        }
+    }
+
+    /// The items from a record on, in order.
+    pub fn items_from(&self, number: u64) -> impl Iterator<Item = (u64, &Item)> {
+        self.items.range(number..).map(|(number, item)| (*number, item))
+    }
+
+    fn insert(&mut self, number: u64, item: Item) {
+        self.bytes += item.bytes();
+        self.items.insert(number, item);
+    }
+}
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -24,7 +24,7 @@
     pub input: Vec<u8>,
     /// The data of each of its events, each followed by a line feed.
     pub output: Vec<u8>,
-    /// Milliseconds for which it is to be kept from when it is written.
+    /// Milliseconds for which it is to be kept from when it is written. Stores keep it for longer.
     pub retention_ms: u64,
     /// The worker that answered it, as a hint for the next turn.
     pub worker: String,
@@ -56,6 +56,18 @@
         /// Its id.
         id: String,
     },
+    /// Keeps turns for as long as if they had been written now, since another turn builds on them. All of them lie in one
+    /// partition; those that are not here are passed over.
+    ExtendTurns {
+        /// The epoch of the sender's map.
+        epoch: u64,
+        /// The partition.
+        partition: u16,
+        /// Their ids.
+        ids: Vec<String>,
+        /// Milliseconds for which they are to be kept from now on.
+        retention_ms: u64,
+    },
     /// From another store: a page of everything that it holds of a partition, for a replica that is not whole.
     CopyPartition {
         /// The epoch of the asking store's map: the answer must come from a store that knows it, too.
@@ -77,7 +89,7 @@
         /// All entries, the one written included.
         entries: Vec<CountEntry>,
     },
-    /// The turn is durable.
+    /// The turn is durable, or the turns are extended.
     Stored {
         /// This replica is whole.
         whole: bool,
@@ -91,10 +103,10 @@
     },
     /// A page of a partition.
     Page {
-        /// Entries of counts, by program.
-        counts: Vec<(String, CountEntry)>,
+        /// Programs with all entries of their counts.
+        counts: Vec<(String, Vec<CountEntry>)>,
         /// Turns, with the milliseconds that are left of their time.
-        turns: Vec<Turn>,
+        turns: Vec<(Turn, u64)>,
         /// Where the next page begins; `None`: that was all.
         next: Option<u64>,
         /// The replica that answered is whole.
