--- a/crates/store-client/src/client.rs
+++ b/crates/store-client/src/client.rs
@@ -1,8 +1,21 @@
-//! The client: it keeps a connection to each store and runs the operations.
+//! The client: what all operations share.
 
-use crate::{CountError, TurnError};
-use opalrun_wire::{feed::StoreMap, store::Turn};
-use std::{rc::Rc, time::Duration};
+use crate::{
+    calls::{Calls, Links},
+    counts::Operations,
+    layout::{Layout, Layouts},
+    retention::KeptTurns,
+};
+use opalrun_wire::feed::StoreMap;
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+    time::Duration,
+};
+use tokio::{
+    sync::Notify,
+    time::{Instant, timeout_at},
+};
 
 /// What a raised entry was granted on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -13,15 +26,37 @@
 
 /// A gatekeeper's client of the stores. All of it runs on one thread, inside a `tokio::task::LocalSet`.
 pub struct StoreClient {
-    holder: u64,
+    pub(crate) holder: u64,
+    pub(crate) zone: String,
+    pub(crate) links: Rc<Links>,
+    pub(crate) layouts: Layouts,
+    pub(crate) started: Instant,
+    /// The sequence of the last write of an entry, over all programs, so that none is used twice.
+    pub(crate) sequence: Cell<u64>,
+    pub(crate) operations: Operations,
+    pub(crate) kept: RefCell<KeptTurns>,
+    /// Writes that go on in the background.
+    pub(crate) background: Cell<usize>,
+    pub(crate) background_done: Notify,
 }
 
 impl StoreClient {
     /// A client that writes counts as `holder` (drawn at each start of the gatekeeper's proxy) and reads turns from
     /// stores in `zone` first.
     #[must_use]
-    pub fn new(holder: u64, _zone: &str) -> Rc<Self> {
-        Rc::new(Self { holder })
+    pub fn new(holder: u64, zone: &str) -> Rc<Self> {
+        Rc::new(Self {
+            holder,
+            zone: zone.to_owned(),
+            links: Rc::default(),
+            layouts: Layouts::default(),
+            started: Instant::now(),
+            sequence: Cell::new(0),
+            operations: Operations::default(),
+            kept: RefCell::default(),
+            background: Cell::new(0),
+            background_done: Notify::new(),
+        })
     }
 
     /// The holder's number.
@@ -31,50 +66,60 @@
     }
 
     /// Takes a newer store map; an older one is ignored. Operations that wait for it go on.
-    pub fn set_map(&self, _map: StoreMap) {}
-
-    /// Writes that this holder has taken `wanted` units of the program's budget in all, and reads what all others have
-    /// taken. The caller may use `wanted` units only where `wanted + others_taken` is within the budget; what does not
-    /// fit it gives back by [`lower`](Self::lower). On a failure the entry goes back to `held` by itself, and the
-    /// caller still has `held` units and no more.
-    ///
-    /// One operation on a program at a time: a later one of the same program ends this one with
-    /// [`CountError::Superseded`].
-    ///
-    /// # Errors
-    /// [`CountError::Unavailable`] at the end of `limit`, with nothing granted.
-    pub async fn raise(
-        self: &Rc<Self>,
-        _program: &str,
-        _held: u64,
-        _wanted: u64,
-        _limit: Duration,
-    ) -> Result<Granted, CountError> {
-        Err(CountError::Unavailable)
+    pub fn set_map(&self, map: StoreMap) {
+        let map = Rc::new(map);
+        if map.epoch > self.layouts.map().epoch {
+            self.links.set_stores(&map);
+            self.layouts.set(map);
+        }
     }
 
-    /// Writes that this holder has `taken` units only: the others were given back and are not used any more. Goes on in
-    /// the background, with retries.
-    pub fn lower(self: &Rc<Self>, _program: &str, _taken: u64) {}
+    /// Waits until all writes that go on in the background are done; `false` where that took longer than `limit`.
+    pub async fn flush(&self, limit: Duration) -> bool {
+        let deadline = Instant::now() + limit;
+        loop {
+            let done = self.background_done.notified();
+            if self.background.get() == 0 {
+                return true;
+            }
+            if timeout_at(deadline, done).await.is_err() {
+                return false;
+            }
+        }
+    }
 
-    /// Waits until all lowered entries are written; `false` where that took longer than `limit`.
-    pub async fn flush(&self, _limit: Duration) -> bool {
-        true
+    /// Runs an operation in the newest layout of a partition, and anew in a later one when the partition has moved
+    /// meanwhile; `None` at the deadline.
+    pub(crate) async fn in_layout<T, F>(&self, number: u16, deadline: Instant, mut operation: F) -> Option<T>
+    where
+        F: AsyncFnMut(&Layout) -> T,
+    {
+        let running = async {
+            loop {
+                let layout = self.layouts.get(number).await;
+                tokio::select! {
+                    biased;
+                    () = self.layouts.outdated(&layout) => {}
+                    done = operation(&layout) => return done,
+                }
+            }
+        };
+        timeout_at(deadline, running).await.ok()
     }
 
-    /// Stores a turn; done when a quorum of whole replicas has it on disk. To do it again is harmless.
-    ///
-    /// # Errors
-    /// [`TurnError::Unavailable`] at the end of `limit`: it may or may not be kept.
-    pub async fn put_turn(self: &Rc<Self>, _turn: &Turn, _limit: Duration) -> Result<(), TurnError> {
-        Err(TurnError::Unavailable)
+    /// Calls of stores that end at `deadline`.
+    pub(crate) fn calls<T: Copy + 'static>(&self, deadline: Instant) -> Calls<T> {
+        Calls::new(self.links.clone(), deadline)
     }
 
-    /// Reads a turn. `None` is certain: a quorum of whole replicas lacks it.
-    ///
-    /// # Errors
-    /// [`TurnError::Unavailable`] where neither is certain at the end of `limit`.
-    pub async fn get_turn(self: &Rc<Self>, _id: &str, _limit: Duration) -> Result<Option<Turn>, TurnError> {
-        Err(TurnError::Unavailable)
+    /// Runs a write in the background.
+    pub(crate) fn spawn_write(self: &Rc<Self>, write: impl Future<Output = ()> + 'static) {
+        self.background.set(self.background.get() + 1);
+        let client = self.clone();
+        tokio::task::spawn_local(async move {
+            write.await;
+            client.background.set(client.background.get() - 1);
+            client.background_done.notify_waiters();
+        });
     }
 }
--- /dev/null
+++ b/crates/store-client/src/layout.rs
@@ -0,0 +1,92 @@
+//! The store map that operations use, and waiting for another one.
+
+use opalrun_wire::feed::{Partition, StoreMap};
+use std::{
+    cell::{Cell, RefCell},
+    rc::Rc,
+};
+use tokio::sync::Notify;
+
+/// Where a partition lies, as of an epoch.
+#[derive(Debug, Clone)]
+pub struct Layout {
+    /// The partition's number.
+    pub number: u16,
+    /// The epoch of the map.
+    pub epoch: u64,
+    /// The replicas.
+    pub partition: Partition,
+    /// A store has said that it knows a newer map.
+    is_stale: Cell<bool>,
+}
+
+impl Layout {
+    /// A store has said that it knows a newer map.
+    pub fn set_stale(&self) {
+        self.is_stale.set(true);
+    }
+}
+
+/// The newest store map.
+#[derive(Default)]
+pub struct Layouts {
+    map: RefCell<Rc<StoreMap>>,
+    changed: Notify,
+}
+
+impl Layouts {
+    /// Takes a newer map; returns whether it was newer.
+    pub fn set(&self, map: Rc<StoreMap>) -> bool {
+        if map.epoch <= self.map.borrow().epoch {
+            return false;
+        }
+        self.map.replace(map);
+        self.changed.notify_waiters();
+        true
+    }
+
+    /// The map.
+    pub fn map(&self) -> Rc<StoreMap> {
+        self.map.borrow().clone()
+    }
+
+    /// Where a partition lies; waits for the first map.
+    pub async fn get(&self, number: u16) -> Layout {
+        loop {
+            let changed = self.changed.notified();
+            if let Some(layout) = self.current(number) {
+                return layout;
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits until the partition lies otherwise than `layout` says, or until there is any newer map where a store has
+    /// said that it knows one.
+    pub async fn outdated(&self, layout: &Layout) {
+        loop {
+            let changed = self.changed.notified();
+            if self.is_outdated(layout) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Whether [`outdated`](Self::outdated) would be over.
+    pub fn is_outdated(&self, layout: &Layout) -> bool {
+        let Some(current) = self.current(layout.number) else { return false };
+        current.partition != layout.partition || (layout.is_stale.get() && current.epoch > layout.epoch)
+    }
+
+    /// The zone of a store.
+    pub fn is_in_zone(&self, store: u64, zone: &str) -> bool {
+        self.map.borrow().stores.iter().any(|node| node.identity == store && node.zone == zone)
+    }
+
+    fn current(&self, number: u16) -> Option<Layout> {
+        let map = self.map.borrow();
+        let partition = map.partitions.get(usize::from(number))?.clone();
+        Some(Layout { number, epoch: map.epoch, partition, is_stale: Cell::new(false) })
+    }
+}
--- a/crates/store-client/src/lib.rs
+++ b/crates/store-client/src/lib.rs
@@ -4,8 +4,16 @@
 //! slow, dead or cut off store is never waited for.
 #![forbid(unsafe_code)]
 
+mod calls;
 mod client;
+mod counts;
 mod error;
+mod layout;
+mod quorum;
+pub mod raise;
+mod retention;
+mod turns;
 
 pub use client::{Granted, StoreClient};
 pub use error::{CountError, TurnError};
+pub use quorum::Answers;
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -1,7 +1,6 @@
 //! What ends a store.
 
 use opalrun_net::NetError;
-use opalrun_settings::SettingsError;
 use opalrun_storage::StorageError;
 use opalrun_wire::{ResultCode, frame::FrameError};
 use snafu::Snafu;
@@ -10,12 +9,6 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum StoreError {
-    /// The settings lack something.
-    #[snafu(display("{source}"))]
-    Settings {
-        /// What is wrong.
-        source: SettingsError,
-    },
     /// The disk can't be read or written.
     #[snafu(display("{source}"))]
     Storage {
--- a/crates/store/src/server.rs
+++ b/crates/store/src/server.rs
@@ -49,7 +49,11 @@
     ///
     /// # Errors
     /// Where the log can't be read.
-    pub fn open(directory: &DataDirectory, identity: u64, limits: StoreLimits) -> Result<Rc<Self>, StoreError> {
+    pub fn open(
+        directory: &DataDirectory,
+        identity: u64,
+        limits: StoreLimits,
+    ) -> Result<Rc<Self>, StoreError> {
         let mut state = StoreState::new(identity, limits);
         let mut unreadable: Option<(u64, FrameError)> = None;
         let options = RecordLogOptions { segment_bytes: SEGMENT_BYTES };
--- a/crates/store/src/state/mod.rs
+++ b/crates/store/src/state/mod.rs
@@ -274,6 +274,7 @@
         }
         for partition in 0..self.partitions.len() {
             match self.partitions[partition].take(number) {
+                Some(item) if item.expires() <= now => {}
                 Some(Item::Program(count)) => {
                     let program = count.program.to_string();
                     let record = Record::Program { program, entries: count.entries.clone() };
--- a/crates/store/src/state/partition.rs
+++ b/crates/store/src/state/partition.rs
@@ -61,7 +61,9 @@
         data + ITEM_OVERHEAD_BYTES
     }
 
-    fn expires(&self) -> Duration {
+    /// When it is forgotten, by the steady clock.
+    #[must_use]
+    pub fn expires(&self) -> Duration {
         match self {
             Self::Program(count) => count.expires,
             Self::Turn(kept) => kept.expires,
--- a/crates/store/src/state/requests.rs
+++ b/crates/store/src/state/requests.rs
@@ -142,8 +142,9 @@
 
     fn get_turn(&self, whole: bool, id: &str, now: Duration) -> Handled {
         let kept = self.partitions[usize::from(partition_of(id))].turn(id, now);
+        let left_ms = kept.map_or(0, |(_, kept)| millis_until(kept.expires, now));
         let turn = kept.map(|(_, kept)| kept.turn.clone());
-        Handled::AfterSync { record: self.epoch_record, reply: StoreReply::Turn { whole, turn } }
+        Handled::AfterSync { record: self.epoch_record, reply: StoreReply::Turn { whole, turn, left_ms } }
     }
 
     /// Extending is kept in memory only: after a restart everything is kept for its whole time anew.
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -79,6 +79,20 @@
     },
 }
 
+impl StoreRequest {
+    /// The epoch of the sender's map.
+    #[must_use]
+    pub fn epoch(&self) -> u64 {
+        match self {
+            Self::WriteCount { epoch, .. }
+            | Self::PutTurn { epoch, .. }
+            | Self::GetTurn { epoch, .. }
+            | Self::ExtendTurns { epoch, .. }
+            | Self::CopyPartition { epoch, .. } => *epoch,
+        }
+    }
+}
+
 /// A store's answer.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
 pub enum StoreReply {
@@ -100,6 +114,8 @@
         whole: bool,
         /// The turn, if it is here.
         turn: Option<Turn>,
+        /// Milliseconds for which it is kept yet.
+        left_ms: u64,
     },
     /// A page of a partition.
     Page {
