--- a/crates/store-client/src/calls.rs
+++ b/crates/store-client/src/calls.rs
@@ -88,7 +88,9 @@
                     return;
                 }
                 match link.call(&request, left.min(CALL_LIMIT)).await {
-                    Ok(StoreReply::StaleEpoch { epoch }) if epoch <= request.epoch() => sleep(RETRY_PAUSE).await,
+                    Ok(StoreReply::StaleEpoch { epoch }) if epoch <= request.epoch() => {
+                        sleep(RETRY_PAUSE).await
+                    }
                     Ok(StoreReply::Failed { .. }) | Err(_) => sleep(RETRY_PAUSE).await,
                     Ok(reply) => {
                         // Nobody waits any more where the operation is done.
--- a/crates/store-client/src/client.rs
+++ b/crates/store-client/src/client.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     calls::{Calls, Links},
-    counts::Operations,
+    counts::{Operations, TakeBacks},
     layout::{Layout, Layouts},
     retention::KeptTurns,
 };
@@ -34,6 +34,7 @@
     /// The sequence of the last write of an entry, over all programs, so that none is used twice.
     pub(crate) sequence: Cell<u64>,
     pub(crate) operations: Operations,
+    pub(crate) take_backs: TakeBacks,
     pub(crate) kept: RefCell<KeptTurns>,
     /// Writes that go on in the background.
     pub(crate) background: Cell<usize>,
@@ -53,6 +54,7 @@
             started: Instant::now(),
             sequence: Cell::new(0),
             operations: Operations::default(),
+            take_backs: TakeBacks::default(),
             kept: RefCell::default(),
             background: Cell::new(0),
             background_done: Notify::new(),
--- a/crates/store-client/src/counts.rs
+++ b/crates/store-client/src/counts.rs
@@ -11,7 +11,10 @@
     store::{CountEntry, StoreReply, StoreRequest},
 };
 use std::{cell::RefCell, collections::HashMap, future::pending, rc::Rc, time::Duration};
-use tokio::time::{Instant, sleep_until};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, sleep_until},
+};
 
 /// Once an entry is at a quorum, the other replicas get this long before the second round begins.
 const SECOND_ROUND_PAUSE: Duration = Duration::from_millis(3);
@@ -70,20 +73,53 @@
     }
 }
 
-/// Takes a raised entry back unless the raise was granted: also where the caller has given the operation up.
-struct TakeBack {
-    client: Rc<StoreClient>,
-    program: String,
+/// A raise that was not granted yet. Where it ends without a grant, also because its caller has given it up, the entry
+/// is taken back.
+struct Raising {
+    operation: Operation,
     held: u64,
-    /// Set where nothing is to be taken back.
-    disarmed: bool,
+    is_granted: bool,
 }
 
-impl Drop for TakeBack {
+impl Drop for Raising {
     fn drop(&mut self) {
-        if !self.disarmed {
-            self.client.lower(&self.program, self.held);
+        if self.is_granted || !self.operation.is_newest() {
+            return;
         }
+        let client = &self.operation.client;
+        let operation = Operation::begin(client, &self.operation.program);
+        client.take_backs.push(operation, self.held);
+    }
+}
+
+/// Entries that are to be taken back, on their way to the task that does it.
+pub struct TakeBacks {
+    sender: mpsc::UnboundedSender<(Operation, u64)>,
+    /// Until the task is started.
+    receiver: RefCell<Option<mpsc::UnboundedReceiver<(Operation, u64)>>>,
+}
+
+impl Default for TakeBacks {
+    fn default() -> Self {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        Self { sender, receiver: RefCell::new(Some(receiver)) }
+    }
+}
+
+impl TakeBacks {
+    fn push(&self, operation: Operation, held: u64) {
+        // The task ends only with the client.
+        let _ = self.sender.send((operation, held));
+    }
+
+    /// Starts the task unless it runs. It ends when the client is dropped.
+    fn start(&self) {
+        let Some(mut receiver) = self.receiver.take() else { return };
+        tokio::task::spawn_local(async move {
+            while let Some((operation, held)) = receiver.recv().await {
+                operation.client.clone().write_lowered(operation, held);
+            }
+        });
     }
 }
 
@@ -106,27 +142,29 @@
         limit: Duration,
     ) -> Result<Granted, CountError> {
         let deadline = Instant::now() + limit;
-        let operation = Operation::begin(self, program);
-        let mut take_back = TakeBack { client: self.clone(), program: program.to_owned(), held, disarmed: false };
-        let entry = operation.entry(wanted);
+        self.take_backs.start();
+        let mut raising = Raising { operation: Operation::begin(self, program), held, is_granted: false };
+        let entry = raising.operation.entry(wanted);
         let raised = self
             .in_layout(partition_of(program), deadline, async |layout| {
                 self.raise_in(layout, program, entry, deadline).await
             })
             .await;
-        if !operation.is_newest() {
-            take_back.disarmed = true;
+        if !raising.operation.is_newest() {
             return Err(CountError::Superseded);
         }
         let others_taken = raised.ok_or(CountError::Unavailable)?;
-        take_back.disarmed = true;
+        raising.is_granted = true;
         Ok(Granted { others_taken })
     }
 
     /// Writes that this holder has `taken` units only: the others were given back and are not used any more. Goes on in
     /// the background, with retries, until a quorum has it or a later operation takes its place.
     pub fn lower(self: &Rc<Self>, program: &str, taken: u64) {
-        let operation = Operation::begin(self, program);
+        self.write_lowered(Operation::begin(self, program), taken);
+    }
+
+    fn write_lowered(self: &Rc<Self>, operation: Operation, taken: u64) {
         let client = self.clone();
         self.spawn_write(async move {
             let deadline = Instant::now() + LOWER_LIMIT;
@@ -191,7 +229,7 @@
     pub(crate) async fn note_stale(&self, layout: &Layout) {
         layout.set_stale();
         if self.layouts.is_outdated(layout) {
-            self.layouts.renew();
+            self.layouts.look_again();
             pending::<()>().await;
         }
     }
--- a/crates/store-client/src/layout.rs
+++ b/crates/store-client/src/layout.rs
@@ -79,7 +79,12 @@
         current.partition != layout.partition || (layout.is_stale.get() && current.epoch > layout.epoch)
     }
 
-    /// The zone of a store.
+    /// Lets waiting operations look again whether their layout is outdated.
+    pub fn look_again(&self) {
+        self.changed.notify_waiters();
+    }
+
+    /// Whether a store is in a zone.
     pub fn is_in_zone(&self, store: u64, zone: &str) -> bool {
         self.map.borrow().stores.iter().any(|node| node.identity == store && node.zone == zone)
     }
--- a/crates/store-client/src/turns.rs
+++ b/crates/store-client/src/turns.rs
@@ -3,13 +3,15 @@
 use crate::{StoreClient, TurnError, layout::Layout, quorum::Answers};
 use opalrun_wire::{
     feed::partition_of,
-    store::{StoreReply, StoreRequest, Turn},
+    store::{StoreReply, StoreRequest, Turn, keep_ms},
 };
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// After this time without the nearest replica's answer the others are asked as well.
 const HEDGE_AFTER: Duration = Duration::from_millis(6);
+/// Longest that a write may be under way before it is known here that it is done.
+const WRITE_SLACK: Duration = Duration::from_secs(5);
 /// How long the turns of a chain are tried to be kept longer.
 const EXTEND_LIMIT: Duration = Duration::from_secs(5);
 
@@ -29,7 +31,7 @@
             })
             .await;
         stored.ok_or(TurnError::Unavailable)?;
-        self.note_kept(&turn.id, Duration::from_millis(turn.retention_ms));
+        self.note_kept(&turn.id, kept_after_write(turn.retention_ms));
         Ok(())
     }
 
@@ -129,14 +131,19 @@
                 })
                 .await;
             if extended.is_some() {
-                ids.iter().for_each(|id| client.note_kept(id, Duration::from_millis(retention_ms)));
+                ids.iter().for_each(|id| client.note_kept(id, kept_after_write(retention_ms)));
             }
         });
     }
 
-    /// The stores keep a turn for `left` from now on at least. They keep what is written for longer than is asked.
+    /// The stores keep a turn for `left` from now on at least.
     fn note_kept(&self, id: &str, left: Duration) {
         let now = self.started.elapsed();
         self.kept.borrow_mut().note(id, now + left, now);
     }
 }
+
+/// How long the stores keep a turn at least after it is known that they have written or extended it.
+fn kept_after_write(retention_ms: u64) -> Duration {
+    Duration::from_millis(keep_ms(retention_ms)).saturating_sub(WRITE_SLACK)
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -1,6 +1,7 @@
 //! What ends a store.
 
 use opalrun_net::NetError;
+use opalrun_settings::SettingsError;
 use opalrun_storage::StorageError;
 use opalrun_wire::{ResultCode, frame::FrameError};
 use snafu::Snafu;
@@ -9,6 +10,12 @@
 #[derive(Debug, Snafu)]
 #[snafu(visibility(pub(crate)))]
 pub enum StoreError {
+    /// The settings lack something.
+    #[snafu(display("{source}"))]
+    Settings {
+        /// What is wrong.
+        source: SettingsError,
+    },
     /// The disk can't be read or written.
     #[snafu(display("{source}"))]
     Storage {
--- a/crates/store/src/server.rs
+++ b/crates/store/src/server.rs
@@ -18,7 +18,7 @@
     time::Duration,
 };
 use tokio::{
-    sync::Notify,
+    sync::{Notify, futures::Notified},
     time::{Instant, timeout_at},
 };
 
@@ -106,9 +106,9 @@
         is_newer
     }
 
-    /// Waits for the next change of the map.
-    pub async fn map_changed(&self) {
-        self.map_changed.notified().await;
+    /// Is over with the next change of the map after this call.
+    pub fn map_changed(&self) -> Notified<'_> {
+        self.map_changed.notified()
     }
 
     /// Serves a request.
--- a/crates/store/src/state/mod.rs
+++ b/crates/store/src/state/mod.rs
@@ -23,12 +23,6 @@
 
 /// A program's count is forgotten this long after its last write.
 pub const COUNT_RETENTION: Duration = Duration::from_secs(600);
-/// A turn is kept for this many times its retention, so that one that goes on being built on rarely has to be extended.
-pub const RETENTION_FACTOR: u64 = 2;
-/// A turn is kept for this much longer: it is stored before the end of its answer reaches the client.
-pub const RETENTION_SLACK_MS: u64 = 10_000;
-/// Longest retention that is taken over, so that no client can fill a store for good.
-pub const MAX_RETENTION_MS: u64 = 3_600_000;
 /// Data that goes into one page of a copy, in bytes, about.
 pub const PAGE_BYTES: usize = 64 << 10;
 
--- a/crates/store/src/state/requests.rs
+++ b/crates/store/src/state/requests.rs
@@ -1,13 +1,10 @@
 //! Serving requests.
 
-use super::{
-    Handled, Item, MAX_RETENTION_MS, PAGE_BYTES, RETENTION_FACTOR, RETENTION_SLACK_MS, StoreState,
-    millis_until,
-};
+use super::{Handled, Item, PAGE_BYTES, StoreState, millis_until};
 use opalrun_wire::{
     ResultCode,
     feed::{Partition, partition_of},
-    store::{CountEntry, StoreReply, StoreRequest, Turn},
+    store::{CountEntry, StoreReply, StoreRequest, Turn, keep_ms},
 };
 use std::time::Duration;
 
@@ -174,8 +171,3 @@
     partition.sources.contains(&store)
         || partition.replicas.iter().any(|replica| replica.store == store && replica.whole)
 }
-
-/// How long a turn is kept that is to be kept for `retention_ms` at least.
-fn keep_ms(retention_ms: u64) -> u64 {
-    retention_ms.min(MAX_RETENTION_MS) * RETENTION_FACTOR + RETENTION_SLACK_MS
-}
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -2,6 +2,19 @@
 
 use rkyv::{Archive, Deserialize, Serialize};
 
+/// A turn is kept for this many times its retention, so that one that goes on being built on rarely has to be extended.
+const RETENTION_FACTOR: u64 = 2;
+/// A turn is kept for this much longer: it is stored before the end of its answer reaches the client.
+const RETENTION_SLACK_MS: u64 = 10_000;
+/// Longest retention that is taken over, so that no client can fill a store for good.
+const MAX_RETENTION_MS: u64 = 3_600_000;
+
+/// For how long a store keeps a turn that is to be kept for `retention_ms` at least.
+#[must_use]
+pub fn keep_ms(retention_ms: u64) -> u64 {
+    retention_ms.min(MAX_RETENTION_MS) * RETENTION_FACTOR + RETENTION_SLACK_MS
+}
+
 /// One holder's entry in the count of a program. Only the holder writes it, with a rising sequence.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
 pub struct CountEntry {
