--- a/crates/store/src/copy.rs
+++ b/crates/store/src/copy.rs
@@ -29,8 +29,8 @@
     /// Stores that must be read whole.
     needed: usize,
     sources: Vec<Source>,
-    /// The source that is read at the moment.
-    current: usize,
+    /// The source that failed last: those after it are asked before it.
+    failed_last: Option<u64>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -60,7 +60,7 @@
         stores.dedup();
         let sources = stores.into_iter().map(|store| Source { store, cursor: 0, is_read: false }).collect();
         let needed = (partition.replicas.len() + 1).saturating_sub(partition.quorum()).max(1);
-        Self { needed, sources, current: 0 }
+        Self { needed, sources, failed_last: None }
     }
 
     /// Whether enough stores were read.
@@ -81,8 +81,9 @@
         if self.is_complete() {
             return None;
         }
-        let order = self.sources.iter().cycle().skip(self.current).take(self.sources.len());
-        let source = order.into_iter().find(|source| !source.is_read)?;
+        let mut unread = self.sources.iter().filter(|source| !source.is_read);
+        let after_failed = |source: &&Source| self.failed_last.is_none_or(|failed| source.store > failed);
+        let source = unread.clone().find(after_failed).or_else(|| unread.next())?;
         Some(NextPage { store: source.store, cursor: source.cursor })
     }
 
@@ -98,9 +99,7 @@
 
     /// A store did not answer: another one is asked before it is tried again.
     pub fn failed(&mut self, store: u64) {
-        if let Some(position) = self.sources.iter().position(|source| source.store == store) {
-            self.current = (position + 1) % self.sources.len();
-        }
+        self.failed_last = Some(store);
     }
 
     /// Takes over a changed list of sources. Those that were read stay read.
@@ -113,6 +112,8 @@
                 None => {}
             }
         }
+        updated.sources.sort_unstable_by_key(|source| source.store);
+        updated.failed_last = self.failed_last;
         *self = updated;
     }
 }
--- a/crates/store/src/journal.rs
+++ b/crates/store/src/journal.rs
@@ -83,6 +83,12 @@
         }
     }
 
+    /// Follows what the thread does. Its sender is gone once the thread has ended and closed the log.
+    #[must_use]
+    pub fn watch(&self) -> watch::Receiver<JournalStatus> {
+        self.status.clone()
+    }
+
     /// Waits until the disk has failed.
     pub async fn failed(&self) -> ResultCode {
         let mut status = self.status.clone();
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -15,5 +15,5 @@
 pub use error::StoreError;
 pub use identity::Identity;
 pub use journal::{Journal, JournalStatus};
-pub use process::run;
+pub use process::{follow_map, run, serve};
 pub use server::StoreServer;
--- /dev/null
+++ b/crates/store/tests/cluster/harness.rs
@@ -0,0 +1,220 @@
+//! Stores on loopback, and a map that the tests change as control would.
+
+use opalrun_net::Listener;
+use opalrun_storage::DataDirectory;
+use opalrun_store::{Copier, CopyDone, JournalStatus, StoreServer, follow_map, serve, state::StoreLimits};
+use opalrun_store_client::StoreClient;
+use opalrun_wire::{
+    feed::{Partition, Replica, STORE_PARTITIONS, StoreMap, StoreNode, StoreState},
+    store::Turn,
+};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, thread::JoinHandle, time::Duration};
+use tempfile::TempDir;
+use tokio::sync::{mpsc, oneshot, watch};
+
+/// Long enough for any operation that can succeed.
+pub const AMPLE: Duration = Duration::from_secs(20);
+/// For operations that can't succeed.
+pub const SHORT: Duration = Duration::from_millis(150);
+
+const LIMITS: StoreLimits = StoreLimits { memory_bytes: 100 << 20, disk_bytes: 100 << 20 };
+
+/// A store with its folder, on a thread of its own. Dropping it ends its connections, as the end of its process would.
+pub struct TestStore {
+    pub identity: u64,
+    pub address: SocketAddr,
+    folder: Arc<TempDir>,
+    maps: mpsc::UnboundedSender<StoreMap>,
+    done: watch::Receiver<Vec<CopyDone>>,
+    thread: Option<JoinHandle<()>>,
+}
+
+impl TestStore {
+    /// A store on an empty disk.
+    pub async fn start(identity: u64) -> Self {
+        Self::start_on(identity, Arc::new(TempDir::new().unwrap()), "127.0.0.1:0".parse().unwrap()).await
+    }
+
+    async fn start_on(identity: u64, folder: Arc<TempDir>, address: SocketAddr) -> Self {
+        let (maps, map_receiver) = mpsc::unbounded_channel();
+        let (done_sender, done) = watch::channel(Vec::new());
+        let (ready_sender, ready) = oneshot::channel();
+        let directory = DataDirectory::open(folder.path()).unwrap();
+        let thread = std::thread::spawn(move || {
+            run_thread(async move {
+                let server = StoreServer::open(&directory, identity, LIMITS).unwrap();
+                let closed = server.journal().watch();
+                let listener = Listener::bind(address).await.unwrap();
+                ready_sender.send(listener.local_address()).unwrap();
+                run_store(server, listener, map_receiver, done_sender).await;
+                closed
+            });
+        });
+        let address = ready.await.unwrap();
+        Self { identity, address, folder, maps, done, thread: Some(thread) }
+    }
+
+    /// Ends the store and starts it again on the same disk and address.
+    pub async fn restart(self) -> Self {
+        let (identity, folder, address) = (self.identity, self.folder.clone(), self.address);
+        drop(self);
+        Self::start_on(identity, folder, address).await
+    }
+
+    pub fn set_map(&self, map: &StoreMap) {
+        self.maps.send(map.clone()).unwrap();
+    }
+
+    /// What it has copied.
+    pub fn done(&self) -> Vec<CopyDone> {
+        self.done.borrow().clone()
+    }
+
+    /// Waits until it has copied all partitions in this epoch or a later one.
+    pub async fn copied(&self, epoch: u64) -> Vec<CopyDone> {
+        let mut done = self.done.clone();
+        let is_all = |done: &Vec<CopyDone>| {
+            done.len() == usize::from(STORE_PARTITIONS) && done.iter().all(|copy| copy.epoch >= epoch)
+        };
+        let copied = tokio::time::timeout(AMPLE, done.wait_for(is_all)).await.expect("a copy ends").unwrap();
+        copied.clone()
+    }
+}
+
+impl Drop for TestStore {
+    fn drop(&mut self) {
+        self.maps = mpsc::unbounded_channel().0;
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
+/// Runs a store until nobody sends it maps any more.
+async fn run_store(
+    server: Rc<StoreServer>,
+    listener: Listener,
+    mut maps: mpsc::UnboundedReceiver<StoreMap>,
+    done: watch::Sender<Vec<CopyDone>>,
+) {
+    let copier = Copier::new(server.clone());
+    let take_maps = async {
+        while let Some(map) = maps.recv().await {
+            server.set_map(Rc::new(map));
+        }
+    };
+    let tell_done = async {
+        loop {
+            copier.completed.notified().await;
+            done.send_replace(copier.done());
+        }
+    };
+    tokio::select! {
+        () = take_maps => {}
+        () = tell_done => {}
+        () = serve(listener, server.clone()) => {}
+        () = follow_map(&server, &copier) => {}
+    }
+}
+
+/// Runs a store on this thread and then waits until its log is closed.
+fn run_thread(store: impl Future<Output = watch::Receiver<JournalStatus>>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let local = tokio::task::LocalSet::new();
+    let mut closed = local.block_on(&runtime, store);
+    drop(local);
+    runtime.block_on(async { while closed.changed().await.is_ok() {} });
+}
+
+/// The stand-in of control.
+pub struct Control {
+    pub map: StoreMap,
+}
+
+impl Control {
+    /// A map with these stores as whole replicas of everything.
+    pub fn new(stores: &[&TestStore]) -> Self {
+        let mut control = Self { map: StoreMap::default() };
+        stores.iter().for_each(|store| control.add_store(store));
+        let replicas: Vec<Replica> =
+            stores.iter().map(|store| Replica { store: store.identity, whole: true }).collect();
+        control.change(|partition| partition.replicas.clone_from(&replicas));
+        control
+    }
+
+    pub fn add_store(&mut self, store: &TestStore) {
+        self.map.stores.retain(|node| node.identity != store.identity);
+        self.map.stores.push(StoreNode {
+            identity: store.identity,
+            node_name: format!("storage-{}", store.identity),
+            address: store.address.to_string(),
+            zone: format!("zone-{}", store.identity),
+            state: StoreState::Active,
+        });
+    }
+
+    /// Changes all partitions, in a new epoch.
+    pub fn change(&mut self, change: impl Fn(&mut Partition)) {
+        self.map.epoch += 1;
+        self.map.partitions.resize_with(usize::from(STORE_PARTITIONS), Partition::default);
+        self.map.partitions.iter_mut().for_each(change);
+    }
+
+    /// Puts a store that is not whole in the place of another, which stays a source where it still has its disk.
+    pub fn replace(&mut self, old: u64, new: &TestStore, old_is_source: bool) {
+        self.add_store(new);
+        let new = new.identity;
+        self.change(|partition| {
+            for replica in &mut partition.replicas {
+                if replica.store == old {
+                    *replica = Replica { store: new, whole: false };
+                }
+            }
+            partition.sources.retain(|source| *source != old);
+            if old_is_source {
+                partition.sources.push(old);
+            }
+        });
+    }
+
+    /// Marks a store's replicas whole.
+    pub fn mark_whole(&mut self, store: u64) {
+        self.change(|partition| {
+            partition
+                .replicas
+                .iter_mut()
+                .filter(|replica| replica.store == store)
+                .for_each(|replica| replica.whole = true);
+            if partition.replicas.iter().all(|replica| replica.whole) {
+                partition.sources.clear();
+            }
+        });
+    }
+
+    pub fn tell(&self, store: &TestStore) {
+        store.set_map(&self.map);
+    }
+
+    pub fn tell_all(&self, stores: &[&TestStore], clients: &[&Rc<StoreClient>]) {
+        stores.iter().for_each(|store| self.tell(store));
+        clients.iter().for_each(|client| client.set_map(self.map.clone()));
+    }
+}
+
+pub fn turn(id: &str) -> Turn {
+    Turn {
+        id: id.to_owned(),
+        ancestors: Vec::new(),
+        input: format!("input of {id}").into_bytes(),
+        output: format!("output of {id}\n").into_bytes(),
+        retention_ms: 60_000,
+        worker: "i-1".to_owned(),
+    }
+}
+
+/// Runs a test on one thread, as the processes do.
+pub fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    let local = tokio::task::LocalSet::new();
+    local.block_on(&runtime, test);
+}
--- /dev/null
+++ b/crates/store/tests/cluster/turns.rs
@@ -0,0 +1,52 @@
+//! Retained turns.
+
+use crate::harness::{AMPLE, Control, SHORT, TestStore, run, turn};
+use opalrun_store_client::{StoreClient, TurnError};
+
+#[test]
+fn a_turn_is_found_by_every_gatekeeper_and_another_is_surely_absent() {
+    run(async {
+        let stores = [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+        let control = Control::new(&stores.each_ref());
+        let (writer, reader) = (StoreClient::new(11, "zone-1"), StoreClient::new(12, "zone-9"));
+        control.tell_all(&stores.each_ref(), &[&writer, &reader]);
+        writer.put_turn(&turn("t1"), AMPLE).await.unwrap();
+        writer.put_turn(&turn("t1"), AMPLE).await.unwrap();
+        assert_eq!(reader.get_turn("t1", AMPLE).await, Ok(Some(turn("t1"))));
+        assert_eq!(reader.get_turn("t2", AMPLE).await, Ok(None));
+    });
+}
+
+#[test]
+fn a_turn_outlives_a_lost_store_and_restarts() {
+    run(async {
+        let [one, two, three] =
+            [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+        let control = Control::new(&[&one, &two, &three]);
+        let client = StoreClient::new(11, "zone-1");
+        control.tell_all(&[&one, &two, &three], &[&client]);
+        drop(one);
+        client.put_turn(&turn("t1"), AMPLE).await.unwrap();
+        let (two, three) = (two.restart().await, three.restart().await);
+        control.tell_all(&[&two, &three], &[]);
+        assert_eq!(client.get_turn("t1", AMPLE).await, Ok(Some(turn("t1"))));
+        assert_eq!(client.get_turn("t2", AMPLE).await, Ok(None));
+    });
+}
+
+#[test]
+fn one_store_alone_does_not_say_that_a_turn_is_absent() {
+    run(async {
+        let [one, two, three] =
+            [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+        let control = Control::new(&[&one, &two, &three]);
+        let client = StoreClient::new(11, "zone-1");
+        control.tell_all(&[&one, &two, &three], &[&client]);
+        drop(two);
+        drop(three);
+        assert_eq!(client.get_turn("t1", SHORT).await, Err(TurnError::Unavailable));
+        assert_eq!(client.put_turn(&turn("t1"), SHORT).await, Err(TurnError::Unavailable));
+        // A turn that is there may be handed on by one store alone.
+        assert_eq!(client.get_turn("t1", AMPLE).await, Ok(Some(turn("t1"))));
+    });
+}
