--- a/crates/gatekeeper/src/agent/mod.rs
+++ b/crates/gatekeeper/src/agent/mod.rs
@@ -1,15 +1,68 @@
-//! The agent beside the proxy: it keeps the link to the control processes.
+//! The agent beside the proxy: it keeps the link to the control processes, holds their state and serves it to the proxy.
+//!
+//! So a proxy that starts has the state at once, also while control is away, and a proxy's load does not delay heartbeats.
 
+mod server;
+
+use crate::feed::all_shards;
+use opalrun_net::{
+    Listener, NetError,
+    feed_client::{FeedClient, FeedOptions},
+    signals,
+};
 use opalrun_settings::Settings;
-use std::{convert::Infallible, future::pending};
+use opalrun_wire::feed::Subscriber;
+use server::FeedServer;
+use snafu::{ResultExt, Snafu};
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+    time::Duration,
+};
+
+/// Part of the time between SIGTERM and SIGKILL that is left for ending.
+const ENDING: Duration = Duration::from_secs(1);
+
+/// Why an agent can't run.
+#[derive(Debug, Snafu)]
+pub enum AgentError {
+    /// The proxy can't be served.
+    #[snafu(display("{source}"))]
+    Listen {
+        /// What is wrong.
+        source: NetError,
+    },
+}
 
-/// Runs the role until SIGTERM.
+/// Runs the role until SIGTERM, and then for as long as a proxy is there that finishes its requests.
 ///
 /// # Errors
-/// None yet.
-pub async fn run(_settings: Settings) -> Result<(), Infallible> {
-    tokio::select! {
-        () = opalrun_net::signals::terminated() => Ok(()),
-        never = pending() => never,
-    }
+/// Where the port for the proxy can't be listened on.
+pub async fn run(settings: Settings) -> Result<(), AgentError> {
+    let address = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), settings.ports.feed());
+    let listener = Listener::bind(address).await.context(ListenSnafu)?;
+    let grace = settings.bounds.grace.saturating_sub(ENDING);
+    let server = start(&settings, listener);
+    signals::terminated().await;
+    let _ = tokio::time::timeout(grace, server.no_proxies()).await;
+    Ok(())
+}
+
+/// Subscribes to control, and serves proxies that connect to `listener`.
+pub fn start(settings: &Settings, listener: Listener) -> Rc<FeedServer> {
+    let options = FeedOptions {
+        subscriber: Subscriber::Gatekeeper {
+            node_name: settings.node_name.clone(),
+            incarnation: fastrand::u64(1..),
+            zone: settings.zone.clone(),
+        },
+        shards: all_shards(),
+        seeds: settings.seed_feed_addresses(),
+        feed_port: settings.ports.feed(),
+        zone: settings.zone.clone(),
+        only_seeds: false,
+    };
+    let server = FeedServer::new(|deliver| FeedClient::start(options, deliver));
+    tokio::task::spawn_local(server.clone().serve(listener));
+    server
 }
--- /dev/null
+++ b/crates/gatekeeper/src/feed/client.rs
@@ -0,0 +1,74 @@
+//! The proxy's subscription to the agent beside it.
+
+use super::{ControlView, all_shards};
+use opalrun_net::feed_client::{FeedClient, FeedEvent, FeedOptions};
+use opalrun_wire::feed::Subscriber;
+use std::{
+    cell::{Ref, RefCell},
+    net::{Ipv4Addr, SocketAddr},
+    rc::Rc,
+};
+use tokio::sync::watch;
+
+/// Keeps a [`ControlView`] up to date. The configuration of the view counts as in force from the moment it is there.
+pub struct ControlFeed {
+    view: RefCell<ControlView>,
+    changes: watch::Sender<u64>,
+    client: FeedClient,
+}
+
+impl ControlFeed {
+    /// Subscribes to the agent on this machine.
+    #[must_use]
+    pub fn start(feed_port: u16) -> Rc<Self> {
+        Self::start_at(SocketAddr::new(Ipv4Addr::LOCALHOST.into(), feed_port))
+    }
+
+    /// Subscribes to the agent at an address.
+    #[must_use]
+    pub fn start_at(agent: SocketAddr) -> Rc<Self> {
+        let options = FeedOptions {
+            subscriber: Subscriber::Proxy,
+            shards: all_shards(),
+            seeds: vec![agent],
+            feed_port: agent.port(),
+            zone: String::new(),
+            only_seeds: true,
+        };
+        Rc::new_cyclic(|feed: &std::rc::Weak<Self>| {
+            let feed = feed.clone();
+            let deliver = move |event| {
+                if let Some(feed) = feed.upgrade() {
+                    feed.take(event);
+                }
+            };
+            Self {
+                view: RefCell::default(),
+                changes: watch::Sender::new(0),
+                client: FeedClient::start(options, deliver),
+            }
+        })
+    }
+
+    /// What is known now. Not to be held over an await.
+    #[must_use]
+    pub fn view(&self) -> Ref<'_, ControlView> {
+        self.view.borrow()
+    }
+
+    /// Marked as changed whenever the view has changed in more than its freshness.
+    #[must_use]
+    pub fn changes(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
+    fn take(&self, event: FeedEvent) {
+        let changed = self.view.borrow_mut().take(event);
+        if !changed {
+            return;
+        }
+        let generation = self.view.borrow().generation();
+        self.client.report_generation(generation);
+        self.changes.send_modify(|count| *count += 1);
+    }
+}
--- /dev/null
+++ b/crates/gatekeeper/src/feed/mod.rs
@@ -0,0 +1,19 @@
+//! What the control processes say, as the gatekeeper's processes hold it.
+//!
+//! The agent keeps a [`ControlState`] and serves it; the proxy keeps a typed [`ControlView`] through a [`ControlFeed`].
+
+mod client;
+mod state;
+mod view;
+
+pub use client::ControlFeed;
+pub use state::ControlState;
+pub use view::ControlView;
+
+use opalrun_wire::feed::{CONFIGURATION_SHARD, SESSION_SHARDS};
+
+/// All shards of the control state: a gatekeeper needs them whole.
+#[must_use]
+pub fn all_shards() -> Vec<u16> {
+    (CONFIGURATION_SHARD..=SESSION_SHARDS).collect()
+}
--- /dev/null
+++ b/crates/gatekeeper/src/feed/state.rs
@@ -0,0 +1,103 @@
+//! The merged state of all shards, as plain messages.
+
+use opalrun_net::feed_client::FeedEvent;
+use opalrun_wire::feed::{Change, ControlNode, Position, StoreMap, Worker};
+use std::collections::BTreeMap;
+
+/// The state of all shards that were heard of.
+#[derive(Debug, Default)]
+pub struct ControlState {
+    shards: BTreeMap<u16, Shard>,
+}
+
+/// The state of one shard.
+#[derive(Debug, Default)]
+struct Shard {
+    offset: u64,
+    configuration: Option<(u64, Vec<u8>)>,
+    control_nodes: Option<Vec<ControlNode>>,
+    store_map: Option<StoreMap>,
+    /// By service and id.
+    workers: BTreeMap<(String, String), Worker>,
+}
+
+impl ControlState {
+    /// Takes in what a feed client delivered.
+    pub fn take(&mut self, event: &FeedEvent) {
+        match event {
+            FeedEvent::Snapshot { shard, offset, changes } => {
+                let held = self.shards.entry(*shard).or_default();
+                held.workers.clear();
+                held.apply(*offset, changes);
+            }
+            FeedEvent::Changes { shard, offset, changes } => {
+                self.shards.entry(*shard).or_default().apply(*offset, changes);
+            }
+            FeedEvent::Fresh { .. } => {}
+        }
+    }
+
+    /// How far each shard is known.
+    #[must_use]
+    pub fn positions(&self) -> Vec<Position> {
+        let position = |(shard, held): (&u16, &Shard)| Position { shard: *shard, offset: held.offset };
+        self.shards.iter().map(position).collect()
+    }
+
+    /// The state of a shard as the changes that make it from nothing.
+    #[must_use]
+    pub fn snapshot(&self, shard: u16) -> Vec<Change> {
+        self.shards.get(&shard).map(Shard::changes).unwrap_or_default()
+    }
+
+    /// The newest configuration's generation; 0 while none is known.
+    #[must_use]
+    pub fn generation(&self) -> u64 {
+        let generations = self.shards.values().filter_map(|shard| shard.configuration.as_ref());
+        generations.map(|(generation, _)| *generation).max().unwrap_or(0)
+    }
+}
+
+impl Shard {
+    fn apply(&mut self, offset: u64, changes: &[Change]) {
+        self.offset = offset;
+        for change in changes {
+            self.apply_change(change);
+        }
+    }
+
+    fn apply_change(&mut self, change: &Change) {
+        match change {
+            Change::Configuration { generation, body } => {
+                let held = self.configuration.as_ref().map_or(0, |(generation, _)| *generation);
+                if *generation > held {
+                    self.configuration = Some((*generation, body.clone()));
+                }
+            }
+            Change::ControlNodes(nodes) => self.control_nodes = Some(nodes.clone()),
+            Change::StoreMap(map) => {
+                let held = self.store_map.as_ref().map_or(0, |map| map.epoch);
+                if map.epoch >= held {
+                    self.store_map = Some(map.clone());
+                }
+            }
+            Change::Worker(worker) => {
+                self.workers.insert((worker.service.clone(), worker.id.clone()), worker.clone());
+            }
+            Change::WorkerGone { service, id } => {
+                self.workers.remove(&(service.clone(), id.clone()));
+            }
+        }
+    }
+
+    fn changes(&self) -> Vec<Change> {
+        let configuration = self
+            .configuration
+            .iter()
+            .map(|(generation, body)| Change::Configuration { generation: *generation, body: body.clone() });
+        let control_nodes = self.control_nodes.iter().cloned().map(Change::ControlNodes);
+        let store_map = self.store_map.iter().cloned().map(Change::StoreMap);
+        let workers = self.workers.values().cloned().map(Change::Worker);
+        configuration.chain(control_nodes).chain(store_map).chain(workers).collect()
+    }
+}
--- a/crates/gatekeeper/src/lib.rs
+++ b/crates/gatekeeper/src/lib.rs
@@ -2,6 +2,7 @@
 #![forbid(unsafe_code)]
 
 pub mod agent;
+pub mod feed;
 pub mod lease;
 pub mod proxy;
 pub mod turns;
--- /dev/null
+++ b/crates/net/src/feed_client/candidates.rs
@@ -0,0 +1,79 @@
+//! Which server is tried next, and after which pause.
+
+use super::{FeedOptions, feed_address};
+use opalrun_wire::feed::ControlNode;
+use std::{net::SocketAddr, time::Duration};
+
+/// The pause after the first failure.
+const SHORTEST_PAUSE: Duration = Duration::from_millis(50);
+/// The longest pause between attempts.
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+
+/// The servers, in the order in which they are tried.
+pub(super) struct Candidates {
+    /// Never empty.
+    order: Vec<SocketAddr>,
+    place: usize,
+    pause: Duration,
+    seeds: Vec<SocketAddr>,
+    feed_port: u16,
+    zone: String,
+    /// The last attempt succeeded: the next failure may be followed by an attempt at once.
+    proven: bool,
+}
+
+impl Candidates {
+    pub(super) fn new(options: &FeedOptions) -> Self {
+        let mut order = options.seeds.clone();
+        fastrand::shuffle(&mut order);
+        Self {
+            order,
+            place: 0,
+            pause: SHORTEST_PAUSE,
+            seeds: options.seeds.clone(),
+            feed_port: options.feed_port,
+            zone: options.zone.clone(),
+            proven: false,
+        }
+    }
+
+    /// The server to try.
+    pub(super) fn current(&self) -> SocketAddr {
+        self.order[self.place]
+    }
+
+    /// The current server serves.
+    pub(super) fn succeeded(&mut self) {
+        self.pause = SHORTEST_PAUSE;
+        self.proven = true;
+    }
+
+    /// The current server is left for the next one; returns the pause before it is tried.
+    pub(super) fn failed(&mut self) -> Duration {
+        self.place = (self.place + 1) % self.order.len();
+        if std::mem::take(&mut self.proven) && self.order.len() > 1 {
+            return Duration::ZERO;
+        }
+        let pause = self.pause;
+        self.pause = (pause * 2).min(LONGEST_PAUSE);
+        pause / 2 + pause.mul_f64(fastrand::f64() / 2.0)
+    }
+
+    /// The control processes, as the feed names them: those of the own zone first, at random otherwise. Seeds come last.
+    /// The current server stays until it fails.
+    pub(super) fn learn(&mut self, nodes: &[ControlNode]) {
+        let current = self.current();
+        let mut nodes: Vec<&ControlNode> = nodes.iter().collect();
+        fastrand::shuffle(&mut nodes);
+        nodes.sort_by_key(|node| node.zone != self.zone);
+        let named = nodes.into_iter().filter_map(|node| feed_address(node, self.feed_port));
+        let mut order = vec![current];
+        for address in named.chain(self.seeds.iter().copied()) {
+            if !order.contains(&address) {
+                order.push(address);
+            }
+        }
+        self.order = order;
+        self.place = 0;
+    }
+}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod connection;
 mod error;
+pub mod feed_client;
 mod message;
 mod reader;
 mod rpc_client;
