--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -43,9 +43,13 @@
 /// What a worker that is still slow from its start is set back by, as a share of its places.
 const COLD_LOAD: f64 = 0.5;
 /// Requests beyond a worker's places, as a share of them, that the most urgent requests may still bring about.
-const WAITING_SHARE: f64 = 0.5;
-/// How much of that share a rank of priority takes away.
-const WAITING_SHARE_OF_A_RANK: f64 = 0.17;
+const WAITING_SHARE: f64 = 1.0;
+/// The same at language models, whose requests take their places for longer.
+const WAITING_SHARE_OF_MODELS: f64 = 0.5;
+/// What part of that share a rank of priority takes away.
+const PART_OF_A_RANK: f64 = 0.25;
+/// Ranks from here on are treated alike.
+const LAST_RANK: u32 = 4;
 
 /// What the choice of a worker goes by.
 #[derive(Debug, Clone, Default)]
@@ -87,6 +91,14 @@
     prompt_tokens: u32,
 }
 
+impl Place {
+    /// The worker.
+    #[must_use]
+    pub fn worker(&self) -> &str {
+        &self.worker
+    }
+}
+
 /// The workers of one service.
 #[derive(Debug)]
 pub struct Balancer {
@@ -228,8 +240,10 @@
 
     /// Whether a worker's queue is too long for a request of this rank.
     fn is_full(&self, now: Duration, worker: &WorkerEntry, choice: &Choice<'_>) -> bool {
-        let rank = f64::from(choice.priority.min(3)) - if choice.under_way { 1.0 } else { 0.0 };
-        let share = (WAITING_SHARE - WAITING_SHARE_OF_A_RANK * rank.max(0.0)).max(0.0);
+        let under_way = choice.under_way || worker.prefixes.knows_last(choice.parts);
+        let rank = choice.priority.min(LAST_RANK).saturating_sub(u32::from(under_way));
+        let share = if self.memory_tokens > 0 { WAITING_SHARE_OF_MODELS } else { WAITING_SHARE };
+        let share = share * (1.0 - PART_OF_A_RANK * f64::from(rank));
         let most = f64::from(worker.capacity) * (1.0 + share);
         worker.load(now).total() >= most.max(1.0)
     }
--- a/crates/gatekeeper/src/proxy/balance/prefix.rs
+++ b/crates/gatekeeper/src/proxy/balance/prefix.rs
@@ -58,6 +58,11 @@
         cached
     }
 
+    /// Whether the prompt's last part, which is its session's own, was sent to the worker before.
+    pub fn knows_last(&self, parts: &[PromptPart]) -> bool {
+        parts.last().is_some_and(|part| self.parts.contains_key(&part.id))
+    }
+
     /// The parts have been sent to the worker, whose memory holds `memory_tokens`.
     pub fn insert(&mut self, parts: &[PromptPart], memory_tokens: u32) {
         self.uses += 1;
--- a/crates/gatekeeper/src/proxy/balance/tests.rs
+++ b/crates/gatekeeper/src/proxy/balance/tests.rs
@@ -137,8 +137,7 @@
     }
     assert_eq!(balancer.choose(at(0), &choice(9)), Err(NoWorker::Full));
     assert!(balancer.choose(at(0), &choice(0)).is_ok());
-    balancer.sent(at(0), &only, &[]);
-    balancer.sent(at(0), &only, &[]);
+    (0..4).for_each(|_| drop(balancer.sent(at(0), &only, &[])));
     assert_eq!(balancer.choose(at(0), &choice(0)), Err(NoWorker::Full));
 }
 
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -71,7 +71,7 @@
         let arrived = Instant::now();
         let configuration = self.configuration().ok_or_else(|| answer::refuse(UNCONFIGURED_PAUSE))?;
         let (mut head, incoming) = request.into_parts();
-        let route = route_of(&configuration, &head).ok_or_else(|| answer::plain(StatusCode::NOT_FOUND))?;
+        let route = route_of(&configuration, &head).ok_or_else(|| self.without_route())?;
         if header_bytes(&head) > configuration.limits.max_header_bytes {
             return Err(answer::closing(answer::plain(StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE)));
         }
@@ -98,6 +98,15 @@
         })
     }
 
+    /// The answer to a request without a route, which a newer configuration may have.
+    fn without_route(&self) -> Answer {
+        if self.is_fresh() {
+            answer::plain(StatusCode::NOT_FOUND)
+        } else {
+            answer::refuse(UNCONFIGURED_PAUSE)
+        }
+    }
+
     /// Tries workers until one answers, or none may be tried any more.
     async fn try_workers(self: &Rc<Self>, request: ForwardedRequest) -> Answer {
         let request = Rc::new(request);
--- a/crates/gatekeeper/src/proxy/run.rs
+++ b/crates/gatekeeper/src/proxy/run.rs
@@ -6,7 +6,7 @@
 use snafu::{ResultExt, Snafu};
 use std::{io, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{net::TcpListener, task::spawn_local};
-use tracing::info;
+use tracing::{info, warn};
 
 /// Longest head of a request, in bytes, before the configuration's limit is applied.
 const LONGEST_HEAD: usize = 64 * 1024;
@@ -19,7 +19,7 @@
 /// How long the stores may take to note what is given back of programs' budgets.
 const LEASE_RETURN_LIMIT: Duration = Duration::from_millis(500);
 /// Kept of the time until SIGKILL.
-const KILL_MARGIN: Duration = Duration::from_millis(1200);
+const KILL_MARGIN: Duration = Duration::from_millis(1000);
 
 /// Why the proxy could not run.
 #[derive(Debug, Snafu)]
@@ -51,6 +51,7 @@
     let platform = listen(readiness).await?;
     let proxy = Proxy::new(&settings);
     spawn_local(sweep(proxy.clone()));
+    spawn_local(watch_settings(settings.clone()));
     serve(proxy, &settings, clients, platform, opalrun_net::signals::terminated()).await;
     Ok(())
 }
@@ -106,6 +107,17 @@
     }
 }
 
+/// Reads the settings again whenever they have changed. Nothing that the proxy goes by changes while it runs.
+async fn watch_settings(settings: Settings) {
+    loop {
+        opalrun_net::signals::settings_changed().await;
+        match settings.reload() {
+            Ok(_) => info!("the settings file was read again"),
+            Err(error) => warn!(%error, "the changed settings file is wrong"),
+        }
+    }
+}
+
 /// Closes connections to workers that have been idle for long.
 async fn sweep(proxy: Rc<Proxy>) {
     loop {
--- a/crates/gatekeeper/src/proxy/state.rs
+++ b/crates/gatekeeper/src/proxy/state.rs
@@ -8,7 +8,7 @@
     },
     turns::Turns,
 };
-use fnv::FnvHashMap;
+use fnv::{FnvHashMap, FnvHashSet};
 use opalrun_configuration::Configuration;
 use opalrun_settings::Settings;
 use opalrun_store_client::StoreClient;
@@ -31,6 +31,8 @@
 const RESERVED_DESCRIPTORS: u64 = 260;
 /// Of all bodies together, this share of the memory may be held.
 const BODY_MEMORY_SHARE: f64 = 0.15;
+/// How long what was fresh counts as fresh.
+const FRESH_FOR: Duration = Duration::from_secs(2);
 /// Memory for what was said in recent turns.
 const TURN_CACHE_BYTES: usize = 8 << 20;
 /// Connections that one worker takes where its service does not say.
@@ -45,7 +47,8 @@
     services: RefCell<FnvHashMap<String, Balancer>>,
     keep_alive: RefCell<FnvHashMap<WorkerId, u32>>,
     gatekeepers: Cell<u32>,
-    informed: Cell<bool>,
+    /// When what is known was last fresh.
+    fresh_at: Cell<Option<Duration>>,
     stopping: Cell<bool>,
     /// Connections to workers.
     pub(super) pools: Rc<Pools>,
@@ -74,7 +77,7 @@
             services: RefCell::default(),
             keep_alive: RefCell::default(),
             gatekeepers: Cell::new(1),
-            informed: Cell::new(false),
+            fresh_at: Cell::new(None),
             stopping: Cell::new(false),
             pools: Pools::new(budget, pool_settings, Clock::steady(), fastrand::u64(..)),
             memory: BodyMemory::new(body_bytes),
@@ -99,7 +102,7 @@
     /// Whether new clients are welcome: the proxy knows what holds, and is not stopping.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        self.configuration.borrow().is_some() && self.informed.get() && !self.stopping.get()
+        self.configuration.borrow().is_some() && self.fresh_at.get().is_some() && !self.stopping.get()
     }
 
     /// Requests of this gatekeeper that are at a worker.
@@ -108,6 +111,12 @@
         self.balance(service, |balancer| balancer.in_flight(worker))
     }
 
+    /// Whether what is known was fresh a short while ago, so that a route that is not known does not exist.
+    #[must_use]
+    pub fn is_fresh(&self) -> bool {
+        self.fresh_at.get().is_some_and(|at| self.now() <= at + FRESH_FOR)
+    }
+
     /// The process is to end.
     pub fn stop(&self) {
         self.stopping.set(true);
@@ -158,8 +167,8 @@
     }
 
     /// What is known was fresh a moment ago.
-    pub fn set_informed(&self) {
-        self.informed.set(true);
+    pub fn set_fresh(&self) {
+        self.fresh_at.set(Some(self.now()));
     }
 
     /// All workers that are known; those that are not among them are gone.
@@ -178,7 +187,8 @@
 
     fn list_in_pools(&self, workers: &FnvHashMap<String, Vec<Worker>>) {
         let all = || workers.values().flatten();
-        self.pools.only(|id| all().any(|worker| worker.id == id));
+        let ids: FnvHashSet<&str> = all().map(|worker| worker.id.as_str()).collect();
+        self.pools.only(|id| ids.contains(id));
         for worker in all() {
             let ready = worker.state == WorkerState::Ready;
             let id = WorkerId::from(worker.id.as_str());
--- a/crates/gatekeeper/src/proxy/stream.rs
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -70,7 +70,10 @@
             match stream.read_on(until).await {
                 Came::Bytes => {}
                 Came::End => return stream.without_events().await,
-                Came::Broken | Came::ClientGone => return Tried::Ended(Outcome::MayHaveRun),
+                Came::Broken | Came::ClientGone => {
+                    stream.leave_worker();
+                    return Tried::Ended(Outcome::MayHaveRun);
+                }
             }
         }
         stream.first_event_came();
@@ -89,6 +92,13 @@
         Tried::Answer(pass_on(parts, answer::whole(rest)))
     }
 
+    /// Closes the connection to a worker that broke off or fell silent.
+    fn leave_worker(&mut self) {
+        if let Some(exchange) = self.exchange.take() {
+            exchange.fail();
+        }
+    }
+
     /// Keeps the turn, where its route is for turns that are retained.
     async fn keep_turn(&self) -> Result<(), NotKept> {
         let (request, worker) = (&self.request, &self.worker);
@@ -135,7 +145,7 @@
                 Came::End => return self.end(&events).await,
                 Came::ClientGone => return,
                 Came::Broken => {
-                    self.exchange = None;
+                    self.leave_worker();
                     if !self.take_up_elsewhere(&mut attempts, &mut tried).await {
                         return;
                     }
--- a/crates/gatekeeper/src/proxy/upstream.rs
+++ b/crates/gatekeeper/src/proxy/upstream.rs
@@ -46,6 +46,12 @@
         self.proxy.balance(&self.service, |b| b.begun(now, place, report));
     }
 
+    /// What came was no whole answer.
+    fn failed(&self) {
+        let now = self.proxy.now();
+        self.proxy.balance(&self.service, |b| b.failed(now, self.place.borrow().worker()));
+    }
+
     /// The worker turned the request away.
     fn turned_away(&self, report: Option<LoadReport>) {
         let now = self.proxy.now();
@@ -86,6 +92,19 @@
 
     /// Reads the body whole until `until` and gives the connection back.
     pub async fn read_whole(mut self, until: Instant) -> Result<(Parts, Bytes), BrokenOff> {
+        match self.collect(until).await {
+            Ok(bytes) => {
+                self.lease.give_back(false);
+                Ok((self.parts, bytes))
+            }
+            Err(BrokenOff) => {
+                self.fail();
+                Err(BrokenOff)
+            }
+        }
+    }
+
+    async fn collect(&mut self, until: Instant) -> Result<Bytes, BrokenOff> {
         let mut first: Option<Bytes> = None;
         let mut joined = BytesMut::new();
         while let Some(data) = timeout_at(until.into(), self.piece()).await.map_err(|_| BrokenOff)?? {
@@ -100,9 +119,12 @@
                 }
             }
         }
-        let Self { lease, parts, .. } = self;
-        lease.give_back(false);
-        Ok((parts, first.unwrap_or_else(|| joined.freeze())))
+        Ok(first.unwrap_or_else(|| joined.freeze()))
+    }
+
+    /// The answer broke off, or nothing more came of it.
+    pub fn fail(self) {
+        self.visit.failed();
     }
 
     /// The body has been read to its end: another request may have the connection.
--- a/crates/gatekeeper/tests/proxy/fakes.rs
+++ b/crates/gatekeeper/tests/proxy/fakes.rs
@@ -296,6 +296,7 @@
         let gatekeeper = Self::start().await;
         gatekeeper.configure(1, CONFIGURATION);
         gatekeeper.list(workers);
+        gatekeeper.proxy.set_fresh();
         gatekeeper
     }
 
--- a/crates/gatekeeper/tests/proxy/forwarding.rs
+++ b/crates/gatekeeper/tests/proxy/forwarding.rs
@@ -198,6 +198,9 @@
         gatekeeper.configure(5, CONFIGURATION);
         assert_eq!(gatekeeper.call(&text).await.expect("an answer").status(), 200);
         gatekeeper.configure(7, &CONFIGURATION.replace("/safe/", "/other/"));
+        let stale = gatekeeper.call(&text).await.expect("an answer");
+        assert_eq!(stale.status(), 503, "a newer configuration may have the route");
+        gatekeeper.proxy.set_fresh();
         assert_eq!(gatekeeper.call(&text).await.expect("an answer").status(), 404);
         gatekeeper.configure(6, CONFIGURATION);
         assert_eq!(gatekeeper.call(&text).await.expect("an answer").status(), 404);
