--- a/crates/gatekeeper/src/turns/cache.rs
+++ b/crates/gatekeeper/src/turns/cache.rs
@@ -4,7 +4,6 @@
 use opalrun_wire::store::Turn;
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
 
 /// What an entry takes beside the turn's own bytes, about.
 const ENTRY_OVERHEAD_BYTES: usize = 320;
@@ -23,8 +22,6 @@
 #[derive(Debug)]
 struct Entry {
     turn: Rc<Turn>,
-    /// The stores keep it until then at least.
-    kept_until: Duration,
     used: u64,
     bytes: usize,
 }
@@ -42,18 +39,18 @@
         }
     }
 
-    /// A turn, and until when the stores keep it at least.
-    pub fn get(&mut self, id: &str) -> Option<(Rc<Turn>, Duration)> {
+    /// A turn, if it is there.
+    pub fn get(&mut self, id: &str) -> Option<Rc<Turn>> {
         let entry = self.entries.get_mut(id)?;
         let name = self.by_use.remove(&entry.used)?;
         self.last_use += 1;
         entry.used = self.last_use;
         self.by_use.insert(self.last_use, name);
-        Some((Rc::clone(&entry.turn), entry.kept_until))
+        Some(Rc::clone(&entry.turn))
     }
 
-    /// Adds a turn, or takes in a later time until which the stores keep it.
-    pub fn insert(&mut self, turn: Rc<Turn>, kept_until: Duration) {
+    /// Adds a turn.
+    pub fn insert(&mut self, turn: Rc<Turn>) {
         self.remove(&turn.id);
         let bytes = bytes_of(&turn);
         if bytes > self.capacity_bytes {
@@ -65,7 +62,7 @@
         self.last_use += 1;
         let name: Rc<str> = Rc::from(turn.id.as_str());
         self.by_use.insert(self.last_use, Rc::clone(&name));
-        self.entries.insert(name, Entry { turn, kept_until, used: self.last_use, bytes });
+        self.entries.insert(name, Entry { turn, used: self.last_use, bytes });
         self.used_bytes += bytes;
     }
 
--- a/crates/gatekeeper/src/turns/store.rs
+++ b/crates/gatekeeper/src/turns/store.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::task::JoinSet;
-use tokio::time::Instant;
 
 /// How long the stores may take for a whole chain.
 const CHAIN_LIMIT: Duration = Duration::from_millis(400);
@@ -16,16 +15,12 @@
 const STORE_LIMIT: Duration = Duration::from_secs(2);
 /// The longest id that a turn can have: no stored turn has a longer one.
 const MAX_ID_BYTES: usize = 256;
-/// Stores are told to keep a turn for its retention and so many hundredths more, so that the ancestors of a turn need to
-/// be written again only once its line of turns has gone on for longer than that margin.
-const RETENTION_MARGIN_PERCENT: u64 = 50;
-
 /// The stores of turns, as this module uses them.
 pub trait TurnStore: Clone + 'static {
-    /// Keeps a turn; done when it is durable. To do it again is harmless, and begins its time anew.
+    /// Keeps a turn, and its ancestors for as long; done when it is durable. To do it again is harmless.
     fn put(&self, turn: &Turn, limit: Duration) -> impl Future<Output = Result<(), TurnError>>;
 
-    /// Reads a turn, with what is left of its time. `None` is certain.
+    /// Reads a turn. `None` is certain.
     fn get(&self, id: &str, limit: Duration) -> impl Future<Output = Result<Option<Turn>, TurnError>>;
 }
 
@@ -43,14 +38,13 @@
 pub struct Turns<S: TurnStore> {
     store: S,
     cache: Rc<RefCell<TurnCache>>,
-    started: Instant,
 }
 
 impl<S: TurnStore> Turns<S> {
     /// With a cache of that size.
     #[must_use]
     pub fn new(store: S, cache_bytes: usize) -> Self {
-        Self { store, cache: Rc::new(RefCell::new(TurnCache::new(cache_bytes))), started: Instant::now() }
+        Self { store, cache: Rc::new(RefCell::new(TurnCache::new(cache_bytes))) }
     }
 
     /// What the worker of a turn must receive before its new input, for a turn that names `previous`.
@@ -66,49 +60,16 @@
         Ok(Chain::of(&turns))
     }
 
-    /// Keeps a turn that was answered whole, and keeps its chain for as long. Its `retention_ms` is that of its route.
-    /// The end of the answer may go to the client only once this has succeeded.
+    /// Keeps a turn that was answered whole. The end of the answer may go to the client only once this has succeeded.
     ///
     /// # Errors
     /// It is not sure that the turn is kept: the answer must not look complete.
     pub async fn store(&self, turn: Turn) -> Result<(), TurnError> {
-        let mut turn = turn;
-        let wanted_until = self.now() + Duration::from_millis(turn.retention_ms);
-        let kept_for = turn.retention_ms + turn.retention_ms / 100 * RETENTION_MARGIN_PERCENT;
-        turn.retention_ms = kept_for;
-        let turn = Rc::new(turn);
-        let mut writes = JoinSet::new();
-        writes.spawn_local(self.put(Rc::clone(&turn)));
-        for ancestor in self.expiring(&turn.ancestors, wanted_until) {
-            let renewed = Turn { retention_ms: kept_for, ..Turn::clone(&ancestor) };
-            writes.spawn_local(self.put(Rc::new(renewed)));
-        }
-        while let Some(written) = writes.join_next().await {
-            written.unwrap_or(Err(TurnError::Unavailable))?;
-        }
+        self.store.put(&turn, STORE_LIMIT).await?;
+        self.cache.borrow_mut().insert(Rc::new(turn));
         Ok(())
     }
 
-    /// Writes a turn to the stores, and then to memory.
-    fn put(&self, turn: Rc<Turn>) -> impl Future<Output = Result<(), TurnError>> + use<S> {
-        let store = self.store.clone();
-        let cache = Rc::clone(&self.cache);
-        let kept_until = self.now() + Duration::from_millis(turn.retention_ms);
-        async move {
-            store.put(&turn, STORE_LIMIT).await?;
-            cache.borrow_mut().insert(turn, kept_until);
-            Ok(())
-        }
-    }
-
-    /// The ancestors that the stores may drop before that time. All of them were in memory when the chain was read; one
-    /// that has given way since is read again when it is next used.
-    fn expiring(&self, ancestors: &[String], wanted_until: Duration) -> Vec<Rc<Turn>> {
-        let mut cache = self.cache.borrow_mut();
-        let known = ancestors.iter().filter_map(|id| cache.get(id));
-        known.filter(|(_, kept_until)| *kept_until < wanted_until).map(|(turn, _)| turn).collect()
-    }
-
     /// The turns up to and including `last`, oldest first.
     async fn read_chain(&self, last: &str) -> Result<Vec<Rc<Turn>>, ChainError> {
         let last = match self.cached(last) {
@@ -141,25 +102,19 @@
     }
 
     fn cached(&self, id: &str) -> Option<Rc<Turn>> {
-        self.cache.borrow_mut().get(id).map(|(turn, _)| turn)
+        self.cache.borrow_mut().get(id)
     }
 
     fn fetch(&self, id: String) -> impl Future<Output = Result<Option<Rc<Turn>>, ChainError>> + use<S> {
         let store = self.store.clone();
         let cache = Rc::clone(&self.cache);
-        let started = self.started;
         async move {
             let found = store.get(&id, CHAIN_LIMIT).await.map_err(|_| ChainError::Unavailable)?;
             let turn = found.map(Rc::new);
             if let Some(turn) = &turn {
-                let kept_until = started.elapsed() + Duration::from_millis(turn.retention_ms);
-                cache.borrow_mut().insert(Rc::clone(turn), kept_until);
+                cache.borrow_mut().insert(Rc::clone(turn));
             }
             Ok(turn)
         }
     }
-
-    fn now(&self) -> Duration {
-        self.started.elapsed()
-    }
 }
