--- a/crates/gatekeeper/src/proxy/run.rs
+++ b/crates/gatekeeper/src/proxy/run.rs
@@ -1,6 +1,9 @@
 //! Starts the proxy, feeds it, and ends it without losing a request.
 
-use crate::proxy::{Proxy, handler::ClientHandler, readiness::ReadinessHandler, state};
+use crate::{
+    feed::ControlFeed,
+    proxy::{Proxy, handler::ClientHandler, readiness::ReadinessHandler, state},
+};
 use opalrun_settings::{Settings, SettingsError};
 use opalrun_transport::server::{self, Server};
 use snafu::{ResultExt, Snafu};
@@ -12,6 +15,8 @@
 const LONGEST_HEAD: usize = 64 * 1024;
 /// Connections of the platform's readiness checks.
 const READINESS_CONNECTIONS: usize = 32;
+/// Between looks whether what is known is fresh.
+const FRESHNESS_INTERVAL: Duration = Duration::from_millis(500);
 /// Between looks for idle connections to workers.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// After SIGTERM the platform still sends new connections until it has seen that the process is not ready.
@@ -51,6 +56,7 @@
     let platform = listen(readiness).await?;
     let proxy = Proxy::new(&settings);
     spawn_local(sweep(proxy.clone()));
+    spawn_local(follow(proxy.clone(), ControlFeed::start(settings.ports.feed())));
     spawn_local(watch_settings(settings.clone()));
     serve(proxy, &settings, clients, platform, opalrun_net::signals::terminated()).await;
     Ok(())
@@ -107,6 +113,19 @@
     }
 }
 
+/// Hands what control says to the proxy.
+async fn follow(proxy: Rc<Proxy>, feed: Rc<ControlFeed>) {
+    let mut changes = feed.changes();
+    proxy.take(&feed.view());
+    loop {
+        // Freshness alone is no change.
+        match tokio::time::timeout(FRESHNESS_INTERVAL, changes.changed()).await {
+            Ok(_) => proxy.take(&feed.view()),
+            Err(_elapsed) => proxy.take_freshness(&feed.view()),
+        }
+    }
+}
+
 /// Reads the settings again whenever they have changed. Nothing that the proxy goes by changes while it runs.
 async fn watch_settings(settings: Settings) {
     loop {
--- a/crates/gatekeeper/src/proxy/state.rs
+++ b/crates/gatekeeper/src/proxy/state.rs
@@ -1,6 +1,7 @@
 //! What the proxy holds beside its requests: the configuration, the workers and the connections to them.
 
 use crate::{
+    feed::{ControlView, Workers},
     lease::ProgramLeases,
     proxy::{
         balance::{Balancer, WorkerId},
@@ -16,9 +17,10 @@
     clock::Clock,
     pool::{self, Pools, WorkerLimits},
 };
-use opalrun_wire::feed::{StoreMap, Worker, WorkerState};
+use opalrun_wire::feed::{StoreMap, WorkerState};
 use std::{
     cell::{Cell, RefCell},
+    collections::HashMap,
     rc::Rc,
     time::{Duration, Instant},
 };
@@ -59,6 +61,7 @@
     /// What was said in earlier turns.
     pub(super) turns: Turns<Rc<StoreClient>>,
     store_client: Rc<StoreClient>,
+    store_epoch: Cell<u64>,
 }
 
 impl Proxy {
@@ -84,6 +87,7 @@
             leases: ProgramLeases::new(store_client.clone(), fastrand::u64(..)),
             turns: Turns::new(store_client.clone(), TURN_CACHE_BYTES),
             store_client,
+            store_epoch: Cell::new(0),
         })
     }
 
@@ -134,6 +138,25 @@
 
     // ---- What the feed tells ----
 
+    /// Takes over what is known now.
+    pub fn take(&self, view: &ControlView) {
+        self.set_gatekeepers(view.gatekeepers);
+        self.set_store_map(&view.store_map);
+        // Workers first: a configuration that is in force should find those of its services.
+        self.set_workers(&view.workers);
+        if let Some((_, configuration)) = &view.configuration {
+            self.set_configuration(configuration.clone());
+        }
+        self.take_freshness(view);
+    }
+
+    /// Takes over since when what is known is fresh.
+    pub fn take_freshness(&self, view: &ControlView) {
+        if let Some(at) = view.fresh_at {
+            self.set_fresh(at.into_std());
+        }
+    }
+
     /// A newer configuration is in force; an older one is ignored.
     pub fn set_configuration(&self, configuration: Rc<Configuration>) {
         let known = self.configuration.borrow().as_ref().map(|known| known.generation);
@@ -157,8 +180,10 @@
     }
 
     /// Which store holds what.
-    pub fn set_store_map(&self, map: StoreMap) {
-        self.store_client.set_map(map);
+    pub fn set_store_map(&self, map: &StoreMap) {
+        if self.store_epoch.replace(map.epoch) != map.epoch {
+            self.store_client.set_map(map.clone());
+        }
     }
 
     /// Gives back what turns under way do not need of their programs' budgets; `false`: not all in time.
@@ -166,16 +191,18 @@
         self.leases.drain(limit).await
     }
 
-    /// What is known was fresh a moment ago.
-    pub fn set_fresh(&self) {
-        self.fresh_at.set(Some(self.now()));
+    /// What is known was fresh then.
+    pub fn set_fresh(&self, at: Instant) {
+        self.fresh_at.set(Some(at.saturating_duration_since(self.started)));
     }
 
     /// All workers that are known; those that are not among them are gone.
-    pub fn set_workers(&self, workers: &FnvHashMap<String, Vec<Worker>>) {
+    pub fn set_workers(&self, workers: &HashMap<String, Workers>) {
         let now = self.now();
         for (service, listed) in workers {
-            self.balance(service, |balancer| balancer.set_workers(now, listed.iter()));
+            self.balance(service, |balancer| {
+                balancer.set_workers(now, listed.values().map(|worker| &**worker))
+            });
         }
         let mut services = self.services.borrow_mut();
         let absent = services.iter_mut().filter(|(service, _)| !workers.contains_key(*service));
@@ -185,8 +212,8 @@
         self.set_connection_limits();
     }
 
-    fn list_in_pools(&self, workers: &FnvHashMap<String, Vec<Worker>>) {
-        let all = || workers.values().flatten();
+    fn list_in_pools(&self, workers: &HashMap<String, Workers>) {
+        let all = || workers.values().flat_map(Workers::values);
         let ids: FnvHashSet<&str> = all().map(|worker| worker.id.as_str()).collect();
         self.pools.only(|id| ids.contains(id));
         for worker in all() {
--- a/crates/gatekeeper/tests/proxy/fakes.rs
+++ b/crates/gatekeeper/tests/proxy/fakes.rs
@@ -11,6 +11,7 @@
     net::SocketAddr,
     path::Path,
     rc::Rc,
+    time::Instant,
 };
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -296,7 +297,7 @@
         let gatekeeper = Self::start().await;
         gatekeeper.configure(1, CONFIGURATION);
         gatekeeper.list(workers);
-        gatekeeper.proxy.set_fresh();
+        gatekeeper.proxy.set_fresh(Instant::now());
         gatekeeper
     }
 
@@ -307,8 +308,13 @@
     }
 
     pub fn list(&self, workers: &[&FakeWorker]) {
-        let listed = workers.iter().map(|worker| worker.listed("s")).collect();
-        self.proxy.set_workers(&[("s".to_owned(), listed)].into_iter().collect());
+        self.list_as(workers.iter().map(|worker| worker.listed("s")).collect());
+    }
+
+    /// These are the workers of the service.
+    pub fn list_as(&self, workers: Vec<Worker>) {
+        let workers = workers.into_iter().map(|worker| (worker.id.clone(), Rc::new(worker))).collect();
+        self.proxy.set_workers(&[("s".to_owned(), workers)].into_iter().collect());
     }
 
     pub async fn connect(&self) -> TcpStream {
--- a/crates/gatekeeper/tests/proxy/forwarding.rs
+++ b/crates/gatekeeper/tests/proxy/forwarding.rs
@@ -2,6 +2,7 @@
 
 use crate::fakes::{Act, CONFIGURATION, FakeWorker, Gatekeeper, answer, not_executed, request, run};
 use opalrun_wire::feed::WorkerState;
+use std::time::Instant;
 
 #[test]
 fn a_request_goes_through_unchanged_and_so_does_its_answer() {
@@ -200,7 +201,7 @@
         gatekeeper.configure(7, &CONFIGURATION.replace("/safe/", "/other/"));
         let stale = gatekeeper.call(&text).await.expect("an answer");
         assert_eq!(stale.status(), 503, "a newer configuration may have the route");
-        gatekeeper.proxy.set_fresh();
+        gatekeeper.proxy.set_fresh(Instant::now());
         assert_eq!(gatekeeper.call(&text).await.expect("an answer").status(), 404);
         gatekeeper.configure(6, CONFIGURATION);
         assert_eq!(gatekeeper.call(&text).await.expect("an answer").status(), 404);
@@ -215,8 +216,7 @@
         let gatekeeper = Gatekeeper::with(&[&leaving, &staying]).await;
         let mut draining = leaving.listed("s");
         draining.state = WorkerState::Draining;
-        let listed = vec![draining, staying.listed("s")];
-        gatekeeper.proxy.set_workers(&[("s".to_owned(), listed)].into_iter().collect());
+        gatekeeper.list_as(vec![draining, staying.listed("s")]);
         for id in 0..4 {
             gatekeeper
                 .call(&request("GET", "/safe/a", &format!("id-{id}"), "", ""))
--- a/crates/gatekeeper/tests/proxy/planned_work.rs
+++ b/crates/gatekeeper/tests/proxy/planned_work.rs
@@ -1,7 +1,7 @@
 //! The end of the process by SIGTERM.
 
 use crate::fakes::{Act, FakeWorker, Gatekeeper, LAST_CHUNK, Reader, events, request, run, stream_head};
-use std::rc::Rc;
+use std::{rc::Rc, time::Instant};
 use tokio::{io::AsyncWriteExt, net::TcpStream, sync::Notify};
 
 async fn readiness(gatekeeper: &Gatekeeper) -> u16 {
@@ -18,7 +18,7 @@
         assert_eq!(readiness(&gatekeeper).await, 503);
         gatekeeper.configure(1, crate::fakes::CONFIGURATION);
         assert_eq!(readiness(&gatekeeper).await, 503);
-        gatekeeper.proxy.set_fresh();
+        gatekeeper.proxy.set_fresh(Instant::now());
         assert_eq!(readiness(&gatekeeper).await, 200);
     });
 }
@@ -30,7 +30,7 @@
         let act = Act::SendWaitSend(stream_head() + &events(1, 1), go_on.clone(), events(2, 2) + LAST_CHUNK);
         let worker = FakeWorker::start("w1", vec![act]).await;
         let gatekeeper = Gatekeeper::with(&[&worker]).await;
-        gatekeeper.proxy.set_fresh();
+        gatekeeper.proxy.set_fresh(Instant::now());
         let mut socket = gatekeeper.connect().await;
         socket.write_all(request("POST", "/stream/a", "id", "", "x").as_bytes()).await.expect("it reads");
         worker.came.notified().await;
