--- a/lab/src/tier/mod.rs
+++ b/lab/src/tier/mod.rs
@@ -4,3 +4,5 @@
 pub mod configuration;
 pub mod judge;
 pub mod observation;
+pub mod peer;
+pub mod worker;
--- /dev/null
+++ b/lab/src/tier/worker/mod.rs
@@ -0,0 +1,319 @@
+//! Stand-in workers: connections, registration and the parts that plain and model workers share.
+
+pub mod engine;
+mod fault;
+mod model;
+mod plain;
+pub mod registration;
+
+use super::{
+    observation::{Leave, Log, Observation},
+    peer::Peer,
+};
+use crate::http::{self, Message};
+use engine::EngineSpec;
+pub use fault::Fault;
+use fault::Faults;
+use registration::{Controls, Facts, Registration};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpSocket},
+    sync::{Mutex, watch},
+    task::JoinHandle,
+};
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// What a worker does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Work {
+    /// Requests one by one, `capacity` at a time.
+    Plain { capacity: usize, queue: usize, work: Duration, answer_bytes: usize },
+    /// Streams of tokens, in batches.
+    Model(EngineSpec),
+}
+
+impl Work {
+    fn capacity(&self) -> usize {
+        match self {
+            Self::Plain { capacity, .. } => *capacity,
+            Self::Model(spec) => spec.capacity,
+        }
+    }
+}
+
+/// A worker before it starts.
+#[derive(Debug, Clone)]
+pub struct WorkerSpec {
+    pub service: String,
+    pub zone: String,
+    /// Where it listens; port 0: any.
+    pub address: SocketAddr,
+    pub work: Work,
+    pub max_connections: usize,
+    pub heartbeat: Duration,
+    /// How long it serves on after it was acknowledged that it is draining.
+    pub drain: Duration,
+}
+
+enum Kind {
+    Plain(plain::Plain),
+    Model(Box<model::Model>),
+}
+
+/// What becomes of a connection after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum After {
+    KeepOpen,
+    Close,
+    Reset,
+}
+
+/// One incarnation of a worker.
+pub struct Worker {
+    /// New at every start.
+    pub id: String,
+    pub address: SocketAddr,
+    pub spec: WorkerSpec,
+    log: Log,
+    kind: Kind,
+    faults: Faults,
+    registration: Mutex<Registration>,
+    draining: AtomicBool,
+    connections: AtomicUsize,
+    answers: AtomicU64,
+    /// False once it has ended.
+    alive: watch::Sender<bool>,
+}
+
+impl Worker {
+    /// Starts a worker; it registers itself.
+    ///
+    /// # Errors
+    /// Its address can't be listened at.
+    pub fn start(id: &str, spec: WorkerSpec, controls: Controls, log: Log) -> io::Result<Arc<Self>> {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(spec.address)?;
+        let listener = socket.listen(BACKLOG)?;
+        let address = listener.local_addr()?;
+        let kind = match spec.work {
+            Work::Plain { capacity, queue, work, answer_bytes } => {
+                Kind::Plain(plain::Plain::new(capacity, queue, work, answer_bytes))
+            }
+            Work::Model(engine) => Kind::Model(Box::new(model::Model::new(engine))),
+        };
+        let facts = Facts {
+            id: id.to_owned(),
+            service: spec.service.clone(),
+            address,
+            zone: spec.zone.clone(),
+            capacity: spec.work.capacity(),
+            is_model: matches!(kind, Kind::Model(_)),
+        };
+        let worker = Arc::new(Self {
+            id: id.to_owned(),
+            address,
+            spec,
+            log,
+            kind,
+            faults: Faults::default(),
+            registration: Mutex::new(Registration::new(facts, controls)),
+            draining: AtomicBool::new(false),
+            connections: AtomicUsize::new(0),
+            answers: AtomicU64::new(0),
+            alive: watch::channel(true).0,
+        });
+        worker.clone().spawn_while_alive(worker.clone().accept(listener));
+        worker.clone().spawn_while_alive(worker.clone().keep_registered());
+        if let Kind::Model(_) = worker.kind {
+            worker.clone().spawn_while_alive(worker.clone().drive_engine());
+        }
+        Ok(worker)
+    }
+
+    /// Runs a task until the worker ends.
+    fn spawn_while_alive(self: Arc<Self>, task: impl Future<Output = ()> + Send + 'static) -> JoinHandle<()> {
+        let mut alive = self.alive.subscribe();
+        tokio::spawn(async move {
+            tokio::select! {
+                () = task => {}
+                _ = alive.wait_for(|alive| !alive) => {}
+            }
+        })
+    }
+
+    /// Has the next request that runs go wrong.
+    pub fn next_fails(&self, fault: Fault) {
+        self.faults.push(fault);
+    }
+
+    /// Ends at once and says nothing, as after a crash.
+    pub fn crash(&self) {
+        self.log.note(Observation::WorkerCrashed { worker: self.id.clone() });
+        self.alive.send_replace(false);
+    }
+
+    /// Says that it is draining; whether that was acknowledged within a time.
+    pub async fn drain(&self, limit: Duration) -> bool {
+        self.draining.store(true, Ordering::Relaxed);
+        let acknowledged = self.registration.lock().await.heartbeat_until(true, limit).await;
+        if acknowledged {
+            let (worker, leave) = (self.id.clone(), Leave::Draining);
+            self.log.note(Observation::LeaveAcknowledged { worker, leave });
+        }
+        acknowledged
+    }
+
+    /// A planned end: drains, serves on for the time of draining, says that it is gone, and ends.
+    pub async fn leave(&self, limit: Duration) -> bool {
+        let mut acknowledged = self.drain(limit).await;
+        tokio::time::sleep(self.spec.drain).await;
+        if self.registration.lock().await.remove().await {
+            let (worker, leave) = (self.id.clone(), Leave::Gone);
+            self.log.note(Observation::LeaveAcknowledged { worker, leave });
+        } else {
+            acknowledged = false;
+        }
+        self.alive.send_replace(false);
+        acknowledged
+    }
+
+    async fn keep_registered(self: Arc<Self>) {
+        loop {
+            let draining = self.draining.load(Ordering::Relaxed);
+            let acknowledged = self.registration.lock().await.heartbeat(draining).await;
+            // Until it is known at all, it tries more often.
+            let pause = if acknowledged { self.spec.heartbeat } else { self.spec.heartbeat / 4 };
+            tokio::time::sleep(pause).await;
+        }
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let held = self.connections.fetch_add(1, Ordering::Relaxed);
+            let (worker, peer) = (self.clone(), Peer::new(stream));
+            self.clone().spawn_while_alive(async move {
+                if held >= worker.spec.max_connections {
+                    peer.reset();
+                } else {
+                    worker.serve(peer).await;
+                }
+                worker.connections.fetch_sub(1, Ordering::Relaxed);
+            });
+        }
+    }
+
+    /// Serves one connection to its end.
+    async fn serve(&self, mut peer: Peer) {
+        loop {
+            // What can't be read, or breaks, ends the connection.
+            let Ok(Some(message)) = peer.read_message().await else { return };
+            match self.answer(&mut peer, &message).await {
+                Ok(After::KeepOpen) if !message.closes() => {}
+                Ok(After::Reset) => return peer.reset(),
+                _ => return,
+            }
+        }
+    }
+
+    async fn answer(&self, peer: &mut Peer, message: &Message) -> io::Result<After> {
+        match message.target() {
+            ("GET", "/healthz") => self.write(peer, self.health_status(), "", b"").await,
+            ("GET", "/opalrun/report") => {
+                let report = self.report();
+                self.write(peer, 200, "Content-Type: application/json\r\n", report.as_bytes()).await
+            }
+            _ => self.answer_request(peer, message).await,
+        }
+    }
+
+    async fn answer_request(&self, peer: &mut Peer, message: &Message) -> io::Result<After> {
+        if message.header("expect-instance").is_some_and(|id| id != self.id) {
+            return self.write(peer, 421, "Not-Executed: 1\r\n", b"").await;
+        }
+        let Some(request) = message.header("request-id").map(str::to_owned) else {
+            return self.write(peer, 400, "Not-Executed: 1\r\n", b"").await;
+        };
+        self.log.note(Observation::Reached { request: request.clone(), worker: self.id.clone() });
+        match &self.kind {
+            Kind::Plain(plain) => plain.answer(self, peer, message, &request).await,
+            Kind::Model(model) => model.answer(self, peer, message, &request).await,
+        }
+    }
+
+    /// Turns a request away that has not run.
+    async fn reject(&self, peer: &mut Peer, request: &str) -> io::Result<After> {
+        let headers = format!("Not-Executed: 1\r\nRequest-Id: {request}\r\n");
+        self.write(peer, 503, &headers, b"").await
+    }
+
+    async fn write(&self, peer: &mut Peer, status: u16, headers: &str, body: &[u8]) -> io::Result<After> {
+        let all = format!("{headers}Instance-Id: {}\r\nServer-Load: {}\r\n", self.id, self.server_load());
+        peer.write(&http::answer(status, &all, body)).await?;
+        Ok(After::KeepOpen)
+    }
+
+    fn health_status(&self) -> u16 {
+        if self.draining.load(Ordering::Relaxed) { 503 } else { 200 }
+    }
+
+    fn server_load(&self) -> String {
+        let (running, waiting) = match &self.kind {
+            Kind::Plain(plain) => plain.load(),
+            Kind::Model(model) => model.load(),
+        };
+        format!("{running},{waiting},{}", self.spec.work.capacity())
+    }
+
+    fn report(&self) -> String {
+        match &self.kind {
+            Kind::Plain(_) => "{}".to_owned(),
+            Kind::Model(model) => model.report(),
+        }
+    }
+
+    async fn drive_engine(self: Arc<Self>) {
+        if let Kind::Model(model) = &self.kind {
+            model.drive().await;
+        }
+    }
+
+    /// A signature that no other answer of this worker has.
+    fn signature(&self) -> String {
+        format!("{}.{:x}", self.id, self.answers.fetch_add(1, Ordering::Relaxed))
+    }
+
+    fn note_run(&self, message: &Message, request: &str) {
+        let (method, path) = message.target();
+        self.log.note(Observation::Ran {
+            request: request.to_owned(),
+            worker: self.id.clone(),
+            service: self.spec.service.clone(),
+            method: method.to_owned(),
+            host: message.header("host").unwrap_or_default().to_owned(),
+            path: path.to_owned(),
+            body: message.body.clone(),
+        });
+    }
+
+    fn note_answer(&self, request: &str, status: u16, signature: &str, body: &[u8], whole: bool) {
+        self.log.note(Observation::WorkerAnswered {
+            request: request.to_owned(),
+            worker: self.id.clone(),
+            status,
+            signature: signature.to_owned(),
+            body: body.to_vec(),
+            whole,
+        });
+    }
+}
--- /dev/null
+++ b/lab/src/tier/worker/model.rs
@@ -0,0 +1,259 @@
+//! A model worker: streams of events from an engine.
+
+use super::{
+    After, Fault, Worker,
+    engine::{Engine, EngineSpec, Prompt},
+};
+use crate::{
+    http::Message,
+    tier::{
+        observation::{Observation, StreamEvent},
+        peer::Peer,
+    },
+};
+use serde_json::json;
+use std::{
+    collections::HashMap,
+    io,
+    sync::{Mutex, MutexGuard, PoisonError},
+};
+use tokio::sync::{Notify, mpsc};
+
+/// The priority of a request that names none.
+const USUAL_PRIORITY: u8 = 5;
+/// Tokens that a request emits when it names no most.
+const USUAL_OUT: u64 = 12;
+/// Events of a stream after which a fault in its middle strikes.
+const EVENTS_BEFORE_RESET: u64 = 2;
+
+struct State {
+    engine: Engine,
+    /// Where the tokens of each ticket go, and whether one is its last.
+    streams: HashMap<u64, mpsc::UnboundedSender<bool>>,
+}
+
+pub struct Model {
+    spec: EngineSpec,
+    state: Mutex<State>,
+    admitted: Notify,
+}
+
+impl Model {
+    pub fn new(spec: EngineSpec) -> Self {
+        let state = Mutex::new(State { engine: Engine::new(spec), streams: HashMap::new() });
+        Self { spec, state, admitted: Notify::new() }
+    }
+
+    fn state(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Requests running and waiting.
+    pub fn load(&self) -> (usize, usize) {
+        let load = self.state().engine.load();
+        (load.running, load.waiting)
+    }
+
+    pub fn report(&self) -> String {
+        let load = self.state().engine.load();
+        json!({
+            "phase": "both", "models": [{"name": "m", "generation": 1, "adapters": []}], "busy": false,
+            "sequence": 0, "queued": load.waiting, "running": load.running, "kv_used": load.kv_used,
+            "kv_total": self.spec.kv_capacity, "sessions": 0,
+        })
+        .to_string()
+    }
+
+    /// Steps the engine while there is something to do.
+    pub async fn drive(&self) {
+        loop {
+            let pause = {
+                let state = self.state();
+                (!state.engine.is_idle()).then(|| state.engine.step_time())
+            };
+            let Some(pause) = pause else {
+                self.admitted.notified().await;
+                continue;
+            };
+            tokio::time::sleep(pause).await;
+            let mut state = self.state();
+            for (ticket, last) in state.engine.step() {
+                if let Some(stream) = state.streams.get(&ticket) {
+                    // A client that has left is dropped by the task that served it.
+                    let _ = stream.send(last);
+                }
+            }
+        }
+    }
+
+    pub async fn answer(
+        &self,
+        worker: &Worker,
+        peer: &mut Peer,
+        message: &Message,
+        request: &str,
+    ) -> io::Result<After> {
+        let Some(mut stream) = self.admit(message) else { return worker.reject(peer, request).await };
+        let first = tokio::select! {
+            token = stream.tokens.recv() => token,
+            () = peer.closed() => return Ok(After::Close),
+        };
+        worker.note_run(message, request);
+        let fault = worker.faults.take();
+        let signature = worker.signature();
+        match fault {
+            Some(Fault::Silence) => {
+                peer.closed().await;
+                return Ok(After::Close);
+            }
+            Some(Fault::Garbage) => {
+                peer.write(b"\x00\xfenothing that could be read\r\n\r\n").await?;
+                return Ok(After::Close);
+            }
+            Some(Fault::Failure) => {
+                worker.note_answer(request, 500, &signature, b"", true);
+                let headers = format!("Request-Id: {request}\r\nServer-Signature: {signature}\r\n");
+                return worker.write(peer, 500, &headers, b"").await;
+            }
+            _ => {}
+        }
+        let mut output = Output { worker, peer, request, signature: &signature, next: first_event(message) };
+        output.head().await?;
+        output.events(first, &mut stream, self.spec.chunk_tokens, fault).await
+    }
+
+    fn admit(&self, message: &Message) -> Option<Stream<'_>> {
+        let prompt = prompt(message, self.spec.chunk_tokens);
+        let mut state = self.state();
+        let ticket = state.engine.admit(prompt).ok()?;
+        let (tell, tokens) = mpsc::unbounded_channel();
+        state.streams.insert(ticket, tell);
+        drop(state);
+        self.admitted.notify_one();
+        Some(Stream { model: self, ticket, tokens })
+    }
+}
+
+/// A request in the engine; dropped, it leaves it.
+struct Stream<'a> {
+    model: &'a Model,
+    ticket: u64,
+    tokens: mpsc::UnboundedReceiver<bool>,
+}
+
+impl Drop for Stream<'_> {
+    fn drop(&mut self) {
+        let mut state = self.model.state();
+        state.engine.remove(self.ticket);
+        state.streams.remove(&self.ticket);
+    }
+}
+
+/// An answer on its way out.
+struct Output<'a> {
+    worker: &'a Worker,
+    peer: &'a mut Peer,
+    request: &'a str,
+    signature: &'a str,
+    /// The id of the next event.
+    next: u64,
+}
+
+impl Output<'_> {
+    async fn head(&mut self) -> io::Result<()> {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: {}\r\nServer-Signature: {}\r\n\
+             Server-Load: {}\r\nVersions: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
+            self.request,
+            self.signature,
+            self.worker.server_load()
+        );
+        self.peer.write(head.as_bytes()).await
+    }
+
+    async fn events(
+        &mut self,
+        first: Option<bool>,
+        stream: &mut Stream<'_>,
+        chunk_tokens: u64,
+        fault: Option<Fault>,
+    ) -> io::Result<After> {
+        let (mut token, mut held) = (first, 0);
+        while let Some(last) = token {
+            held += 1;
+            if held == chunk_tokens || last {
+                held = 0;
+                self.event(!last || fault != Some(Fault::LoseAnswer)).await?;
+            }
+            if last {
+                return self.end(fault).await;
+            }
+            if fault == Some(Fault::ResetMidAnswer) && held == 0 && self.next > EVENTS_BEFORE_RESET {
+                self.worker.note_answer(self.request, 200, self.signature, b"", false);
+                return Ok(After::Reset);
+            }
+            token = tokio::select! {
+                token = stream.tokens.recv() => token,
+                () = self.peer.closed() => return Ok(After::Close),
+            };
+        }
+        Ok(After::Close)
+    }
+
+    /// Makes the next event, and sends it unless it gets lost.
+    async fn event(&mut self, send: bool) -> io::Result<()> {
+        let data = format!("{} {} of {}", self.signature, self.next, self.request);
+        let text = format!("id: {}\ndata: {data}\n\n", self.next);
+        self.worker.log.note(Observation::EventMade {
+            request: self.request.to_owned(),
+            worker: self.worker.id.clone(),
+            event: StreamEvent { id: self.next, data: data.into_bytes() },
+        });
+        self.next += 1;
+        if send {
+            let chunk = format!("{:x}\r\n{text}\r\n", text.len());
+            self.peer.write(chunk.as_bytes()).await?;
+        }
+        Ok(())
+    }
+
+    async fn end(&mut self, fault: Option<Fault>) -> io::Result<After> {
+        let whole = fault != Some(Fault::LoseAnswer);
+        self.worker.note_answer(self.request, 200, self.signature, b"", whole);
+        if !whole {
+            return Ok(After::Close);
+        }
+        self.peer.write(b"0\r\n\r\n").await?;
+        if fault == Some(Fault::SecondAnswer) {
+            let headers = format!("Request-Id: surplus-{}\r\n", self.request);
+            self.peer.write(&crate::http::answer(200, &headers, b"surplus")).await?;
+        }
+        Ok(After::KeepOpen)
+    }
+}
+
+/// The id of the first event: after the one that the request names, if it does.
+fn first_event(message: &Message) -> u64 {
+    message.header("last-event-id").and_then(|id| id.parse::<u64>().ok()).map_or(1, |id| id + 1)
+}
+
+/// What a request's headers ask of the engine. What it emits follows from its id, at most what it names.
+fn prompt(message: &Message, chunk_tokens: u64) -> Prompt {
+    let parts = message.header("prompt-prefix").unwrap_or_default().split(',');
+    let parts = parts.filter_map(|part| {
+        let (id, tokens) = part.split_once(':')?;
+        Some((id.to_owned(), tokens.parse().ok()?))
+    });
+    let most = message.header("token-usage").and_then(|usage| usage.split_once(',')?.1.trim().parse().ok());
+    let most = most.unwrap_or(USUAL_OUT).max(1);
+    let done = (first_event(message) - 1) * chunk_tokens;
+    let priority = message.header("priority").and_then(|p| p.parse().ok()).unwrap_or(USUAL_PRIORITY);
+    let out = out_of(message.header("request-id").unwrap_or_default(), most);
+    Prompt { parts: parts.collect(), out: out.saturating_sub(done).max(1), priority }
+}
+
+/// Tokens that a request emits: from half of its most to all of it.
+fn out_of(request: &str, most: u64) -> u64 {
+    let fold = request.bytes().fold(7_u64, |sum, byte| (sum * 31 + u64::from(byte)) % 1009);
+    most - (most / 2) * (fold % 3) / 2
+}
--- /dev/null
+++ b/lab/src/tier/worker/plain.rs
@@ -0,0 +1,119 @@
+//! A plain worker: slots, a queue, and an answer of stated length.
+
+use super::{After, Fault, Worker};
+use crate::{
+    http::{self, Message},
+    tier::peer::Peer,
+};
+use std::{
+    io,
+    sync::atomic::{AtomicUsize, Ordering},
+    time::Duration,
+};
+use tokio::sync::Semaphore;
+
+pub struct Plain {
+    slots: Semaphore,
+    capacity: usize,
+    queue: usize,
+    waiting: AtomicUsize,
+    work: Duration,
+    answer_bytes: usize,
+}
+
+impl Plain {
+    pub fn new(capacity: usize, queue: usize, work: Duration, answer_bytes: usize) -> Self {
+        let (slots, waiting) = (Semaphore::new(capacity), AtomicUsize::new(0));
+        Self { slots, capacity, queue, waiting, work, answer_bytes }
+    }
+
+    /// Requests running and waiting.
+    pub fn load(&self) -> (usize, usize) {
+        (self.capacity - self.slots.available_permits(), self.waiting.load(Ordering::Relaxed))
+    }
+
+    pub async fn answer(
+        &self,
+        worker: &Worker,
+        peer: &mut Peer,
+        message: &Message,
+        request: &str,
+    ) -> io::Result<After> {
+        if self.slots.available_permits() == 0 && self.waiting.load(Ordering::Relaxed) >= self.queue {
+            return worker.reject(peer, request).await;
+        }
+        let waits = Waits::begin(&self.waiting);
+        let slot = tokio::select! {
+            slot = self.slots.acquire() => slot,
+            () = peer.closed() => return Ok(After::Close),
+        };
+        drop(waits);
+        // The semaphore is never closed.
+        let Ok(_slot) = slot else { return Ok(After::Close) };
+        worker.note_run(message, request);
+        let fault = worker.faults.take();
+        tokio::select! {
+            () = tokio::time::sleep(self.work) => {}
+            () = peer.closed() => return Ok(After::Close),
+        }
+        self.finish(worker, peer, request, fault).await
+    }
+
+    async fn finish(
+        &self,
+        worker: &Worker,
+        peer: &mut Peer,
+        request: &str,
+        fault: Option<Fault>,
+    ) -> io::Result<After> {
+        let signature = worker.signature();
+        let mut body = format!("{signature} answers {request} ").into_bytes();
+        body.resize(self.answer_bytes.max(body.len()), b'.');
+        let status = if fault == Some(Fault::Failure) { 500 } else { 200 };
+        let whole = matches!(fault, None | Some(Fault::SecondAnswer | Fault::Failure));
+        worker.note_answer(request, status, &signature, &body, whole);
+        let headers = format!(
+            "Request-Id: {request}\r\nServer-Signature: {signature}\r\nServer-Load: {}\r\n",
+            worker.server_load()
+        );
+        let mut bytes = http::answer(status, &headers, &body);
+        match fault {
+            None | Some(Fault::Failure) => {}
+            Some(Fault::LoseAnswer) => return Ok(After::Close),
+            Some(Fault::ResetMidAnswer) => {
+                peer.write(&bytes[..bytes.len() - body.len() / 2]).await?;
+                return Ok(After::Reset);
+            }
+            Some(Fault::SecondAnswer) => {
+                let headers = format!("Request-Id: surplus-{request}\r\nServer-Signature: {signature}-2\r\n");
+                bytes.extend(http::answer(200, &headers, b"surplus"));
+            }
+            Some(Fault::Garbage) => {
+                peer.write(b"\x00\xfenothing that could be read\r\n\r\n").await?;
+                return Ok(After::Close);
+            }
+            Some(Fault::Silence) => {
+                peer.closed().await;
+                return Ok(After::Close);
+            }
+        }
+        peer.write(&bytes).await?;
+        Ok(After::KeepOpen)
+    }
+}
+
+/// One more that waits, until it is dropped.
+struct Waits<'a>(&'a AtomicUsize);
+
+impl<'a> Waits<'a> {
+    fn begin(waiting: &'a AtomicUsize) -> Self {
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Self(waiting)
+    }
+}
+
+impl Drop for Waits<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/lab/src/tier/worker/registration.rs
@@ -0,0 +1,138 @@
+//! A worker's registration: heartbeats to the processes that serve control, draining, and the end.
+
+use crate::tier::peer::call;
+use serde_json::{Value, json};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+/// An acknowledgement that takes longer does not count.
+const ACKNOWLEDGE_LIMIT: Duration = Duration::from_secs(1);
+/// An acknowledgement that is longer does not count, in bytes.
+const MOST_ACKNOWLEDGEMENT: usize = 4096;
+/// Pause between rounds over all processes that serve control.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+
+/// The processes that serve control, as callers know them.
+#[derive(Debug, Clone, Default)]
+pub struct Controls(Arc<Mutex<Vec<SocketAddr>>>);
+
+impl Controls {
+    /// Replaces the list.
+    pub fn set(&self, addresses: Vec<SocketAddr>) {
+        *self.0.lock().unwrap_or_else(PoisonError::into_inner) = addresses;
+    }
+
+    /// The list as it stands.
+    #[must_use]
+    pub fn get(&self) -> Vec<SocketAddr> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
+
+/// What a worker says of itself in each heartbeat.
+#[derive(Debug, Clone)]
+pub struct Facts {
+    pub id: String,
+    pub service: String,
+    pub address: SocketAddr,
+    pub zone: String,
+    pub capacity: usize,
+    /// It has models to name.
+    pub is_model: bool,
+}
+
+impl Facts {
+    fn body(&self, draining: bool, sequence: u64) -> Value {
+        let mut body = json!({
+            "backend": self.service, "address": self.address.to_string(), "zone": self.zone,
+            "generation": "v1", "capacity": self.capacity,
+            "state": if draining { "draining" } else { "ready" },
+            "cold_remaining_ms": 0, "sequence": sequence,
+        });
+        if self.is_model {
+            body["phase"] = json!("both");
+            body["models"] = json!([{"name": "m", "generation": 1, "adapters": []}]);
+        }
+        body
+    }
+}
+
+/// The registration of one worker.
+#[derive(Debug)]
+pub struct Registration {
+    facts: Facts,
+    controls: Controls,
+    sequence: u64,
+    /// Where the last acknowledgement asked for later heartbeats, until one fails there.
+    heartbeat_address: Option<SocketAddr>,
+    /// Which of the list is tried next.
+    next: usize,
+}
+
+impl Registration {
+    /// A worker that nobody has heard of yet.
+    #[must_use]
+    pub fn new(facts: Facts, controls: Controls) -> Self {
+        let next = fold(&facts.id);
+        Self { facts, controls, sequence: 0, heartbeat_address: None, next }
+    }
+
+    /// Sends one heartbeat, to each process in turn until one acknowledges it; whether one did.
+    pub async fn heartbeat(&mut self, draining: bool) -> bool {
+        self.sequence += 1;
+        let body = self.facts.body(draining, self.sequence).to_string();
+        self.send("PUT", body.as_bytes()).await
+    }
+
+    /// Says that the worker is gone; whether that was acknowledged.
+    pub async fn remove(&mut self) -> bool {
+        self.send("DELETE", b"").await
+    }
+
+    /// Repeats a heartbeat until it is acknowledged, for a time at most.
+    pub async fn heartbeat_until(&mut self, draining: bool, limit: Duration) -> bool {
+        let repeated = async {
+            while !self.heartbeat(draining).await {
+                tokio::time::sleep(ROUND_PAUSE).await;
+            }
+        };
+        tokio::time::timeout(limit, repeated).await.is_ok()
+    }
+
+    async fn send(&mut self, method: &str, body: &[u8]) -> bool {
+        let path = format!("/opalrun/instances/{}", self.facts.id);
+        let controls = self.controls.get();
+        let in_turn = (0..controls.len()).map(|i| controls[(self.next + i) % controls.len()]);
+        let addresses: Vec<SocketAddr> = self.heartbeat_address.into_iter().chain(in_turn).collect();
+        for address in addresses {
+            let answer = call(address, method, &path, &[], body, ACKNOWLEDGE_LIMIT).await;
+            match answer {
+                Ok(answer) if answer.status() / 100 == 2 && answer.body.len() <= MOST_ACKNOWLEDGEMENT => {
+                    self.heartbeat_address = named_address(&answer.body).or(self.heartbeat_address);
+                    return true;
+                }
+                _ => {
+                    self.heartbeat_address = None;
+                    self.next = self.next.wrapping_add(1);
+                }
+            }
+        }
+        false
+    }
+}
+
+/// The address that an acknowledgement names for later heartbeats: an address, or a URL of one.
+fn named_address(body: &[u8]) -> Option<SocketAddr> {
+    let body: Value = serde_json::from_slice(body).ok()?;
+    let named = body["heartbeat_url"].as_str()?;
+    let bare = named.trim_start_matches("http://");
+    bare.split('/').next()?.parse().ok()
+}
+
+/// A number that differs among workers, so that they do not all begin at the same process.
+fn fold(id: &str) -> usize {
+    id.bytes().fold(0, |sum, byte| (sum * 31 + usize::from(byte)) % 1009)
+}
