--- /dev/null
+++ b/lab/src/tier/fleet.rs
@@ -0,0 +1,394 @@
+//! A whole tier: its machines, and what may befall them.
+
+use super::{
+    judge::Bounds,
+    machine::Machine,
+    observation::{Log, MachineEvent, Observation},
+    peer::call,
+    platform::{Entry, Platform},
+    settings_file::{Class, Facts, Ports},
+    worker::registration::Controls,
+};
+use rustix::process::Signal;
+use std::{
+    fs, io,
+    net::{Ipv4Addr, SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    time::Duration,
+};
+use tempfile::TempDir;
+use thiserror::Error;
+use tokio::time::Instant;
+
+/// Pause between two looks at a process that is starting.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+/// How long one look may take.
+const LOOK_LIMIT: Duration = Duration::from_millis(500);
+/// Most seeds that a process is told.
+const MOST_SEEDS: usize = 3;
+/// Networks of which each tier has one.
+const NETWORKS: u8 = 125;
+/// The port by which a tier claims its network; no process of it uses that.
+const CLAIM_PORT: u16 = 7399;
+
+/// The size and bounds of a tier.
+#[derive(Debug, Clone)]
+pub struct TierSpec {
+    pub edges: usize,
+    pub cores: usize,
+    pub storages: usize,
+    pub zones: Vec<String>,
+    pub hosts_lost: usize,
+    pub heartbeat: Duration,
+    pub bounds: Bounds,
+}
+
+impl Default for TierSpec {
+    fn default() -> Self {
+        let zones = ["zone-1", "zone-2", "zone-3"].map(str::to_owned).to_vec();
+        let (edges, cores, storages, hosts_lost) = (2, 3, 3, 1);
+        let (heartbeat, bounds) = (Duration::from_millis(400), Bounds::default());
+        Self { edges, cores, storages, zones, hosts_lost, heartbeat, bounds }
+    }
+}
+
+/// Why a tier is not as it should be.
+#[derive(Debug, Error)]
+pub enum TierError {
+    #[error("the tier's files and processes: {0}")]
+    Io(#[from] io::Error),
+    #[error("no machine is called {0:?}")]
+    NoMachine(String),
+    #[error("{what} within {limit:?}; the last words of its processes:\n{words}")]
+    Late { what: String, limit: Duration, words: String },
+}
+
+/// A tier that runs.
+pub struct Tier {
+    pub spec: TierSpec,
+    pub log: Log,
+    pub controls: Controls,
+    pub platform: Platform,
+    pub ports: Ports,
+    machines: Vec<Machine>,
+    program: PathBuf,
+    /// The second number of all addresses.
+    network: u8,
+    /// Held as long as the tier is there.
+    _claim: TcpListener,
+    seeds: Vec<SocketAddr>,
+    next_host: u8,
+    folder: TempDir,
+}
+
+impl Tier {
+    /// Lays a tier out and starts all of it.
+    ///
+    /// # Errors
+    /// Files can't be written or processes not started.
+    pub fn start(program: &Path, spec: TierSpec) -> Result<Self, TierError> {
+        let folder = tempfile::Builder::new().prefix("opalrun-tier-").tempdir()?;
+        let (network, claim) = claim_network()?;
+        let mut tier = Self {
+            log: Log::default(),
+            controls: Controls::default(),
+            platform: Platform::new(),
+            ports: Ports::default(),
+            machines: Vec::new(),
+            program: program.to_owned(),
+            network,
+            _claim: claim,
+            seeds: Vec::new(),
+            next_host: 1,
+            folder,
+            spec,
+        };
+        let counts = [(Class::Core, tier.spec.cores), (Class::Storage, tier.spec.storages)];
+        for (class, count) in counts.into_iter().chain([(Class::Edge, tier.spec.edges)]) {
+            for number in 1..=count {
+                let zone = tier.spec.zones[(number - 1) % tier.spec.zones.len()].clone();
+                tier.lay_out(&format!("{}-{number}", class.name()), class, &zone, true)?;
+            }
+        }
+        tier.seeds = tier.control_addresses().into_iter().take(MOST_SEEDS).collect();
+        tier.controls.set(tier.control_addresses());
+        let names = tier.names();
+        for name in names {
+            tier.start_machine(&name)?;
+        }
+        Ok(tier)
+    }
+
+    fn lay_out(&mut self, name: &str, class: Class, zone: &str, bootstrap: bool) -> Result<(), TierError> {
+        let ip = Ipv4Addr::new(127, self.network, class as u8 + 1, self.next_host);
+        self.next_host += 1;
+        let mut machine = Machine::new(name, class, ip, zone, &self.program, self.folder.path())?;
+        machine.bootstrap = bootstrap;
+        self.machines.push(machine);
+        Ok(())
+    }
+
+    fn control_addresses(&self) -> Vec<SocketAddr> {
+        let cores = self.machines.iter().filter(|m| m.class == Class::Core);
+        cores.map(|m| SocketAddr::from((m.ip, self.ports.control))).collect()
+    }
+
+    /// The names of all machines, or of those of a class.
+    #[must_use]
+    pub fn names(&self) -> Vec<String> {
+        self.machines.iter().map(|m| m.name.clone()).collect()
+    }
+
+    /// The address of a machine.
+    ///
+    /// # Errors
+    /// There is no such machine.
+    pub fn ip(&self, name: &str) -> Result<Ipv4Addr, TierError> {
+        let machine = self.machines.iter().find(|m| m.name == name);
+        machine.map(|m| m.ip).ok_or_else(|| TierError::NoMachine(name.to_owned()))
+    }
+
+    fn machine(&mut self, name: &str) -> Result<&mut Machine, TierError> {
+        let machine = self.machines.iter_mut().find(|m| m.name == name);
+        machine.ok_or_else(|| TierError::NoMachine(name.to_owned()))
+    }
+
+    fn note(&self, machine: &str, event: MachineEvent) {
+        self.log.note(Observation::Machine { machine: machine.to_owned(), event });
+    }
+
+    fn write_settings(&self, machine: &Machine) -> io::Result<()> {
+        for role in machine.class.roles() {
+            let facts = Facts {
+                machine: &machine.name,
+                class: machine.class,
+                role,
+                ip: machine.ip,
+                zone: &machine.zone,
+                zones: &self.spec.zones,
+                ports: self.ports,
+                seeds: &self.seeds,
+                bootstrap: machine.bootstrap,
+                data_dir: &machine.data_dir(),
+                hosts_lost: self.spec.hosts_lost,
+                heartbeat_ms: self.spec.heartbeat.as_millis() as u64,
+                bounds: self.spec.bounds,
+            };
+            fs::write(machine.settings_path(role), facts.text())?;
+        }
+        Ok(())
+    }
+
+    /// Starts a machine that does not run.
+    ///
+    /// # Errors
+    /// There is none of the name, or its processes can't be started.
+    pub fn start_machine(&mut self, name: &str) -> Result<(), TierError> {
+        self.machine(name)?;
+        if let Some(machine) = self.machines.iter().find(|m| m.name == name) {
+            self.write_settings(machine)?;
+        }
+        self.note(name, MachineEvent::Started);
+        let (frontend, readiness) = (self.ports.frontend, self.ports.readiness);
+        let machine = self.machine(name)?;
+        machine.start()?;
+        // The settings of later starts say that the system has run before.
+        machine.bootstrap = false;
+        if machine.class == Class::Edge {
+            let entry = Entry {
+                machine: name.to_owned(),
+                zone: machine.zone.clone(),
+                frontend: (machine.ip, frontend).into(),
+                readiness: (machine.ip, readiness).into(),
+            };
+            self.platform.add(entry);
+        }
+        Ok(())
+    }
+
+    /// Kills all processes of a machine.
+    ///
+    /// # Errors
+    /// There is none of the name.
+    pub async fn kill(&mut self, name: &str) -> Result<(), TierError> {
+        self.note(name, MachineEvent::Killed);
+        self.machine(name)?.kill().await;
+        Ok(())
+    }
+
+    /// Kills one process of a machine and starts it again.
+    ///
+    /// # Errors
+    /// There is none of the name, or it can't be started.
+    pub async fn restart_role(&mut self, name: &str, role: &str) -> Result<(), TierError> {
+        self.note(name, MachineEvent::Killed);
+        let machine = self.machine(name)?;
+        machine.kill_role(role).await;
+        machine.start_role(role)?;
+        self.note(name, MachineEvent::Started);
+        Ok(())
+    }
+
+    /// Kills every process at the same moment, and starts all again on the same disks.
+    ///
+    /// # Errors
+    /// A process can't be started.
+    pub async fn lose_power(&mut self) -> Result<(), TierError> {
+        for machine in &self.machines {
+            self.note(&machine.name, MachineEvent::Killed);
+            machine.signal(Signal::KILL);
+        }
+        let names = self.names();
+        for name in &names {
+            self.machine(name)?.kill().await;
+        }
+        for name in &names {
+            self.start_machine(name)?;
+        }
+        Ok(())
+    }
+
+    /// Stops a machine's processes where they are.
+    ///
+    /// # Errors
+    /// There is none of the name.
+    pub fn freeze(&mut self, name: &str) -> Result<(), TierError> {
+        self.note(name, MachineEvent::Frozen);
+        self.machine(name)?.signal(Signal::STOP);
+        Ok(())
+    }
+
+    /// Has them go on.
+    ///
+    /// # Errors
+    /// There is none of the name.
+    pub fn thaw(&mut self, name: &str) -> Result<(), TierError> {
+        self.machine(name)?.signal(Signal::CONT);
+        self.note(name, MachineEvent::Thawed);
+        Ok(())
+    }
+
+    /// Tells a machine that its settings have changed.
+    ///
+    /// # Errors
+    /// There is none of the name.
+    pub fn reload(&mut self, name: &str) -> Result<(), TierError> {
+        self.note(name, MachineEvent::Reloaded);
+        self.machine(name)?.signal(Signal::HUP);
+        Ok(())
+    }
+
+    /// Stops a machine by SIGTERM and waits for its end; whether all its processes ended well within the grace.
+    ///
+    /// # Errors
+    /// There is none of the name.
+    pub async fn terminate(&mut self, name: &str) -> Result<bool, TierError> {
+        self.note(name, MachineEvent::Terminated);
+        let grace = Duration::from_millis(self.spec.bounds.grace_ms);
+        let machine = self.machine(name)?;
+        machine.signal(Signal::TERM);
+        Ok(machine.ended(grace).await)
+    }
+
+    /// Kills a machine and empties its disk; it can be started again at its address.
+    ///
+    /// # Errors
+    /// There is none of the name, or those of the file system.
+    pub async fn wipe(&mut self, name: &str) -> Result<(), TierError> {
+        self.kill(name).await?;
+        self.machine(name)?.wipe()?;
+        self.note(name, MachineEvent::DiskLost);
+        Ok(())
+    }
+
+    /// Adds an empty machine and starts it.
+    ///
+    /// # Errors
+    /// It can't be laid out or started.
+    pub fn add(&mut self, name: &str, class: Class, zone: &str) -> Result<(), TierError> {
+        self.lay_out(name, class, zone, false)?;
+        self.start_machine(name)?;
+        self.controls.set(self.control_addresses());
+        Ok(())
+    }
+
+    /// Takes a machine away for good.
+    ///
+    /// # Errors
+    /// There is none of the name.
+    pub async fn remove(&mut self, name: &str) -> Result<(), TierError> {
+        self.kill(name).await?;
+        self.note(name, MachineEvent::Removed);
+        self.machines.retain(|m| m.name != name);
+        self.platform.remove(name);
+        self.controls.set(self.control_addresses());
+        Ok(())
+    }
+
+    /// Waits until every process that serves control answers it with a status other than 5xx.
+    ///
+    /// # Errors
+    /// One did not in time.
+    pub async fn control_ready(&self, limit: Duration) -> Result<(), TierError> {
+        let until = Instant::now() + limit;
+        for address in self.control_addresses() {
+            loop {
+                let answer = call(address, "GET", "/opalrun/config", &[], b"", LOOK_LIMIT).await;
+                if answer.is_ok_and(|a| (200..500).contains(&a.status())) {
+                    break;
+                }
+                if Instant::now() > until {
+                    return Err(self.late(format!("control at {address} does not answer"), limit));
+                }
+                tokio::time::sleep(LOOK_PAUSE).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until every gatekeeper calls itself ready.
+    ///
+    /// # Errors
+    /// One did not in time.
+    pub async fn gatekeepers_ready(&self, limit: Duration) -> Result<(), TierError> {
+        let until = Instant::now() + limit;
+        let edges: Vec<&Machine> = self.machines.iter().filter(|m| m.class == Class::Edge).collect();
+        loop {
+            self.platform.check(LOOK_LIMIT).await;
+            let ready = self.platform.ready();
+            let Some(missing) = edges.iter().find(|m| !ready.contains(&m.name)) else { return Ok(()) };
+            if Instant::now() > until {
+                return Err(self.late(format!("{} is not ready", missing.name), limit));
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
+    /// Processes that have ended though nobody ended them.
+    pub fn fallen(&mut self) -> Vec<String> {
+        self.machines.iter_mut().flat_map(Machine::fallen).collect()
+    }
+
+    /// The last lines that all processes have logged.
+    #[must_use]
+    pub fn log_tails(&self) -> String {
+        self.machines.iter().map(Machine::log_tail).collect()
+    }
+
+    fn late(&self, what: String, limit: Duration) -> TierError {
+        TierError::Late { what, limit, words: self.log_tails() }
+    }
+}
+
+/// The second number of a tier's addresses, and the listener that claims it among all tiers of this machine.
+fn claim_network() -> io::Result<(u8, TcpListener)> {
+    let first = (std::process::id() % u32::from(NETWORKS)) as u8;
+    for step in 0..NETWORKS {
+        let number = 1 + (first + step) % NETWORKS;
+        let claimed = TcpListener::bind((Ipv4Addr::new(127, number, 0, 1), CLAIM_PORT));
+        if let Ok(listener) = claimed {
+            return Ok((number, listener));
+        }
+    }
+    Err(io::Error::other("no network is free for another tier"))
+}
--- /dev/null
+++ b/lab/src/tier/machine.rs
@@ -0,0 +1,215 @@
+//! One machine of the tier: real processes with a settings file each, an address of the loopback network, a disk.
+
+use super::settings_file::Class;
+use rustix::process::{Pid, Signal, kill_process};
+use std::{
+    fs::{self, File},
+    io,
+    net::Ipv4Addr,
+    path::{Path, PathBuf},
+    process::{ExitStatus, Stdio},
+    time::Duration,
+};
+use tokio::{
+    process::{Child, Command},
+    time::timeout,
+};
+
+/// The environment variable that names a process's settings file.
+const SETTINGS_VARIABLE: &str = "OPALRUN_CONFIG";
+/// Lines of a log that are shown when something went wrong.
+const LOG_TAIL_LINES: usize = 12;
+
+/// A process of a machine.
+#[derive(Debug)]
+struct Process {
+    role: &'static str,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// A machine.
+#[derive(Debug)]
+pub struct Machine {
+    pub name: String,
+    pub class: Class,
+    pub ip: Ipv4Addr,
+    pub zone: String,
+    /// It starts with the whole system, on an empty disk.
+    pub bootstrap: bool,
+    program: PathBuf,
+    folder: PathBuf,
+    processes: Vec<Process>,
+}
+
+impl Machine {
+    /// A machine that has not started yet, with a folder of its own.
+    ///
+    /// # Errors
+    /// Those of the file system.
+    pub fn new(
+        name: &str,
+        class: Class,
+        ip: Ipv4Addr,
+        zone: &str,
+        program: &Path,
+        root: &Path,
+    ) -> io::Result<Self> {
+        let folder = root.join(name);
+        fs::create_dir_all(folder.join("data"))?;
+        let processes = class.roles().iter().map(|role| Process {
+            role,
+            settings: folder.join(format!("{role}.toml")),
+            log: folder.join(format!("{role}.log")),
+            child: None,
+        });
+        Ok(Self {
+            name: name.to_owned(),
+            class,
+            ip,
+            zone: zone.to_owned(),
+            bootstrap: false,
+            program: program.to_owned(),
+            processes: processes.collect(),
+            folder,
+        })
+    }
+
+    /// The folder of the machine's disk.
+    #[must_use]
+    pub fn data_dir(&self) -> PathBuf {
+        self.folder.join("data")
+    }
+
+    /// Where the settings of a role are written.
+    #[must_use]
+    pub fn settings_path(&self, role: &str) -> PathBuf {
+        self.folder.join(format!("{role}.toml"))
+    }
+
+    /// Starts every process that does not run.
+    ///
+    /// # Errors
+    /// A process can't be started.
+    pub fn start(&mut self) -> io::Result<()> {
+        let program = self.program.clone();
+        self.processes.iter_mut().filter(|p| p.child.is_none()).try_for_each(|p| p.start(&program))
+    }
+
+    /// Starts one process that does not run.
+    ///
+    /// # Errors
+    /// It can't be started.
+    pub fn start_role(&mut self, role: &str) -> io::Result<()> {
+        let program = self.program.clone();
+        let idle = self.processes.iter_mut().filter(|p| p.child.is_none() && p.role == role);
+        idle.into_iter().try_for_each(|p| p.start(&program))
+    }
+
+    /// Ends every process at once, as a loss of power would, and waits until they are gone.
+    pub async fn kill(&mut self) {
+        self.signal(Signal::KILL);
+        for process in &mut self.processes {
+            process.gone().await;
+        }
+    }
+
+    /// The same for one process.
+    pub async fn kill_role(&mut self, role: &str) {
+        for process in self.processes.iter_mut().filter(|p| p.role == role) {
+            process.signal(Signal::KILL);
+            process.gone().await;
+        }
+    }
+
+    /// Sends a signal to every process that runs.
+    pub fn signal(&self, signal: Signal) {
+        self.processes.iter().for_each(|p| p.signal(signal));
+    }
+
+    /// Waits until every process has ended by itself, and kills those that have not in time; whether all did so well.
+    pub async fn ended(&mut self, limit: Duration) -> bool {
+        let mut well = true;
+        for process in &mut self.processes {
+            well &= process.ended(limit).await.is_some_and(|status| status.success());
+        }
+        well
+    }
+
+    /// Empties the disk of a machine that does not run.
+    ///
+    /// # Errors
+    /// Those of the file system.
+    pub fn wipe(&mut self) -> io::Result<()> {
+        fs::remove_dir_all(self.data_dir())?;
+        fs::create_dir_all(self.data_dir())
+    }
+
+    /// Processes that have ended though nobody ended them.
+    pub fn fallen(&mut self) -> Vec<String> {
+        let mut fallen = Vec::new();
+        for process in &mut self.processes {
+            if let Some(child) = &mut process.child
+                && let Ok(Some(status)) = child.try_wait()
+            {
+                fallen.push(format!("{} of {}: {status}", process.role, self.name));
+            }
+        }
+        fallen
+    }
+
+    /// The last lines that its processes have logged.
+    #[must_use]
+    pub fn log_tail(&self) -> String {
+        let tails = self.processes.iter().map(|p| {
+            let log = fs::read_to_string(&p.log).unwrap_or_default();
+            let lines: Vec<&str> = log.lines().collect();
+            let tail = &lines[lines.len().saturating_sub(LOG_TAIL_LINES)..];
+            format!("-- {} of {}\n{}\n", p.role, self.name, tail.join("\n"))
+        });
+        tails.collect()
+    }
+}
+
+impl Process {
+    fn start(&mut self, program: &Path) -> io::Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(program)
+            .arg(self.role)
+            .env(SETTINGS_VARIABLE, &self.settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .kill_on_drop(true)
+            .spawn()?;
+        self.child = Some(child);
+        Ok(())
+    }
+
+    fn signal(&self, signal: Signal) {
+        let id = self.child.as_ref().and_then(Child::id).and_then(|id| Pid::from_raw(id.cast_signed()));
+        if let Some(id) = id {
+            // One that has just ended is no longer there to be told.
+            let _ = kill_process(id, signal);
+        }
+    }
+
+    async fn gone(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It was killed: what it ends with does not matter.
+            let _ = child.wait().await;
+        }
+    }
+
+    /// Waits for its end; `None`: it had to be killed.
+    async fn ended(&mut self, limit: Duration) -> Option<ExitStatus> {
+        let mut child = self.child.take()?;
+        let ended = timeout(limit, child.wait()).await;
+        if ended.is_err() {
+            // It may end just now.
+            let _ = child.kill().await;
+        }
+        ended.ok()?.ok()
+    }
+}
--- a/lab/src/tier/mod.rs
+++ b/lab/src/tier/mod.rs
@@ -1,8 +1,15 @@
 //! The serving tier among stand-ins: real processes over loopback, with workers, clients, programs, an operator and
 //! a platform round them, and a judge that checks the rules on what these saw.
 
+pub mod client;
 pub mod configuration;
+pub mod fleet;
 pub mod judge;
+pub mod machine;
 pub mod observation;
+pub mod operator;
 pub mod peer;
+pub mod platform;
+pub mod program;
+pub mod settings_file;
 pub mod worker;
--- a/lab/src/tier/peer.rs
+++ b/lab/src/tier/peer.rs
@@ -157,10 +157,11 @@
         self.stream.read_buf(&mut self.buffer).await
     }
 
-    /// Whether bytes have come that nobody asked for yet.
+    /// Whether the connection is up and nothing has come that nobody asked for.
     #[must_use]
-    pub fn has_surplus(&self) -> bool {
-        !self.buffer.is_empty()
+    pub fn is_quiet(&self) -> bool {
+        let nothing = |error: &io::Error| error.kind() == io::ErrorKind::WouldBlock;
+        self.buffer.is_empty() && self.stream.try_read(&mut [0]).is_err_and(|e| nothing(&e))
     }
 
     /// Waits until the other side ends the connection. What it sends before that stays in the buffer.
--- /dev/null
+++ b/lab/src/tier/program.rs
@@ -0,0 +1,236 @@
+//! Agent programs: turns, calls of tools between them, and sub-agents that begin with their parent's prompt.
+
+use super::{
+    client::{Ask, Client, Reply, TurnHeaders},
+    configuration::Route,
+    observation::ProgramFacts,
+};
+use std::{future::Future, pin::Pin, time::Duration};
+
+/// Times a turn that failed is sent again from its start.
+const RESENDS: usize = 2;
+/// Pause before that.
+const RESEND_PAUSE: Duration = Duration::from_millis(150);
+/// Times a program that loops sends a turn after a 402.
+const RESENDS_AFTER_REFUSAL: usize = 2;
+
+/// A program to play.
+#[derive(Debug, Clone)]
+pub struct Program {
+    pub name: String,
+    /// Where its turns go.
+    pub turns_route: Route,
+    /// Where its tools are.
+    pub tools: Vec<Route>,
+    pub turns: usize,
+    /// After which turn sub-agents start, how many, and how many turns each takes.
+    pub sub_agents: Option<(usize, usize, usize)>,
+    pub budget: u64,
+    /// The most that a turn emits, in tokens.
+    pub most: u64,
+    pub chunk_tokens: u64,
+    pub deadline: Duration,
+    /// Once its turns are through it starts sub-agents without end, until it is stopped.
+    pub loops: bool,
+}
+
+/// How a program ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ended {
+    Completed,
+    /// By a 402.
+    Stopped,
+    /// By another status, or none: 0.
+    Failed {
+        status: u16,
+    },
+}
+
+/// What became of a program.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Told {
+    pub ended: Ended,
+    /// Turns that were answered whole.
+    pub turns: usize,
+    /// Calls of tools that were answered.
+    pub calls: usize,
+}
+
+/// A line of turns.
+#[derive(Debug, Clone)]
+struct Line {
+    session: String,
+    previous: Option<String>,
+    /// ID:TOKENS of the prompt so far.
+    parts: Vec<String>,
+    prompt_tokens: u64,
+}
+
+impl Line {
+    fn new(program: &str) -> Self {
+        let (session, parts) = (format!("{program}.0"), vec!["5ab1e:60".to_owned()]);
+        Self { session, previous: None, parts, prompt_tokens: 60 }
+    }
+
+    /// A line of its own whose prompt opens with this one's.
+    fn branch(&self, number: usize) -> Self {
+        Self { session: format!("{}.{number}", self.session), ..self.clone() }
+    }
+}
+
+type Boxed<'a, T> = Pin<Box<dyn Future<Output = T> + Send + 'a>>;
+
+impl Program {
+    /// Plays it to its end.
+    pub async fn play(&self, client: &Client) -> Told {
+        let mut told = Told { ended: Ended::Completed, turns: 0, calls: 0 };
+        let mut line = Line::new(&self.name);
+        for number in 0..self.turns {
+            if !self.turn(client, &mut line, number, &mut told).await || !self.tools(client, &mut told).await
+            {
+                return told;
+            }
+            if let Some((after, count, turns)) = self.sub_agents
+                && after == number
+            {
+                self.sub_agents(client, &line, count, turns, &mut told).await;
+            }
+            if told.ended != Ended::Completed {
+                return told;
+            }
+        }
+        let mut round = 0;
+        while self.loops && told.ended == Ended::Completed {
+            round += 1;
+            self.sub_agents(client, &line.branch(round), 2, 2, &mut told).await;
+        }
+        told
+    }
+
+    async fn turn(&self, client: &Client, line: &mut Line, number: usize, told: &mut Told) -> bool {
+        let ask = self.turn_ask(line, number);
+        let mut refusals = 0;
+        let mut failures = 0;
+        let reply = loop {
+            let reply = client.ask(&ask).await;
+            match reply.status() {
+                200 => break reply,
+                402 if self.loops && refusals < RESENDS_AFTER_REFUSAL => refusals += 1,
+                400..=404 | 413 => break reply,
+                _ if failures < RESENDS => failures += 1,
+                _ => break reply,
+            }
+            tokio::time::sleep(RESEND_PAUSE).await;
+        };
+        self.after_turn(line, &ask, &reply, told)
+    }
+
+    fn after_turn(&self, line: &mut Line, ask: &Ask, reply: &Reply, told: &mut Told) -> bool {
+        match reply.status() {
+            200 => {}
+            402 => told.ended = Ended::Stopped,
+            status => told.ended = Ended::Failed { status },
+        }
+        if reply.status() != 200 {
+            return false;
+        }
+        told.turns += 1;
+        let out = reply.events.len() as u64 * self.chunk_tokens;
+        line.prompt_tokens += ask.body.len() as u64 / 4 + out;
+        line.parts.push(format!("{}:{}", reply.request, ask.body.len() as u64 / 4 + out));
+        line.previous = Some(reply.request.clone());
+        true
+    }
+
+    fn turn_ask(&self, line: &Line, number: usize) -> Ask {
+        let body = format!("{} says {number}: what is next?\n", line.session).into_bytes();
+        let retained = self.turns_route.retention.is_some();
+        let turn = TurnHeaders {
+            program: ProgramFacts {
+                name: self.name.clone(),
+                budget: Some(self.budget),
+                most: self.most,
+                chunk_tokens: self.chunk_tokens,
+            },
+            session: line.session.clone(),
+            finish: self.deadline * 4,
+            previous: line.previous.clone().filter(|_| retained),
+            prompt_tokens: line.prompt_tokens,
+            prompt_prefix: line.parts.join(","),
+        };
+        Ask {
+            route: self.turns_route.clone(),
+            path: format!("turn-{number}"),
+            body,
+            deadline: self.deadline,
+            retries: 1,
+            turn: Some(turn),
+        }
+    }
+
+    /// Calls all tools side by side; whether none failed.
+    async fn tools(&self, client: &Client, told: &mut Told) -> bool {
+        let calls = self.tools.iter().map(|route| {
+            let (client, ask) = (client.clone(), self.tool_ask(route));
+            tokio::spawn(async move { client.ask(&ask).await })
+        });
+        let calls: Vec<_> = calls.collect();
+        for call in calls {
+            let status = call.await.map_or(0, |reply| reply.status());
+            match status {
+                200..=299 => told.calls += 1,
+                status => told.ended = Ended::Failed { status },
+            }
+        }
+        told.ended == Ended::Completed
+    }
+
+    fn tool_ask(&self, route: &Route) -> Ask {
+        let program =
+            ProgramFacts { name: self.name.clone(), budget: None, most: 0, chunk_tokens: self.chunk_tokens };
+        let turn = TurnHeaders {
+            program,
+            session: format!("{}.0", self.name),
+            finish: self.deadline * 4,
+            previous: None,
+            prompt_tokens: 0,
+            prompt_prefix: String::new(),
+        };
+        let body = if route.kind.is_idempotent() { Vec::new() } else { b"do it".to_vec() };
+        let (path, deadline) = ("tool".to_owned(), self.deadline);
+        Ask { route: route.clone(), path, body, deadline, retries: 1, turn: Some(turn) }
+    }
+
+    /// Plays sub-agents side by side.
+    fn sub_agents<'a>(
+        &'a self,
+        client: &'a Client,
+        line: &'a Line,
+        count: usize,
+        turns: usize,
+        told: &'a mut Told,
+    ) -> Boxed<'a, ()> {
+        Box::pin(async move {
+            let agents = (1..=count).map(|number| {
+                let (program, client, mut line) = (self.clone(), client.clone(), line.branch(number));
+                tokio::spawn(async move {
+                    let mut told = Told { ended: Ended::Completed, turns: 0, calls: 0 };
+                    for number in 0..turns {
+                        if !program.turn(&client, &mut line, number, &mut told).await {
+                            break;
+                        }
+                    }
+                    told
+                })
+            });
+            let agents: Vec<_> = agents.collect();
+            for agent in agents {
+                let Ok(part) = agent.await else { continue };
+                told.turns += part.turns;
+                if part.ended != Ended::Completed {
+                    told.ended = part.ended;
+                }
+            }
+        })
+    }
+}
