--- a/lab/src/tier/client.rs
+++ b/lab/src/tier/client.rs
@@ -28,6 +28,9 @@
 /// Pause before a try is repeated.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// Counts the tries of all clients, so that no two share an id.
+static TRIES: AtomicU64 = AtomicU64::new(1);
+
 /// What a client asks for.
 #[derive(Debug, Clone)]
 pub struct Ask {
@@ -110,7 +113,7 @@
     /// Sends one try to a gatekeeper of the platform's choice.
     pub async fn attempt(&self, ask: &Ask, until: Instant, may_reuse: bool) -> Reply {
         let number = self.tries.fetch_add(1, Ordering::Relaxed);
-        let id = format!("{:x}{number:04x}", self.hash);
+        let id = format!("{:04x}{:06x}", self.hash, TRIES.fetch_add(1, Ordering::Relaxed));
         let Some(entry) = self.platform.choose(&self.zone, self.hash.wrapping_add(number)) else {
             let outcome = Outcome::Closed { request_written: false };
             return Reply { request: id, outcome, events: Vec::new() };
--- a/lab/src/tier/fleet.rs
+++ b/lab/src/tier/fleet.rs
@@ -375,7 +375,7 @@
         self.machines.iter().map(Machine::log_tail).collect()
     }
 
-    fn late(&self, what: String, limit: Duration) -> TierError {
+    pub(super) fn late(&self, what: String, limit: Duration) -> TierError {
         TierError::Late { what, limit, words: self.log_tails() }
     }
 }
--- a/lab/src/tier/mod.rs
+++ b/lab/src/tier/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod client;
 pub mod configuration;
+pub mod deployment;
 pub mod fleet;
 pub mod judge;
 pub mod machine;
@@ -12,4 +13,6 @@
 pub mod platform;
 pub mod program;
 pub mod settings_file;
+#[cfg(test)]
+mod tests;
 pub mod worker;
--- a/lab/src/tier/program.rs
+++ b/lab/src/tier/program.rs
@@ -85,6 +85,9 @@
     pub async fn play(&self, client: &Client) -> Told {
         let mut told = Told { ended: Ended::Completed, turns: 0, calls: 0 };
         let mut line = Line::new(&self.name);
+        if self.turns == 0 {
+            self.tools(client, &mut told).await;
+        }
         for number in 0..self.turns {
             if !self.turn(client, &mut line, number, &mut told).await || !self.tools(client, &mut told).await
             {
--- /dev/null
+++ b/lab/src/tier/tests.rs
@@ -0,0 +1,188 @@
+//! The stand-ins against each other: clients that meet workers as though these were gatekeepers.
+
+use super::{
+    client::{Ask, Client},
+    configuration::{Configuration, Route},
+    judge::{Bounds, Rule, judge},
+    observation::{Leave, Log, Observation, Outcome, RouteKind},
+    operator::Operator,
+    peer::Peer,
+    platform::{Entry, Platform},
+    worker::{Fault, Work, Worker, WorkerSpec, engine::EngineSpec, registration::Controls},
+};
+use crate::http;
+use std::{
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::net::TcpListener;
+
+const LOCAL: Ipv4Addr = Ipv4Addr::LOCALHOST;
+const LIMIT: Duration = Duration::from_secs(5);
+const STREAMING: RouteKind = RouteKind::Streaming { resumable: false };
+const ENGINE: EngineSpec = EngineSpec {
+    capacity: 2,
+    queue: 1,
+    kv_capacity: 1000,
+    chunk_tokens: 3,
+    step: Duration::from_millis(1),
+    step_per_running: Duration::ZERO,
+    prefill_per_step: 100,
+};
+const PLAIN: Work = Work::Plain { capacity: 1, queue: 1, work: Duration::from_millis(5), answer_bytes: 200 };
+
+/// A process that acknowledges everything, and writes down what it was sent.
+async fn control() -> (SocketAddr, Arc<Mutex<Vec<String>>>) {
+    let listener = TcpListener::bind((LOCAL, 0)).await.expect("a port");
+    let (address, told) = (listener.local_addr().expect("an address"), Arc::new(Mutex::new(Vec::new())));
+    let lines = told.clone();
+    tokio::spawn(async move {
+        while let Ok((stream, _)) = listener.accept().await {
+            let mut peer = Peer::new(stream);
+            let Ok(Some(message)) = peer.read_message().await else { continue };
+            let text = String::from_utf8_lossy(&message.body).into_owned();
+            lines.lock().expect("a list").push(format!("{} {text}", message.line));
+            let _ = peer.write(&http::answer(200, "", b"{}")).await;
+        }
+    });
+    (address, told)
+}
+
+/// A worker that clients meet directly.
+struct World {
+    log: Log,
+    worker: Arc<Worker>,
+    platform: Platform,
+    route: Route,
+    told: Arc<Mutex<Vec<String>>>,
+}
+
+impl World {
+    async fn new(kind: RouteKind, work: Work) -> Self {
+        let (control, told) = control().await;
+        let (log, controls) = (Log::default(), Controls::default());
+        controls.set(vec![control]);
+        let spec = WorkerSpec {
+            service: "service".to_owned(),
+            zone: "zone-1".to_owned(),
+            address: (LOCAL, 0).into(),
+            work,
+            max_connections: 8,
+            heartbeat: Duration::from_millis(20),
+            drain: Duration::ZERO,
+        };
+        let worker = Worker::start("i-1", spec, controls.clone(), log.clone()).expect("a worker");
+        let platform = Platform::new();
+        let (machine, zone) = ("edge-1".to_owned(), "zone-1".to_owned());
+        platform.add(Entry { machine, zone, frontend: worker.address, readiness: worker.address });
+        let route = Route::new("route", "/route/", kind, "service");
+        let configuration =
+            Configuration { generation: 1, routes: vec![route.clone()], services: Vec::new() };
+        let operator = Operator::new(log.clone(), controls, 0);
+        assert_eq!(operator.configure(&Arc::new(configuration.body()), 0, true, LIMIT).await, 200);
+        Self { log, worker, platform, route, told }
+    }
+
+    fn client(&self) -> Client {
+        Client::new(self.log.clone(), self.platform.clone(), "zone-1", 1)
+    }
+
+    fn ask(&self) -> Ask {
+        let (route, path, body) = (self.route.clone(), "1".to_owned(), b"what?".to_vec());
+        Ask { route, path, body, deadline: Duration::from_millis(500), retries: 0, turn: None }
+    }
+
+    async fn outcome(&self, fault: Option<Fault>) -> Outcome {
+        if let Some(fault) = fault {
+            self.worker.next_fails(fault);
+        }
+        self.client().ask(&self.ask()).await.outcome
+    }
+
+    fn rules(&self) -> Vec<Rule> {
+        judge(&self.log.seen(), &Bounds::default()).into_iter().map(|b| b.rule).collect()
+    }
+}
+
+fn status(outcome: &Outcome) -> u16 {
+    if let Outcome::Answered { status, .. } = outcome { *status } else { 0 }
+}
+
+#[tokio::test]
+async fn a_plain_worker_answers_and_fails_on_demand() {
+    let world = World::new(RouteKind::Unsafe, PLAIN).await;
+    assert_eq!(status(&world.outcome(None).await), 200);
+    assert_eq!(status(&world.outcome(Some(Fault::Failure)).await), 500);
+    assert_eq!(status(&world.outcome(Some(Fault::SecondAnswer)).await), 200);
+    let closed = Outcome::Closed { request_written: true };
+    assert_eq!(world.outcome(Some(Fault::LoseAnswer)).await, closed);
+    assert_eq!(world.outcome(Some(Fault::Garbage)).await, Outcome::Unreadable);
+    assert_eq!(world.outcome(Some(Fault::Silence)).await, Outcome::GivenUp);
+    assert!(matches!(world.outcome(Some(Fault::ResetMidAnswer)).await, Outcome::BrokenOff { .. }));
+    assert_eq!(world.rules(), []);
+}
+
+#[tokio::test]
+async fn a_model_worker_streams_and_breaks_off_on_demand() {
+    let world = World::new(STREAMING, Work::Model(ENGINE)).await;
+    let reply = world.client().ask(&world.ask()).await;
+    assert_eq!(reply.status(), 200);
+    let ids: Vec<u64> = reply.events.iter().map(|e| e.id).collect();
+    assert!(!ids.is_empty() && ids.iter().zip(1..).all(|(id, wanted)| *id == wanted), "{ids:?}");
+    assert!(matches!(world.outcome(Some(Fault::ResetMidAnswer)).await, Outcome::BrokenOff { .. }));
+    assert!(matches!(world.outcome(Some(Fault::LoseAnswer)).await, Outcome::BrokenOff { .. }));
+    assert_eq!(world.rules(), []);
+}
+
+#[tokio::test]
+async fn a_full_worker_turns_requests_away_without_running_them() {
+    let world = World::new(RouteKind::Unsafe, PLAIN).await;
+    let client = world.client();
+    let asks = (0..6).map(|_| {
+        let (client, ask) = (client.clone(), world.ask());
+        tokio::spawn(async move { client.ask(&ask).await.status() })
+    });
+    let mut statuses = Vec::new();
+    for ask in asks.collect::<Vec<_>>() {
+        statuses.push(ask.await.expect("a status"));
+    }
+    assert!(statuses.contains(&200) && statuses.contains(&503), "{statuses:?}");
+    assert_eq!(world.rules(), []);
+}
+
+#[tokio::test]
+async fn a_worker_that_leaves_says_so_first() {
+    let world = World::new(RouteKind::Safe, PLAIN).await;
+    assert!(world.worker.leave(LIMIT).await);
+    let leaves = world.log.seen().into_iter().filter_map(|s| match s.what {
+        Observation::LeaveAcknowledged { leave, .. } => Some(leave),
+        _ => None,
+    });
+    assert_eq!(leaves.collect::<Vec<_>>(), [Leave::Draining, Leave::Gone]);
+    let told = world.told.lock().expect("a list");
+    let last = told.iter().rev().take(2).map(String::as_str).collect::<Vec<_>>();
+    assert!(last[0].starts_with("DELETE /opalrun/instances/i-1"), "{last:?}");
+    assert!(last[1].contains("\"state\":\"draining\""), "{last:?}");
+}
+
+#[tokio::test]
+async fn a_worker_at_anothers_address_does_not_run_its_requests() {
+    let world = World::new(RouteKind::Safe, PLAIN).await;
+    let headers = [("Request-Id", "a".to_owned()), ("Expect-Instance", "i-0".to_owned())];
+    let answer = super::peer::call(world.worker.address, "GET", "/route/1", &headers, b"", LIMIT).await;
+    let answer = answer.expect("an answer");
+    assert_eq!((answer.status(), answer.header("instance-id")), (421, Some("i-1")));
+    let ran = |seen: &super::observation::Seen| matches!(seen.what, Observation::Ran { .. });
+    assert!(!world.log.seen().iter().any(ran));
+}
+
+#[tokio::test]
+async fn the_platform_leaves_a_gatekeeper_that_misses_twice() {
+    let world = World::new(RouteKind::Safe, PLAIN).await;
+    // A worker has no readiness: its 404 or 400 is no 200.
+    world.platform.check(LIMIT).await;
+    assert!(world.platform.ready().is_empty());
+    assert!(world.platform.choose("zone-1", 7).is_some(), "with under half of a zone in, all are used");
+    assert!(world.platform.choose("zone-9", 7).is_none(), "no gatekeeper in the zone, and none elsewhere");
+}
