--- a/lab/src/tier/worker/model.rs
+++ b/lab/src/tier/worker/model.rs
@@ -23,8 +23,8 @@
 const USUAL_PRIORITY: u8 = 5;
 /// Tokens that a request emits when it names no most.
 const USUAL_OUT: u64 = 12;
-/// Events of a stream after which a fault in its middle strikes.
-const EVENTS_BEFORE_RESET: u64 = 2;
+/// Events of a stream after which a fault in its middle strikes; a shorter one is spared.
+const EVENTS_BEFORE_RESET: u64 = 1;
 
 struct State {
     engine: Engine,
