--- /dev/null
+++ b/crates/net/tests/feed_client.rs
@@ -0,0 +1,231 @@
+//! The client of the change feed, against servers over loopback. Each server has an address of its own in 127.0.0.0/8,
+//! as all share the port of the feed.
+
+use opalrun_net::{
+    FrameReader, FrameWriter, Listener,
+    feed_client::{FeedClient, FeedEvent, FeedOptions},
+};
+use opalrun_wire::feed::{Change, ControlNode, FeedRequest, FeedUpdate, Position, Subscriber};
+use std::{
+    future::Future,
+    net::{Ipv4Addr, SocketAddr},
+};
+use tokio::{
+    sync::mpsc::{UnboundedReceiver, unbounded_channel},
+    task::LocalSet,
+};
+
+fn run<F: Future>(test: F) -> F::Output {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test)
+}
+
+/// Listeners at different addresses with the same free port.
+async fn listeners<const N: usize>() -> [Listener; N] {
+    'ports: loop {
+        let first = Listener::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let port = first.local_address().port();
+        let mut listeners = vec![first];
+        for host in 2..=N as u8 {
+            let address = SocketAddr::new(Ipv4Addr::new(127, 0, 0, host).into(), port);
+            match Listener::bind(address).await {
+                Ok(listener) => listeners.push(listener),
+                Err(_) => continue 'ports,
+            }
+        }
+        return listeners.try_into().unwrap_or_else(|_| unreachable!());
+    }
+}
+
+/// Starts a client of shards 0 and 1; returns what it delivers.
+fn subscribe(seeds: &[&Listener], only_seeds: bool) -> (FeedClient, UnboundedReceiver<FeedEvent>) {
+    let (sender, events) = unbounded_channel();
+    let options = FeedOptions {
+        subscriber: Subscriber::Proxy,
+        shards: vec![0, 1],
+        seeds: seeds.iter().map(|listener| listener.local_address()).collect(),
+        feed_port: seeds[0].local_address().port(),
+        zone: "near".to_owned(),
+        only_seeds,
+    };
+    (FeedClient::start(options, move |event| drop(sender.send(event))), events)
+}
+
+/// A server's side of a subscription.
+struct Session {
+    reader: FrameReader,
+    writer: FrameWriter,
+    positions: Vec<u64>,
+}
+
+async fn accept(listener: &Listener) -> Session {
+    let (mut reader, writer) = listener.accept().await.unwrap().split();
+    let Ok(Some(FeedRequest::Subscribe { positions, .. })) = reader.next().await else {
+        panic!("a subscription begins with Subscribe")
+    };
+    let positions = positions.iter().map(|Position { offset, .. }| *offset).collect();
+    Session { reader, writer, positions }
+}
+
+fn snapshot(shard: u16, offset: u64) -> FeedUpdate {
+    FeedUpdate::Snapshot { shard, offset, changes: vec![] }
+}
+
+fn changes(shard: u16, offset: u64) -> FeedUpdate {
+    FeedUpdate::Changes { shard, offset, changes: vec![] }
+}
+
+/// The shard and offset of an event; `None` for `Fresh`.
+fn place(event: FeedEvent) -> Option<(u16, u64)> {
+    match event {
+        FeedEvent::Snapshot { shard, offset, .. } | FeedEvent::Changes { shard, offset, .. } => {
+            Some((shard, offset))
+        }
+        FeedEvent::Fresh { .. } => None,
+    }
+}
+
+#[test]
+fn a_subscription_delivers_in_order_and_sends_heartbeats() {
+    run(async {
+        let [server] = listeners().await;
+        let (client, mut events) = subscribe(&[&server], false);
+        let mut session = accept(&server).await;
+        assert_eq!(session.positions, [0, 0]);
+        session.writer.send(&snapshot(0, 4)).unwrap();
+        session.writer.send(&changes(0, 5)).unwrap();
+        session.writer.send(&FeedUpdate::Fresh { gatekeepers: 6 }).unwrap();
+        assert_eq!(place(events.recv().await.unwrap()), Some((0, 4)));
+        assert_eq!(place(events.recv().await.unwrap()), Some((0, 5)));
+        assert_eq!(events.recv().await.unwrap(), FeedEvent::Fresh { gatekeepers: 6 });
+        client.report_generation(9);
+        loop {
+            let Some(FeedRequest::Heartbeat { positions, generation }) = session.reader.next().await.unwrap()
+            else {
+                panic!("only heartbeats follow")
+            };
+            if generation == 9 {
+                assert_eq!(positions[0], Position { shard: 0, offset: 5 });
+                break;
+            }
+        }
+    });
+}
+
+#[test]
+fn what_is_older_than_what_is_held_is_not_delivered() {
+    run(async {
+        let [server] = listeners().await;
+        let (_client, mut events) = subscribe(&[&server], false);
+        let session = accept(&server).await;
+        for update in
+            [snapshot(0, 7), snapshot(0, 6), changes(0, 7), changes(9, 50), changes(1, 2), changes(0, 8)]
+        {
+            session.writer.send(&update).unwrap();
+        }
+        let mut places = Vec::new();
+        while places.len() < 3 {
+            places.extend(place(events.recv().await.unwrap()));
+        }
+        assert_eq!(places, [(0, 7), (1, 2), (0, 8)]);
+    });
+}
+
+#[test]
+fn a_lost_connection_is_made_again_from_what_is_held() {
+    run(async {
+        let [server] = listeners().await;
+        let (_client, mut events) = subscribe(&[&server], false);
+        let session = accept(&server).await;
+        session.writer.send(&snapshot(1, 3)).unwrap();
+        events.recv().await.unwrap();
+        session.writer.close();
+        assert_eq!(accept(&server).await.positions, [0, 3]);
+    });
+}
+
+#[test]
+fn a_server_that_sends_elsewhere_is_left_for_another() {
+    run(async {
+        let [first, second] = listeners().await;
+        let (_client, _events) = subscribe(&[&first, &second], false);
+        let (session, other) = tokio::select! {
+            session = accept(&first) => (session, &second),
+            session = accept(&second) => (session, &first),
+        };
+        session.writer.send(&FeedUpdate::GoElsewhere).unwrap();
+        accept(other).await;
+    });
+}
+
+#[test]
+fn a_server_that_is_not_in_touch_is_left_for_another() {
+    run(async {
+        let [first, second] = listeners().await;
+        let (_client, _events) = subscribe(&[&first, &second], false);
+        let (session, other) = tokio::select! {
+            session = accept(&first) => (session, &second),
+            session = accept(&second) => (session, &first),
+        };
+        session.writer.send(&snapshot(0, 1)).unwrap();
+        accept(other).await;
+    });
+}
+
+#[test]
+fn the_only_server_is_kept_though_it_is_not_in_touch() {
+    run(async {
+        tokio::time::pause();
+        let [server] = listeners().await;
+        let (_client, _events) = subscribe(&[&server], true);
+        let mut session = accept(&server).await;
+        for _ in 0..10 {
+            assert!(session.reader.next::<FeedRequest>().await.unwrap().is_some());
+        }
+    });
+}
+
+#[test]
+fn servers_that_the_feed_names_are_tried_those_of_the_zone_first() {
+    run(async {
+        let [seed, far, near] = listeners().await;
+        let (_client, _events) = subscribe(&[&seed], false);
+        let session = accept(&seed).await;
+        let node = |identity, listener: &Listener, zone: &str| ControlNode {
+            identity,
+            node_name: format!("core-{identity}"),
+            // The port of the feed is the same everywhere; that of peers is another.
+            peer_address: SocketAddr::new(listener.local_address().ip(), 1).to_string(),
+            control_address: String::new(),
+            zone: zone.to_owned(),
+        };
+        let nodes = vec![node(1, &far, "far"), node(2, &near, "near")];
+        let update = FeedUpdate::Snapshot { shard: 0, offset: 2, changes: vec![Change::ControlNodes(nodes)] };
+        session.writer.send(&update).unwrap();
+        session.writer.send(&FeedUpdate::GoElsewhere).unwrap();
+        let session = accept(&near).await;
+        drop(near);
+        session.writer.close();
+        accept(&far).await;
+    });
+}
+
+#[test]
+fn a_store_tells_that_its_replicas_are_whole() {
+    run(async {
+        let [server] = listeners().await;
+        let (client, mut events) = subscribe(&[&server], false);
+        assert!(!client.report_replicas_whole(1, 2, vec![3]), "nobody is connected yet");
+        let mut session = accept(&server).await;
+        session.writer.send(&FeedUpdate::Fresh { gatekeepers: 0 }).unwrap();
+        events.recv().await.unwrap();
+        assert!(client.report_replicas_whole(1, 2, vec![3]));
+        let report = loop {
+            match session.reader.next::<FeedRequest>().await.unwrap().unwrap() {
+                FeedRequest::Heartbeat { .. } => {}
+                request => break request,
+            }
+        };
+        assert_eq!(report, FeedRequest::ReplicasWhole { store: 1, epoch: 2, partitions: vec![3] });
+    });
+}
