--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -35,4 +35,10 @@
         /// Why.
         source: crate::host::HostError,
     },
+    /// The disk has failed while the process ran.
+    #[snafu(display("the disk: {why}"))]
+    Disk {
+        /// Why.
+        why: String,
+    },
 }
--- /dev/null
+++ b/crates/control/src/host/identity.rs
@@ -0,0 +1,68 @@
+//! Who this process is, kept on its disk.
+
+use super::{HostError, HostOptions, error, machine_of};
+use opalrun_replication::{Member, Membership};
+use opalrun_storage::{DataDirectory, VersionedFile};
+use opalrun_wire::{
+    feed::stable_hash,
+    frame::{decode, encode},
+};
+use rkyv::{Archive, Deserialize, Serialize};
+use snafu::ResultExt;
+use std::{
+    hash::{BuildHasher, RandomState},
+    net::SocketAddr,
+};
+
+const FILE: &str = "identity";
+const FORMAT: u32 = 1;
+
+/// Who this process is, and the members that its groups began with.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+pub(super) struct Identity {
+    pub identity: u64,
+    /// Empty in a process that did not belong to the first members.
+    pub genesis: Membership,
+}
+
+impl Identity {
+    /// Reads the identity, or draws one on an empty disk and keeps it. At the first start of the whole system the seeds
+    /// take identities that all of them can work out.
+    pub fn load_or_draw(directory: &DataDirectory, options: &HostOptions) -> Result<Self, HostError> {
+        let file = VersionedFile::new(directory, FILE, FORMAT);
+        if let Some((_, bytes)) = file.read().context(error::StorageSnafu)? {
+            return decode(&bytes).context(error::UnreadableSnafu { what: "the identity" });
+        }
+        let is_first_member = options.bootstrap && options.seeds.contains(&options.node.control_address);
+        let drawn = if is_first_member {
+            Self { identity: genesis_identity(&options.node.control_address), genesis: genesis(options)? }
+        } else {
+            Self { identity: random_number(), genesis: Membership::default() }
+        };
+        file.write(&encode(&drawn)).context(error::StorageSnafu)?;
+        Ok(drawn)
+    }
+}
+
+fn genesis_identity(control_address: &str) -> u64 {
+    stable_hash(format!("genesis:{control_address}").as_bytes())
+}
+
+fn genesis(options: &HostOptions) -> Result<Membership, HostError> {
+    let mut members = Vec::new();
+    for seed in &options.seeds {
+        let address = peer_address(seed, options.peer_port)?.to_string();
+        members.push(Member { identity: genesis_identity(seed), address, voter: true });
+    }
+    Ok(Membership::new(members))
+}
+
+/// Where the control process at a control address takes links.
+pub(super) fn peer_address(control_address: &str, peer_port: u16) -> Result<SocketAddr, HostError> {
+    Ok(SocketAddr::new(machine_of(control_address)?, peer_port))
+}
+
+/// A random number from the operating system.
+pub(super) fn random_number() -> u64 {
+    RandomState::new().hash_one(std::process::id())
+}
--- /dev/null
+++ b/crates/control/src/host/journal.rs
@@ -0,0 +1,229 @@
+//! What the groups of this process have on disk: one journal for all of them, so that one sync serves all that wait,
+//! and a snapshot file for each shard.
+//!
+//! The logs stay apart: each record names its shard, and each shard has its own terms, indexes and snapshots. A
+//! snapshot that came from another process is written in two steps: first a mark in the journal, then the file. The
+//! mark counts, and clears the shard's earlier entries, once the file holds that snapshot or a later one.
+
+use super::{HostError, error};
+use opalrun_replication::{Entry, HardState, Membership, Restored, Snapshot, SnapshotHeader, Write};
+use opalrun_storage::{DataDirectory, RecordLog, RecordLogOptions, StorageError, VersionedFile};
+use opalrun_wire::frame::{decode, encode};
+use rkyv::{Archive, Deserialize, Serialize};
+use snafu::ResultExt;
+use std::{collections::BTreeMap, rc::Rc};
+
+const JOURNAL: &str = "journal";
+const SNAPSHOT_FORMAT: u32 = 1;
+
+/// A record of the journal.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+struct Record {
+    shard: u16,
+    content: Content,
+}
+
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
+enum Content {
+    HardState(HardState),
+    /// Replaces the entry of its index and all after it.
+    Entry(Rc<Entry>),
+    /// A snapshot as of this entry replaces all entries, once its file is there.
+    Installing(u64),
+}
+
+/// A shard as it was found on disk.
+#[derive(Debug, Default)]
+pub(super) struct RestoredShard {
+    pub log: Restored,
+    /// The state machine's state as of the log's base.
+    pub state: Option<Vec<u8>>,
+}
+
+/// One step for the disk. It holds bytes only, as it goes to another thread.
+#[derive(Debug)]
+pub(super) enum Step {
+    /// Records to append.
+    Append(Vec<Vec<u8>>),
+    /// A snapshot from another process.
+    Install { shard: u16, mark: Vec<u8>, snapshot: Vec<u8> },
+    /// Snapshots of the own state, and the records that are still needed beside them: replaces the journal.
+    Checkpoint { snapshots: Vec<(u16, Vec<u8>)>, records: Vec<Vec<u8>> },
+}
+
+/// The steps for what a replica asks to be written.
+pub(super) fn steps_of(shard: u16, write: &Write) -> Vec<Step> {
+    let mut steps = Vec::new();
+    if let Some(snapshot) = &write.snapshot {
+        let mark = encode_record(shard, Content::Installing(snapshot.header.index));
+        steps.push(Step::Install { shard, mark, snapshot: encode(&**snapshot).to_vec() });
+    }
+    steps.push(Step::Append(records_of(shard, write.hard_state, &write.entries)));
+    steps
+}
+
+/// Records of a term and vote and of entries.
+pub(super) fn records_of(shard: u16, hard_state: Option<HardState>, entries: &[Rc<Entry>]) -> Vec<Vec<u8>> {
+    let hard_state = hard_state.map(|hard_state| encode_record(shard, Content::HardState(hard_state)));
+    let entries = entries.iter().map(|entry| encode_record(shard, Content::Entry(entry.clone())));
+    hard_state.into_iter().chain(entries).collect()
+}
+
+fn encode_record(shard: u16, content: Content) -> Vec<u8> {
+    encode(&Record { shard, content }).to_vec()
+}
+
+/// The files of all groups of this process.
+pub(super) struct Journal {
+    log: RecordLog,
+    snapshots: Vec<VersionedFile>,
+}
+
+impl Journal {
+    /// Opens the files and reads what they hold. A shard without a snapshot begins with the members `genesis`.
+    pub fn open(
+        directory: &DataDirectory,
+        shards: usize,
+        genesis: &Membership,
+    ) -> Result<(Self, Vec<RestoredShard>), HostError> {
+        let mut snapshots = Vec::new();
+        let mut readers = Vec::new();
+        for shard in 0..shards {
+            let file = VersionedFile::new(directory, format!("shard-{shard}.snapshot"), SNAPSHOT_FORMAT);
+            readers.push(ShardReader::new(read_snapshot(&file)?));
+            snapshots.push(file);
+        }
+        let mut unreadable = None;
+        let log = RecordLog::open(directory, JOURNAL, RecordLogOptions::default(), |_, bytes| {
+            match decode::<Record>(bytes) {
+                Ok(record) => {
+                    if let Some(reader) = readers.get_mut(usize::from(record.shard)) {
+                        reader.take(record.content);
+                    }
+                }
+                Err(source) => unreadable = Some(source),
+            }
+        })
+        .context(error::StorageSnafu)?;
+        if let Some(source) = unreadable {
+            return Err(HostError::Unreadable { what: "a record of the journal", source });
+        }
+        let mut journal = Self { log, snapshots };
+        let needs_checkpoint = readers.iter().any(|reader| reader.skipped_mark);
+        let mut restored = Vec::new();
+        for (shard, reader) in readers.into_iter().enumerate() {
+            restored.push(reader.finish(shard as u16, genesis)?);
+        }
+        if needs_checkpoint {
+            journal.rewrite(&restored).context(error::StorageSnafu)?;
+        }
+        Ok((journal, restored))
+    }
+
+    /// Carries out steps, all of which last when this returns.
+    pub fn carry_out(&mut self, steps: &[Step]) -> Result<(), StorageError> {
+        for step in steps {
+            match step {
+                Step::Append(records) => self.append(records),
+                Step::Install { shard, mark, snapshot } => {
+                    self.log.append(mark);
+                    self.log.sync()?;
+                    self.snapshots[usize::from(*shard)].write(snapshot)?;
+                }
+                Step::Checkpoint { snapshots, records } => {
+                    self.log.sync()?;
+                    for (shard, snapshot) in snapshots {
+                        self.snapshots[usize::from(*shard)].write(snapshot)?;
+                    }
+                    self.replace(records)?;
+                }
+            }
+        }
+        self.log.sync()
+    }
+
+    /// Bytes of the journal.
+    pub fn bytes(&self) -> u64 {
+        self.log.bytes()
+    }
+
+    fn append(&mut self, records: &[Vec<u8>]) {
+        for record in records {
+            self.log.append(record);
+        }
+    }
+
+    /// Replaces the journal by these records.
+    fn replace(&mut self, records: &[Vec<u8>]) -> Result<(), StorageError> {
+        let first = self.log.next_record();
+        self.log.roll();
+        self.append(records);
+        self.log.sync()?;
+        self.log.drop_before(first)
+    }
+
+    /// A mark that did not count must not begin to count later: everything is written again after it.
+    fn rewrite(&mut self, shards: &[RestoredShard]) -> Result<(), StorageError> {
+        let mut records = Vec::new();
+        for (shard, restored) in shards.iter().enumerate() {
+            let entries: Vec<_> = restored.log.entries.iter().cloned().map(Rc::new).collect();
+            records.extend(records_of(shard as u16, Some(restored.log.hard_state), &entries));
+        }
+        self.replace(&records)
+    }
+}
+
+fn read_snapshot(file: &VersionedFile) -> Result<Option<Snapshot>, HostError> {
+    match file.read().context(error::StorageSnafu)? {
+        Some((_, bytes)) => {
+            decode(&bytes).map(Some).context(error::UnreadableSnafu { what: "a snapshot file" })
+        }
+        None => Ok(None),
+    }
+}
+
+/// Gathers a shard's records.
+struct ShardReader {
+    snapshot: Option<Snapshot>,
+    hard_state: HardState,
+    entries: BTreeMap<u64, Rc<Entry>>,
+    skipped_mark: bool,
+}
+
+impl ShardReader {
+    fn new(snapshot: Option<Snapshot>) -> Self {
+        Self { snapshot, hard_state: HardState::default(), entries: BTreeMap::new(), skipped_mark: false }
+    }
+
+    fn snapshot_index(&self) -> u64 {
+        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.header.index)
+    }
+
+    fn take(&mut self, content: Content) {
+        match content {
+            Content::HardState(hard_state) => self.hard_state = hard_state,
+            Content::Entry(entry) => {
+                self.entries.split_off(&entry.index);
+                self.entries.insert(entry.index, entry);
+            }
+            Content::Installing(index) if index <= self.snapshot_index() => self.entries.clear(),
+            Content::Installing(_) => self.skipped_mark = true,
+        }
+    }
+
+    fn finish(self, shard: u16, genesis: &Membership) -> Result<RestoredShard, HostError> {
+        let (base, state) = match self.snapshot {
+            Some(snapshot) => (snapshot.header, Some(snapshot.state)),
+            None => (SnapshotHeader { index: 0, term: 0, membership: genesis.clone() }, None),
+        };
+        let mut entries = Vec::new();
+        for (index, entry) in self.entries.into_iter().skip_while(|(index, _)| *index <= base.index) {
+            let expected = base.index + 1 + entries.len() as u64;
+            if index != expected {
+                return Err(HostError::Gap { shard, index: expected });
+            }
+            entries.push(Rc::unwrap_or_clone(entry));
+        }
+        Ok(RestoredShard { log: Restored { hard_state: self.hard_state, base, entries }, state })
+    }
+}
--- /dev/null
+++ b/crates/control/src/host/tests.rs
@@ -0,0 +1,316 @@
+//! Whole hosts over loopback, each at an address of its own.
+
+use super::{Host, HostError, HostOptions, ProposeError, StateMachine};
+use opalrun_wire::{feed::ControlNode, frame::FrameError};
+use std::{
+    cell::RefCell,
+    future::{Future, poll_fn},
+    path::PathBuf,
+    pin::pin,
+    rc::Rc,
+    task::Poll,
+    time::Duration,
+};
+use tempfile::TempDir;
+use tokio::{sync::watch, task::LocalSet, time::timeout};
+
+const PEER_PORT: u16 = 7380;
+const LIMIT: Duration = Duration::from_secs(20);
+const SHARDS: u16 = 4;
+
+/// Keeps all commands, and replies with their number.
+#[derive(Default)]
+struct Commands(Rc<RefCell<Vec<Vec<u8>>>>);
+
+impl StateMachine for Commands {
+    fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
+        self.0.borrow_mut().push(command.to_vec());
+        self.0.borrow().len().to_string().into_bytes()
+    }
+
+    fn snapshot(&self) -> Vec<u8> {
+        opalrun_wire::frame::encode(&*self.0.borrow()).to_vec()
+    }
+
+    fn restore(&mut self, bytes: &[u8]) -> Result<(), FrameError> {
+        *self.0.borrow_mut() = opalrun_wire::frame::decode(bytes)?;
+        Ok(())
+    }
+}
+
+/// Machines of a test, each with an address and a disk.
+struct Tier {
+    test: u8,
+    members: u8,
+    folder: TempDir,
+}
+
+struct Running {
+    host: Rc<Host>,
+    states: Vec<Rc<RefCell<Vec<Vec<u8>>>>>,
+}
+
+impl Running {
+    fn commands(&self, shard: u16) -> Vec<Vec<u8>> {
+        self.states[usize::from(shard)].borrow().clone()
+    }
+}
+
+impl Tier {
+    fn new(test: u8, members: u8) -> Self {
+        Self { test, members, folder: tempfile::tempdir().unwrap() }
+    }
+
+    fn address(&self, machine: u8, port: u16) -> String {
+        let process = std::process::id().to_le_bytes();
+        format!("127.{}.{}.{}:{port}", self.test, process[0], machine + 1)
+    }
+
+    fn disk(&self, machine: u8) -> PathBuf {
+        self.folder.path().join(machine.to_string())
+    }
+
+    fn wipe(&self, machine: u8) {
+        std::fs::remove_dir_all(self.disk(machine)).unwrap();
+    }
+
+    async fn start(&self, machine: u8, bootstrap: bool) -> Running {
+        const CONTROL_PORT: u16 = 8144;
+        let node = ControlNode {
+            identity: 0,
+            node_name: format!("core-{machine}"),
+            peer_address: self.address(machine, PEER_PORT),
+            control_address: self.address(machine, CONTROL_PORT),
+            zone: "zone".to_owned(),
+        };
+        let options = HostOptions {
+            node,
+            bootstrap,
+            seeds: (0..self.members).map(|seed| self.address(seed, CONTROL_PORT)).collect(),
+            peer_port: PEER_PORT,
+            hosts_lost: 1,
+            data_directory: self.disk(machine),
+        };
+        let mut tries = 0;
+        loop {
+            let machines: Vec<Commands> = (0..SHARDS).map(|_| Commands::default()).collect();
+            let states = machines.iter().map(|machine| machine.0.clone()).collect();
+            let machines = machines.into_iter().map(|machine| Box::new(machine) as Box<dyn StateMachine>);
+            match Host::start(options.clone(), machines.collect()).await {
+                Ok(host) => return Running { host, states },
+                // The tasks of a host that was dropped end at their next turn.
+                Err(HostError::Net { .. }) if tries < 100 => tokio::task::yield_now().await,
+                Err(error) => panic!("{error}"),
+            }
+            tries += 1;
+        }
+    }
+
+    async fn start_all(&self) -> Vec<Running> {
+        let mut running = Vec::new();
+        for machine in 0..self.members {
+            running.push(self.start(machine, true).await);
+        }
+        running
+    }
+}
+
+/// Waits until the condition holds, looking whenever something was applied anywhere.
+async fn eventually(running: &[Running], what: &str, condition: impl Fn() -> bool) {
+    let mut changes: Vec<watch::Receiver<u64>> =
+        running.iter().map(|one| one.host.applied_changed()).collect();
+    let wait = async {
+        while !condition() {
+            let mut waits: Vec<_> = changes.iter_mut().map(|change| Box::pin(change.changed())).collect();
+            poll_fn(|context| {
+                let is_changed = waits.iter_mut().any(|wait| wait.as_mut().poll(context).is_ready());
+                if is_changed { Poll::Ready(()) } else { Poll::Pending }
+            })
+            .await;
+        }
+    };
+    assert!(timeout(LIMIT, wait).await.is_ok(), "never came about: {what}");
+}
+
+fn owner(running: &[Running], shard: u16) -> Option<usize> {
+    running.iter().position(|one| one.host.is_owner(shard) && one.host.fresh(shard))
+}
+
+/// Proposes to whoever owns the shard until it is decided.
+async fn propose(running: &[Running], shard: u16, command: &[u8]) -> Vec<u8> {
+    for _ in 0..100 {
+        eventually(running, "an owner", || owner(running, shard).is_some()).await;
+        let owner = owner(running, shard).unwrap();
+        match running[owner].host.propose(shard, command.to_vec()).await {
+            Ok((_, reply)) => return reply,
+            Err(ProposeError::TimedOut) => panic!("a healthy group decides in time"),
+            Err(_) => {}
+        }
+    }
+    panic!("no owner keeps its shard");
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(LocalSet::new().run_until(async { pin!(test).await }));
+}
+
+#[test]
+fn members_form_groups_and_decide() {
+    run(async {
+        let tier = Tier::new(10, 3);
+        let running = tier.start_all().await;
+        for shard in 0..SHARDS {
+            assert_eq!(propose(&running, shard, b"first").await, b"1");
+            assert_eq!(propose(&running, shard, b"second").await, b"2");
+            let expected = vec![b"first".to_vec(), b"second".to_vec()];
+            eventually(&running, "all apply", || running.iter().all(|one| one.commands(shard) == expected))
+                .await;
+        }
+        let leader = owner(&running, 0).unwrap();
+        running[leader].host.read_barrier(0).await.unwrap();
+        let follower = &running[(leader + 1) % 3].host;
+        let identity = running[leader].host.identity();
+        assert_eq!(follower.read_barrier(0).await, Err(ProposeError::NotOwner(Some(identity))));
+        assert_eq!(
+            follower.propose(0, Vec::new()).await.unwrap_err(),
+            ProposeError::NotOwner(Some(identity))
+        );
+        running[leader]
+            .host
+            .set_call_handler(|bytes| Box::pin(async move { [bytes, b"!".to_vec()].concat() }));
+        assert_eq!(follower.call(identity, b"hello".to_vec(), LIMIT).await.unwrap(), b"hello!");
+        assert!(follower.call(12345, Vec::new(), LIMIT).await.is_err());
+    });
+}
+
+#[test]
+fn a_group_outlives_its_owner_which_catches_up() {
+    run(async {
+        let tier = Tier::new(11, 3);
+        let mut running = tier.start_all().await;
+        propose(&running, 0, b"before").await;
+        let old = owner(&running, 0).unwrap();
+        let identity = running[old].host.identity();
+        drop(running.remove(old));
+        propose(&running, 0, b"while away").await;
+        let back = tier.start(old as u8, false).await;
+        assert_eq!(back.host.identity(), identity);
+        running.push(back);
+        propose(&running, 0, b"after").await;
+        let expected = vec![b"before".to_vec(), b"while away".to_vec(), b"after".to_vec()];
+        eventually(&running, "all apply", || running.iter().all(|one| one.commands(0) == expected)).await;
+    });
+}
+
+#[test]
+fn all_members_restart_from_their_disks() {
+    run(async {
+        let tier = Tier::new(12, 3);
+        let running = tier.start_all().await;
+        propose(&running, 2, b"kept").await;
+        drop(running);
+        let mut running = Vec::new();
+        for machine in 0..3 {
+            running.push(tier.start(machine, false).await);
+        }
+        assert_eq!(propose(&running, 2, b"next").await, b"2");
+        let expected = vec![b"kept".to_vec(), b"next".to_vec()];
+        eventually(&running, "all apply", || running.iter().all(|one| one.commands(2) == expected)).await;
+    });
+}
+
+#[test]
+fn a_wiped_member_joins_as_another_one() {
+    run(async {
+        let tier = Tier::new(13, 3);
+        let mut running = tier.start_all().await;
+        for shard in 0..SHARDS {
+            propose(&running, shard, b"before").await;
+        }
+        let lost = running.remove(1);
+        let old_identity = lost.host.identity();
+        let survivors: Vec<ControlNode> = running.iter().map(|one| one.host.node.clone()).collect();
+        drop(lost);
+        tier.wipe(1);
+        for one in &running {
+            let hosts: Vec<_> = running.iter().map(|other| Rc::downgrade(&other.host)).collect();
+            let survivors = survivors.clone();
+            one.host.set_hello_handler(move |node| {
+                for host in hosts.iter().filter_map(std::rc::Weak::upgrade) {
+                    host.set_desired_members([survivors.clone(), vec![node.clone()]].concat());
+                }
+            });
+        }
+        let back = tier.start(1, false).await;
+        let new_identity = back.host.identity();
+        assert_ne!(new_identity, old_identity);
+        running.push(back);
+        let is_replaced = || {
+            (0..SHARDS).all(|shard| {
+                let owner = owner(&running, shard);
+                owner.is_some_and(|owner| {
+                    running[owner].host.with_group(shard, |group| {
+                        let members = group.replica.membership();
+                        members.is_voter(new_identity)
+                            && members.get(old_identity).is_none()
+                            && group.replica.commit_index() == group.replica.last_index()
+                    })
+                })
+            })
+        };
+        eventually(&running, "the new member replaces the old one", is_replaced).await;
+        propose(&running, 3, b"after").await;
+        let expected = vec![b"before".to_vec(), b"after".to_vec()];
+        eventually(&running, "it has the state", || running[2].commands(3) == expected).await;
+    });
+}
+
+#[test]
+fn ownership_is_handed_over() {
+    run(async {
+        let tier = Tier::new(14, 3);
+        let running = tier.start_all().await;
+        for shard in 0..SHARDS {
+            propose(&running, shard, b"before").await;
+        }
+        let old = owner(&running, 0).unwrap();
+        running[old].host.hand_over().await;
+        assert!((0..SHARDS).all(|shard| !running[old].host.is_owner(shard)));
+        eventually(&running, "another owner", || owner(&running, 0).is_some_and(|new| new != old)).await;
+        propose(&running, 0, b"after").await;
+    });
+}
+
+#[test]
+fn a_member_that_missed_much_gets_a_snapshot() {
+    run(async {
+        let tier = Tier::new(15, 3);
+        let mut running = tier.start_all().await;
+        propose(&running, 0, b"first").await;
+        let lost = (owner(&running, 0).unwrap() + 1) % 3;
+        drop(running.remove(lost));
+        let large = vec![7; 1 << 20];
+        for _ in 0..12 {
+            propose(&running, 0, &large).await;
+        }
+        for _ in 0..600 {
+            propose(&running, 0, b"small").await;
+        }
+        let is_compacted = || {
+            owner(&running, 0)
+                .is_some_and(|owner| running[owner].host.with_group(0, |group| group.snapshot_index > 0))
+        };
+        eventually(&running, "a checkpoint", is_compacted).await;
+        running.push(tier.start(lost as u8, false).await);
+        propose(&running, 0, b"last").await;
+        eventually(&running, "it catches up", || running[2].commands(0).len() == 614).await;
+        drop(running);
+        // Everything is found again on the disks.
+        let mut running = Vec::new();
+        for machine in 0..3 {
+            running.push(tier.start(machine, false).await);
+        }
+        assert_eq!(propose(&running, 0, b"more").await, b"615");
+    });
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,14 +10,12 @@
 pub mod configuration_shard;
 mod error;
 pub mod feed;
+pub mod host;
 pub mod process;
 mod run;
 pub mod sessions;
 pub mod shards;
-pub mod stand_in;
 pub mod store_map;
-#[doc(hidden)]
-pub use stand_in as host;
 
 pub use error::ControlError;
 pub use run::{Control, run};
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -26,10 +26,15 @@
 /// Runs the role until SIGTERM.
 ///
 /// # Errors
-/// Where the settings lack something, an address can't be listened on or the replicated state can't be opened.
+/// Where the settings lack something, an address can't be listened on, the replicated state can't be opened or the disk
+/// fails.
 pub async fn run(settings: Settings) -> Result<(), ControlError> {
     let control = Control::start(&settings).await?;
-    signals::terminated().await;
+    tokio::select! {
+        () = signals::terminated() => {}
+        // What is on disk is read again at the next start.
+        why = control.process().host().failed() => return Err(ControlError::Disk { why }),
+    }
     control.end().await;
     Ok(())
 }
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -29,6 +29,7 @@
         commit: u64,
         round: u64,
     ) {
+        self.leader_commit = self.leader_commit.max(commit);
         // What is committed is the same everywhere, so an entry before it needs no check.
         let is_known = previous_index <= self.commit;
         if !is_known && self.log.term(previous_index) != Some(previous_term) {
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -71,6 +71,8 @@
     pub(crate) hard_state: HardState,
     pub(crate) log: Log,
     pub(crate) commit: u64,
+    /// What the leader last said to be committed.
+    pub(crate) leader_commit: u64,
     /// What was handed over to be applied.
     pub(crate) applied: u64,
     pub(crate) role: Role,
@@ -109,6 +111,7 @@
             durable_index: log.last_index(),
             log,
             commit: base,
+            leader_commit: base,
             applied: base,
             role: Role::Follower,
             leader: None,
@@ -284,6 +287,12 @@
         }
     }
 
+    /// Whether this replica has handed over everything that the leader said to be committed.
+    #[must_use]
+    pub fn is_up_to_date(&self) -> bool {
+        self.is_leader() || self.applied >= self.leader_commit
+    }
+
     /// The write that is being gathered.
     fn open_write(&mut self) -> &mut Write {
         if self.output.writes.is_empty() {
