--- /dev/null
+++ b/crates/gatekeeper/tests/stores.rs
@@ -0,0 +1,183 @@
+//! Two gatekeepers' leases and turns over three stores on loopback.
+
+use opalrun_gatekeeper::lease::{LeaseError, ProgramLeases, Terms};
+use opalrun_gatekeeper::turns::{ChainError, Turns};
+use opalrun_net::Listener;
+use opalrun_storage::DataDirectory;
+use opalrun_store::{StoreServer, serve, state::StoreLimits};
+use opalrun_store_client::StoreClient;
+use opalrun_wire::feed::{Partition, Replica, STORE_PARTITIONS, StoreMap, StoreNode, StoreState};
+use opalrun_wire::store::Turn;
+use std::rc::Rc;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::task::{JoinHandle, JoinSet, LocalSet};
+
+const LIMITS: StoreLimits = StoreLimits { memory_bytes: 10 << 20, disk_bytes: 10 << 20 };
+const STORES: u64 = 3;
+const CACHE_BYTES: usize = 100_000;
+/// Long enough for anything that can succeed.
+const AMPLE: Duration = Duration::from_secs(20);
+const BUDGET: u64 = 1_000;
+const MOST: u64 = 100;
+const USED: u64 = 60;
+
+/// A store whose task serves until it is stopped.
+struct Store {
+    node: StoreNode,
+    server: Rc<StoreServer>,
+    task: JoinHandle<()>,
+    _folder: TempDir,
+}
+
+impl Store {
+    async fn start(identity: u64) -> Self {
+        let folder = TempDir::new().unwrap();
+        let directory = DataDirectory::open(folder.path()).unwrap();
+        let server = StoreServer::open(&directory, identity, LIMITS).unwrap();
+        let listener = Listener::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let node = StoreNode {
+            identity,
+            node_name: format!("storage-{identity}"),
+            address: listener.local_address().to_string(),
+            zone: format!("zone-{identity}"),
+            state: StoreState::Active,
+        };
+        // In a set of its own, so that its connections end with it.
+        let tasks = LocalSet::new();
+        let serving = Rc::clone(&server);
+        tasks.spawn_local(async move { serve(listener, serving).await });
+        let task = tokio::task::spawn_local(tasks);
+        Self { node, server, task, _folder: folder }
+    }
+}
+
+/// Stores that know their map.
+struct Tier {
+    stores: Vec<Store>,
+    map: StoreMap,
+}
+
+impl Tier {
+    async fn start() -> Self {
+        let mut stores = Vec::new();
+        for identity in 1..=STORES {
+            stores.push(Store::start(identity).await);
+        }
+        let replicas = (1..=STORES).map(|store| Replica { store, whole: true }).collect();
+        let partition = Partition { replicas, sources: Vec::new() };
+        let map = StoreMap {
+            epoch: 1,
+            stores: stores.iter().map(|store| store.node.clone()).collect(),
+            partitions: vec![partition; usize::from(STORE_PARTITIONS)],
+        };
+        for store in &stores {
+            store.server.set_map(Rc::new(map.clone()));
+        }
+        Self { stores, map }
+    }
+
+    /// Ends a store, and its connections.
+    async fn stop_one(&mut self) {
+        let store = self.stores.pop().expect("a store that runs");
+        store.task.abort();
+        let ended = store.task.await;
+        assert!(ended.is_err_and(|end| end.is_cancelled()));
+    }
+
+    fn client(&self, holder: u64) -> Rc<StoreClient> {
+        let client = StoreClient::new(holder, "zone-1");
+        client.set_map(self.map.clone());
+        client
+    }
+
+    fn leases(&self, holder: u64) -> Rc<ProgramLeases<Rc<StoreClient>>> {
+        Rc::new(ProgramLeases::new(self.client(holder), holder))
+    }
+}
+
+/// Begins a turn and relays what it uses; returns the units relayed.
+async fn run_turn(leases: Rc<ProgramLeases<Rc<StoreClient>>>) -> Result<u64, LeaseError> {
+    let lease = leases.begin("p", Terms { budget: BUDGET, most: MOST }).await?;
+    lease.event(USED);
+    Ok(USED)
+}
+
+fn turn(id: &str, ancestors: &[&str]) -> Turn {
+    Turn {
+        id: id.to_owned(),
+        ancestors: ancestors.iter().map(|id| (*id).to_owned()).collect(),
+        input: format!("in-{id};").into_bytes(),
+        output: format!("out-{id}\n").into_bytes(),
+        retention_ms: 60_000,
+        worker: "i-1".to_owned(),
+    }
+}
+
+fn run(test: impl Future<Output = ()>) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    LocalSet::new().block_on(&runtime, test);
+}
+
+#[test]
+fn two_gatekeepers_share_a_budget_to_its_last_turn() {
+    run(async {
+        let tier = Tier::start().await;
+        let (first, second) = (tier.leases(11), tier.leases(12));
+        let mut relayed = 0;
+        loop {
+            let mut turns = JoinSet::new();
+            turns.spawn_local(run_turn(Rc::clone(&first)));
+            turns.spawn_local(run_turn(Rc::clone(&second)));
+            let outcomes = turns.join_all().await;
+            assert!(!outcomes.contains(&Err(LeaseError::Unavailable)), "the stores were there");
+            relayed += outcomes.iter().flatten().sum::<u64>();
+            assert!(relayed <= BUDGET);
+            if outcomes.iter().all(Result::is_err) {
+                break;
+            }
+        }
+        // One more turn at its most would not have fitted.
+        assert!(relayed + MOST > BUDGET, "{relayed} units were relayed");
+    });
+}
+
+#[test]
+fn a_lease_goes_on_without_one_store_and_stops_without_two() {
+    run(async {
+        let mut tier = Tier::start().await;
+        let leases = tier.leases(11);
+        tier.stop_one().await;
+        assert_eq!(run_turn(Rc::clone(&leases)).await, Ok(USED));
+        assert!(leases.drain(AMPLE).await);
+        tier.stop_one().await;
+        assert_eq!(run_turn(Rc::clone(&leases)).await, Err(LeaseError::Unavailable));
+    });
+}
+
+#[test]
+fn a_drained_gatekeeper_leaves_its_unused_units_to_the_others() {
+    run(async {
+        let tier = Tier::start().await;
+        let (first, second) = (tier.leases(11), tier.leases(12));
+        assert_eq!(run_turn(Rc::clone(&first)).await, Ok(USED));
+        assert!(first.drain(AMPLE).await);
+        let rest = Terms { budget: BUDGET, most: BUDGET - USED };
+        assert!(second.begin("p", rest).await.is_ok());
+    });
+}
+
+#[test]
+fn a_turn_kept_by_one_gatekeeper_is_continued_at_another() {
+    run(async {
+        let tier = Tier::start().await;
+        let (first, second) =
+            (Turns::new(tier.client(11), CACHE_BYTES), Turns::new(tier.client(12), CACHE_BYTES));
+        first.store(turn("a", &[])).await.unwrap();
+        first.store(turn("b", &["a"])).await.unwrap();
+        let chain = second.chain("b").await.unwrap();
+        assert_eq!(chain.body(b"new"), b"in-a;out-a\nin-b;out-b\nnew");
+        assert_eq!(chain.ancestors, ["a", "b"]);
+        assert_eq!(second.chain("c").await, Err(ChainError::Unknown));
+    });
+}
