--- a/crates/gatekeeper/src/proxy/balance/worker.rs
+++ b/crates/gatekeeper/src/proxy/balance/worker.rs
@@ -81,7 +81,7 @@
 
     /// It turned a request away without saying how full it is.
     pub fn seems_full(&mut self, now: Duration) {
-        let report = LoadReport { running: self.capacity, waiting: self.capacity, slots: self.capacity };
+        let report = LoadReport { running: self.capacity, waiting: 0, slots: self.capacity };
         self.reported.set(now, report, self.in_flight);
     }
 }
--- a/crates/gatekeeper/tests/proxy/main.rs
+++ b/crates/gatekeeper/tests/proxy/main.rs
@@ -3,4 +3,6 @@
 mod fakes;
 mod forwarding;
 mod planned_work;
+mod programs;
+mod stores;
 mod streams;
--- /dev/null
+++ b/crates/gatekeeper/tests/proxy/programs.rs
@@ -0,0 +1,144 @@
+//! Turns of programs: budgets, and what was said before.
+
+use crate::{
+    fakes::{
+        Act, FakeWorker, Gatekeeper, LAST_CHUNK, Message, event, events, not_executed, request, run,
+        stream_head,
+    },
+    stores::Stores,
+};
+
+const ROUTES: &str = r#"{"generation":GENERATION,"routes":[
+{"name":"kept","host":"h.example","path_prefix":"/kept/","route_type":"streaming","timeout_ms":5000,
+ "target_latency_ms":250,"priority":0,"backend":"s","max_attempts":2,"retained":true,"retention_s":60.0,
+ "resumable":false,"gap_aim_ms":5000},
+{"name":"free","host":"h.example","path_prefix":"/free/","route_type":"streaming","timeout_ms":5000,
+ "target_latency_ms":250,"priority":1,"backend":"s","max_attempts":2,"resumable":true,"gap_aim_ms":5000}],
+"services":[{"name":"s","health_path":"/healthz","max_connections":8,"protocol":"h1","tls":false,
+ "engine":{"capacity":32,"kv_capacity":200000,"kv_bytes":131072,"bandwidth_mbps":260000.0,"chunk_tokens":3,
+ "models":[{"name":"m"}]}}],"limits":{}}"#;
+
+async fn gatekeeper(stores: &Stores, workers: &[&FakeWorker]) -> Gatekeeper {
+    let gatekeeper = Gatekeeper::with(workers).await;
+    gatekeeper.configure(2, ROUTES);
+    gatekeeper.proxy.set_store_map(&stores.map);
+    gatekeeper
+}
+
+fn whole(count: u64) -> Act {
+    Act::Send(stream_head() + &events(1, count) + LAST_CHUNK)
+}
+
+/// A turn that may emit up to 30 tokens.
+async fn turn(
+    gatekeeper: &Gatekeeper,
+    path: &str,
+    id: &str,
+    budget: u64,
+    previous: Option<&str>,
+    input: &str,
+) -> Option<Message> {
+    let previous = previous.map(|id| format!("Previous: {id}\r\n")).unwrap_or_default();
+    let headers =
+        format!("Program: p1\r\nSession: s1\r\nBudget: {budget}\r\nToken-Usage: 100,30\r\n{previous}");
+    gatekeeper.call(&request("POST", path, id, &headers, input)).await
+}
+
+#[test]
+fn a_turn_gets_all_that_was_said_before_it_also_at_another_gatekeeper() {
+    run(async {
+        let stores = Stores::start().await;
+        let worker = FakeWorker::start("w1", vec![whole(2)]).await;
+        let first = gatekeeper(&stores, &[&worker]).await;
+        let second = gatekeeper(&stores, &[&worker]).await;
+        let answer = turn(&first, "/kept/a", "t1", 1000, None, "one").await.expect("a whole answer");
+        assert_eq!(answer.body, (event(1) + &event(2)).into_bytes());
+        turn(&first, "/kept/a", "t2", 1000, Some("t1"), "two").await.expect("a whole answer");
+        turn(&second, "/kept/a", "t3", 1000, Some("t2"), "three").await.expect("a whole answer");
+        let said = "piece 1\npiece 2\n";
+        assert_eq!(worker.request(0).body, b"one");
+        assert_eq!(worker.request(1).body, format!("one{said}two").into_bytes());
+        assert_eq!(worker.request(2).body, format!("one{said}two{said}three").into_bytes());
+    });
+}
+
+#[test]
+fn a_turn_that_continues_from_none_is_answered_404_only_when_that_is_sure() {
+    run(async {
+        let mut stores = Stores::start().await;
+        let worker = FakeWorker::start("w1", vec![whole(2)]).await;
+        let gatekeeper = gatekeeper(&stores, &[&worker]).await;
+        let answer = turn(&gatekeeper, "/kept/a", "t2", 1000, Some("never"), "two").await.expect("an answer");
+        assert_eq!(answer.status(), 404);
+        stores.leave(1);
+        let answer = turn(&gatekeeper, "/kept/a", "t3", 1000, Some("other"), "two").await.expect("an answer");
+        assert_eq!(answer.status(), 503);
+        assert!(answer.header("retry-after").is_some());
+        assert_eq!(worker.count(), 0);
+    });
+}
+
+#[test]
+fn a_turn_that_is_not_kept_does_not_look_complete() {
+    run(async {
+        let mut stores = Stores::start().await;
+        let worker = FakeWorker::start("w1", vec![whole(2)]).await;
+        let gatekeeper = gatekeeper(&stores, &[&worker]).await;
+        stores.leave(1);
+        let text = request("POST", "/kept/a", "t1", "", "one");
+        assert!(gatekeeper.call(&text).await.is_none(), "the answer is cut");
+        assert_eq!(worker.count(), 1);
+    });
+}
+
+#[test]
+fn a_program_spends_no_more_than_its_budget() {
+    run(async {
+        let stores = Stores::start().await;
+        let worker = FakeWorker::start("w1", vec![whole(10)]).await;
+        let first = gatekeeper(&stores, &[&worker]).await;
+        let second = gatekeeper(&stores, &[&worker]).await;
+        let mut spent = 0;
+        for number in 0..5 {
+            let gatekeeper = if number % 2 == 0 { &first } else { &second };
+            let answer = turn(gatekeeper, "/free/a", &format!("t{number}"), 70, None, "x").await;
+            let answer = answer.expect("an answer");
+            match answer.status() {
+                200 => spent += 30,
+                status => assert_eq!(status, 402, "turn {number}"),
+            }
+        }
+        assert_eq!(spent, 60, "each turn emits 30 tokens");
+        assert_eq!(worker.count(), 2);
+    });
+}
+
+#[test]
+fn what_a_turn_did_not_use_can_be_spent_by_the_next() {
+    run(async {
+        let stores = Stores::start().await;
+        let worker = FakeWorker::start("w1", vec![not_executed(), whole(1)]).await;
+        let gatekeeper = gatekeeper(&stores, &[&worker]).await;
+        for number in 0..8 {
+            let answer = turn(&gatekeeper, "/free/a", &format!("t{number}"), 50, None, "x").await;
+            let expected = if number == 0 { 503 } else { 200 };
+            assert_eq!(answer.expect("an answer").status(), expected, "turn {number}");
+        }
+        let answer = turn(&gatekeeper, "/free/a", "t8", 50, None, "x").await.expect("an answer");
+        assert_eq!(answer.status(), 402, "29 are left of 50 after 7 events of 3");
+    });
+}
+
+#[test]
+fn without_the_count_no_turn_runs_and_none_is_told_that_its_budget_is_spent() {
+    run(async {
+        let mut stores = Stores::start().await;
+        let worker = FakeWorker::start("w1", vec![whole(1)]).await;
+        let gatekeeper = gatekeeper(&stores, &[&worker]).await;
+        stores.leave(1);
+        let answer = turn(&gatekeeper, "/free/a", "t1", 50, None, "x").await.expect("an answer");
+        assert_eq!(answer.status(), 503);
+        assert!(answer.header("retry-after").is_some());
+        assert_eq!(worker.count(), 0);
+    });
+}
--- /dev/null
+++ b/crates/gatekeeper/tests/proxy/stores.rs
@@ -0,0 +1,59 @@
+//! Three stores on loopback with a map that names them.
+
+use opalrun_net::Listener;
+use opalrun_storage::DataDirectory;
+use opalrun_store::{StoreServer, serve, state::StoreLimits};
+use opalrun_wire::feed::{Partition, Replica, STORE_PARTITIONS, StoreMap, StoreNode, StoreState};
+use std::rc::Rc;
+use tempfile::TempDir;
+use tokio::task::{JoinHandle, LocalSet, spawn_local};
+
+const LIMITS: StoreLimits = StoreLimits { memory_bytes: 50 << 20, disk_bytes: 50 << 20 };
+
+pub struct Stores {
+    pub map: StoreMap,
+    _folders: Vec<TempDir>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Stores {
+    pub async fn start() -> Self {
+        let mut stores = Self { map: StoreMap::default(), _folders: Vec::new(), tasks: Vec::new() };
+        let mut servers = Vec::new();
+        for identity in 1..=3 {
+            servers.push(stores.add(identity).await);
+        }
+        let replicas = (1..=3).map(|store| Replica { store, whole: true }).collect();
+        let partition = Partition { replicas, sources: Vec::new() };
+        stores.map.partitions = vec![partition; usize::from(STORE_PARTITIONS)];
+        stores.map.epoch = 1;
+        for server in &servers {
+            assert!(server.set_map(Rc::new(stores.map.clone())));
+        }
+        stores
+    }
+
+    async fn add(&mut self, identity: u64) -> Rc<StoreServer> {
+        let folder = TempDir::new().expect("a folder");
+        let directory = DataDirectory::open(folder.path()).expect("a folder that can be used");
+        let server = StoreServer::open(&directory, identity, LIMITS).expect("an empty log");
+        let listener = Listener::bind("127.0.0.1:0".parse().expect("an address")).await.expect("a free port");
+        self.map.stores.push(StoreNode {
+            identity,
+            node_name: format!("store-{identity}"),
+            address: listener.local_address().to_string(),
+            zone: "here".to_owned(),
+            state: StoreState::Active,
+        });
+        self._folders.push(folder);
+        let serving = serve(listener, server.clone());
+        // A set of its own, so that its connections end with it.
+        self.tasks.push(spawn_local(async move { LocalSet::new().run_until(serving).await }));
+        server
+    }
+
+    /// Ends the stores, but for so many.
+    pub fn leave(&mut self, count: usize) {
+        self.tasks.drain(count..).for_each(|task| task.abort());
+    }
+}
