--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -31,6 +31,8 @@
 /// How long a repeatable request waits for the head of an answer while another worker could be tried, as a multiple
 /// of its target latency.
 const PATIENCE_IN_TARGETS: u32 = 3;
+/// The same for a stream, whose prompt would have to be read anew.
+const STREAM_PATIENCE_IN_TARGETS: u32 = 6;
 /// The least of that.
 const LEAST_PATIENCE: Duration = Duration::from_millis(400);
 
@@ -211,7 +213,11 @@
     if !repeatable || !more {
         return request.until;
     }
-    let patience = (request.route.target_latency * PATIENCE_IN_TARGETS).max(LEAST_PATIENCE);
+    let targets = match request.route.route_type {
+        RouteType::Streaming => STREAM_PATIENCE_IN_TARGETS,
+        RouteType::Safe | RouteType::Unsafe => PATIENCE_IN_TARGETS,
+    };
+    let patience = (request.route.target_latency * targets).max(LEAST_PATIENCE);
     request.until.min(Instant::now() + patience)
 }
 
--- a/crates/gatekeeper/src/proxy/stream.rs
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -24,7 +24,7 @@
 /// Events on their way to a client that does not read them yet.
 const EVENTS_AHEAD: usize = 16;
 /// After a pause of so many times the aim a stream that may be resumed goes on elsewhere.
-const PATIENCE_IN_GAPS: f64 = 2.5;
+const PATIENCE_IN_GAPS: f64 = 3.0;
 /// The aim for pauses where the route names none.
 const USUAL_GAP: Duration = Duration::from_millis(500);
 
--- a/crates/gatekeeper/src/proxy/upstream.rs
+++ b/crates/gatekeeper/src/proxy/upstream.rs
@@ -168,7 +168,12 @@
                     self.failed(request, chosen);
                     return Err(outcome_of(&progress));
                 }
-                Err(_elapsed) => return Err(outcome_of(&progress)),
+                Err(_elapsed) => {
+                    if until < request.until {
+                        self.failed(request, chosen);
+                    }
+                    return Err(outcome_of(&progress));
+                }
             }
         }
     }
