--- a/crates/gatekeeper/src/agent/mod.rs
+++ b/crates/gatekeeper/src/agent/mod.rs
@@ -15,11 +15,7 @@
 use opalrun_settings::Settings;
 use opalrun_wire::feed::Subscriber;
 use snafu::{ResultExt, Snafu};
-use std::{
-    net::{Ipv4Addr, SocketAddr},
-    rc::Rc,
-    time::Duration,
-};
+use std::{rc::Rc, time::Duration};
 
 /// Part of the time between SIGTERM and SIGKILL that is left for ending.
 const ENDING: Duration = Duration::from_secs(1);
@@ -40,8 +36,7 @@
 /// # Errors
 /// Where the port for the proxy can't be listened on.
 pub async fn run(settings: Settings) -> Result<(), AgentError> {
-    let address = SocketAddr::new(Ipv4Addr::LOCALHOST.into(), settings.ports.feed());
-    let listener = Listener::bind(address).await.context(ListenSnafu)?;
+    let listener = Listener::bind(settings.agent_address()).await.context(ListenSnafu)?;
     let grace = settings.bounds.grace.saturating_sub(ENDING);
     let server = start(&settings, listener);
     signals::terminated().await;
--- a/crates/gatekeeper/src/feed/client.rs
+++ b/crates/gatekeeper/src/feed/client.rs
@@ -5,7 +5,7 @@
 use opalrun_wire::feed::Subscriber;
 use std::{
     cell::{Ref, RefCell},
-    net::{Ipv4Addr, SocketAddr},
+    net::SocketAddr,
     rc::Rc,
 };
 use tokio::sync::watch;
@@ -18,12 +18,6 @@
 }
 
 impl ControlFeed {
-    /// Subscribes to the agent on this machine.
-    #[must_use]
-    pub fn start(feed_port: u16) -> Rc<Self> {
-        Self::start_at(SocketAddr::new(Ipv4Addr::LOCALHOST.into(), feed_port))
-    }
-
     /// Subscribes to the agent at an address.
     #[must_use]
     pub fn start_at(agent: SocketAddr) -> Rc<Self> {
--- a/crates/gatekeeper/src/proxy/run.rs
+++ b/crates/gatekeeper/src/proxy/run.rs
@@ -56,7 +56,7 @@
     let platform = listen(readiness).await?;
     let proxy = Proxy::new(&settings);
     spawn_local(sweep(proxy.clone()));
-    spawn_local(follow(proxy.clone(), ControlFeed::start(settings.ports.feed())));
+    spawn_local(follow(proxy.clone(), ControlFeed::start_at(settings.agent_address())));
     spawn_local(watch_settings(settings.clone()));
     serve(proxy, &settings, clients, platform, opalrun_net::signals::terminated()).await;
     Ok(())
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -12,7 +12,7 @@
 
 use std::{
     collections::BTreeMap,
-    net::{IpAddr, SocketAddr},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     path::{Path, PathBuf},
     time::Duration,
 };
@@ -214,6 +214,14 @@
         SocketAddr::new(self.ip, self.ports.feed())
     }
 
+    /// Where the agent serves the change feed to the proxy beside it: on loopback. A machine whose own address is one of
+    /// loopback uses that, so that several such machines can share a host.
+    #[must_use]
+    pub fn agent_address(&self) -> SocketAddr {
+        let ip = if self.ip.is_loopback() { self.ip } else { Ipv4Addr::LOCALHOST.into() };
+        SocketAddr::new(ip, self.ports.feed())
+    }
+
     /// Where the control processes among the seeds serve the change feed.
     #[must_use]
     pub fn seed_feed_addresses(&self) -> Vec<SocketAddr> {
