--- a/crates/gatekeeper/tests/stores.rs
+++ b/crates/gatekeeper/tests/stores.rs
@@ -155,6 +155,21 @@
     });
 }
 
+#[test]
+fn a_process_that_ends_with_turns_under_way_ends_in_order() {
+    run(async {
+        let tier = Tier::start().await;
+        let leases = tier.leases(11);
+        let (began, beginning) = tokio::sync::oneshot::channel();
+        tokio::task::spawn_local(async move {
+            let _lease = leases.begin("p", Terms { budget: BUDGET, most: MOST }).await;
+            began.send(()).expect("the test waits");
+            std::future::pending::<()>().await;
+        });
+        beginning.await.expect("the turn begins");
+    });
+}
+
 #[test]
 fn a_drained_gatekeeper_leaves_its_unused_units_to_the_others() {
     run(async {
