--- /dev/null
+++ b/crates/store/tests/model/node.rs
@@ -0,0 +1,153 @@
+//! A store with a disk that loses what was not synced.
+
+use opalrun_store::{
+    copy::CopyPlan,
+    state::{Handled, StoreLimits, StoreState},
+};
+use opalrun_wire::{
+    feed::StoreMap,
+    store::{StoreReply, StoreRequest},
+};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
+
+const LIMITS: StoreLimits = StoreLimits { memory_bytes: 1 << 30, disk_bytes: 1 << 30 };
+pub const NOW: Duration = Duration::from_secs(1);
+
+/// Whom an answer goes to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Asker {
+    /// An operation of a holder, and the round it belongs to.
+    Operation { holder: usize, operation: u64, second_round: bool },
+    /// The copy of a partition at a store that began in an epoch.
+    Copy { store: u64, partition: u16, epoch: u64 },
+}
+
+pub struct Node {
+    pub identity: u64,
+    pub state: StoreState,
+    pub copies: BTreeMap<u16, RunningCopy>,
+    disk: Vec<Vec<u8>>,
+    unsynced: Vec<Vec<u8>>,
+    waiting: Vec<(u64, Asker, StoreReply)>,
+}
+
+pub struct RunningCopy {
+    pub epoch: u64,
+    pub replicas_since: u64,
+    pub plan: CopyPlan,
+    /// Its pages are synced up to the record after which it counts.
+    pub last_record: u64,
+}
+
+impl Node {
+    pub fn new(identity: u64) -> Self {
+        Self {
+            identity,
+            state: StoreState::new(identity, LIMITS),
+            copies: BTreeMap::new(),
+            disk: Vec::new(),
+            unsynced: Vec::new(),
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Loses what was not synced and starts again. It learns the map anew.
+    pub fn restart(&mut self) {
+        self.unsynced.clear();
+        self.waiting.clear();
+        self.copies.clear();
+        self.state = StoreState::new(self.identity, LIMITS);
+        for (number, record) in self.disk.iter().enumerate() {
+            self.state.replay(number as u64, record, NOW).unwrap();
+        }
+        self.state.start_at(self.disk.len() as u64);
+    }
+
+    pub fn set_map(&mut self, map: &Rc<StoreMap>) {
+        self.state.set_map(map.clone());
+        self.collect();
+        let needed = self.state.copies_needed();
+        self.copies.retain(|partition, copy| {
+            needed
+                .iter()
+                .any(|needed| needed.partition == *partition && needed.replicas_since == copy.replicas_since)
+        });
+    }
+
+    /// Serves a request; answers that may go out at once are returned.
+    pub fn handle(&mut self, asker: Asker, request: &StoreRequest) -> Option<StoreReply> {
+        let handled = self.state.handle(request, NOW);
+        self.collect();
+        match handled {
+            Handled::Reply(reply) => Some(reply),
+            Handled::AfterSync { record, reply } if record < self.disk.len() as u64 => Some(reply),
+            Handled::AfterSync { record, reply } => {
+                self.waiting.push((record, asker, reply));
+                None
+            }
+            Handled::NewerEpoch => Some(self.state.stale()),
+        }
+    }
+
+    /// Syncs everything; returns the answers that may go out now.
+    pub fn sync(&mut self) -> Vec<(Asker, StoreReply)> {
+        self.disk.append(&mut self.unsynced);
+        let synced = self.disk.len() as u64;
+        let (out, waiting) = std::mem::take(&mut self.waiting)
+            .into_iter()
+            .partition::<Vec<_>, _>(|(record, _, _)| *record < synced);
+        self.waiting = waiting;
+        out.into_iter().map(|(_, asker, reply)| (asker, reply)).collect()
+    }
+
+    /// Begins copies that are needed of these partitions.
+    pub fn start_copies(&mut self, partitions: &[u16]) {
+        let Some(map) = self.state.map().cloned() else { return };
+        for needed in self.state.copies_needed() {
+            if partitions.contains(&needed.partition) {
+                let layout = &map.partitions[usize::from(needed.partition)];
+                self.copies.entry(needed.partition).or_insert_with(|| RunningCopy {
+                    epoch: map.epoch,
+                    replicas_since: needed.replicas_since,
+                    plan: CopyPlan::new(layout, self.identity),
+                    last_record: 0,
+                });
+            }
+        }
+    }
+
+    /// Takes in a page of a copy.
+    pub fn take_page(&mut self, partition: u16, epoch: u64, source: u64, reply: StoreReply) {
+        let StoreReply::Page { counts, turns, next, whole: true } = reply else { return };
+        if self.copies.get(&partition).is_none_or(|copy| copy.epoch != epoch) {
+            return;
+        }
+        let record = self.state.merge_page(counts, turns, NOW);
+        self.collect();
+        if let Some(copy) = self.copies.get_mut(&partition) {
+            copy.plan.page_taken(source, next);
+            copy.last_record = record;
+        }
+    }
+
+    /// The epoch of the oldest of the copies, once all of these partitions are copied and synced.
+    pub fn copied_in(&self, partitions: &[u16]) -> Option<u64> {
+        let synced = self.disk.len() as u64;
+        let done = |copy: &&RunningCopy| copy.plan.is_complete() && copy.last_record < synced;
+        let epochs: Vec<u64> = partitions
+            .iter()
+            .filter_map(|partition| self.copies.get(partition).filter(done).map(|copy| copy.epoch))
+            .collect();
+        (epochs.len() == partitions.len()).then(|| epochs.into_iter().min().unwrap_or(0))
+    }
+
+    /// Cleans the log as the store does, so that records move.
+    pub fn rewrite(&mut self) {
+        self.state.rewrite_oldest(1, NOW);
+        self.collect();
+    }
+
+    fn collect(&mut self) {
+        self.unsynced.extend(self.state.take_records().iter().map(|record| record.to_vec()));
+    }
+}
--- /dev/null
+++ b/crates/store/tests/model/world.rs
@@ -0,0 +1,485 @@
+//! All machines, the messages between them, and the events that may come in any order.
+
+use crate::{
+    Choices,
+    holder::{Holder, Raising},
+    node::{Asker, Node},
+};
+use opalrun_store_client::{
+    Answers,
+    raise::{Progress, Raise, Round},
+};
+use opalrun_wire::{
+    feed::{Partition, Replica, STORE_PARTITIONS, StoreMap, partition_of},
+    store::{CountEntry, StoreReply, StoreRequest, Turn},
+};
+use std::{collections::BTreeMap, rc::Rc};
+
+const BUDGET: u64 = 2;
+const PROGRAM: &str = "p";
+const HOLDERS: usize = 3;
+const TURN_IDS: [&str; 3] = ["t0", "t1", "t2"];
+/// Messages under way above which none is added.
+const MESSAGES: usize = 24;
+
+pub struct World<C> {
+    choices: C,
+    nodes: Vec<Node>,
+    holders: Vec<Holder>,
+    /// All maps so far; control has the last one.
+    maps: Vec<Rc<StoreMap>>,
+    replicas_changed_in: u64,
+    /// The machine that lost its disk and is not whole yet.
+    recovering: Option<u64>,
+    next_identity: u64,
+    next_operation: u64,
+    requests: Vec<(u64, Asker, StoreRequest)>,
+    replies: Vec<(u64, Asker, StoreReply)>,
+    writes: BTreeMap<u64, TurnOperation>,
+    acknowledged: Vec<&'static str>,
+    pub grants: u64,
+    pub replicas_made_whole: u64,
+}
+
+struct TurnOperation {
+    id: &'static str,
+    is_write: bool,
+    /// The turn was acknowledged before this read began.
+    must_exist: bool,
+    answers: Answers,
+}
+
+impl<C: Choices> World<C> {
+    pub fn new(choices: C) -> Self {
+        let mut nodes: Vec<Node> = (1..=3).map(Node::new).collect();
+        let replicas = nodes.iter().map(|node| Replica { store: node.identity, whole: true }).collect();
+        let partition = Partition { replicas, sources: Vec::new() };
+        let partitions = vec![partition; usize::from(STORE_PARTITIONS)];
+        let map = Rc::new(StoreMap { epoch: 1, stores: Vec::new(), partitions });
+        let mut holders: Vec<Holder> = (0..HOLDERS as u64).map(|number| Holder::new(100 + number)).collect();
+        nodes.iter_mut().for_each(|node| node.set_map(&map));
+        holders.iter_mut().for_each(|holder| holder.map = map.clone());
+        Self {
+            choices,
+            nodes,
+            holders,
+            maps: vec![map],
+            replicas_changed_in: 1,
+            recovering: None,
+            next_identity: 4,
+            next_operation: 1,
+            requests: Vec::new(),
+            replies: Vec::new(),
+            writes: BTreeMap::new(),
+            acknowledged: Vec::new(),
+            grants: 0,
+            replicas_made_whole: 0,
+        }
+    }
+
+    pub fn check(&self, seed: u64) {
+        let held: u64 = self.holders.iter().map(|holder| holder.held).sum();
+        assert!(held <= BUDGET, "seed {seed}: {held} units are held");
+    }
+
+    pub fn step(&mut self) {
+        match self.choices.below(100) {
+            0..=39 => self.deliver_request(),
+            40..=62 => self.deliver_reply(),
+            63..=72 => self.sync_one(),
+            73..=77 => self.start_raise(),
+            78..=81 => self.start_second_round(),
+            82..=84 => self.tell_holder(),
+            85..=88 => self.tell_node(),
+            89..=90 => self.turn_operation(),
+            91..=92 => self.copy_step(),
+            93..=94 => self.mark_whole(),
+            95..=98 => self.lower_or_give_up(),
+            _ => self.trouble(),
+        }
+        self.check(0);
+    }
+
+    fn map(&self) -> &Rc<StoreMap> {
+        &self.maps[self.maps.len() - 1]
+    }
+
+    fn publish(&mut self, change: impl Fn(&mut Partition)) {
+        let mut map = StoreMap::clone(self.map());
+        map.epoch += 1;
+        map.partitions.iter_mut().for_each(change);
+        self.maps.push(Rc::new(map));
+    }
+
+    fn deliver_request(&mut self) {
+        if self.requests.is_empty() {
+            return;
+        }
+        let place = self.choices.below(self.requests.len());
+        // A message may be delivered twice, as a retry is.
+        let (to, asker, request) = if self.choices.once_in(8) {
+            self.requests[place].clone()
+        } else {
+            self.requests.swap_remove(place)
+        };
+        if let Some(node) = self.nodes.iter_mut().find(|node| node.identity == to)
+            && let Some(reply) = node.handle(asker, &request)
+        {
+            self.replies.push((to, asker, reply));
+        }
+    }
+
+    fn deliver_reply(&mut self) {
+        if self.replies.is_empty() {
+            return;
+        }
+        let place = self.choices.below(self.replies.len());
+        let (from, asker, reply) = self.replies.swap_remove(place);
+        match asker {
+            Asker::Copy { store, partition, epoch } => {
+                if let Some(node) = self.nodes.iter_mut().find(|node| node.identity == store) {
+                    node.take_page(partition, epoch, from, reply);
+                }
+            }
+            Asker::Operation { holder, operation, second_round } => match reply {
+                StoreReply::Count { whole, entries } => {
+                    self.raise_answered(holder, operation, second_round, from, whole, &entries);
+                }
+                reply => self.turn_answered(operation, from, &reply),
+            },
+        }
+    }
+
+    fn sync_one(&mut self) {
+        let place = self.choices.below(self.nodes.len());
+        let node = &mut self.nodes[place];
+        let from = node.identity;
+        let out = node.sync();
+        self.replies.extend(out.into_iter().map(|(asker, reply)| (from, asker, reply)));
+    }
+
+    fn send_to_all(&mut self, partition: &Partition, asker: Asker, request: &StoreRequest) {
+        if self.requests.len() < MESSAGES {
+            for replica in &partition.replicas {
+                self.requests.push((replica.store, asker, request.clone()));
+            }
+        }
+    }
+
+    fn start_raise(&mut self) {
+        let holder = self.choices.below(HOLDERS);
+        let wanted_more = 1 + self.choices.below(8) as u64 / 7;
+        let operation = self.next_operation;
+        let state = &mut self.holders[holder];
+        if state.raising.is_some() {
+            self.send_raise(holder);
+            return;
+        }
+        self.next_operation += 1;
+        let wanted = state.held + wanted_more;
+        let entry = state.next_entry(wanted);
+        let partition = state.map.partitions[usize::from(partition_of(PROGRAM))].clone();
+        let epoch = state.map.epoch;
+        state.raising = Some(Raising {
+            operation,
+            epoch,
+            entry,
+            raise: Raise::new(state.number, &partition),
+            partition,
+            second_round_sent: false,
+        });
+        self.send_raise(holder);
+    }
+
+    /// Sends the round of a raise, at first or again.
+    fn send_raise(&mut self, holder: usize) {
+        let Some(raising) = &self.holders[holder].raising else { return };
+        let second_round = raising.second_round_sent;
+        let asker = Asker::Operation { holder, operation: raising.operation, second_round };
+        let (partition, request) = (raising.partition.clone(), write(raising.epoch, raising.entry));
+        self.send_to_all(&partition, asker, &request);
+    }
+
+    fn start_second_round(&mut self) {
+        let holder = self.choices.below(HOLDERS);
+        let state = &mut self.holders[holder];
+        let Some(raising) = &mut state.raising else { return };
+        if raising.raise.progress() != Progress::AtQuorum || raising.second_round_sent {
+            return;
+        }
+        raising.raise.start_second_round();
+        raising.second_round_sent = true;
+        self.send_raise(holder);
+    }
+
+    fn raise_answered(
+        &mut self,
+        holder: usize,
+        operation: u64,
+        second_round: bool,
+        from: u64,
+        whole: bool,
+        entries: &[CountEntry],
+    ) {
+        let state = &mut self.holders[holder];
+        let Some(raising) = state.raising.as_mut().filter(|raising| raising.operation == operation) else {
+            return;
+        };
+        let round = if second_round { Round::Second } else { Round::First };
+        raising.raise.answered(round, from, whole, entries);
+        let Progress::Done { others_taken } = raising.raise.progress() else { return };
+        let wanted = raising.entry.taken;
+        state.raising = None;
+        let fits = wanted.min(BUDGET.saturating_sub(others_taken));
+        if fits > state.held {
+            state.held = fits;
+            self.grants += 1;
+        }
+        if state.held < wanted {
+            self.write_held(holder);
+        }
+    }
+
+    /// Gives units back, or gives up a raise under way.
+    fn lower_or_give_up(&mut self) {
+        let holder = self.choices.below(HOLDERS);
+        let back = 1 + self.choices.below(3) as u64;
+        let gives_up = self.choices.once_in(3);
+        let state = &mut self.holders[holder];
+        if state.raising.is_none() {
+            state.held = state.held.saturating_sub(back);
+        } else if gives_up {
+            state.raising = None;
+        } else {
+            return;
+        }
+        self.write_held(holder);
+    }
+
+    fn write_held(&mut self, holder: usize) {
+        let operation = self.next_operation;
+        self.next_operation += 1;
+        let state = &mut self.holders[holder];
+        let entry = state.next_entry(state.held);
+        let partition = state.map.partitions[usize::from(partition_of(PROGRAM))].clone();
+        let request = write(state.map.epoch, entry);
+        self.send_to_all(&partition, Asker::Operation { holder, operation, second_round: false }, &request);
+    }
+
+    /// Writes a turn, or reads one.
+    fn turn_operation(&mut self) {
+        let holder = self.choices.below(HOLDERS);
+        let id = TURN_IDS[self.choices.below(TURN_IDS.len())];
+        let is_write = self.choices.once_in(2);
+        let map = self.holders[holder].map.clone();
+        let operation = self.next_operation;
+        self.next_operation += 1;
+        let partition = &map.partitions[usize::from(partition_of(id))];
+        let request = if is_write {
+            StoreRequest::PutTurn { epoch: map.epoch, turn: turn(id) }
+        } else {
+            StoreRequest::GetTurn { epoch: map.epoch, id: id.to_owned() }
+        };
+        let must_exist = self.acknowledged.contains(&id);
+        let answers = Answers::new(partition);
+        self.writes.insert(operation, TurnOperation { id, is_write, must_exist, answers });
+        self.send_to_all(partition, Asker::Operation { holder, operation, second_round: false }, &request);
+    }
+
+    fn turn_answered(&mut self, operation: u64, from: u64, reply: &StoreReply) {
+        let Some(known) = self.writes.get_mut(&operation) else { return };
+        match reply {
+            StoreReply::Stored { whole } => known.answers.add(from, *whole),
+            StoreReply::Turn { turn: None, whole, .. } => known.answers.add(from, *whole),
+            StoreReply::Turn { turn: Some(_), .. } => {
+                self.writes.remove(&operation);
+                return;
+            }
+            _ => return,
+        }
+        if known.answers.is_quorum() {
+            let (id, is_write, must_exist) = (known.id, known.is_write, known.must_exist);
+            self.writes.remove(&operation);
+            if is_write {
+                self.acknowledged.push(id);
+            } else {
+                assert!(!must_exist, "an acknowledged turn is said to be absent");
+            }
+        }
+    }
+
+    fn tell_holder(&mut self) {
+        // The first one hears of maps late.
+        let holder = self.choices.below(HOLDERS);
+        if holder == 0 && !self.choices.once_in(12) {
+            return;
+        }
+        let map = self.map().clone();
+        let state = &mut self.holders[holder];
+        if state.map.epoch < map.epoch {
+            state.map = map;
+            // An operation under way begins anew in the new layout.
+            if state.raising.take().is_some() {
+                self.write_held(holder);
+            }
+        }
+    }
+
+    /// A store learns the newest map, or one in between.
+    fn tell_node(&mut self) {
+        // One of them hears of maps late.
+        let place = self.choices.below(self.nodes.len());
+        if place == 0 && !self.choices.once_in(8) {
+            return;
+        }
+        let known = self.nodes[place].state.epoch();
+        let next = self.maps.iter().find(|map| map.epoch > known).cloned();
+        let map = if self.choices.once_in(3) { next } else { Some(self.map().clone()) };
+        if let Some(map) = map {
+            self.nodes[place].set_map(&map);
+            self.nodes[place].start_copies(&used_partitions());
+        }
+    }
+
+    /// A copying store asks for its next page.
+    fn copy_step(&mut self) {
+        for node in &mut self.nodes {
+            for (partition, copy) in &mut node.copies {
+                let Some(page) = copy.plan.next_page() else { continue };
+                let (partition, epoch) = (*partition, copy.epoch);
+                let asker = Asker::Copy { store: node.identity, partition, epoch };
+                let request = StoreRequest::CopyPartition { epoch, partition, cursor: page.cursor };
+                self.requests.push((page.store, asker, request));
+                // Another source is asked as well before long, as one may be down.
+                copy.plan.failed(page.store);
+            }
+        }
+    }
+
+    /// Control hears that a store has copied everything.
+    fn mark_whole(&mut self) {
+        let copied = self.nodes.iter().find_map(|node| {
+            let is_not_whole = |replica: &Replica| replica.store == node.identity && !replica.whole;
+            let epoch = node.copied_in(&used_partitions())?;
+            let is_waiting = self.map().partitions[0].replicas.iter().any(is_not_whole);
+            (is_waiting && epoch >= self.replicas_changed_in).then_some(node.identity)
+        });
+        let Some(store) = copied else { return };
+        self.publish(|partition| {
+            partition
+                .replicas
+                .iter_mut()
+                .filter(|replica| replica.store == store)
+                .for_each(|replica| replica.whole = true);
+            if partition.replicas.iter().all(|replica| replica.whole) {
+                partition.sources.clear();
+            }
+        });
+        if self.recovering == Some(store) {
+            self.recovering = None;
+        }
+        self.replicas_made_whole += 1;
+    }
+
+    fn trouble(&mut self) {
+        match self.choices.below(10) {
+            0..=2 => {
+                let place = self.choices.below(self.nodes.len());
+                self.nodes[place].restart();
+            }
+            3..=4 => self.lose_message(),
+            5..=6 => {
+                let place = self.choices.below(self.nodes.len());
+                self.nodes[place].rewrite();
+            }
+            7..=8 => self.lose_disk(),
+            _ => self.retire(),
+        }
+    }
+
+    fn lose_message(&mut self) {
+        if !self.requests.is_empty() {
+            let place = self.choices.below(self.requests.len());
+            self.requests.swap_remove(place);
+        }
+        if !self.replies.is_empty() {
+            let place = self.choices.below(self.replies.len());
+            self.replies.swap_remove(place);
+        }
+    }
+
+    /// A store loses its disk and comes back as another one. One at a time: `hosts_lost` is 1.
+    fn lose_disk(&mut self) {
+        if self.recovering.is_some() {
+            return;
+        }
+        let place = self.choices.below(self.nodes.len());
+        let lost = self.nodes[place].identity;
+        let new = self.new_identity();
+        self.nodes[place] = Node::new(new);
+        self.requests.retain(|(to, _, _)| *to != lost);
+        let is_replica = self.map().partitions[0].replicas.iter().any(|replica| replica.store == lost);
+        self.replace(lost, new, false);
+        if is_replica {
+            self.recovering = Some(new);
+        }
+    }
+
+    /// A store is to be emptied: a new one takes its place and copies from it as well.
+    fn retire(&mut self) {
+        let map = self.map().clone();
+        let replicas = &map.partitions[0].replicas;
+        if self.recovering.is_some() || !replicas.iter().all(|replica| replica.whole) {
+            return;
+        }
+        let old = replicas[self.choices.below(replicas.len())].store;
+        let new = self.new_identity();
+        // The one before is emptied by now and taken away.
+        self.nodes.retain(|node| replicas.iter().any(|replica| replica.store == node.identity));
+        self.nodes.push(Node::new(new));
+        self.replace(old, new, true);
+    }
+
+    fn new_identity(&mut self) -> u64 {
+        self.next_identity += 1;
+        self.next_identity
+    }
+
+    fn replace(&mut self, old: u64, new: u64, old_is_source: bool) {
+        self.publish(|partition| {
+            partition.sources.retain(|source| *source != old);
+            for replica in &mut partition.replicas {
+                if replica.store == old {
+                    *replica = Replica { store: new, whole: false };
+                    if old_is_source {
+                        partition.sources.push(old);
+                    }
+                }
+            }
+        });
+        self.replicas_changed_in = self.map().epoch;
+    }
+}
+
+fn used_partitions() -> Vec<u16> {
+    let mut partitions: Vec<u16> = TURN_IDS.iter().map(|id| partition_of(id)).collect();
+    partitions.push(partition_of(PROGRAM));
+    partitions.sort_unstable();
+    partitions.dedup();
+    partitions
+}
+
+fn write(epoch: u64, entry: CountEntry) -> StoreRequest {
+    StoreRequest::WriteCount { epoch, program: PROGRAM.to_owned(), entry }
+}
+
+fn turn(id: &str) -> Turn {
+    Turn {
+        id: id.to_owned(),
+        ancestors: Vec::new(),
+        input: vec![1],
+        output: vec![2],
+        retention_ms: 60_000,
+        worker: String::new(),
+    }
+}
