--- a/crates/store/src/copier.rs
+++ b/crates/store/src/copier.rs
@@ -31,7 +31,7 @@
 type Peer = Rc<RpcClient<StoreRequest, StoreReply>>;
 
 /// A partition that is whole here, to be reported to control.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CopyDone {
     /// The epoch in which the copy began.
     pub epoch: u64,
--- a/crates/store/src/process.rs
+++ b/crates/store/src/process.rs
@@ -1,19 +1,33 @@
 //! The role: a store process from its start to SIGTERM.
 
 use crate::{
-    Copier, Identity, StoreError, StoreServer,
+    Copier, CopyDone, Identity, StoreError, StoreServer,
     error::{DiskFailedSnafu, ListenSnafu, SettingsSnafu, StorageSnafu},
     state::StoreLimits,
 };
-use opalrun_net::{Listener, serve_rpc, signals};
+use opalrun_net::{
+    Listener,
+    feed_client::{FeedClient, FeedEvent, FeedOptions},
+    serve_rpc, signals,
+};
 use opalrun_settings::{Limits, Settings};
 use opalrun_storage::DataDirectory;
+use opalrun_wire::feed::{CONFIGURATION_SHARD, Change, StoreNode, StoreState, Subscriber};
 use snafu::ResultExt;
-use std::{rc::Rc, time::Duration};
-use tokio::time::{MissedTickBehavior, interval};
+use std::{
+    collections::{BTreeMap, HashMap, hash_map::Entry},
+    net::SocketAddr,
+    rc::Rc,
+    time::Duration,
+};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 /// How often what has expired is looked for and the log is kept short.
 const TIDY_INTERVAL: Duration = Duration::from_secs(1);
+/// How often copies that control does not know of yet are told again.
+const REPORT_INTERVAL: Duration = Duration::from_millis(500);
+/// How long a report waits for further copies.
+const REPORT_GATHERING: Duration = Duration::from_millis(20);
 /// Share of the memory that data may take.
 const MEMORY_SHARE: f64 = 0.4;
 /// Share of the disk that the log may take: the rest is left for cleaning it.
@@ -32,10 +46,12 @@
     let listener = Listener::bind(settings.peer_address()).await.context(ListenSnafu)?;
     tracing::info!(identity = identity.number, address = %listener.local_address(), "the store is up");
     let copier = Copier::new(server.clone());
+    let feed = start_feed(&settings, identity, listener.local_address(), &server);
     tokio::select! {
         () = signals::terminated() => Ok(()),
         () = serve(listener, server.clone()) => Ok(()),
         () = follow_map(&server, &copier) => Ok(()),
+        () = report_copies(&feed, &copier, identity.number) => Ok(()),
         () = tidy(&server) => Ok(()),
         code = server.journal().failed() => DiskFailedSnafu { code }.fail(),
     }
@@ -59,6 +75,67 @@
     }
 }
 
+/// Subscribes to the change feed of control, which brings the map and tells control that this store lives.
+fn start_feed(
+    settings: &Settings,
+    identity: Identity,
+    address: SocketAddr,
+    server: &Rc<StoreServer>,
+) -> FeedClient {
+    let node = StoreNode {
+        identity: identity.number,
+        node_name: settings.node_name.clone(),
+        address: address.to_string(),
+        zone: settings.zone.clone(),
+        state: StoreState::Active,
+    };
+    let options = FeedOptions {
+        subscriber: Subscriber::Store { node, bootstrap: identity.bootstrap },
+        shards: vec![CONFIGURATION_SHARD],
+        seeds: settings.seed_feed_addresses(),
+        feed_port: settings.ports.feed(),
+        zone: settings.zone.clone(),
+        only_seeds: false,
+    };
+    let server = server.clone();
+    FeedClient::start(options, move |event| take_event(&server, event))
+}
+
+fn take_event(server: &StoreServer, event: FeedEvent) {
+    let (FeedEvent::Snapshot { changes, .. } | FeedEvent::Changes { changes, .. }) = event else { return };
+    for change in changes {
+        if let Change::StoreMap(map) = change {
+            server.set_map(Rc::new(map));
+        }
+    }
+}
+
+/// Tells control what is copied, again and again until the map shows it.
+async fn report_copies(feed: &FeedClient, copier: &Copier, identity: u64) {
+    let mut repeat = interval(REPORT_INTERVAL);
+    repeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut reported: HashMap<CopyDone, Instant> = HashMap::new();
+    loop {
+        tokio::select! {
+            // Others may be done in a moment: they go in the same report.
+            () = copier.completed.notified() => sleep(REPORT_GATHERING).await,
+            _ = repeat.tick() => {}
+        }
+        let now = Instant::now();
+        reported.retain(|_, at| now.duration_since(*at) < REPORT_INTERVAL);
+        let mut by_epoch: BTreeMap<u64, Vec<u16>> = BTreeMap::new();
+        for copy in copier.done() {
+            if let Entry::Vacant(unreported) = reported.entry(copy) {
+                by_epoch.entry(copy.epoch).or_default().push(copy.partition);
+                unreported.insert(now);
+            }
+        }
+        for (epoch, partitions) in by_epoch {
+            feed.report_replicas_whole(identity, epoch, partitions);
+        }
+    }
+}
+
 async fn tidy(server: &StoreServer) {
     let mut ticks = interval(TIDY_INTERVAL);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
