--- a/crates/control/src/process/duties.rs
+++ b/crates/control/src/process/duties.rs
@@ -40,13 +40,13 @@
         ]
     }
 
-    /// Lets the groups of replicas follow the directory.
+    /// Lets the groups of replicas follow the directory, once those that the tier began with are all in it.
     async fn follow_directory(self: Rc<Self>) {
         let mut changed = self.shards.changed();
         let mut told: Vec<ControlNode> = Vec::new();
         loop {
             let nodes = self.shards.with_configuration(|shard| shard.directory().nodes().to_vec());
-            if nodes != told {
+            if nodes != told && nodes.len() >= self.options.seeds {
                 self.host.set_desired_members(nodes.clone());
                 told = nodes;
             }
--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -37,6 +37,8 @@
     pub node: ControlNode,
     /// Machines that may be lost at a time.
     pub hosts_lost: usize,
+    /// Control processes that the tier began with, as far as is known.
+    pub seeds: usize,
     /// Replicas of each partition of the stores' data.
     pub store_replicas: u16,
     /// How often workers call.
@@ -70,7 +72,7 @@
     #[must_use]
     pub fn new(options: ProcessOptions, host: Rc<Host>, shards: Shards) -> Rc<Self> {
         let silences = (0..SHARDS).map(|_| SilenceWatch::new(options.heartbeat)).collect();
-        let members = MemberWatch::new(2 * options.hosts_lost + 1);
+        let members = MemberWatch::new(options.seeds.max(2 * options.hosts_lost + 1));
         Rc::new(Self {
             options,
             host,
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -12,7 +12,7 @@
 use opalrun_settings::Settings;
 use opalrun_wire::feed::ControlNode;
 use snafu::{OptionExt, ResultExt};
-use std::{net::SocketAddr, rc::Rc, time::Duration};
+use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     task::JoinHandle,
     time::{sleep, timeout},
@@ -98,6 +98,7 @@
     let options = ProcessOptions {
         node,
         hosts_lost: tolerance.hosts_lost,
+        seeds: settings.seed_nodes.iter().collect::<BTreeSet<_>>().len(),
         store_replicas: (2 * lost_at_once + 1) as u16,
         heartbeat: settings.heartbeat,
     };
