--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -77,6 +77,7 @@
         sleep(LAST_CALLS_LIMIT).await;
         for task in self.tasks {
             task.abort();
+            let _ = task.await;
         }
     }
 }
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -55,8 +55,15 @@
         SocketAddr::new(self.settings.ip, FIRST_PORT + 1)
     }
 
+    /// Starts the machine's process, as soon as the one before has left its addresses.
     pub async fn start(&self) -> Control {
-        Control::start(&self.settings).await.expect("it starts")
+        loop {
+            match Control::start(&self.settings).await {
+                Ok(control) => return control,
+                Err(error) if error.to_string().contains("in use") => tokio::task::yield_now().await,
+                Err(error) => panic!("it does not start: {error}"),
+            }
+        }
     }
 }
 
--- /dev/null
+++ b/crates/control/tests/tier.rs
@@ -0,0 +1,181 @@
+//! Several control processes over loopback, in one program: orders and workers at any of them, losses, wiped and new
+//! machines.
+
+mod support;
+
+use opalrun_control::Control;
+use opalrun_wire::feed::{CONFIGURATION_SHARD, Change, WorkerState};
+use std::net::SocketAddr;
+use support::{
+    FeedCaller, Machine, call, configuration, heartbeat, machines, put_configuration, read_configuration,
+    run_local,
+};
+
+async fn start_all(machines: &[Machine]) -> Vec<Control> {
+    let mut controls = Vec::new();
+    for machine in machines {
+        controls.push(machine.start().await);
+    }
+    controls
+}
+
+fn addresses(machines: &[Machine]) -> Vec<SocketAddr> {
+    machines.iter().map(Machine::api).collect()
+}
+
+fn owner_of_configuration(controls: &[Control]) -> Option<usize> {
+    controls.iter().position(|control| control.process().host().is_owner(CONFIGURATION_SHARD))
+}
+
+#[test]
+fn an_order_is_taken_and_read_at_any_process() {
+    run_local(async {
+        let machines = machines(3, 3, 1);
+        let _controls = start_all(&machines).await;
+        let all = addresses(&machines);
+        assert_eq!(put_configuration(&all, 0, &configuration(1, 500)).await, 200);
+        let mut current = 1;
+        for address in &all {
+            let next = current + 2;
+            assert_eq!(put_configuration(&[*address], current, &configuration(next, 500)).await, 200);
+            assert_eq!(put_configuration(&[*address], current, &configuration(next, 600)).await, 412);
+            current = next;
+            for reader in &all {
+                assert_eq!(read_configuration(&[*reader]).await.body, configuration(current, 500));
+            }
+        }
+    });
+}
+
+#[test]
+fn of_two_orders_at_once_one_wins_and_the_loser_is_told() {
+    run_local(async {
+        let machines = machines(3, 3, 1);
+        let _controls = start_all(&machines).await;
+        let all = addresses(&machines);
+        assert_eq!(put_configuration(&all, 0, &configuration(1, 500)).await, 200);
+        for generation in (1..20).step_by(2) {
+            let (one, two) = ([all[0]], [all[1]]);
+            let (first, second) = (configuration(generation + 2, 501), configuration(generation + 2, 502));
+            let (a, b) = tokio::join!(
+                put_configuration(&one, generation, &first),
+                put_configuration(&two, generation, &second)
+            );
+            let winner = match (a, b) {
+                (200, 412) => first,
+                (412, 200) => second,
+                other => panic!("both orders got {other:?}"),
+            };
+            assert_eq!(read_configuration(&[all[2]]).await.body, winner);
+        }
+    });
+}
+
+#[test]
+fn a_worker_that_calls_anywhere_is_heard_of_everywhere() {
+    run_local(async {
+        let machines = machines(3, 3, 1);
+        let _controls = start_all(&machines).await;
+        let all = addresses(&machines);
+        assert_eq!(heartbeat(&all, "w", "alpha", "ready", 1).await, 200);
+        let mut gatekeeper = FeedCaller::gatekeeper(machines[2].feed(), "edge-1").await;
+        gatekeeper
+            .wait_for(|change| matches!(change, Change::Worker(worker) if worker.id == "w").then_some(()))
+            .await;
+        assert_eq!(heartbeat(&all[1..], "w", "alpha", "draining", 2).await, 200);
+        let draining = |change: &Change| match change {
+            Change::Worker(worker) => (worker.state == WorkerState::Draining).then_some(()),
+            _ => None,
+        };
+        gatekeeper.wait_for(draining).await;
+        assert_eq!(call(&all[2..], "DELETE", "/opalrun/instances/w", "", "").await.status, 200);
+        gatekeeper.wait_for(|change| matches!(change, Change::WorkerGone { .. }).then_some(())).await;
+    });
+}
+
+#[test]
+fn an_order_outlives_the_owner_and_a_restart_of_all() {
+    run_local(async {
+        let machines = machines(3, 3, 1);
+        let mut controls = start_all(&machines).await;
+        let all = addresses(&machines);
+        assert_eq!(put_configuration(&all, 0, &configuration(1, 500)).await, 200);
+        let owner = owner_of_configuration(&controls).expect("a process owns the configuration");
+        controls.remove(owner).end().await;
+        assert_eq!(put_configuration(&all, 1, &configuration(4, 500)).await, 200);
+        for control in controls {
+            control.end().await;
+        }
+        let _controls = start_all(&machines).await;
+        assert_eq!(read_configuration(&all).await.body, configuration(4, 500));
+        assert_eq!(put_configuration(&all, 4, &configuration(6, 500)).await, 200);
+    });
+}
+
+#[test]
+fn a_wiped_process_is_taken_back_as_a_new_one() {
+    run_local(async {
+        let mut machines = machines(3, 3, 1);
+        let mut controls = start_all(&machines).await;
+        let all = addresses(&machines);
+        assert_eq!(put_configuration(&all, 0, &configuration(1, 500)).await, 200);
+        let old = controls[0].process().host().identity();
+        controls.remove(0).end().await;
+        machines[0].wipe();
+        let back = machines[0].start().await;
+        let new = back.process().host().identity();
+        assert_ne!(old, new);
+        let mut gatekeeper = FeedCaller::gatekeeper(machines[1].feed(), "edge-1").await;
+        let replaced = |change: &Change| match change {
+            Change::ControlNodes(nodes) => {
+                let has = |identity| nodes.iter().any(|node| node.identity == identity);
+                (has(new) && !has(old)).then_some(())
+            }
+            _ => None,
+        };
+        gatekeeper.wait_for(replaced).await;
+        assert_eq!(read_configuration(&all[..1]).await.body, configuration(1, 500));
+        // With the wiped one whole again, another may be lost.
+        controls.remove(0).end().await;
+        assert_eq!(put_configuration(&all, 1, &configuration(2, 500)).await, 200);
+        assert_eq!(read_configuration(&all[..1]).await.body, configuration(2, 500));
+    });
+}
+
+#[test]
+fn a_new_process_takes_the_place_of_one_that_is_lost_for_good() {
+    run_local(async {
+        let machines = machines(4, 3, 1);
+        let mut controls = start_all(&machines[..3]).await;
+        let all = addresses(&machines);
+        assert_eq!(put_configuration(&all[..3], 0, &configuration(1, 500)).await, 200);
+        controls.remove(0).end().await;
+        let _new = machines[3].start().await;
+        let mut gatekeeper = FeedCaller::gatekeeper(machines[1].feed(), "edge-1").await;
+        let replaced = |change: &Change| match change {
+            Change::ControlNodes(nodes) => {
+                let has = |name: &str| nodes.iter().any(|node| node.node_name == name);
+                (has("core-4") && !has("core-1")).then_some(())
+            }
+            _ => None,
+        };
+        gatekeeper.wait_for(replaced).await;
+        controls.remove(0).end().await;
+        assert_eq!(put_configuration(&all[2..], 1, &configuration(2, 500)).await, 200);
+    });
+}
+
+#[test]
+fn without_a_majority_orders_get_no_clear_answer_in_time() {
+    run_local(async {
+        let machines = machines(3, 3, 1);
+        let alone = machines[0].start().await;
+        let begun = std::time::Instant::now();
+        let body = configuration(1, 500);
+        let order = support::try_call(machines[0].api(), "PUT", "/opalrun/config", "If-Match: 0\r\n", &body);
+        let answer = order.await.expect("it answers");
+        assert_eq!(answer.status, 503);
+        assert!(begun.elapsed().as_millis() < 1000);
+        alone.end().await;
+    });
+}
