--- a/crates/gatekeeper/src/turns/chain.rs
+++ b/crates/gatekeeper/src/turns/chain.rs
@@ -1,4 +1,4 @@
-//! The chain of a turn, and the output of a turn under way.
+//! The chain of a turn.
 
 use opalrun_wire::store::Turn;
 use std::rc::Rc;
@@ -34,23 +34,3 @@
         [self.bytes.as_slice(), input].concat()
     }
 }
-
-/// The output of a turn, collected while its events are relayed.
-#[derive(Debug, Default)]
-pub struct Output {
-    bytes: Vec<u8>,
-}
-
-impl Output {
-    /// Adds an event's data.
-    pub fn add_event(&mut self, data: &[u8]) {
-        self.bytes.extend_from_slice(data);
-        self.bytes.push(b'\n');
-    }
-
-    /// What a later turn's worker receives of it.
-    #[must_use]
-    pub fn into_bytes(self) -> Vec<u8> {
-        self.bytes
-    }
-}
--- a/crates/gatekeeper/src/turns/mod.rs
+++ b/crates/gatekeeper/src/turns/mod.rs
@@ -9,7 +9,7 @@
 mod store;
 
 pub use cache::TurnCache;
-pub use chain::{Chain, Output};
+pub use chain::Chain;
 pub use error::ChainError;
 pub use store::{TurnStore, Turns};
 
--- a/crates/gatekeeper/src/turns/tests.rs
+++ b/crates/gatekeeper/src/turns/tests.rs
@@ -1,6 +1,6 @@
 //! Tests of the cache, of chains and of keeping turns, over a stand-in of the stores in paused time.
 
-use super::{Chain, ChainError, Output, TurnCache, TurnStore, Turns};
+use super::{Chain, ChainError, TurnCache, TurnStore, Turns};
 use opalrun_store_client::TurnError;
 use opalrun_wire::store::Turn;
 use std::cell::{Cell, RefCell};
@@ -61,15 +61,6 @@
     store
 }
 
-#[test]
-fn an_output_holds_the_data_of_each_event_and_a_line_feed() {
-    let mut output = Output::default();
-    output.add_event(b"one");
-    output.add_event(b"");
-    output.add_event(b"three");
-    assert_eq!(output.into_bytes(), b"one\n\nthree\n");
-}
-
 #[tokio::test(start_paused = true)]
 async fn a_chain_is_all_inputs_and_outputs_oldest_first() {
     let turns = Turns::new(filled().await, CACHE_BYTES);
