--- /dev/null
+++ b/crates/opalrun/tests/tier.rs
@@ -0,0 +1,7 @@
+//! The whole tier as real processes over loopback, among the lab's stand-ins. Every test is judged by all rules.
+
+#[path = "tier/support.rs"]
+mod support;
+
+#[path = "tier/calm.rs"]
+mod calm;
--- a/lab/src/tier/deployment.rs
+++ b/lab/src/tier/deployment.rs
@@ -5,7 +5,7 @@
     configuration::{Configuration, EngineFacts, Route, Service},
     fleet::{Tier, TierError, TierSpec},
     judge::{Broken, judge},
-    observation::RouteKind,
+    observation::{Observation, Outcome, RouteKind},
     operator::Operator,
     program::{Ended, Program},
     worker::{Work, Worker, WorkerSpec, engine::EngineSpec},
@@ -21,6 +21,8 @@
 const READINESS_EVERY: Duration = Duration::from_millis(250);
 /// How long a start may take.
 pub const START_LIMIT: Duration = Duration::from_secs(8);
+/// Tries that a message shows.
+const OUTCOMES_SHOWN: usize = 3;
 /// The address of workers, outside the tier's own.
 const WORKERS_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 1);
 
@@ -93,7 +95,7 @@
                     break;
                 }
                 if tokio::time::Instant::now() > until {
-                    let what = format!("{} is not served: {told:?}", route.name);
+                    let what = format!("{} is not served: {told:?}, {}", route.name, self.last_outcomes());
                     return Err(self.tier.late(what, START_LIMIT));
                 }
             }
@@ -192,6 +194,21 @@
         status
     }
 
+    /// How the last tries ended, for a message.
+    #[must_use]
+    pub fn last_outcomes(&self) -> String {
+        let seen = self.tier.log.seen();
+        let ended = seen.iter().rev().filter_map(|s| match &s.what {
+            Observation::TryEnded {
+                request,
+                outcome: Outcome::Answered { status, body, retry_after, .. },
+            } => Some(format!("{request}: {status} {retry_after:?} {}", String::from_utf8_lossy(body))),
+            Observation::TryEnded { request, outcome } => Some(format!("{request}: {outcome:?}")),
+            _ => None,
+        });
+        ended.take(OUTCOMES_SHOWN).collect::<Vec<_>>().join("; ")
+    }
+
     /// Every rule that was broken so far.
     #[must_use]
     pub fn broken(&self) -> Vec<Broken> {
