--- a/crates/control/src/host/driver.rs
+++ b/crates/control/src/host/driver.rs
@@ -23,27 +23,36 @@
 const CHECKPOINT_BYTES: u64 = 4 << 20;
 /// The same for entries of one group.
 const CHECKPOINT_ENTRIES: u64 = 4096;
-/// Entries that are kept in memory although a snapshot covers them, for members that lag a little.
+/// Entries, and bytes of them, that are kept in memory although a snapshot covers them.
 const KEPT_ENTRIES: u64 = 512;
+const KEPT_BYTES: usize = 512 << 10;
 /// Links are looked over every so many ticks.
 const FOLLOW_TICKS: u64 = 4;
+/// A process that is no member asks to be let in every so many ticks.
+const JOIN_TICKS: u64 = 10;
 
 /// What is on its way to the disk.
 pub(super) struct Driver {
     disk: DiskThread,
-    /// Steps that wait for the job under way to end, and the writes that they make last.
-    waiting: RefCell<(Vec<Step>, Writes)>,
-    /// The writes of the job under way.
-    under_way: RefCell<Option<Writes>>,
-    /// Bytes of the journal after the last checkpoint; `None` while one is under way.
+    /// What waits for the job under way to end.
+    waiting: RefCell<Job>,
+    /// What the job under way makes last; its steps are with the disk.
+    under_way: RefCell<Option<Job>>,
+    /// Bytes of the journal after the last checkpoint; `None` while one waits or is under way.
     checkpoint_bytes: Cell<Option<u64>>,
     /// Bytes of the journal after the last job.
     journal_bytes: Cell<u64>,
     ticks: Cell<u64>,
 }
 
-/// The newest write of each group.
-type Writes = BTreeMap<u16, u64>;
+/// Steps for the disk that go together.
+#[derive(Default)]
+struct Job {
+    steps: Vec<Step>,
+    /// The newest write of each group that they make last.
+    writes: BTreeMap<u16, u64>,
+    has_checkpoint: bool,
+}
 
 impl Driver {
     pub fn new(disk: DiskThread) -> Self {
@@ -110,8 +119,11 @@
         if ticks.is_multiple_of(FOLLOW_TICKS) {
             self.groups.borrow_mut().iter_mut().for_each(super::Group::forget_gone);
             self.follow_members();
-            self.links.ask_to_join(self.is_member());
         }
+        if ticks.is_multiple_of(JOIN_TICKS) && !self.is_member() {
+            self.links.ask_to_join();
+        }
+        self.note_tick();
         self.work.notify_one();
     }
 
@@ -152,7 +164,7 @@
         }
         self.checkpoint_when_due();
         self.begin_job();
-        if has_applied {
+        if has_applied | self.standing_changed() {
             self.applied.send_modify(|changes| *changes += 1);
         }
     }
@@ -162,8 +174,8 @@
         {
             let mut waiting = self.driver.waiting.borrow_mut();
             for write in &output.writes {
-                waiting.0.extend(journal::steps_of(shard, write));
-                waiting.1.insert(shard, write.sequence);
+                waiting.steps.extend(journal::steps_of(shard, write));
+                waiting.writes.insert(shard, write.sequence);
             }
         }
         for message in output.messages {
@@ -183,7 +195,6 @@
             };
             has_applied = true;
             self.with_group(shard, |group| {
-                group.bytes_since_snapshot += entry.size();
                 group.decided(entry.index, entry.term, reply);
             });
         }
@@ -206,25 +217,26 @@
     fn begin_job(&self) {
         let mut under_way = self.driver.under_way.borrow_mut();
         let mut waiting = self.driver.waiting.borrow_mut();
-        if under_way.is_some() || waiting.0.is_empty() {
+        if under_way.is_some() || waiting.steps.is_empty() {
             return;
         }
-        let (steps, writes) = std::mem::take(&mut *waiting);
-        if self.driver.disk.submit(steps) {
-            *under_way = Some(writes);
+        let mut job = std::mem::take(&mut *waiting);
+        if self.driver.disk.submit(std::mem::take(&mut job.steps)) {
+            *under_way = Some(job);
         }
     }
 
     fn synced(&self, journal_bytes: u64) {
-        let writes = self.driver.under_way.borrow_mut().take().unwrap_or_default();
-        for (shard, sequence) in writes {
+        let job = self.driver.under_way.borrow_mut().take().unwrap_or_default();
+        for (shard, sequence) in job.writes {
             self.with_group(shard, |group| {
                 group.replica.persisted(sequence);
-                group.replica.compact(group.snapshot_index.saturating_sub(KEPT_ENTRIES));
             });
         }
-        let is_idle = self.driver.waiting.borrow().0.is_empty();
-        if self.driver.checkpoint_bytes.get().is_none() && is_idle {
+        if job.has_checkpoint {
+            for group in self.groups.borrow_mut().iter_mut() {
+                group.replica.compact(group.snapshot_index, KEPT_ENTRIES, KEPT_BYTES);
+            }
             self.driver.checkpoint_bytes.set(Some(journal_bytes));
         }
         self.driver.journal_bytes.set(journal_bytes);
@@ -252,13 +264,14 @@
                 let state = self.machines.borrow()[shard].snapshot();
                 let snapshot = Snapshot { header: group.replica.applied_header(), state };
                 group.snapshot_index = group.applied;
-                group.bytes_since_snapshot = 0;
                 snapshots.push((shard as u16, encode(&snapshot).to_vec()));
             }
             let entries = group.replica.entries_after(group.snapshot_index);
             records.extend(journal::records_of(shard as u16, Some(group.replica.hard_state()), &entries));
         }
         self.driver.checkpoint_bytes.set(None);
-        self.driver.waiting.borrow_mut().0.push(Step::Checkpoint { snapshots, records });
+        let mut waiting = self.driver.waiting.borrow_mut();
+        waiting.steps.push(Step::Checkpoint { snapshots, records });
+        waiting.has_checkpoint = true;
     }
 }
--- a/crates/control/src/host/group.rs
+++ b/crates/control/src/host/group.rs
@@ -14,8 +14,6 @@
     pub applied: u64,
     /// The entry that the snapshot on disk, or on its way there, stands for.
     pub snapshot_index: u64,
-    /// Bytes of entries since that snapshot.
-    pub bytes_since_snapshot: usize,
     /// Proposals that wait, by index and with the term that they must have.
     proposals: BTreeMap<u64, (u64, oneshot::Sender<Decision>)>,
     reads: HashMap<u64, oneshot::Sender<bool>>,
@@ -28,7 +26,6 @@
             replica,
             applied: base,
             snapshot_index: base,
-            bytes_since_snapshot: 0,
             proposals: BTreeMap::new(),
             reads: HashMap::new(),
         }
@@ -68,7 +65,6 @@
     pub fn installed(&mut self, index: u64) {
         self.applied = index;
         self.snapshot_index = index;
-        self.bytes_since_snapshot = 0;
         self.proposals = self.proposals.split_off(&(index + 1));
     }
 
--- a/crates/control/src/host/links.rs
+++ b/crates/control/src/host/links.rs
@@ -87,11 +87,8 @@
         self.writer(identity).is_some_and(|writer| writer.send(&call).is_ok())
     }
 
-    /// A process that is no member asks the seeds to be let in.
-    pub fn ask_to_join(&self, is_member: bool) {
-        if is_member {
-            return;
-        }
+    /// Asks the seeds to be let in.
+    pub fn ask_to_join(&self) {
         let links = self.links.borrow();
         for link in self.seeds.borrow().iter().filter_map(|seed| links.get(seed)) {
             if let Some(writer) = &*link.writer.borrow() {
@@ -109,8 +106,8 @@
 /// Keeps links to the addresses of these processes, of those that have said hello lately, and of the seeds.
 pub(super) fn follow(host: &Rc<Host>, members: &HashMap<u64, String>, seeds: &[SocketAddr]) {
     let links = &host.links;
+    links.greeted.borrow_mut().retain(|identity, _| host.silent_for(*identity) < STRANGER_LASTS);
     let mut routes = links.greeted.borrow().clone();
-    routes.retain(|identity, _| host.silent_for(*identity) < STRANGER_LASTS);
     for (identity, address) in members {
         if let Ok(address) = address.parse() {
             routes.insert(*identity, address);
@@ -154,6 +151,9 @@
         let (Some(host), Some(link)) = (host.upgrade(), link.upgrade()) else { return };
         tracing::debug!(address = %link.address, "connected");
         let _ = writer.send(&PeerFrame::Hello(host.node.clone()));
+        if !host.is_member() {
+            let _ = writer.send(&PeerFrame::Join(host.node.clone()));
+        }
         *link.writer.borrow_mut() = Some(writer.clone());
     }
     serve(host, &mut reader, &writer).await;
--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -50,6 +50,10 @@
 const OPERATION_LIMIT: Duration = Duration::from_millis(700);
 /// A shard is fresh while its leader, or a majority, was heard within this time, in milliseconds.
 const FRESH_MS: u64 = 500;
+/// A process that did not run for this long takes what comes to it next for old, in milliseconds.
+const PAUSE_MS: u64 = 250;
+/// For this long, in milliseconds.
+const DISTRUST_MS: u64 = 250;
 /// How long all transfers of ownership at the end may take.
 const HAND_OVER_LIMIT: Duration = Duration::from_millis(1500);
 /// Pause between looks at whether ownership has moved.
@@ -110,7 +114,13 @@
     call_handler: RefCell<Option<CallHandler>>,
     hello_handler: RefCell<Option<HelloHandler>>,
     next_request: Cell<u64>,
+    /// When the last tick was.
+    ticked_at: Cell<u64>,
+    /// From when on what was heard counts as fresh.
+    trusted_at: Cell<u64>,
     failed: watch::Sender<Option<String>>,
+    /// Owner and freshness of each shard as last told.
+    standing: RefCell<Vec<(Option<u64>, bool)>>,
 }
 
 impl Host {
@@ -159,7 +169,10 @@
             call_handler: RefCell::default(),
             hello_handler: RefCell::default(),
             next_request: Cell::new(1),
+            ticked_at: Cell::new(0),
+            trusted_at: Cell::new(0),
             failed: watch::Sender::new(None),
+            standing: RefCell::default(),
             node,
         });
         host.follow_members();
@@ -221,6 +234,9 @@
     #[must_use]
     pub fn fresh(&self, shard: u16) -> bool {
         let now = self.now();
+        if now < self.trusted_at.get() || now > self.ticked_at.get() + PAUSE_MS {
+            return false;
+        }
         self.with_group(shard, |group| {
             group.replica.is_in_touch(now, FRESH_MS) && group.replica.is_up_to_date()
         })
@@ -232,7 +248,7 @@
         self.with_group(shard, |group| group.applied)
     }
 
-    /// Changes whenever something was applied.
+    /// Changes whenever something was applied, and when an owner or the freshness of a shard changes.
     #[must_use]
     pub fn applied_changed(&self) -> watch::Receiver<u64> {
         self.applied.subscribe()
@@ -322,6 +338,23 @@
         self.started.elapsed().as_millis() as u64
     }
 
+    /// After a pause of this process, what waited for it in the meantime must not pass for fresh.
+    fn note_tick(&self) {
+        let now = self.now();
+        if now > self.ticked_at.replace(now) + PAUSE_MS {
+            self.trusted_at.set(now + DISTRUST_MS);
+        }
+    }
+
+    /// Returns whether an owner or the freshness of a shard has changed since the last look.
+    fn standing_changed(&self) -> bool {
+        let shards = self.groups.borrow().len() as u16;
+        let standing: Vec<_> = (0..shards).map(|shard| (self.owner(shard), self.fresh(shard))).collect();
+        let is_changed = *self.standing.borrow() != standing;
+        *self.standing.borrow_mut() = standing;
+        is_changed
+    }
+
     fn with_group<T>(&self, shard: u16, action: impl FnOnce(&mut Group) -> T) -> T {
         action(&mut self.groups.borrow_mut()[usize::from(shard)])
     }
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -94,11 +94,10 @@
     let host =
         Host::start(host_options(settings, api_address)?, machines(&shards)).await.context(HostSnafu)?;
     let node = ControlNode { identity: host.identity(), ..control_node(settings, api_address) };
-    let tolerance = settings.fault_tolerance;
-    let lost_at_once = tolerance.hosts_lost.max(tolerance.zones).max(tolerance.regions);
+    let lost_at_once = lost_at_once(settings);
     let options = ProcessOptions {
         node,
-        hosts_lost: tolerance.hosts_lost,
+        hosts_lost: lost_at_once,
         seeds: settings.seed_nodes.iter().collect::<BTreeSet<_>>().len(),
         store_replicas: (2 * lost_at_once + 1) as u16,
         heartbeat: settings.heartbeat,
@@ -108,6 +107,12 @@
     Ok(process)
 }
 
+/// Disks of a kind that may be lost at one time, as each zone has one of them.
+fn lost_at_once(settings: &Settings) -> usize {
+    let tolerance = &settings.fault_tolerance;
+    tolerance.hosts_lost.max(tolerance.zones).max(tolerance.regions)
+}
+
 fn control_node(settings: &Settings, api_address: SocketAddr) -> ControlNode {
     ControlNode {
         identity: 0,
@@ -125,7 +130,7 @@
         bootstrap: settings.bootstrap,
         seeds: settings.seed_nodes.iter().map(ToString::to_string).collect(),
         peer_port: settings.ports.peer(),
-        hosts_lost: settings.fault_tolerance.hosts_lost,
+        hosts_lost: lost_at_once(settings),
         data_directory,
     })
 }
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -15,6 +15,8 @@
 const MAX_APPEND_ENTRIES: usize = 256;
 const MAX_APPEND_BYTES: usize = 256 << 10;
 const MAX_UNCOMMITTED_ENTRIES: u64 = 4096;
+/// Answers to rounds older than this do not count, in milliseconds.
+const ROUND_LASTS_MS: u64 = 2 * timing::ELECTION_MAX_MS;
 
 /// A leader's state.
 #[derive(Debug)]
@@ -24,6 +26,8 @@
     /// The newest round of heartbeats.
     pub round: u64,
     heartbeat_at: u64,
+    /// When the latest rounds were sent, oldest first.
+    rounds: VecDeque<(u64, u64)>,
     /// Its first entry. What earlier leaders committed is known once this one is committed.
     term_start: u64,
     /// Requests to read with the round that must be answered by a majority.
@@ -48,6 +52,7 @@
             peers: BTreeMap::new(),
             round: 0,
             heartbeat_at: now,
+            rounds: VecDeque::new(),
             term_start,
             reads: VecDeque::new(),
             transfer: None,
@@ -55,10 +60,26 @@
         }
     }
 
-    /// Other voters heard within the limit.
-    pub fn voters_heard(&self, membership: &Membership, now: u64, limit_ms: u64) -> usize {
-        let is_heard = |peer: &Progress| now.saturating_sub(peer.heard_at) <= limit_ms;
-        self.peers.iter().filter(|(identity, peer)| membership.is_voter(**identity) && is_heard(peer)).count()
+    /// Other voters that have followed this leader within the limit. An answer says so for the moment at which its
+    /// round was sent, however late it comes.
+    pub fn voters_following(&self, membership: &Membership, now: u64, limit_ms: u64) -> usize {
+        let follows = |peer: &Progress| now.saturating_sub(peer.followed_at) <= limit_ms;
+        self.peers.iter().filter(|(identity, peer)| membership.is_voter(**identity) && follows(peer)).count()
+    }
+
+    fn begin_round(&mut self, now: u64) {
+        self.round += 1;
+        self.heartbeat_at = now;
+        self.rounds.push_back((self.round, now));
+        while self.rounds.front().is_some_and(|(_, sent)| now > sent + ROUND_LASTS_MS) {
+            self.rounds.pop_front();
+        }
+    }
+
+    /// When a round was sent; `None` if that was long ago.
+    fn sent_at(&self, round: u64) -> Option<u64> {
+        let position = self.rounds.partition_point(|(sent, _)| *sent < round);
+        self.rounds.get(position).filter(|(sent, _)| *sent == round).map(|(_, at)| *at)
     }
 }
 
@@ -148,8 +169,7 @@
         let Role::Leader(leader) = &mut self.role else {
             return;
         };
-        leader.round += 1;
-        leader.heartbeat_at = now;
+        leader.begin_round(now);
         if let Some(transfer) = &mut leader.transfer {
             transfer.told = false;
         }
@@ -263,10 +283,12 @@
         let Role::Leader(leader) = &mut self.role else {
             return false;
         };
+        let sent_at = leader.sent_at(round);
         let Some(peer) = leader.peers.get_mut(&from) else {
             return false;
         };
         peer.heard_at = now;
+        peer.followed_at = peer.followed_at.max(sent_at.unwrap_or_default());
         peer.round = peer.round.max(round);
         self.confirm_reads();
         true
--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -16,6 +16,8 @@
     pub round: u64,
     /// When it was last heard.
     pub heard_at: u64,
+    /// The latest moment at which it is known to have followed this leader.
+    pub followed_at: u64,
     /// The commit index that was last sent.
     pub sent_commit: u64,
     /// The last entries of appends that were sent and not answered.
@@ -47,6 +49,7 @@
             mode: Mode::Probe,
             round: 0,
             heard_at: now,
+            followed_at: now,
             sent_commit: 0,
             under_way: VecDeque::new(),
         }
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -264,21 +264,32 @@
         self.log.header_at(self.applied).unwrap_or_default()
     }
 
-    /// Forgets entries up to this one, which a snapshot on disk covers.
-    pub fn compact(&mut self, index: u64) {
-        if index > self.log.base_index() && index <= self.applied {
+    /// Forgets entries up to this one, which a snapshot on disk covers, except for the newest `kept_entries` of them,
+    /// of `kept_bytes` at most: with these, members that lag a little need no snapshot.
+    pub fn compact(&mut self, index: u64, kept_entries: u64, kept_bytes: usize) {
+        let mut index = index.min(self.applied);
+        let last_kept = index.saturating_sub(kept_entries);
+        let mut bytes = 0;
+        while index > last_kept {
+            bytes += self.log.get(index).map_or(usize::MAX, |entry| entry.size());
+            if bytes > kept_bytes {
+                break;
+            }
+            index -= 1;
+        }
+        if index > self.log.base_index() {
             self.log.compact(index);
         }
     }
 
-    /// Whether within `limit_ms` this replica heard the leader, or as leader a majority.
+    /// Whether within `limit_ms` this replica heard the leader, or as leader was followed by a majority.
     #[must_use]
     pub fn is_in_touch(&self, now: u64, limit_ms: u64) -> bool {
         match &self.role {
             Role::Leader(leader) => {
                 let own = usize::from(self.log.membership().is_voter(self.options.identity));
-                let heard = leader.voters_heard(self.log.membership(), now, limit_ms);
-                heard + own >= self.log.membership().majority()
+                let following = leader.voters_following(self.log.membership(), now, limit_ms);
+                following + own >= self.log.membership().majority()
             }
             _ => {
                 let heard = self.leader_heard_at.is_some_and(|heard| now.saturating_sub(heard) <= limit_ms);
--- a/crates/replication/tests/simulation/world.rs
+++ b/crates/replication/tests/simulation/world.rs
@@ -330,9 +330,10 @@
         if node.applied < node.disk.base.index + KEPT_ENTRIES || !node.writes.is_empty() {
             return;
         }
+        let kept = self.random.u64(0..30);
         let header = replica.applied_header();
         assert_eq!(header.index, node.applied);
-        replica.compact(header.index);
+        replica.compact(header.index, kept, 1 << 20);
         node.disk.compact(Snapshot { header, state: node.register.encode() });
     }
 
