--- a/crates/gatekeeper/src/agent/mod.rs
+++ b/crates/gatekeeper/src/agent/mod.rs
@@ -58,7 +58,9 @@
         zone: settings.zone.clone(),
         only_seeds: false,
     };
-    let server = FeedServer::new(|deliver| FeedClient::start(options, deliver));
+    let reloadable = settings.clone();
+    let read_seeds = move || reloadable.reload().ok().map(|settings| settings.seed_feed_addresses());
+    let server = FeedServer::new(|deliver| FeedClient::start_with_seeds(options, read_seeds, deliver));
     tokio::task::spawn_local(server.clone().serve(listener));
     server
 }
--- a/crates/net/src/feed_client/mod.rs
+++ b/crates/net/src/feed_client/mod.rs
@@ -26,6 +26,8 @@
 const CONNECT_LIMIT: Duration = Duration::from_millis(400);
 /// Without a `Fresh` for this long, another server is tried.
 const FRESH_LIMIT: Duration = Duration::from_millis(700);
+/// A process that did not get to read for this long was stopped: what lies in its sockets may be old.
+const ASLEEP_LIMIT: Duration = Duration::from_secs(1);
 /// Pause between heartbeats.
 const HEARTBEAT: Duration = Duration::from_millis(500);
 
@@ -81,8 +83,17 @@
 }
 
 impl FeedClient {
-    /// Subscribes; `deliver` is called for each event, in order, and must not call the client.
+    /// Subscribes; `deliver` is called for each event, in order.
     pub fn start(options: FeedOptions, deliver: impl FnMut(FeedEvent) + 'static) -> Self {
+        Self::start_with_seeds(options, || None, deliver)
+    }
+
+    /// As [`FeedClient::start`]; `read_seeds` is asked for the seeds of the moment whenever no known server could be used.
+    pub fn start_with_seeds(
+        options: FeedOptions,
+        read_seeds: impl Fn() -> Option<Vec<SocketAddr>> + 'static,
+        deliver: impl FnMut(FeedEvent) + 'static,
+    ) -> Self {
         let shared = Rc::new(Shared {
             subscriber: RefCell::new(options.subscriber.clone()),
             positions: RefCell::new(Positions::new(&options.shards)),
@@ -93,6 +104,7 @@
             shared: shared.clone(),
             candidates: Candidates::new(&options),
             only_seeds: options.only_seeds,
+            read_seeds: Box::new(read_seeds),
             deliver: Box::new(deliver),
         };
         let task = tokio::task::spawn_local(follower.run());
@@ -171,6 +183,8 @@
     Stale,
     /// It sent the subscriber elsewhere.
     SentElsewhere,
+    /// This process was stopped for a while: what it reads may be old.
+    Asleep,
 }
 
 /// The task that keeps the subscription.
@@ -178,6 +192,7 @@
     shared: Rc<Shared>,
     candidates: Candidates,
     only_seeds: bool,
+    read_seeds: Box<dyn Fn() -> Option<Vec<SocketAddr>>>,
     deliver: Box<dyn FnMut(FeedEvent)>,
 }
 
@@ -196,6 +211,11 @@
                 Err(error) => tracing::debug!(%error, "no connection for the change feed"),
             }
             let pause = self.candidates.failed();
+            if self.candidates.all_failed()
+                && let Some(seeds) = (self.read_seeds)()
+            {
+                self.candidates.set_seeds(seeds);
+            }
             sleep(pause).await;
         }
     }
@@ -204,6 +224,7 @@
         let why = match left {
             Ok(Left::Ended) => "the connection ended".to_owned(),
             Ok(Left::Stale) => "it is not in touch".to_owned(),
+            Ok(Left::Asleep) => "this process was stopped for a while".to_owned(),
             Ok(Left::SentElsewhere) => "it sent us elsewhere".to_owned(),
             Err(error) => error.to_string(),
         };
@@ -229,9 +250,16 @@
                 update = reader.next::<FeedUpdate>() => update?,
                 () = sleep_until(wake) => continue,
             };
+            if now.elapsed() > ASLEEP_LIMIT {
+                return Ok(Left::Asleep);
+            }
             match update {
                 None => return Ok(Left::Ended),
                 Some(FeedUpdate::GoElsewhere) => return Ok(Left::SentElsewhere),
+                // A process that was stopped finds old ones in its socket: none is taken after the limit.
+                Some(FeedUpdate::Fresh { .. }) if !self.only_seeds && Instant::now() >= stale_at => {
+                    return Ok(Left::Stale);
+                }
                 Some(FeedUpdate::Fresh { gatekeepers }) => {
                     stale_at = Instant::now() + FRESH_LIMIT;
                     self.candidates.succeeded();
--- a/crates/net/src/reader.rs
+++ b/crates/net/src/reader.rs
@@ -13,6 +13,8 @@
 
 /// Room for what is read at a time, in bytes.
 const READ_BYTES: usize = 8 << 10;
+/// A frame longer than this leaves no buffer of its size behind, in bytes.
+const KEPT_BYTES: usize = 64 << 10;
 /// Bytes of the protocol's version, the first on a connection.
 const VERSION_BYTES: usize = 4;
 
@@ -94,9 +96,8 @@
         self.buffer.advance(HEADER_BYTES);
         let body = self.buffer.split_to(length).freeze();
         frame::check(&body, checksum).context(FrameSnafu)?;
-        if self.buffer.is_empty() {
-            // A long frame's memory is not kept.
-            self.buffer = BytesMut::new();
+        if length > KEPT_BYTES {
+            self.buffer = BytesMut::from(&self.buffer[..]);
         }
         Ok(Some(body))
     }
--- a/crates/net/tests/feed_client.rs
+++ b/crates/net/tests/feed_client.rs
@@ -210,6 +210,44 @@
     });
 }
 
+#[test]
+fn seeds_are_read_again_when_no_server_can_be_used() {
+    run(async {
+        let [gone, here] = listeners().await;
+        let options = FeedOptions {
+            subscriber: Subscriber::Proxy,
+            shards: vec![0, 1],
+            seeds: vec![gone.local_address()],
+            feed_port: gone.local_address().port(),
+            zone: String::new(),
+            only_seeds: false,
+        };
+        drop(gone);
+        let seed = here.local_address();
+        let _client = FeedClient::start_with_seeds(options, move || Some(vec![seed]), |_| {});
+        accept(&here).await;
+    });
+}
+
+#[test]
+fn a_process_that_was_stopped_subscribes_anew_before_it_trusts_what_it_reads() {
+    run(async {
+        tokio::time::pause();
+        let [server] = listeners().await;
+        let (_client, mut events) = subscribe(&[&server], true);
+        let mut session = accept(&server).await;
+        assert!(session.reader.next::<FeedRequest>().await.unwrap().is_some());
+        session.writer.send(&FeedUpdate::Fresh { gatekeepers: 1 }).unwrap();
+        session.writer.send(&snapshot(0, 3)).unwrap();
+        // The time passes before the client can read.
+        tokio::time::advance(std::time::Duration::from_secs(5)).await;
+        let session = accept(&server).await;
+        assert_eq!(session.positions, [0, 0]);
+        session.writer.send(&FeedUpdate::Fresh { gatekeepers: 2 }).unwrap();
+        assert_eq!(events.recv().await.unwrap(), FeedEvent::Fresh { gatekeepers: 2 });
+    });
+}
+
 #[test]
 fn a_store_tells_that_its_replicas_are_whole() {
     run(async {
