--- a/crates/control/src/host/driver.rs
+++ b/crates/control/src/host/driver.rs
@@ -43,6 +43,8 @@
     /// Bytes of the journal after the last job.
     journal_bytes: Cell<u64>,
     ticks: Cell<u64>,
+    /// Groups in which this process has a vote, and voters of the largest group, as last logged.
+    votes: Cell<(usize, usize)>,
 }
 
 /// Steps for the disk that go together.
@@ -63,6 +65,7 @@
             checkpoint_bytes: Cell::new(Some(0)),
             journal_bytes: Cell::new(0),
             ticks: Cell::new(0),
+            votes: Cell::default(),
         }
     }
 }
@@ -119,6 +122,7 @@
         if ticks.is_multiple_of(FOLLOW_TICKS) {
             self.groups.borrow_mut().iter_mut().for_each(super::Group::forget_gone);
             self.follow_members();
+            self.log_votes();
         }
         if ticks.is_multiple_of(JOIN_TICKS) && !self.is_member() {
             self.links.ask_to_join();
@@ -127,6 +131,17 @@
         self.work.notify_one();
     }
 
+    /// Logs in how many groups this process has a vote, and how many have one in the largest, when that has changed.
+    fn log_votes(&self) {
+        let groups = self.groups.borrow();
+        let identity = self.node.identity;
+        let votes = groups.iter().filter(|group| group.replica.membership().is_voter(identity)).count();
+        let voters = groups.iter().map(|group| group.replica.membership().voter_count()).max().unwrap_or(0);
+        if self.driver.votes.replace((votes, voters)) != (votes, voters) {
+            tracing::info!(votes, groups = groups.len(), voters, "votes in groups");
+        }
+    }
+
     /// Messages of other replicas came.
     pub(super) fn receive(&self, messages: Vec<GroupMessage>) {
         let now = self.now();
--- a/crates/opalrun/tests/tier.rs
+++ b/crates/opalrun/tests/tier.rs
@@ -5,3 +5,15 @@
 
 #[path = "tier/calm.rs"]
 mod calm;
+
+#[path = "tier/losses.rs"]
+mod losses;
+
+#[path = "tier/planned.rs"]
+mod planned;
+
+#[path = "tier/workers.rs"]
+mod workers;
+
+#[path = "tier/view.rs"]
+mod view;
--- /dev/null
+++ b/crates/opalrun/tests/tier/losses.rs
@@ -0,0 +1,193 @@
+//! Machines are killed, frozen, wiped, replaced and lose power while programs are under way.
+
+use crate::{
+    support::{LIMIT, conversation, play_beside, with_deployment, with_spec},
+    view::{store_identity, wait_until_copied},
+};
+use fleetlab::tier::{
+    deployment::{Deployment, START_LIMIT},
+    fleet::TierSpec,
+    program::Ended,
+    settings_file::Class,
+};
+use std::{sync::Arc, time::Duration};
+
+/// A conversation is continued after something befell the tier in its middle.
+async fn continues_after<F>(deployment: &mut Deployment, fault: F)
+where
+    F: AsyncFnOnce(&mut Deployment),
+{
+    let mut talk = conversation(deployment).await;
+    fault(deployment).await;
+    talk.goes_on(deployment).await;
+}
+
+#[test]
+fn a_killed_control_process_comes_back_and_nothing_is_lost() {
+    with_deployment(async |mut deployment| {
+        for core in ["core-1", "core-2", "core-3"] {
+            play_beside(&mut deployment, async |deployment| {
+                deployment.tier.kill(core).await.expect("killed");
+                deployment.reconfigure(LIMIT).await;
+                deployment.tier.start_machine(core).expect("started");
+                deployment.tier.control_ready(START_LIMIT).await.expect("control is back");
+            })
+            .await;
+        }
+        deployment
+    });
+}
+
+#[test]
+fn a_killed_store_comes_back_and_conversations_go_on() {
+    with_deployment(async |mut deployment| {
+        for store in ["storage-1", "storage-2", "storage-3"] {
+            continues_after(&mut deployment, async |deployment| {
+                deployment.tier.kill(store).await.expect("killed");
+                let told = deployment.program("beside", "dispute").play(&deployment.client("zone-1")).await;
+                assert_eq!(told.ended, Ended::Completed, "two of three stores are enough");
+                deployment.tier.start_machine(store).expect("started");
+            })
+            .await;
+        }
+        deployment
+    });
+}
+
+#[test]
+fn a_wiped_store_copies_back_before_another_one_is_wiped() {
+    with_deployment(async |mut deployment| {
+        continues_after(&mut deployment, async |deployment| {
+            for store in ["storage-1", "storage-2"] {
+                let old_identity = store_identity(deployment, store).await;
+                deployment.tier.wipe(store).await.expect("wiped");
+                deployment.tier.start_machine(store).expect("started");
+                wait_until_copied(deployment, store, old_identity).await;
+            }
+        })
+        .await;
+        deployment
+    });
+}
+
+#[test]
+fn a_killed_proxy_and_a_killed_agent_come_back() {
+    with_deployment(async |mut deployment| {
+        for role in ["agent", "proxy"] {
+            continues_after(&mut deployment, async |deployment| {
+                deployment.tier.restart_role("edge-1", role).await.expect("restarted");
+                deployment.tier.gatekeepers_ready(START_LIMIT).await.expect("ready again");
+            })
+            .await;
+        }
+        deployment
+    });
+}
+
+#[test]
+fn a_frozen_control_process_wakes_and_does_not_go_back() {
+    with_deployment(async |mut deployment| {
+        for core in ["core-1", "core-2", "core-3"] {
+            deployment.tier.freeze(core).expect("frozen");
+            deployment.reconfigure(LIMIT).await;
+            deployment.tier.thaw(core).expect("thawed");
+            deployment.reconfigure(LIMIT).await;
+        }
+        let read = deployment.operator.read(LIMIT).await.expect("a configuration");
+        assert_eq!(read, deployment.configuration.body());
+        deployment
+    });
+}
+
+#[test]
+fn a_power_loss_of_all_machines_loses_nothing() {
+    with_deployment(async |mut deployment| {
+        deployment.reconfigure(LIMIT).await;
+        continues_after(&mut deployment, async |deployment| {
+            deployment.tier.lose_power().await.expect("back");
+            deployment.tier.control_ready(START_LIMIT).await.expect("control is back");
+            let read = deployment.operator.read(LIMIT).await.expect("a configuration");
+            assert_eq!(read, deployment.configuration.body());
+            deployment.tier.gatekeepers_ready(START_LIMIT).await.expect("gatekeepers are back");
+        })
+        .await;
+        deployment
+    });
+}
+
+#[test]
+fn a_control_machine_is_replaced_by_an_empty_one() {
+    with_deployment(async |mut deployment| {
+        deployment.tier.remove("core-1").await.expect("removed");
+        deployment.tier.add("core-4", Class::Core, "zone-1").expect("added");
+        deployment.tier.control_ready(START_LIMIT).await.expect("control is back");
+        deployment.reconfigure(LIMIT).await;
+        // The new one counts by now: another one may go.
+        deployment
+            .tier
+            .logged("core-4", "votes=4 groups=4 voters=3", LIMIT)
+            .await
+            .expect("in place of core-1");
+        deployment.tier.kill("core-2").await.expect("killed");
+        deployment.reconfigure(LIMIT).await;
+        deployment
+    });
+}
+
+#[test]
+fn a_store_is_emptied_and_taken_away() {
+    let spec = TierSpec { storages: 4, ..TierSpec::default() };
+    with_spec(spec, async |mut deployment| {
+        continues_after(&mut deployment, async |deployment| {
+            assert_eq!(deployment.operator.retire("nobody", LIMIT).await, 404);
+            assert_eq!(deployment.operator.retire("storage-1", LIMIT).await, 200);
+            assert!(deployment.operator.retired("storage-1", LIMIT).await, "it is emptied in time");
+            deployment.tier.remove("storage-1").await.expect("removed");
+            assert_eq!(deployment.operator.retire("storage-2", LIMIT).await, 409, "too few would be left");
+        })
+        .await;
+        deployment
+    });
+}
+
+#[test]
+fn a_lost_acknowledgement_and_a_race_have_one_outcome() {
+    with_deployment(async |deployment| {
+        let current = deployment.configuration.generation;
+        let body = Arc::new(deployment.configuration.at(current + 2).body());
+        deployment.operator.configure_and_lose_answer(&body, current).await;
+        assert_eq!(deployment.operator.configure(&body, current, true, LIMIT).await, 200, "sent again");
+        let of = |route: usize| {
+            let mut change = deployment.configuration.at(current + 4);
+            change.routes.remove(route);
+            Arc::new(change.body())
+        };
+        let (one, two) = (of(1), of(2));
+        let other = fleetlab::tier::operator::Operator::new(
+            deployment.tier.log.clone(),
+            deployment.tier.controls.clone(),
+            1,
+        );
+        let statuses = tokio::join!(
+            deployment.operator.configure(&one, current + 2, true, LIMIT),
+            other.configure(&two, current + 2, true, LIMIT)
+        );
+        assert!(matches!(statuses, (200, 412) | (412, 200)), "{statuses:?}");
+        let won = if statuses.0 == 200 { one } else { two };
+        assert_eq!(deployment.operator.read(LIMIT).await.as_ref(), Some(&*won));
+        deployment
+    });
+}
+
+#[test]
+fn an_invalid_configuration_is_refused_and_never_in_force() {
+    with_deployment(async |mut deployment| {
+        let current = deployment.configuration.generation;
+        let mut change = deployment.configuration.at(current + 2);
+        change.routes[0].timeout = Duration::ZERO;
+        let status = deployment.operator.configure(&Arc::new(change.body()), current, false, LIMIT).await;
+        assert_eq!(status, 400);
+        deployment.reconfigure(LIMIT).await;
+        deployment
+    });
+}
--- a/crates/opalrun/tests/tier/support.rs
+++ b/crates/opalrun/tests/tier/support.rs
@@ -1,6 +1,10 @@
 //! Starting a deployment, and what every test ends with.
 
-use fleetlab::tier::{deployment::Deployment, fleet::TierSpec};
+use fleetlab::tier::{
+    deployment::Deployment,
+    fleet::TierSpec,
+    program::{Ended, Line, Program},
+};
 use std::{
     future::Future,
     path::Path,
@@ -10,6 +14,10 @@
 
 /// A test that takes longer has failed.
 const TEST_LIMIT: Duration = Duration::from_secs(30);
+/// How long an order or a change may take.
+pub const LIMIT: Duration = Duration::from_secs(6);
+/// Programs that are played beside a fault.
+const PROGRAMS_BESIDE: usize = 6;
 /// One tier at a time: each has some ten processes.
 static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
 
@@ -42,3 +50,58 @@
     assert!(broken.is_empty(), "{broken:#?}\n{words}");
     assert!(fallen.is_empty(), "{fallen:#?}\n{words}");
 }
+
+/// A conversation under way, whose turns the tier keeps.
+pub struct Conversation {
+    program: Program,
+    line: Line,
+    turns: usize,
+}
+
+/// Begins a conversation with two turns.
+pub async fn conversation(deployment: &mut Deployment) -> Conversation {
+    let name = format!("talk-{}", deployment.tier.log.now_ms());
+    let program = deployment.program(&name, "dispute");
+    let line = Line::new(&name);
+    let mut conversation = Conversation { program, line, turns: 0 };
+    conversation.goes_on(deployment).await;
+    conversation.goes_on(deployment).await;
+    conversation
+}
+
+impl Conversation {
+    /// One more turn, which must be answered: of a client that keeps asking for a time.
+    pub async fn goes_on(&mut self, deployment: &mut Deployment) {
+        let client = deployment.client("zone-1");
+        let until = tokio::time::Instant::now() + LIMIT;
+        loop {
+            let ended = self.program.one_turn(&client, &mut self.line, self.turns).await;
+            if ended == Ended::Completed {
+                self.turns += 1;
+                return;
+            }
+            let words = format!("turn {} of a conversation: {ended:?}", self.turns);
+            let given_up = tokio::time::Instant::now() > until;
+            assert!(!given_up, "{words}\n{}\n{}", deployment.last_outcomes(), deployment.tier.log_tails());
+        }
+    }
+}
+
+/// Plays programs while something happens. They may fail through it; the rules must hold all the same.
+pub async fn play_beside<F>(deployment: &mut Deployment, happens: F)
+where
+    F: AsyncFnOnce(&mut Deployment),
+{
+    let programs = (0..PROGRAMS_BESIDE).map(|number| {
+        let name = format!("beside-{number}-{}", deployment.tier.log.now_ms());
+        let route = ["dispute", "trace", "resumable"][number % 3];
+        let program = Program { tools: deployment.tools(), turns: 8, ..deployment.program(&name, route) };
+        let client = deployment.client(["zone-1", "zone-2"][number % 2]);
+        tokio::spawn(async move { program.play(&client).await })
+    });
+    let programs: Vec<_> = programs.collect();
+    happens(deployment).await;
+    for program in programs {
+        program.await.expect("a program that ends");
+    }
+}
--- a/lab/src/tier/deployment.rs
+++ b/lab/src/tier/deployment.rs
@@ -21,6 +21,8 @@
 const READINESS_EVERY: Duration = Duration::from_millis(250);
 /// How long a start may take.
 pub const START_LIMIT: Duration = Duration::from_secs(8);
+/// Pause between two looks at something that changes.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
 /// Tries that a message shows.
 const OUTCOMES_SHOWN: usize = 3;
 /// The address of workers, outside the tier's own.
@@ -141,7 +143,7 @@
     /// # Errors
     /// Its address is not free.
     pub fn start_worker(&mut self, spec: WorkerSpec) -> Result<Arc<Worker>, TierError> {
-        let id = format!("i-{}-{}", self.next_worker, self.workers.len());
+        let id = format!("i-{}", self.workers.len() + 1);
         let worker = Worker::start(&id, spec, self.tier.controls.clone(), self.tier.log.clone())?;
         self.workers.push(worker.clone());
         Ok(worker)
@@ -194,6 +196,30 @@
         status
     }
 
+    /// Sends the present configuration under a new generation, which must be taken.
+    ///
+    /// # Panics
+    /// It was not taken in time.
+    pub async fn reconfigure(&mut self, limit: Duration) {
+        let status = self.configure(self.configuration.routes.clone(), limit).await;
+        assert_eq!(status, 200, "a change of the configuration\n{}", self.tier.log_tails());
+    }
+
+    /// Starts a worker at an address that another one has just left: listening there may take a moment.
+    ///
+    /// # Panics
+    /// The address stays taken.
+    pub async fn take_over(&mut self, spec: WorkerSpec) -> Arc<Worker> {
+        let until = tokio::time::Instant::now() + START_LIMIT;
+        loop {
+            match self.start_worker(spec.clone()) {
+                Ok(worker) => return worker,
+                Err(error) => assert!(tokio::time::Instant::now() < until, "{error}"),
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+    }
+
     /// How the last tries ended, for a message.
     #[must_use]
     pub fn last_outcomes(&self) -> String {
--- a/lab/src/tier/fleet.rs
+++ b/lab/src/tier/fleet.rs
@@ -364,6 +364,23 @@
         }
     }
 
+    /// Waits until a machine's processes have logged something.
+    ///
+    /// # Errors
+    /// There is no such machine, or they did not in time.
+    pub async fn logged(&self, name: &str, text: &str, limit: Duration) -> Result<(), TierError> {
+        let machine = self.machines.iter().find(|m| m.name == name);
+        let machine = machine.ok_or_else(|| TierError::NoMachine(name.to_owned()))?;
+        let until = Instant::now() + limit;
+        while !machine.has_logged(text) {
+            if Instant::now() > until {
+                return Err(self.late(format!("{name} does not log {text:?}"), limit));
+            }
+            tokio::time::sleep(LOOK_PAUSE).await;
+        }
+        Ok(())
+    }
+
     /// Processes that have ended though nobody ended them.
     pub fn fallen(&mut self) -> Vec<String> {
         self.machines.iter_mut().flat_map(Machine::fallen).collect()
--- a/lab/src/tier/machine.rs
+++ b/lab/src/tier/machine.rs
@@ -159,6 +159,12 @@
         fallen
     }
 
+    /// Whether one of its processes has logged something.
+    #[must_use]
+    pub fn has_logged(&self, text: &str) -> bool {
+        self.processes.iter().any(|p| fs::read_to_string(&p.log).is_ok_and(|log| log.contains(text)))
+    }
+
     /// The last lines that its processes have logged.
     #[must_use]
     pub fn log_tail(&self) -> String {
--- a/lab/src/tier/program.rs
+++ b/lab/src/tier/program.rs
@@ -56,9 +56,9 @@
     pub calls: usize,
 }
 
-/// A line of turns.
+/// A line of turns: what a program has said and heard so far.
 #[derive(Debug, Clone)]
-struct Line {
+pub struct Line {
     session: String,
     previous: Option<String>,
     /// ID:TOKENS of the prompt so far.
@@ -67,7 +67,9 @@
 }
 
 impl Line {
-    fn new(program: &str) -> Self {
+    /// The empty line of a program.
+    #[must_use]
+    pub fn new(program: &str) -> Self {
         let (session, parts) = (format!("{program}.0"), vec!["5ab1e:60".to_owned()]);
         Self { session, previous: None, parts, prompt_tokens: 60 }
     }
@@ -110,6 +112,13 @@
         told
     }
 
+    /// Asks for one more turn of a line, which gets longer if it is answered.
+    pub async fn one_turn(&self, client: &Client, line: &mut Line, number: usize) -> Ended {
+        let mut told = Told { ended: Ended::Completed, turns: 0, calls: 0 };
+        self.turn(client, line, number, &mut told).await;
+        told.ended
+    }
+
     async fn turn(&self, client: &Client, line: &mut Line, number: usize, told: &mut Told) -> bool {
         let ask = self.turn_ask(line, number);
         let mut refusals = 0;
