--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -12,6 +12,8 @@
 mod group;
 mod identity;
 mod journal;
+#[cfg(test)]
+mod journal_tests;
 mod links;
 mod peer_frame;
 #[cfg(test)]
