--- a/crates/control/src/host/journal_tests.rs
+++ b/crates/control/src/host/journal_tests.rs
@@ -53,7 +53,7 @@
         write.hard_state = Some(after.hard_state);
     }
     if random.u8(0..6) == 0 {
-        let index = model.last() + random.u64(1..5);
+        let index = random.u64(model.base() + 1..model.last() + 5);
         let state = vec![random.u8(..); random.usize(0..700)];
         write.snapshot = Some(Rc::new(Snapshot { header: header(index), state: state.clone() }));
         after.snapshot = Some((index, state));
@@ -117,21 +117,49 @@
     assert!(before.entries.iter().filter(stays).all(is_kept), "{what}: an acknowledged entry is lost");
 }
 
-fn lose_power_after(seed: u64, operations: u64, loss: PowerLoss) {
-    let what = format!("seed {seed}, {operations} operations");
+/// Several lives of a process, each ended by a loss of power.
+fn lose_power_again_and_again(seed: u64, operations: u64, loss: impl Fn(u64) -> PowerLoss) {
     let disk = MemoryDisk::new();
     let mut random = fastrand::Rng::with_seed(seed);
     let (mut journal, mut models) = open(&disk);
-    disk.fail_after(Some(operations));
+    for life in 0..4 {
+        let what = format!("seed {seed}, {operations} operations, life {life}");
+        disk.fail_after(Some(operations));
+        let after = work_until_failure(&mut journal, &mut models, &mut random);
+        drop(journal);
+        disk.lose_power(loss(life));
+        // Opening may be cut short as well.
+        disk.fail_after(Some(seed % 5));
+        let directory = DataDirectory::open_on(Arc::new(disk.clone()), "/data");
+        let _ =
+            directory.map(|directory| Journal::open(&directory, SHARDS, &Membership::default()).map(drop));
+        disk.lose_power(loss(life + 100));
+        let (opened, found) = open(&disk);
+        for shard in 0..SHARDS {
+            check(&found[shard], &models[shard], &after[shard], &what);
+        }
+        drop(opened);
+        let (opened, again) = open(&disk);
+        assert_eq!(found, again, "{what}");
+        (journal, models) = (opened, found);
+    }
+}
+
+/// Carries out random jobs. `models` becomes what was acknowledged; what the last job would have made is returned.
+fn work_until_failure(
+    journal: &mut Journal,
+    models: &mut Vec<Model>,
+    random: &mut fastrand::Rng,
+) -> Vec<Model> {
     let mut after = models.clone();
     for _ in 0..40 {
         let steps = if random.u8(0..8) == 0 {
-            let (steps, then) = checkpoint(&models, &mut random);
+            let (steps, then) = checkpoint(models, random);
             after = then;
             steps
         } else {
             let shard = random.usize(0..SHARDS);
-            let (steps, then) = random_job(shard as u16, &models[shard], &mut random);
+            let (steps, then) = random_job(shard as u16, &models[shard], random);
             after[shard] = then;
             steps
         };
@@ -140,30 +168,18 @@
         }
         models.clone_from(&after);
     }
-    drop(journal);
-    disk.lose_power(loss);
-    // What is found is found again, also when opening is cut short.
-    disk.fail_after(Some(seed % 5));
-    let directory = DataDirectory::open_on(Arc::new(disk.clone()), "/data");
-    let _ = directory.map(|directory| Journal::open(&directory, SHARDS, &Membership::default()).map(drop));
-    disk.lose_power(loss);
-    let (journal, found) = open(&disk);
-    for shard in 0..SHARDS {
-        check(&found[shard], &models[shard], &after[shard], &what);
-    }
-    drop(journal);
-    let (_, again) = open(&disk);
-    assert_eq!(found, again, "{what}");
+    after
 }
 
 #[test]
 fn power_lost_at_every_operation() {
-    for seed in 0..60 {
-        for operations in 0..70 {
-            lose_power_after(seed, operations, PowerLoss::Random { seed: seed * 1000 + operations });
+    for seed in 0..40 {
+        for operations in 0..60 {
+            let loss = |life| PowerLoss::Random { seed: (seed * 1000 + operations) * 1000 + life };
+            lose_power_again_and_again(seed, operations, loss);
         }
-        lose_power_after(seed, seed, PowerLoss::DropAll);
-        lose_power_after(seed, seed, PowerLoss::KeepAll);
+        lose_power_again_and_again(seed, seed, |_| PowerLoss::DropAll);
+        lose_power_again_and_again(seed, seed, |_| PowerLoss::KeepAll);
     }
 }
 
--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -38,7 +38,7 @@
             return self.send(leader, Body::AppendAnswer { round, answer });
         }
         let is_heartbeat = entries.is_empty();
-        let last = previous_index + entries.len() as u64;
+        let last = previous_index.saturating_add(entries.len() as u64);
         self.take_entries(entries);
         self.commit = self.commit.max(commit.min(last));
         if is_heartbeat {
--- a/crates/replication/src/progress.rs
+++ b/crates/replication/src/progress.rs
@@ -89,7 +89,7 @@
         if self.mode == Mode::Probe && previous != self.next - 1 {
             return false;
         }
-        self.next = previous.min(hint + 1).max(self.matched + 1);
+        self.next = previous.min(hint.saturating_add(1)).max(self.matched + 1);
         self.probe();
         true
     }
--- /dev/null
+++ b/crates/replication/tests/rules.rs
@@ -0,0 +1,274 @@
+//! Single replicas driven by hand, one rule at a time.
+
+use opalrun_replication::{
+    Answer, Body, Entry, HardState, Member, Membership, Message, Options, Output, Payload, ReadResult,
+    Replica, Restored, SnapshotHeader, timing,
+};
+use std::rc::Rc;
+
+fn members(identities: &[u64]) -> Membership {
+    let member = |identity: &u64| Member { identity: *identity, address: identity.to_string(), voter: true };
+    Membership::new(identities.iter().map(member).collect())
+}
+
+fn restored(identities: &[u64], term: u64, entries: &[u64]) -> Restored {
+    let entry = |(position, term): (usize, &u64)| Entry {
+        index: position as u64 + 1,
+        term: *term,
+        payload: Payload::Command(Vec::new()),
+    };
+    Restored {
+        hard_state: HardState { term, vote: None },
+        base: SnapshotHeader { index: 0, term: 0, membership: members(identities) },
+        entries: entries.iter().enumerate().map(entry).collect(),
+    }
+}
+
+fn replica(hosts_lost: usize, restored: Restored) -> Replica {
+    Replica::new(Options { identity: 1, hosts_lost, seed: 7 }, restored, 0)
+}
+
+/// Takes the output and has all its writes synced at once.
+fn synced(replica: &mut Replica) -> Output {
+    let mut output = replica.take_output();
+    if let Some(write) = output.writes.last() {
+        replica.persisted(write.sequence);
+        let then = replica.take_output();
+        output.messages.extend(then.messages);
+        output.committed.extend(then.committed);
+        output.reads.extend(then.reads);
+    }
+    output
+}
+
+fn from(identity: u64, term: u64, body: Body) -> Message {
+    Message { from: identity, to: 1, term, body }
+}
+
+fn accept(replica: &mut Replica, now: u64, identity: u64, round: u64, matched: u64) {
+    let answer = Body::AppendAnswer { round, answer: Answer::Accepted { matched } };
+    replica.receive(now, from(identity, replica.term(), answer));
+}
+
+/// Has the replica elected by another member. Returns when.
+fn elect(replica: &mut Replica, voters: &[u64]) -> u64 {
+    let now = timing::ELECTION_MAX_MS;
+    replica.tick(now);
+    for voter in voters {
+        replica.receive(now, from(*voter, replica.term() + 1, Body::PreVoteAnswer { granted: true }));
+    }
+    synced(replica);
+    for voter in voters {
+        replica.receive(now, from(*voter, replica.term(), Body::VoteAnswer { granted: true }));
+    }
+    assert!(replica.is_leader());
+    now
+}
+
+fn append(previous: (u64, u64), entries: &[(u64, u64)], commit: u64) -> Body {
+    let entry = |(index, term): &(u64, u64)| {
+        Rc::new(Entry { index: *index, term: *term, payload: Payload::Command(vec![1]) })
+    };
+    Body::Append {
+        previous_index: previous.0,
+        previous_term: previous.1,
+        entries: entries.iter().map(entry).collect(),
+        commit,
+        round: 1,
+    }
+}
+
+#[test]
+fn entries_of_earlier_terms_commit_only_with_one_of_the_own() {
+    let mut replica = replica(1, restored(&[1, 2, 3], 2, &[1, 2]));
+    let now = elect(&mut replica, &[2]);
+    synced(&mut replica);
+    accept(&mut replica, now, 2, 0, 2);
+    assert_eq!(replica.commit_index(), 0, "entry 2 is on a majority, but of an earlier term");
+    accept(&mut replica, now, 2, 0, 3);
+    assert_eq!(replica.commit_index(), 3);
+}
+
+#[test]
+fn a_commit_needs_one_disk_more_than_may_be_lost() {
+    let mut replica = replica(2, restored(&[1, 2, 3], 0, &[]));
+    let now = elect(&mut replica, &[2]);
+    synced(&mut replica);
+    accept(&mut replica, now, 2, 0, 1);
+    assert_eq!(replica.commit_index(), 0, "two disks of three may be lost");
+    accept(&mut replica, now, 3, 0, 1);
+    assert_eq!(replica.commit_index(), 1);
+}
+
+#[test]
+fn the_own_disk_counts_only_when_synced() {
+    let mut replica = replica(1, restored(&[1, 2, 3], 0, &[]));
+    let now = elect(&mut replica, &[2]);
+    let output = replica.take_output();
+    accept(&mut replica, now, 2, 0, 1);
+    assert_eq!(replica.commit_index(), 0);
+    replica.persisted(output.writes.last().unwrap().sequence);
+    assert_eq!(replica.commit_index(), 1);
+}
+
+#[test]
+fn a_heartbeat_is_answered_with_what_is_synced() {
+    let mut replica = replica(1, restored(&[1, 2, 3], 1, &[1]));
+    replica.receive(10, from(2, 1, append((1, 1), &[(2, 1), (3, 1)], 0)));
+    let output = replica.take_output();
+    assert!(output.messages.is_empty(), "the entries are acknowledged only when synced");
+    replica.receive(20, from(2, 1, append((3, 1), &[], 0)));
+    let answers = replica.take_output().messages;
+    let expected = Body::AppendAnswer { round: 1, answer: Answer::Accepted { matched: 1 } };
+    assert_eq!(answers.into_iter().map(|message| message.body).collect::<Vec<_>>(), [expected]);
+    replica.persisted(output.writes.last().unwrap().sequence);
+    let answers = replica.take_output().messages;
+    let expected = Body::AppendAnswer { round: 1, answer: Answer::Accepted { matched: 3 } };
+    assert_eq!(answers.into_iter().map(|message| message.body).collect::<Vec<_>>(), [expected]);
+}
+
+#[test]
+fn a_vote_is_given_once_and_only_when_synced() {
+    let mut replica = replica(1, restored(&[1, 2, 3], 1, &[1]));
+    let ask = Body::Vote { last_index: 1, last_term: 1, transfer: false };
+    replica.receive(10, from(2, 2, ask.clone()));
+    let output = replica.take_output();
+    assert!(output.messages.is_empty());
+    replica.persisted(output.writes.last().unwrap().sequence);
+    let answers = replica.take_output().messages;
+    assert_eq!(answers[0].body, Body::VoteAnswer { granted: true });
+    replica.receive(11, from(3, 2, ask));
+    assert_eq!(synced(&mut replica).messages[0].body, Body::VoteAnswer { granted: false });
+    let behind = Body::Vote { last_index: 0, last_term: 0, transfer: false };
+    replica.receive(12, from(3, 3, behind));
+    assert_eq!(synced(&mut replica).messages[0].body, Body::VoteAnswer { granted: false });
+}
+
+#[test]
+fn no_vote_while_a_leader_is_heard() {
+    let mut replica = replica(1, restored(&[1, 2, 3], 1, &[1]));
+    replica.receive(10, from(2, 1, append((1, 1), &[], 0)));
+    synced(&mut replica);
+    let ask = |transfer| Body::Vote { last_index: 9, last_term: 1, transfer };
+    replica.receive(20, from(3, 5, ask(false)));
+    assert_eq!(replica.term(), 1, "a process that was cut off does not disturb");
+    replica.receive(20, from(3, 2, Body::PreVote { last_index: 9, last_term: 1 }));
+    assert_eq!(synced(&mut replica).messages[0].body, Body::PreVoteAnswer { granted: false });
+    replica.receive(20, from(3, 5, ask(true)));
+    assert_eq!(synced(&mut replica).messages[0].body, Body::VoteAnswer { granted: true });
+}
+
+#[test]
+fn a_leader_that_nobody_follows_steps_down_and_fails_reads() {
+    let mut replica = replica(1, restored(&[1, 2, 3], 0, &[]));
+    let now = elect(&mut replica, &[2]);
+    synced(&mut replica);
+    accept(&mut replica, now, 2, 0, 1);
+    replica.read(5).unwrap();
+    let output = synced(&mut replica);
+    assert!(output.reads.is_empty(), "nobody has answered the round");
+    assert!(replica.is_in_touch(now + 500, 500));
+    assert!(!replica.is_in_touch(now + 501, 500));
+    // An answer to an old round does not help, whenever it comes.
+    accept(&mut replica, now + 600, 2, 0, 1);
+    replica.tick(now + timing::ELECTION_MAX_MS + 1);
+    assert!(!replica.is_leader());
+    assert_eq!(synced(&mut replica).reads, [ReadResult::Failed { request: 5 }]);
+    assert!(replica.propose(Vec::new()).is_err());
+}
+
+#[test]
+fn a_read_waits_for_a_round_and_for_the_first_commit() {
+    let mut replica = replica(1, restored(&[1, 2, 3], 1, &[1]));
+    let now = elect(&mut replica, &[2]);
+    synced(&mut replica);
+    replica.read(5).unwrap();
+    synced(&mut replica);
+    accept(&mut replica, now, 2, 1, 1);
+    assert!(synced(&mut replica).reads.is_empty(), "what was committed before is not known yet");
+    accept(&mut replica, now, 2, 1, 2);
+    assert_eq!(synced(&mut replica).reads, [ReadResult::Ready { request: 5, index: 2 }]);
+}
+
+#[test]
+fn a_stranger_never_begins_an_election() {
+    let mut replica = replica(1, Restored::default());
+    for now in 0..100 {
+        replica.tick(now * 100);
+        let output = replica.take_output();
+        assert!(output.messages.is_empty() && output.writes.is_empty());
+    }
+    assert_eq!(replica.term(), 0);
+}
+
+#[test]
+fn a_member_that_hears_nobody_keeps_its_term() {
+    let mut replica = replica(1, restored(&[1, 2, 3], 4, &[1]));
+    for now in 0..100 {
+        replica.tick(now * 100);
+        synced(&mut replica);
+    }
+    assert_eq!(replica.term(), 4);
+}
+
+#[test]
+fn messages_for_another_identity_are_dropped() {
+    let mut replica = replica(1, restored(&[1, 2, 3], 1, &[1]));
+    let message = Message { to: 9, ..from(2, 8, append((1, 1), &[(2, 8)], 2)) };
+    replica.receive(10, message);
+    assert_eq!((replica.term(), replica.last_index()), (1, 1));
+}
+
+#[test]
+fn conflicting_entries_are_replaced_and_committed_ones_are_not() {
+    let mut replica = replica(1, restored(&[1, 2, 3], 2, &[1, 1, 2, 2]));
+    replica.receive(10, from(2, 3, append((2, 1), &[(3, 3)], 3)));
+    assert_eq!(replica.last_index(), 3);
+    let output = synced(&mut replica);
+    assert_eq!(output.committed.iter().map(|entry| entry.term).collect::<Vec<_>>(), [1, 1, 3]);
+    replica.receive(20, from(2, 3, append((1, 1), &[(2, 3), (3, 3)], 3)));
+    assert!(synced(&mut replica).committed.is_empty());
+    assert_eq!(replica.last_index(), 3);
+}
+
+#[test]
+fn no_message_makes_a_replica_panic() {
+    bolero::check!().with_type::<(u8, Vec<(u8, u8, u8, u8, u8, u8)>)>().for_each(|(kind, steps)| {
+        let entries: &[u64] = if kind % 2 == 0 { &[1, 1, 2] } else { &[] };
+        let mut replica = replica(usize::from(kind % 3), restored(&[1, 2, 3], 2, entries));
+        if kind % 5 == 0 {
+            elect(&mut replica, &[2]);
+        }
+        let mut now = timing::ELECTION_MAX_MS;
+        for step in steps {
+            now += u64::from(step.0);
+            replica.receive(now, arbitrary_message(*step));
+            replica.tick(now);
+            let output = synced(&mut replica);
+            if output.snapshot_wanted {
+                replica.offer_snapshot(vec![1; 3]);
+            }
+        }
+    });
+}
+
+fn arbitrary_message((kind, sender, term, a, b, c): (u8, u8, u8, u8, u8, u8)) -> Message {
+    let wide =
+        |value: u8| if value > 250 { u64::MAX - u64::from(u8::MAX - value) } else { u64::from(value % 8) };
+    let (x, y, z) = (wide(a), wide(b), wide(c));
+    let header = SnapshotHeader { index: x % (1 << 40), term: y, membership: members(&[1, 2, 3]) };
+    let body = match kind % 11 {
+        0 => Body::PreVote { last_index: x, last_term: y },
+        1 => Body::PreVoteAnswer { granted: a % 2 == 0 },
+        2 => Body::Vote { last_index: x, last_term: y, transfer: c % 2 == 0 },
+        3 => Body::VoteAnswer { granted: a % 2 == 0 },
+        4 => append((x, y), &[(z, y), (x, y)], z),
+        5 => append((x, y), &[(x.wrapping_add(1), y), (x.wrapping_add(2), y)], z),
+        6 => Body::AppendAnswer { round: x, answer: Answer::Accepted { matched: y } },
+        7 => Body::AppendAnswer { round: x, answer: Answer::Rejected { previous_index: y, hint: z } },
+        8 => Body::SnapshotChunk { header, total: z, offset: y, bytes: vec![1, 2], round: x },
+        9 => Body::SnapshotAnswer { index: x, received: y, round: z },
+        _ => Body::TimeoutNow,
+    };
+    from(u64::from(sender % 4), u64::from(term % 6), body)
+}
--- a/crates/replication/tests/simulation/main.rs
+++ b/crates/replication/tests/simulation/main.rs
@@ -4,11 +4,19 @@
 
 use world::{Faults, World};
 
-const QUIET: Faults =
-    Faults { drop_percent: 0, duplicate_percent: 0, slow_percent: 0, trouble_percent: 0, wipes: false };
+const QUIET: Faults = Faults {
+    drop_percent: 0,
+    duplicate_percent: 0,
+    slow_percent: 0,
+    trouble_percent: 0,
+    slowest_sync: 8,
+    wipes: false,
+};
 const ROUGH: Faults =
-    Faults { drop_percent: 5, duplicate_percent: 5, slow_percent: 5, trouble_percent: 2, wipes: false };
+    Faults { drop_percent: 5, duplicate_percent: 5, slow_percent: 5, trouble_percent: 2, ..QUIET };
 const WIPES: Faults = Faults { wipes: true, ..ROUGH };
+/// Much is on its way to the disks when power is lost.
+const STORM: Faults = Faults { trouble_percent: 10, slowest_sync: 90, ..QUIET };
 
 #[test]
 fn quiet_group_elects_once_and_commits() {
@@ -45,6 +53,15 @@
     }
 }
 
+#[test]
+fn members_that_lose_power_with_writes_under_way() {
+    for seed in 0..400 {
+        let mut world = World::new(seed, 3, 1, STORM);
+        world.run(10_000);
+        world.settle();
+    }
+}
+
 #[test]
 fn wiped_members_come_back_as_strangers() {
     for seed in 0..200 {
--- a/crates/replication/tests/simulation/world.rs
+++ b/crates/replication/tests/simulation/world.rs
@@ -17,6 +17,8 @@
     pub slow_percent: u8,
     /// Chance of a cut, a kill or a wipe every 50 ms.
     pub trouble_percent: u8,
+    /// A sync takes up to so many milliseconds.
+    pub slowest_sync: u64,
     pub wipes: bool,
 }
 
@@ -349,7 +351,7 @@
                 assert_eq!(*known, node.identity, "two leaders in term {}", replica.term());
             }
             for write in output.writes {
-                let due = self.now + self.random.u64(1..8);
+                let due = self.now + self.random.u64(1..self.faults.slowest_sync);
                 let due = node.writes.back().map_or(due, |(last, _)| due.max(*last));
                 node.writes.push_back((due, write));
             }
