--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -8,6 +8,11 @@
     record::Recording,
     report::{Baseline, Report},
     scenario::{Invalid, Scenario, shipped},
+    tier::{
+        day::Day,
+        fleet::{TierError, TierSpec},
+        page,
+    },
     world::{Play, Progress, WorldError},
 };
 use indicatif::{ProgressBar, ProgressStyle};
@@ -15,6 +20,7 @@
     fmt,
     path::{Path, PathBuf},
     process::ExitCode,
+    time::Duration,
 };
 use tokio::sync::watch;
 use toml::Table;
@@ -78,6 +84,21 @@
     List,
     /// Judges the recording in a report's folder again.
     Replay { folder: PathBuf },
+    /// Plays a short day of the whole serving tier: an owner of control state and a proxy are killed in its middle.
+    Tier {
+        /// The program of all roles.
+        #[arg(long, default_value = "target/tier/opalrun")]
+        build: PathBuf,
+        /// Seconds for which programs come.
+        #[arg(long, default_value_t = 15, value_parser = clap::value_parser!(u64).range(5..=600))]
+        length_s: u64,
+        /// Machines that carry traffic.
+        #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(2..=30))]
+        edges: u64,
+        /// Writes the report into this folder.
+        #[arg(long)]
+        report: Option<PathBuf>,
+    },
 }
 
 #[derive(Args)]
@@ -101,6 +122,7 @@
 enum LabError {
     Use(String),
     World(WorldError),
+    Tier(TierError),
     Report(std::io::Error),
 }
 
@@ -109,6 +131,7 @@
         match self {
             Self::Use(why) => f.write_str(why),
             Self::World(e) => e.fmt(f),
+            Self::Tier(e) => e.fmt(f),
             Self::Report(e) => write!(f, "the report: {e}"),
         }
     }
@@ -214,6 +237,27 @@
     Ok(status(&report.verdict))
 }
 
+/// Plays a day of the whole tier and shows what became of it.
+fn tier(build: &Path, length_s: u64, edges: u64, folder: Option<&Path>) -> Result<ExitCode, LabError> {
+    let program = build.canonicalize().map_err(|e| LabError::Use(format!("{}: {e}", build.display())))?;
+    let spec = TierSpec { edges: edges as usize, ..TierSpec::default() };
+    let day = Day { program, length: Duration::from_secs(length_s), tier: spec };
+    let Lab { runtime, mut stop } = Lab::new()?;
+    let summary = runtime.block_on(async {
+        tokio::select! {
+            summary = day.play() => summary.map_err(LabError::Tier),
+            _ = stop.changed() => Err(LabError::Use("stopped".to_owned())),
+        }
+    })?;
+    print!("{summary}");
+    if let Some(folder) = folder {
+        let page = page::write(&summary, folder).map_err(LabError::Report)?;
+        println!("{:<28}{}", "report", page.display());
+    }
+    println!("{}", summary.line());
+    Ok(if summary.passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+}
+
 /// Plays one row of a comparison and shows its main figures.
 fn row(lab: &Lab, name: &str, scenario: &Scenario, seed: u64, build: &Path) -> Result<Verdict, LabError> {
     let verdict = judge(&lab.play(scenario, seed, build)?);
@@ -314,6 +358,7 @@
             }
             Ok(ExitCode::SUCCESS)
         }
+        Command::Tier { build, length_s, edges, report } => tier(&build, length_s, edges, report.as_deref()),
         Command::Replay { folder } => {
             let path = folder.join("recording.jsonl");
             let recording =
--- a/lab/src/tier/deployment.rs
+++ b/lab/src/tier/deployment.rs
@@ -156,6 +156,12 @@
         Client::new(self.tier.log.clone(), self.tier.platform.clone(), zone, hash)
     }
 
+    /// How many clients there have been.
+    #[must_use]
+    pub fn clients(&self) -> u64 {
+        self.next_client
+    }
+
     /// A program of four turns on a route, without tools.
     ///
     /// # Panics
--- a/lab/src/tier/fleet.rs
+++ b/lab/src/tier/fleet.rs
@@ -381,6 +381,22 @@
         Ok(())
     }
 
+    /// A machine one of whose processes has logged something.
+    #[must_use]
+    pub fn who_logged(&self, text: &str) -> Option<String> {
+        self.machines.iter().find(|m| m.has_logged(text)).map(|m| m.name.clone())
+    }
+
+    /// Starts every machine of which nothing runs.
+    ///
+    /// # Errors
+    /// Processes can't be started.
+    pub fn start_idle_machines(&mut self) -> Result<(), TierError> {
+        let idle: Vec<String> =
+            self.machines.iter().filter(|m| m.is_idle()).map(|m| m.name.clone()).collect();
+        idle.iter().try_for_each(|name| self.start_machine(name))
+    }
+
     /// Processes that have ended though nobody ended them.
     pub fn fallen(&mut self) -> Vec<String> {
         self.machines.iter_mut().flat_map(Machine::fallen).collect()
--- a/lab/src/tier/mod.rs
+++ b/lab/src/tier/mod.rs
@@ -3,12 +3,14 @@
 
 pub mod client;
 pub mod configuration;
+pub mod day;
 pub mod deployment;
 pub mod fleet;
 pub mod judge;
 pub mod machine;
 pub mod observation;
 pub mod operator;
+pub mod page;
 pub mod peer;
 pub mod platform;
 pub mod program;
