--- a/crates/opalrun/tests/tier.rs
+++ b/crates/opalrun/tests/tier.rs
@@ -17,3 +17,6 @@
 
 #[path = "tier/view.rs"]
 mod view;
+
+#[path = "tier/acknowledged.rs"]
+mod acknowledged;
--- /dev/null
+++ b/crates/opalrun/tests/tier/acknowledged.rs
@@ -0,0 +1,114 @@
+//! What was acknowledged outlives a loss of power or of a disk at the very next moment, and budgets hold through all of it.
+
+use crate::{
+    support::{LIMIT, conversation, with_deployment},
+    view::{store_identity, wait_until_copied},
+};
+use fleetlab::tier::{
+    deployment::{Deployment, START_LIMIT},
+    program::{Ended, Program, Told},
+    settings_file::Class,
+};
+use tokio::task::JoinHandle;
+
+/// Programs without end, each with a small budget, through all gatekeepers.
+fn looping_programs(deployment: &mut Deployment, count: usize) -> Vec<JoinHandle<Told>> {
+    let started = (0..count).map(|number| {
+        let route = ["dispute", "trace", "resumable"][number % 3];
+        let program = deployment.program(&format!("loop-{number}"), route);
+        let program = Program { loops: true, budget: 700, ..program };
+        let client = deployment.client(["zone-1", "zone-2"][number % 2]);
+        tokio::spawn(async move { program.play(&client).await })
+    });
+    started.collect()
+}
+
+#[test]
+fn a_configuration_outlives_the_disk_of_whoever_acknowledged_it() {
+    with_deployment(async |mut deployment| {
+        for core in ["core-1", "core-2", "core-3"] {
+            deployment.reconfigure(LIMIT).await;
+            deployment.tier.wipe(core).await.expect("wiped");
+            let read = deployment.operator.read(LIMIT).await.expect("a configuration");
+            assert_eq!(read, deployment.configuration.body(), "after {core} lost its disk");
+            deployment.tier.start_machine(core).expect("started");
+            deployment.tier.logged_since_start(core, "votes=4 groups=4 voters=3", LIMIT).await.expect("back");
+        }
+        deployment
+    });
+}
+
+#[test]
+fn a_turn_outlives_the_disk_of_a_store_that_kept_it() {
+    with_deployment(async |mut deployment| {
+        for store in ["storage-1", "storage-2", "storage-3"] {
+            let old_identity = store_identity(&deployment, store).await;
+            let mut talk = conversation(&mut deployment).await;
+            deployment.tier.wipe(store).await.expect("wiped");
+            talk.goes_on(&mut deployment).await;
+            deployment.tier.start_machine(store).expect("started");
+            wait_until_copied(&deployment, store, old_identity).await;
+            talk.goes_on(&mut deployment).await;
+        }
+        deployment
+    });
+}
+
+#[test]
+fn budgets_hold_while_gatekeepers_and_stores_are_killed_and_frozen() {
+    with_deployment(async |mut deployment| {
+        let programs = looping_programs(&mut deployment, 6);
+        deployment.tier.restart_role("edge-1", "proxy").await.expect("restarted");
+        deployment.tier.kill("storage-1").await.expect("killed");
+        deployment.tier.freeze("edge-2").expect("frozen");
+        deployment.tier.gatekeeper_ready("edge-1", START_LIMIT).await.expect("ready again");
+        deployment.tier.start_machine("storage-1").expect("started");
+        deployment.tier.thaw("edge-2").expect("thawed");
+        for program in programs {
+            program.await.expect("a program that ends");
+        }
+        // What was spent counts for good: none of the programs gets another turn's worth beyond it.
+        let program = Program { turns: 30, budget: 700, ..deployment.program("loop-0", "dispute") };
+        let told = program.play(&deployment.client("zone-1")).await;
+        assert_ne!(told.ended, Ended::Completed, "{told:?}");
+        deployment
+    });
+}
+
+#[test]
+fn budgets_hold_over_a_loss_of_power_of_all_machines() {
+    with_deployment(async |mut deployment| {
+        let programs = looping_programs(&mut deployment, 4);
+        deployment.tier.lose_power().await.expect("back");
+        deployment.tier.gatekeepers_ready(START_LIMIT).await.expect("gatekeepers are back");
+        for program in programs {
+            program.await.expect("a program that ends");
+        }
+        deployment
+    });
+}
+
+#[test]
+fn machines_that_are_added_take_part() {
+    with_deployment(async |mut deployment| {
+        let mut talk = conversation(&mut deployment).await;
+        deployment.tier.add("edge-3", Class::Edge, "zone-3").expect("added");
+        deployment.tier.add("storage-4", Class::Storage, "zone-1").expect("added");
+        deployment.tier.add("core-4", Class::Core, "zone-2").expect("added");
+        deployment.tier.gatekeepers_ready(START_LIMIT).await.expect("ready");
+        deployment.tier.control_ready(START_LIMIT).await.expect("control answers");
+        // The new gatekeeper is the only one of its zone.
+        let told = deployment.program("new", "dispute").play(&deployment.client("zone-3")).await;
+        assert_eq!(told.ended, Ended::Completed, "{}", deployment.tier.log_tails());
+        let used = |p: &opalrun_wire::feed::StoreMap| {
+            let new = p.stores.iter().find(|s| s.node_name == "storage-4").map(|s| s.identity);
+            p.partitions.iter().any(|p| p.replicas.iter().any(|r| Some(r.store) == new && r.whole))
+        };
+        crate::view::wait_for(&deployment, "a use for the new store", move |view| {
+            used(&view.store_map).then_some(())
+        })
+        .await;
+        talk.goes_on(&mut deployment).await;
+        deployment
+    });
+}
--- a/lab/src/tier/fleet.rs
+++ b/lab/src/tier/fleet.rs
@@ -189,11 +189,17 @@
             self.write_settings(machine)?;
         }
         self.note(name, MachineEvent::Started);
-        let (frontend, readiness) = (self.ports.frontend, self.ports.readiness);
         let machine = self.machine(name)?;
         machine.start()?;
         // The settings of later starts say that the system has run before.
         machine.bootstrap = false;
+        self.await_readiness(name)
+    }
+
+    /// Tells the platform of a gatekeeper that has just started: it gets connections once it calls itself ready.
+    fn await_readiness(&mut self, name: &str) -> Result<(), TierError> {
+        let (frontend, readiness) = (self.ports.frontend, self.ports.readiness);
+        let machine = self.machine(name)?;
         if machine.class == Class::Edge {
             let entry = Entry {
                 machine: name.to_owned(),
@@ -226,7 +232,7 @@
         machine.kill_role(role).await;
         machine.start_role(role)?;
         self.note(name, MachineEvent::Started);
-        Ok(())
+        self.await_readiness(name)
     }
 
     /// Kills every process at the same moment, and starts all again on the same disks.
@@ -351,14 +357,26 @@
     /// # Errors
     /// One did not in time.
     pub async fn gatekeepers_ready(&self, limit: Duration) -> Result<(), TierError> {
+        let edges = self.machines.iter().filter(|m| m.class == Class::Edge);
+        for machine in edges {
+            self.gatekeeper_ready(&machine.name, limit).await?;
+        }
+        Ok(())
+    }
+
+    /// Waits until one gatekeeper calls itself ready.
+    ///
+    /// # Errors
+    /// It did not in time.
+    pub async fn gatekeeper_ready(&self, name: &str, limit: Duration) -> Result<(), TierError> {
         let until = Instant::now() + limit;
-        let edges: Vec<&Machine> = self.machines.iter().filter(|m| m.class == Class::Edge).collect();
         loop {
             self.platform.check(LOOK_LIMIT).await;
-            let ready = self.platform.ready();
-            let Some(missing) = edges.iter().find(|m| !ready.contains(&m.name)) else { return Ok(()) };
+            if self.platform.ready().iter().any(|ready| ready == name) {
+                return Ok(());
+            }
             if Instant::now() > until {
-                return Err(self.late(format!("{} is not ready", missing.name), limit));
+                return Err(self.late(format!("{name} is not ready"), limit));
             }
             tokio::time::sleep(LOOK_PAUSE).await;
         }
@@ -369,10 +387,28 @@
     /// # Errors
     /// There is no such machine, or they did not in time.
     pub async fn logged(&self, name: &str, text: &str, limit: Duration) -> Result<(), TierError> {
+        self.wait(name, limit, text, |machine| machine.has_logged(text)).await
+    }
+
+    /// The same since their last start.
+    ///
+    /// # Errors
+    /// As [`Tier::logged`].
+    pub async fn logged_since_start(&self, name: &str, text: &str, limit: Duration) -> Result<(), TierError> {
+        self.wait(name, limit, text, |machine| machine.has_logged_since_start(text)).await
+    }
+
+    async fn wait(
+        &self,
+        name: &str,
+        limit: Duration,
+        text: &str,
+        holds: impl Fn(&Machine) -> bool,
+    ) -> Result<(), TierError> {
         let machine = self.machines.iter().find(|m| m.name == name);
         let machine = machine.ok_or_else(|| TierError::NoMachine(name.to_owned()))?;
         let until = Instant::now() + limit;
-        while !machine.has_logged(text) {
+        while !holds(machine) {
             if Instant::now() > until {
                 return Err(self.late(format!("{name} does not log {text:?}"), limit));
             }
--- a/lab/src/tier/machine.rs
+++ b/lab/src/tier/machine.rs
@@ -26,6 +26,8 @@
     role: &'static str,
     settings: PathBuf,
     log: PathBuf,
+    /// The length of the log when the process was started last, in bytes.
+    log_start: usize,
     child: Option<Child>,
 }
 
@@ -62,6 +64,7 @@
             role,
             settings: folder.join(format!("{role}.toml")),
             log: folder.join(format!("{role}.log")),
+            log_start: 0,
             child: None,
         });
         Ok(Self {
@@ -159,6 +162,12 @@
         fallen
     }
 
+    /// Whether one of its processes has logged something since it was started last.
+    #[must_use]
+    pub fn has_logged_since_start(&self, text: &str) -> bool {
+        self.processes.iter().any(|p| p.logged_since_start().contains(text))
+    }
+
     /// Whether none of its processes runs.
     #[must_use]
     pub fn is_idle(&self) -> bool {
@@ -187,6 +196,7 @@
 impl Process {
     fn start(&mut self, program: &Path) -> io::Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
+        self.log_start = usize::try_from(log.metadata()?.len()).unwrap_or(usize::MAX);
         let child = Command::new(program)
             .arg(self.role)
             .env(SETTINGS_VARIABLE, &self.settings)
@@ -199,6 +209,11 @@
         Ok(())
     }
 
+    fn logged_since_start(&self) -> String {
+        let log = fs::read_to_string(&self.log).unwrap_or_default();
+        log.get(self.log_start..).unwrap_or_default().to_owned()
+    }
+
     fn signal(&self, signal: Signal) {
         let id = self.child.as_ref().and_then(Child::id).and_then(|id| Pid::from_raw(id.cast_signed()));
         if let Some(id) = id {
