--- a/crates/store/src/server.rs
+++ b/crates/store/src/server.rs
@@ -116,8 +116,7 @@
         let deadline = Instant::now() + MAP_WAIT;
         loop {
             let changed = self.map_changed.notified();
-            let handled = self.state.borrow_mut().handle(&request, self.started.elapsed());
-            self.submit();
+            let handled = self.handle(&request);
             match handled {
                 Handled::Reply(reply) => return reply,
                 Handled::AfterSync { record, reply } => return self.after_sync(record, reply).await,
@@ -154,6 +153,16 @@
         self.journal.drop_before(oldest);
     }
 
+    fn handle(&self, request: &StoreRequest) -> Handled {
+        let status = self.journal.status();
+        let mut state = self.state.borrow_mut();
+        state.set_disk(status.bytes, status.is_full);
+        let handled = state.handle(request, self.started.elapsed());
+        drop(state);
+        self.submit();
+        handled
+    }
+
     async fn after_sync(&self, record: u64, reply: StoreReply) -> StoreReply {
         match self.journal.synced(record).await {
             Ok(()) => reply,
@@ -161,11 +170,9 @@
         }
     }
 
-    /// Hands new records over to the log, and takes in what is known of the disk.
+    /// Hands new records over to the log.
     fn submit(&self) {
-        let status = self.journal.status();
         let mut state = self.state.borrow_mut();
-        state.set_disk(status.bytes, status.is_full);
         if state.has_records() {
             self.journal.write(state.take_records());
         }
--- /dev/null
+++ b/crates/store/tests/state.rs
@@ -0,0 +1,332 @@
+//! The store's state machine, one matter at a time.
+
+use opalrun_store::state::{COUNT_RETENTION, Handled, PAGE_BYTES, StoreLimits, StoreState};
+use opalrun_wire::{
+    ResultCode,
+    feed::{Partition, Replica, STORE_PARTITIONS, StoreMap, partition_of},
+    store::{CountEntry, StoreReply, StoreRequest, Turn, keep_ms},
+};
+use std::{rc::Rc, time::Duration};
+
+const LIMITS: StoreLimits = StoreLimits { memory_bytes: 1 << 30, disk_bytes: 1 << 30 };
+const START: Duration = Duration::from_secs(5);
+const SELF: u64 = 1;
+
+fn replica(store: u64, whole: bool) -> Replica {
+    Replica { store, whole }
+}
+
+fn map(epoch: u64, replicas: &[Replica], sources: &[u64]) -> Rc<StoreMap> {
+    let partition = Partition { replicas: replicas.to_vec(), sources: sources.to_vec() };
+    Rc::new(StoreMap {
+        epoch,
+        stores: Vec::new(),
+        partitions: vec![partition; usize::from(STORE_PARTITIONS)],
+    })
+}
+
+fn whole_map(epoch: u64) -> Rc<StoreMap> {
+    map(epoch, &[replica(SELF, true), replica(2, true), replica(3, true)], &[])
+}
+
+fn state() -> StoreState {
+    let mut state = StoreState::new(SELF, LIMITS);
+    state.set_map(whole_map(4));
+    state
+}
+
+fn turn(id: &str, bytes: usize) -> Turn {
+    Turn {
+        id: id.to_owned(),
+        ancestors: Vec::new(),
+        input: vec![b'x'; bytes],
+        output: Vec::new(),
+        retention_ms: 60_000,
+        worker: String::new(),
+    }
+}
+
+fn put(epoch: u64, id: &str) -> StoreRequest {
+    StoreRequest::PutTurn { epoch, turn: turn(id, 10) }
+}
+
+fn get(epoch: u64, id: &str) -> StoreRequest {
+    StoreRequest::GetTurn { epoch, id: id.to_owned() }
+}
+
+fn count(epoch: u64, holder: u64, sequence: u64, taken: u64) -> StoreRequest {
+    StoreRequest::WriteCount { epoch, program: "p".to_owned(), entry: CountEntry { holder, sequence, taken } }
+}
+
+fn reply(handled: Handled) -> StoreReply {
+    match handled {
+        Handled::Reply(reply) | Handled::AfterSync { reply, .. } => reply,
+        Handled::NewerEpoch => panic!("the epoch is unknown"),
+    }
+}
+
+fn is_there(state: &mut StoreState, id: &str, now: Duration) -> bool {
+    let epoch = state.epoch();
+    matches!(reply(state.handle(&get(epoch, id), now)), StoreReply::Turn { turn: Some(_), .. })
+}
+
+fn entries(handled: Handled) -> Vec<CountEntry> {
+    match reply(handled) {
+        StoreReply::Count { entries, .. } => entries,
+        other => panic!("no count: {other:?}"),
+    }
+}
+
+/// The state after a restart at `now` with everything on disk.
+fn restarted(records: &[Vec<u8>], now: Duration) -> StoreState {
+    let mut state = StoreState::new(SELF, LIMITS);
+    for (number, record) in records.iter().enumerate() {
+        state.replay(number as u64, record, now).unwrap();
+    }
+    state.start_at(records.len() as u64);
+    state
+}
+
+fn records(state: &mut StoreState) -> Vec<Vec<u8>> {
+    state.take_records().iter().map(|record| record.to_vec()).collect()
+}
+
+#[test]
+fn a_partition_that_moved_is_refused_in_its_old_epoch_only() {
+    let mut state = state();
+    assert!(state.set_map(whole_map(5)));
+    assert!(matches!(reply(state.handle(&put(4, "t"), START)), StoreReply::Stored { whole: true }));
+    assert!(state.set_map(map(6, &[replica(SELF, true), replica(2, true), replica(9, false)], &[3])));
+    assert_eq!(state.handle(&put(5, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: 6 }));
+    assert!(matches!(reply(state.handle(&put(6, "t"), START)), StoreReply::Stored { whole: true }));
+    assert_eq!(state.handle(&put(7, "t"), START), Handled::NewerEpoch);
+}
+
+#[test]
+fn what_changed_between_two_maps_far_apart_is_taken_to_have_moved() {
+    let mut state = state();
+    state.set_map(whole_map(9));
+    assert_eq!(state.handle(&put(8, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: 9 }));
+}
+
+#[test]
+fn an_epoch_that_was_known_is_known_after_a_restart() {
+    let mut state = state();
+    state.set_map(whole_map(5));
+    let mut state = restarted(&records(&mut state), START);
+    assert_eq!(state.epoch(), 5);
+    assert!(!state.set_map(whole_map(4)), "an older map does not count any more");
+    assert_eq!(state.handle(&put(5, "t"), START), Handled::NewerEpoch);
+    assert!(state.set_map(whole_map(5)));
+    assert_eq!(state.handle(&put(4, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: 5 }));
+}
+
+#[test]
+fn nothing_is_answered_before_its_epoch_is_on_disk() {
+    let mut state = state();
+    let Handled::AfterSync { record: first, .. } = state.handle(&put(4, "t"), START) else { panic!() };
+    state.set_map(whole_map(5));
+    let epoch_record = state.next_record() - 1;
+    assert!(first < epoch_record);
+    for request in [put(5, "t"), get(5, "t"), get(5, "other")] {
+        let Handled::AfterSync { record, .. } = state.handle(&request, START) else { panic!() };
+        assert!(record >= epoch_record);
+    }
+}
+
+#[test]
+fn other_partitions_are_neither_served_nor_kept() {
+    let mut state = state();
+    state.handle(&put(4, "t"), START);
+    state.set_map(map(5, &[replica(2, true), replica(3, true), replica(4, false)], &[SELF]));
+    assert!(state.live_bytes() > 0, "a source keeps what it has");
+    assert_eq!(state.handle(&put(5, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: 5 }));
+    let copy = StoreRequest::CopyPartition { epoch: 5, partition: partition_of("t"), cursor: 0 };
+    assert!(matches!(reply(state.handle(&copy, START)), StoreReply::Page { next: None, .. }));
+    state.set_map(map(6, &[replica(2, true), replica(3, true), replica(4, true)], &[]));
+    assert_eq!(state.live_bytes(), 0);
+    assert_eq!(state.handle(&copy, START), Handled::Reply(StoreReply::StaleEpoch { epoch: 6 }));
+}
+
+#[test]
+fn a_store_that_is_not_whole_says_so_and_is_no_source() {
+    let mut state = StoreState::new(SELF, LIMITS);
+    state.set_map(map(2, &[replica(SELF, false), replica(2, true), replica(3, true)], &[]));
+    assert_eq!(reply(state.handle(&put(2, "t"), START)), StoreReply::Stored { whole: false });
+    assert!(matches!(
+        reply(state.handle(&get(2, "u"), START)),
+        StoreReply::Turn { whole: false, turn: None, .. }
+    ));
+    let copy = StoreRequest::CopyPartition { epoch: 2, partition: 0, cursor: 0 };
+    assert_eq!(state.handle(&copy, START), Handled::Reply(StoreReply::StaleEpoch { epoch: 2 }));
+    assert_eq!(state.copies_needed().len(), usize::from(STORE_PARTITIONS));
+}
+
+#[test]
+fn the_highest_sequence_of_a_holder_counts() {
+    let mut state = state();
+    state.handle(&count(4, 7, 2, 50), START);
+    state.handle(&count(4, 7, 1, 90), START);
+    state.handle(&count(4, 8, 1, 5), START);
+    let mut found = entries(state.handle(&count(4, 7, 2, 50), START));
+    found.sort_by_key(|entry| entry.holder);
+    let expected =
+        [CountEntry { holder: 7, sequence: 2, taken: 50 }, CountEntry { holder: 8, sequence: 1, taken: 5 }];
+    assert_eq!(found, expected);
+    let mut state = restarted(&records(&mut state), START);
+    state.set_map(whole_map(4));
+    assert_eq!(entries(state.handle(&count(4, 8, 1, 5), START)).len(), 2);
+}
+
+#[test]
+fn a_repeated_write_waits_for_the_first_and_writes_nothing() {
+    let mut state = state();
+    let Handled::AfterSync { record, .. } = state.handle(&count(4, 7, 1, 50), START) else { panic!() };
+    let next = state.next_record();
+    let Handled::AfterSync { record: again, .. } = state.handle(&count(4, 7, 1, 50), START) else { panic!() };
+    assert_eq!((again, state.next_record()), (record, next));
+}
+
+#[test]
+fn turns_and_counts_are_forgotten_in_their_time() {
+    let mut state = state();
+    state.handle(&put(4, "t"), START);
+    state.handle(&count(4, 7, 1, 50), START);
+    let kept = Duration::from_millis(keep_ms(60_000));
+    assert!(is_there(&mut state, "t", START + kept - Duration::from_millis(1)));
+    assert!(!is_there(&mut state, "t", START + kept));
+    (0..STORE_PARTITIONS).for_each(|partition| state.expire(partition, START + kept));
+    assert!(state.live_bytes() > 0, "the count is kept longer");
+    (0..STORE_PARTITIONS).for_each(|partition| state.expire(partition, START + COUNT_RETENTION));
+    assert_eq!(state.live_bytes(), 0);
+    assert_eq!(state.oldest_record(), 0, "the epoch's record is needed");
+}
+
+#[test]
+fn a_turn_that_others_build_on_is_kept_longer() {
+    let mut state = state();
+    state.handle(&put(4, "t"), START);
+    let later = START + Duration::from_secs(100);
+    let partition = partition_of("t");
+    let ids = vec!["t".to_owned(), "unknown".to_owned()];
+    let extend = StoreRequest::ExtendTurns { epoch: 4, partition, ids, retention_ms: 60_000 };
+    assert_eq!(reply(state.handle(&extend, later)), StoreReply::Stored { whole: true });
+    assert!(is_there(&mut state, "t", later + Duration::from_millis(keep_ms(60_000) - 1)));
+}
+
+#[test]
+fn after_a_restart_a_turn_is_kept_for_its_whole_time_again() {
+    let mut state = state();
+    state.handle(&put(4, "t"), START);
+    let records = records(&mut state);
+    let later = Duration::from_secs(1000);
+    let mut state = restarted(&records, later);
+    state.set_map(whole_map(4));
+    assert!(is_there(&mut state, "t", later + Duration::from_millis(keep_ms(60_000) - 1)));
+}
+
+#[test]
+fn pages_cover_a_partition_also_while_its_records_move() {
+    let mut state = state();
+    let partition = partition_of("p");
+    let ids: Vec<String> = (0..100_000)
+        .map(|number| format!("t{number}"))
+        .filter(|id| partition_of(id) == partition)
+        .take(20)
+        .collect();
+    for id in &ids {
+        let request = StoreRequest::PutTurn { epoch: 4, turn: turn(id, PAGE_BYTES / 6) };
+        state.handle(&request, START);
+    }
+    state.handle(&count(4, 7, 1, 50), START);
+    let (mut found, mut counts, mut cursor, mut pages) = (Vec::new(), 0, Some(0), 0);
+    while let Some(from) = cursor {
+        let copy = StoreRequest::CopyPartition { epoch: 4, partition, cursor: from };
+        let StoreReply::Page { counts: page_counts, turns, next, whole } = reply(state.handle(&copy, START))
+        else {
+            panic!()
+        };
+        assert!(whole);
+        found.extend(turns.into_iter().map(|(turn, _)| turn.id));
+        counts += page_counts.len();
+        cursor = next;
+        pages += 1;
+        // Cleaning moves the oldest records to the end: they may come twice, but none is missed.
+        state.rewrite_oldest(1, START);
+        assert!(pages < 100);
+    }
+    assert!(pages > 3);
+    assert!(counts >= 1);
+    assert!(ids.iter().all(|id| found.contains(id)));
+}
+
+#[test]
+fn a_copied_page_is_merged() {
+    let mut source = state();
+    source.handle(&put(4, "t"), START);
+    source.handle(&count(4, 7, 3, 50), START);
+    let mut copy = StoreState::new(9, LIMITS);
+    copy.set_map(map(4, &[replica(SELF, true), replica(2, true), replica(9, false)], &[]));
+    copy.handle(&count(4, 7, 2, 80), START);
+    copy.handle(&count(4, 8, 1, 1), START);
+    for partition in [partition_of("t"), partition_of("p")] {
+        let request = StoreRequest::CopyPartition { epoch: 4, partition, cursor: 0 };
+        let StoreReply::Page { counts, turns, .. } = reply(source.handle(&request, START)) else { panic!() };
+        let record = copy.merge_page(counts, turns, START);
+        assert_eq!(record, copy.next_record() - 1);
+    }
+    assert!(is_there(&mut copy, "t", START));
+    let found = entries(copy.handle(&count(4, 8, 1, 1), START));
+    assert!(found.contains(&CountEntry { holder: 7, sequence: 3, taken: 50 }));
+    assert_eq!(found.len(), 2);
+}
+
+#[test]
+fn cleaning_moves_what_is_live_and_drops_what_has_expired() {
+    let mut state = state();
+    for number in 0..30 {
+        state.handle(&put(4, &format!("t{number}")), START);
+        state.handle(&count(4, 7, number, number), START);
+    }
+    let end = state.next_record();
+    let later = START + Duration::from_millis(keep_ms(60_000));
+    while state.oldest_record() < end {
+        state.rewrite_oldest(100, later);
+    }
+    assert_eq!(state.next_record() - end, 2, "the epoch and the count are live");
+    assert_eq!(entries(state.handle(&count(4, 7, 0, 0), later))[0].taken, 29);
+}
+
+#[test]
+fn a_full_store_refuses_and_serves_on() {
+    let mut state = StoreState::new(SELF, StoreLimits { memory_bytes: 1000, disk_bytes: 1000 });
+    state.set_map(whole_map(4));
+    let full = Handled::Reply(StoreReply::Failed { code: ResultCode::DISK_FULL.0 });
+    let large = StoreRequest::PutTurn { epoch: 4, turn: turn("large", 1000) };
+    assert!(matches!(state.handle(&large, START), Handled::AfterSync { .. }));
+    assert_eq!(state.handle(&put(4, "t"), START), full);
+    assert!(matches!(state.handle(&count(4, 7, 1, 1), START), Handled::AfterSync { .. }));
+    state.set_disk(1000, false);
+    assert_eq!(state.handle(&count(4, 7, 2, 1), START), full);
+    assert!(is_there(&mut state, "large", START));
+    state.set_disk(999, true);
+    assert_eq!(state.handle(&count(4, 7, 2, 1), START), full);
+    state.set_disk(999, false);
+    assert!(matches!(state.handle(&count(4, 7, 2, 1), START), Handled::AfterSync { .. }));
+}
+
+#[test]
+fn partitions_that_do_not_exist_are_refused() {
+    let mut state = state();
+    for partition in [STORE_PARTITIONS, u16::MAX] {
+        let copy = StoreRequest::CopyPartition { epoch: 4, partition, cursor: 0 };
+        assert_eq!(state.handle(&copy, START), Handled::Reply(StoreReply::StaleEpoch { epoch: 4 }));
+        let extend = StoreRequest::ExtendTurns { epoch: 4, partition, ids: Vec::new(), retention_ms: 1 };
+        assert_eq!(state.handle(&extend, START), Handled::Reply(StoreReply::StaleEpoch { epoch: 4 }));
+    }
+}
+
+#[test]
+fn a_record_that_can_t_be_read_is_told() {
+    assert!(StoreState::new(SELF, LIMITS).replay(0, &[1, 2, 3], START).is_err());
+}
