--- a/crates/control/src/host/disk.rs
+++ b/crates/control/src/host/disk.rs
@@ -71,11 +71,15 @@
 
 /// Carries a job out; on a full disk again and again. Until then nothing in it is acknowledged.
 fn carry_out(journal: &mut Journal, steps: &[Step], stopping: &AtomicBool) -> JobResult {
+    let mut is_told = false;
     loop {
         match journal.carry_out(steps) {
             Ok(()) => return JobResult::Synced { journal_bytes: journal.bytes() },
             Err(error) if error.is_full() && !stopping.load(Ordering::Relaxed) => {
-                tracing::warn!(%error, "waiting for space");
+                if !is_told {
+                    tracing::warn!(%error, "waiting for space");
+                }
+                is_told = true;
                 thread::sleep(FULL_PAUSE);
             }
             Err(error) => return JobResult::Failed { error },
