--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -95,6 +95,9 @@
         /// Machines that carry traffic.
         #[arg(long, default_value_t = 3, value_parser = clap::value_parser!(u64).range(2..=30))]
         edges: u64,
+        /// Draws what befalls the tier from this seed; may be given several times, for several days.
+        #[arg(long = "seed")]
+        seeds: Vec<u64>,
         /// Writes the report into this folder.
         #[arg(long)]
         report: Option<PathBuf>,
@@ -237,11 +240,8 @@
     Ok(status(&report.verdict))
 }
 
-/// Plays a day of the whole tier and shows what became of it.
-fn tier(build: &Path, length_s: u64, edges: u64, folder: Option<&Path>) -> Result<ExitCode, LabError> {
-    let program = build.canonicalize().map_err(|e| LabError::Use(format!("{}: {e}", build.display())))?;
-    let spec = TierSpec { edges: edges as usize, ..TierSpec::default() };
-    let day = Day { program, length: Duration::from_secs(length_s), tier: spec };
+/// Plays a day of the whole tier and shows what became of it; whether it passed.
+fn tier_day(day: &Day, folder: Option<&Path>) -> Result<bool, LabError> {
     let Lab { runtime, mut stop } = Lab::new()?;
     let summary = runtime.block_on(async {
         tokio::select! {
@@ -254,8 +254,20 @@
         let page = page::write(&summary, folder).map_err(LabError::Report)?;
         println!("{:<28}{}", "report", page.display());
     }
-    println!("{}", summary.line());
-    Ok(if summary.passed() { ExitCode::SUCCESS } else { ExitCode::FAILURE })
+    let seed = day.seed.map(|seed| format!("seed {seed}: ")).unwrap_or_default();
+    println!("{seed}{}", summary.line());
+    Ok(summary.passed())
+}
+
+/// Plays a day for each seed, or the usual one.
+fn tier(day: Day, seeds: &[u64], folder: Option<&Path>) -> Result<ExitCode, LabError> {
+    let seeds: Vec<Option<u64>> =
+        if seeds.is_empty() { vec![None] } else { seeds.iter().copied().map(Some).collect() };
+    let mut passed = true;
+    for seed in seeds {
+        passed &= tier_day(&Day { seed, ..day.clone() }, folder)?;
+    }
+    Ok(if passed { ExitCode::SUCCESS } else { ExitCode::FAILURE })
 }
 
 /// Plays one row of a comparison and shows its main figures.
@@ -358,7 +370,13 @@
             }
             Ok(ExitCode::SUCCESS)
         }
-        Command::Tier { build, length_s, edges, report } => tier(&build, length_s, edges, report.as_deref()),
+        Command::Tier { build, length_s, edges, seeds, report } => {
+            let program =
+                build.canonicalize().map_err(|e| LabError::Use(format!("{}: {e}", build.display())))?;
+            let spec = TierSpec { edges: edges as usize, ..TierSpec::default() };
+            let day = Day { program, length: Duration::from_secs(length_s), tier: spec, seed: None };
+            tier(day, &seeds, report.as_deref())
+        }
         Command::Replay { folder } => {
             let path = folder.join("recording.jsonl");
             let recording =
--- a/lab/src/tier/day.rs
+++ b/lab/src/tier/day.rs
@@ -2,11 +2,13 @@
 //! leaves and the configuration changes; then what was served, and every broken rule.
 
 use super::{
-    deployment::{Deployment, START_LIMIT},
+    arrivals::Arrivals,
+    deployment::Deployment,
     fleet::{TierError, TierSpec},
     judge::Broken,
     observation::{MachineEvent, Observation, Outcome, Seen},
-    program::{Ended, Program, Told},
+    program::{Ended, Told},
+    strike::{ORDER_LIMIT, Strikes},
 };
 use std::{
     collections::BTreeMap,
@@ -14,16 +16,9 @@
     path::PathBuf,
     time::{Duration, Instant},
 };
-use tokio::task::JoinSet;
 
-/// Time between two programs.
-const ARRIVAL_EVERY: Duration = Duration::from_millis(120);
-/// How long what was killed stays down.
-const DOWN: Duration = Duration::from_millis(800);
-/// How long an order may take.
-const ORDER_LIMIT: Duration = Duration::from_secs(6);
-/// What the owner of the configuration logs once it has decided something.
-const OWNER_LOG: &str = "the owner of shard 0 decided";
+/// A day is so many times as long as the pause before each strike.
+const PAUSES: u32 = 12;
 
 /// What day to play.
 #[derive(Debug, Clone)]
@@ -33,6 +28,8 @@
     /// How long programs come.
     pub length: Duration,
     pub tier: TierSpec,
+    /// What befalls the tier is drawn from this; without it, it is the usual.
+    pub seed: Option<u64>,
 }
 
 /// What became of a day.
@@ -54,6 +51,10 @@
     pub fallen: Vec<String>,
     /// For each second: tries answered by success, refused, and failed.
     pub seconds: Vec<[usize; 3]>,
+    /// What befell the tier, in order.
+    pub strikes: Vec<String>,
+    /// The last words of all processes, if the day did not pass.
+    pub words: String,
 }
 
 impl Summary {
@@ -88,13 +89,14 @@
         for (at_ms, event) in &self.events {
             writeln!(f, "{:<28}{event}", format!("{:.1} s", *at_ms as f64 / 1e3))?;
         }
+        writeln!(f, "{:<28}{}", "struck by", self.strikes.join(", "))?;
         for fallen in &self.fallen {
             writeln!(f, "{:<28}{fallen}", "ended by itself")?;
         }
         for broken in &self.broken {
             writeln!(f, "{:<28}{broken}", "broken")?;
         }
-        Ok(())
+        f.write_str(&self.words)
     }
 }
 
@@ -107,101 +109,34 @@
         let mut deployment = Deployment::start(&self.program, self.tier.clone()).await?;
         let machines = deployment.tier.names().len();
         let from = deployment.tier.log.seen().len();
-        let began = Instant::now();
-        let mut programs = JoinSet::new();
-        for step in self.steps() {
-            self.arrive_until(&mut deployment, &mut programs, began + step.at).await;
-            step.what.strike(&mut deployment).await?;
-        }
-        self.arrive_until(&mut deployment, &mut programs, began + self.length).await;
-        let mut told = Vec::new();
-        while let Some(program) = programs.join_next().await {
-            told.extend(program.ok());
-        }
+        let arrivals = Arrivals::start(&deployment);
+        let strikes = self.strike(&mut deployment).await?;
+        let told = arrivals.end().await;
         deployment.operator.read(ORDER_LIMIT).await;
         let seen = deployment.tier.log.seen();
-        Ok(summary(machines, &told, &seen[from..], deployment.broken(), deployment.tier.fallen()))
-    }
-
-    fn steps(&self) -> Vec<Step> {
-        let order = [
-            What::KillOwner,
-            What::StartOwner,
-            What::ChangeConfiguration,
-            What::KillProxy,
-            What::StartProxy,
-            What::WorkerLeaves,
-            What::StopProxy,
-        ];
-        let parts = order.len() as u32 + 2;
-        let at = |(i, what): (usize, What)| Step { at: self.length * (i as u32 + 1) / parts, what };
-        order.into_iter().enumerate().map(at).collect()
-    }
-
-    /// Has programs come until a moment.
-    async fn arrive_until(&self, deployment: &mut Deployment, programs: &mut JoinSet<Told>, until: Instant) {
-        while Instant::now() < until {
-            let number = deployment.clients();
-            let route = ["dispute", "trace", "resumable"][number as usize % 3];
-            let zone = self.tier.zones[number as usize % self.tier.zones.len()].clone();
-            let program = deployment.program(&format!("program-{number}"), route);
-            let loops = number.is_multiple_of(10);
-            let budget = if loops { 500 } else { program.budget };
-            let tools = deployment.tools();
-            let program = Program { tools, sub_agents: Some((1, 2, 2)), loops, budget, ..program };
-            let client = deployment.client(&zone);
-            programs.spawn(async move { program.play(&client).await });
-            tokio::time::sleep(ARRIVAL_EVERY).await;
+        let mut summary =
+            summary(machines, &told, &seen[from..], deployment.broken(), deployment.tier.fallen());
+        summary.strikes = strikes;
+        if !summary.passed() {
+            summary.words = deployment.tier.log_tails();
         }
+        Ok(summary)
     }
-}
 
-struct Step {
-    at: Duration,
-    what: What,
-}
-
-/// What befalls the tier.
-#[derive(Debug, Clone, Copy)]
-enum What {
-    KillOwner,
-    StartOwner,
-    ChangeConfiguration,
-    KillProxy,
-    StartProxy,
-    WorkerLeaves,
-    StopProxy,
-}
-
-impl What {
-    async fn strike(self, deployment: &mut Deployment) -> Result<(), TierError> {
-        let tier = &mut deployment.tier;
-        match self {
-            Self::KillOwner => {
-                let owner = tier.who_logged(OWNER_LOG).unwrap_or_else(|| "core-1".to_owned());
-                tier.kill(&owner).await
-            }
-            Self::KillProxy => tier.kill("edge-1").await,
-            Self::StartOwner | Self::StartProxy => {
-                tokio::time::sleep(DOWN).await;
-                tier.start_idle_machines()
-            }
-            Self::ChangeConfiguration => {
-                let routes = deployment.configuration.routes.clone();
-                deployment.configure(routes, ORDER_LIMIT).await;
-                Ok(())
-            }
-            Self::WorkerLeaves => {
-                let Some(worker) = deployment.workers.first().cloned() else { return Ok(()) };
-                deployment.add_worker(&worker.spec.service)?;
-                tokio::spawn(async move { worker.leave(ORDER_LIMIT).await });
-                Ok(())
-            }
-            Self::StopProxy => {
-                tier.terminate("edge-2").await?;
-                tier.start_machine("edge-2")?;
-                tier.gatekeepers_ready(START_LIMIT).await
+    /// Strikes, spread over the day, and ends with it.
+    async fn strike(&self, deployment: &mut Deployment) -> Result<Vec<String>, TierError> {
+        let end = Instant::now() + self.length;
+        let mut strikes = self.seed.map_or_else(Strikes::usual, Strikes::drawn);
+        let pause = self.length / PAUSES;
+        let mut told = Vec::new();
+        loop {
+            tokio::time::sleep(pause.min(end.saturating_duration_since(Instant::now()))).await;
+            if Instant::now() >= end {
+                return Ok(told);
             }
+            let Some(strike) = strikes.next(deployment) else { continue };
+            told.push(format!("{strike:?}"));
+            strike.strike(deployment).await?;
         }
     }
 }
@@ -236,6 +171,8 @@
         seconds: collected.seconds,
         broken,
         fallen,
+        strikes: Vec::new(),
+        words: String::new(),
     }
 }
 
--- a/lab/src/tier/deployment.rs
+++ b/lab/src/tier/deployment.rs
@@ -121,7 +121,6 @@
     /// No address is free.
     pub fn add_worker(&mut self, service: &str) -> Result<Arc<Worker>, TierError> {
         let number = self.next_worker;
-        self.next_worker += 1;
         let work = match service {
             MODELS => Work::Model(ENGINE),
             _ => Work::Plain { capacity: 6, queue: 6, work: Duration::from_millis(15), answer_bytes: 800 },
@@ -143,7 +142,8 @@
     /// # Errors
     /// Its address is not free.
     pub fn start_worker(&mut self, spec: WorkerSpec) -> Result<Arc<Worker>, TierError> {
-        let id = format!("i-{}", self.workers.len() + 1);
+        self.next_worker += 1;
+        let id = format!("i-{}", self.next_worker);
         let worker = Worker::start(&id, spec, self.tier.controls.clone(), self.tier.log.clone())?;
         self.workers.push(worker.clone());
         Ok(worker)
@@ -156,12 +156,6 @@
         Client::new(self.tier.log.clone(), self.tier.platform.clone(), zone, hash)
     }
 
-    /// How many clients there have been.
-    #[must_use]
-    pub fn clients(&self) -> u64 {
-        self.next_client
-    }
-
     /// A program of four turns on a route, without tools.
     ///
     /// # Panics
--- a/lab/src/tier/fleet.rs
+++ b/lab/src/tier/fleet.rs
@@ -148,6 +148,15 @@
         machine.map(|m| m.ip).ok_or_else(|| TierError::NoMachine(name.to_owned()))
     }
 
+    /// What a machine is.
+    ///
+    /// # Errors
+    /// There is no such machine.
+    pub fn class(&self, name: &str) -> Result<Class, TierError> {
+        let machine = self.machines.iter().find(|m| m.name == name);
+        machine.map(|m| m.class).ok_or_else(|| TierError::NoMachine(name.to_owned()))
+    }
+
     fn machine(&mut self, name: &str) -> Result<&mut Machine, TierError> {
         let machine = self.machines.iter_mut().find(|m| m.name == name);
         machine.ok_or_else(|| TierError::NoMachine(name.to_owned()))
@@ -423,16 +432,6 @@
         self.machines.iter().find(|m| m.has_logged(text)).map(|m| m.name.clone())
     }
 
-    /// Starts every machine of which nothing runs.
-    ///
-    /// # Errors
-    /// Processes can't be started.
-    pub fn start_idle_machines(&mut self) -> Result<(), TierError> {
-        let idle: Vec<String> =
-            self.machines.iter().filter(|m| m.is_idle()).map(|m| m.name.clone()).collect();
-        idle.iter().try_for_each(|name| self.start_machine(name))
-    }
-
     /// Processes that have ended though nobody ended them.
     pub fn fallen(&mut self) -> Vec<String> {
         self.machines.iter_mut().flat_map(Machine::fallen).collect()
--- a/lab/src/tier/machine.rs
+++ b/lab/src/tier/machine.rs
@@ -168,12 +168,6 @@
         self.processes.iter().any(|p| p.logged_since_start().contains(text))
     }
 
-    /// Whether none of its processes runs.
-    #[must_use]
-    pub fn is_idle(&self) -> bool {
-        self.processes.iter().all(|p| p.child.is_none())
-    }
-
     /// Whether one of its processes has logged something.
     #[must_use]
     pub fn has_logged(&self, text: &str) -> bool {
--- a/lab/src/tier/mod.rs
+++ b/lab/src/tier/mod.rs
@@ -1,6 +1,7 @@
 //! The serving tier among stand-ins: real processes over loopback, with workers, clients, programs, an operator and
 //! a platform round them, and a judge that checks the rules on what these saw.
 
+pub mod arrivals;
 pub mod client;
 pub mod configuration;
 pub mod day;
@@ -15,6 +16,7 @@
 pub mod platform;
 pub mod program;
 pub mod settings_file;
+pub mod strike;
 #[cfg(test)]
 mod tests;
 pub mod worker;
