--- a/crates/gatekeeper/src/proxy/stream.rs
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -19,7 +19,7 @@
     time::{Duration, Instant},
 };
 use tokio::{sync::mpsc, time::timeout_at};
-use tracing::warn;
+use tracing::{info, warn};
 
 /// Events on their way to a client that does not read them yet.
 const EVENTS_AHEAD: usize = 16;
@@ -45,10 +45,21 @@
 enum Came {
     Bytes,
     End,
-    Broken,
+    Broken(Cause),
     ClientGone,
 }
 
+/// Why a worker's stream can't be read on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Cause {
+    /// The connection broke, or ended before the stream did.
+    Closed,
+    /// Nothing came for too long.
+    Silent,
+    /// What came is no event.
+    Garbled,
+}
+
 impl Stream {
     /// Waits for the first event until `until`.
     pub async fn begin(
@@ -70,7 +81,7 @@
             match stream.read_on(until).await {
                 Came::Bytes => {}
                 Came::End => return stream.without_events().await,
-                Came::Broken | Came::ClientGone => {
+                Came::Broken(_) | Came::ClientGone => {
                     stream.leave_worker();
                     return Tried::Ended(Outcome::MayHaveRun);
                 }
@@ -144,9 +155,9 @@
                 Came::Bytes => {}
                 Came::End => return self.end(&events).await,
                 Came::ClientGone => return,
-                Came::Broken => {
+                Came::Broken(cause) => {
                     self.leave_worker();
-                    if !self.take_up_elsewhere(&mut attempts, &mut tried).await {
+                    if !self.take_up_elsewhere(cause, &mut attempts, &mut tried).await {
                         return;
                     }
                 }
@@ -184,11 +195,13 @@
 
     /// Reads what comes next, until `until`.
     async fn read_on(&mut self, until: Instant) -> Came {
-        let Some(exchange) = &mut self.exchange else { return Came::Broken };
+        let Some(exchange) = &mut self.exchange else { return Came::Broken(Cause::Closed) };
         match timeout_at(until.into(), exchange.piece()).await {
             Ok(Ok(Some(bytes))) if self.reader.push(&bytes).is_ok() => Came::Bytes,
             Ok(Ok(None)) => Came::End,
-            Ok(Ok(Some(_)) | Err(BrokenOff)) | Err(_) => Came::Broken,
+            Ok(Ok(Some(_))) => Came::Broken(Cause::Garbled),
+            Ok(Err(BrokenOff)) => Came::Broken(Cause::Closed),
+            Err(_elapsed) => Came::Broken(Cause::Silent),
         }
     }
 
@@ -202,9 +215,15 @@
     }
 
     /// Goes on at another worker after the last event that the client has; `false`: nothing can be tried.
-    async fn take_up_elsewhere(&mut self, attempts: &mut Attempts, tried: &mut Vec<WorkerId>) -> bool {
+    async fn take_up_elsewhere(
+        &mut self,
+        cause: Cause,
+        attempts: &mut Attempts,
+        tried: &mut Vec<WorkerId>,
+    ) -> bool {
         // What came of an event that has not ended is no use: the next worker sends it whole.
         self.reader = EventReader::default();
+        info!(worker = &*self.worker, last_event = self.last_id, ?cause, "a stream broke off at its worker");
         let mut outcome = Outcome::MayHaveRun;
         while attempts.ended(outcome, self.request.time_left()) == Next::TryAnother {
             let Ok(chosen) = self.proxy.choose(&self.request, tried) else { return false };
--- a/crates/gatekeeper/src/proxy/upstream.rs
+++ b/crates/gatekeeper/src/proxy/upstream.rs
@@ -17,6 +17,7 @@
 };
 use std::{cell::RefCell, rc::Rc, time::Instant};
 use tokio::time::timeout_at;
+use tracing::info;
 
 /// Connections tried in a row that turn out to be dead before a byte is written.
 const MAX_DEAD_CONNECTIONS: u32 = 4;
@@ -163,13 +164,15 @@
                     lease.stale();
                     dead_connections += 1;
                 }
-                Ok(Err(_)) => {
+                Ok(Err(failure)) => {
+                    info!(worker = &*chosen.id, ?failure, "a worker broke off before its answer");
                     lease.cut_off();
                     self.failed(request, chosen);
                     return Err(outcome_of(&progress));
                 }
                 Err(_elapsed) => {
                     if until < request.until {
+                        info!(worker = &*chosen.id, "a worker was silent for too long");
                         self.failed(request, chosen);
                     }
                     return Err(outcome_of(&progress));
