--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -25,13 +25,13 @@
 pub type WorkerId = Arc<str>;
 
 /// Prompt tokens that one running request costs another.
-const TOKENS_OF_A_RUNNING_REQUEST: f64 = 60.0;
+const TOKENS_OF_A_RUNNING_REQUEST: f64 = 250.0;
 /// Prompt tokens that one waiting request of another gatekeeper stands for.
 const TOKENS_OF_A_WAITING_REQUEST: f64 = 1000.0;
 /// Prompt tokens by which each place in a subject's order of workers counts less.
-const TOKENS_OF_A_RANK: f64 = 120.0;
+const TOKENS_OF_A_RANK: f64 = 60.0;
 /// How much more a shared part counts that a worker would have to read: it takes time from others there, too.
-const SHARED_PART_WEIGHT: f64 = 2.0;
+const SHARED_PART_WEIGHT: f64 = 1.2;
 /// Share of a turn's prompt that the worker of the turn before it has probably kept.
 const SHARE_OF_A_CONTINUED_PROMPT: f64 = 0.8;
 /// Places in that order that are told apart.
