--- a/crates/control/src/host/links.rs
+++ b/crates/control/src/host/links.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Processes that have a link.
+    pub fn identities(&self) -> Vec<u64> {
+        self.routes.borrow().keys().copied().collect()
+    }
+
     fn writer(&self, identity: u64) -> Option<FrameWriter> {
         let address = *self.routes.borrow().get(&identity)?;
         self.links.borrow().get(&address)?.writer.borrow().clone()
--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -302,6 +302,12 @@
         self.follow_members();
     }
 
+    /// Other processes to which this one keeps links: members as its disk or its log says, and those that said hello.
+    #[must_use]
+    pub fn linked(&self) -> Vec<u64> {
+        self.links.identities()
+    }
+
     /// How long this process has not heard another one; at first since its own start.
     #[must_use]
     pub fn silent_for(&self, identity: u64) -> Duration {
--- a/crates/control/src/process/duties.rs
+++ b/crates/control/src/process/duties.rs
@@ -178,10 +178,10 @@
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             ticks.tick().await;
-            if !self.is_in_directory() {
-                self.admit(self.options.node.clone()).await;
-            } else if !self.lately_in_touch(CONFIGURATION_SHARD, MAY_BE_DROPPED) {
+            if !self.lately_in_touch(CONFIGURATION_SHARD, MAY_BE_DROPPED) {
                 self.say_hello_to_others().await;
+            } else if !self.is_in_directory() {
+                self.admit(self.options.node.clone()).await;
             }
         }
     }
@@ -193,7 +193,7 @@
     }
 
     async fn say_hello_to_others(&self) {
-        for identity in self.others() {
+        for identity in self.host.linked() {
             let call = ControlCall::Hello(self.options.node.clone());
             if self.ask(identity, &call, REPORT_LIMIT).await == Some(ControlAnswer::Done) {
                 return;
--- a/crates/control/tests/single.rs
+++ b/crates/control/tests/single.rs
@@ -2,10 +2,10 @@
 
 mod support;
 
-use opalrun_wire::feed::{Change, FeedRequest, FeedUpdate, STORE_PARTITIONS, WorkerState, shard_of_service};
+use opalrun_wire::feed::{Change, FeedUpdate, STORE_PARTITIONS, WorkerState, shard_of_service};
 use support::{
     FeedCaller, call, configuration, heartbeat, machines, put_configuration, read_configuration, run_local,
-    try_call,
+    run_store, try_call,
 };
 
 #[test]
@@ -171,15 +171,15 @@
         let machine = machines(1, 1, 0).remove(0);
         let _control = machine.start().await;
         let api = [machine.api()];
-        let mut one = FeedCaller::store(machine.feed(), 1, "storage-1").await;
-        let mut two = FeedCaller::store(machine.feed(), 2, "storage-2").await;
+        let _one = run_store(machine.feed(), 1, "storage-1");
+        let _two = run_store(machine.feed(), 2, "storage-2");
+        let mut gatekeeper = FeedCaller::gatekeeper(machine.feed(), "edge-1").await;
         let map = |change: &Change| match change {
             Change::StoreMap(map) => Some(map.clone()),
             _ => None,
         };
-        let first = one.wait_for(map).await;
+        let first = gatekeeper.wait_for(map).await;
         assert_eq!(first.partitions.len(), usize::from(STORE_PARTITIONS));
-        assert_eq!(two.wait_for(map).await, first);
         assert_eq!(
             call(&api, "POST", "/opalrun/retire/storage-9", "", "{\"deadline_s\":10}").await.status,
             404
@@ -191,16 +191,13 @@
             call(&api, "POST", "/opalrun/retire/storage-2", "", "{\"deadline_s\":10}").await.status,
             409
         );
-        loop {
-            let latest = two.wait_for(map).await;
-            let partitions = (0..STORE_PARTITIONS).collect();
-            two.send(&FeedRequest::ReplicasWhole { store: 2, epoch: latest.epoch, partitions });
-            let state = call(&api, "GET", "/opalrun/retire/storage-1", "", "").await;
-            if state.body == "{\"state\":\"completed\"}" {
-                return;
-            }
-            one.beat(0);
-        }
+        let emptied = |change: &Change| match change {
+            Change::StoreMap(map) => (map.stores.len() == 1).then_some(()),
+            _ => None,
+        };
+        gatekeeper.wait_for(emptied).await;
+        let state = call(&api, "GET", "/opalrun/retire/storage-1", "", "").await;
+        assert_eq!(state.body, "{\"state\":\"completed\"}");
     });
 }
 
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -4,10 +4,12 @@
 use opalrun_control::Control;
 use opalrun_net::{FrameReader, FrameWriter};
 use opalrun_settings::Settings;
-use opalrun_wire::feed::{Change, FeedRequest, FeedUpdate, Position, StoreNode, StoreState, Subscriber};
+use opalrun_wire::feed::{
+    Change, FeedRequest, FeedUpdate, Position, STORE_PARTITIONS, StoreNode, StoreState, Subscriber,
+};
 use std::{
     future::Future,
-    net::{IpAddr, Ipv4Addr, SocketAddr},
+    net::{Ipv4Addr, SocketAddr},
     path::Path,
     time::Duration,
 };
@@ -15,7 +17,7 @@
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
-    task::LocalSet,
+    task::{JoinHandle, LocalSet},
 };
 
 const CONTROL_PORT: u16 = 8144;
@@ -261,7 +263,23 @@
     }
 }
 
-/// The loopback address of a machine, for tests that build addresses themselves.
-pub fn ip(machine: &Machine) -> IpAddr {
-    machine.settings.ip
+/// A store that copies in no time: it says what it holds whenever the map changes, until the task is aborted.
+pub fn run_store(feed: SocketAddr, identity: u64, name: &str) -> JoinHandle<()> {
+    let name = name.to_owned();
+    tokio::task::spawn_local(async move {
+        let mut store = FeedCaller::store(feed, identity, &name).await;
+        loop {
+            let update = store.next().await;
+            store.beat(0);
+            let (FeedUpdate::Snapshot { changes, .. } | FeedUpdate::Changes { changes, .. }) = update else {
+                continue;
+            };
+            for change in changes {
+                if let Change::StoreMap(map) = change {
+                    let partitions = (0..STORE_PARTITIONS).collect();
+                    store.send(&FeedRequest::ReplicasWhole { store: identity, epoch: map.epoch, partitions });
+                }
+            }
+        }
+    })
 }
--- a/crates/control/tests/tier.rs
+++ b/crates/control/tests/tier.rs
@@ -4,11 +4,11 @@
 mod support;
 
 use opalrun_control::Control;
-use opalrun_wire::feed::{CONFIGURATION_SHARD, Change, WorkerState};
-use std::net::SocketAddr;
+use opalrun_wire::feed::{CONFIGURATION_SHARD, Change, FeedUpdate, Partition, WorkerState};
+use std::{collections::BTreeSet, net::SocketAddr};
 use support::{
     FeedCaller, Machine, call, configuration, heartbeat, machines, put_configuration, read_configuration,
-    run_local,
+    run_local, run_store,
 };
 
 async fn start_all(machines: &[Machine]) -> Vec<Control> {
@@ -179,3 +179,86 @@
         alone.end().await;
     });
 }
+
+#[test]
+fn a_process_that_was_dropped_comes_back_with_its_disk() {
+    run_local(async {
+        let machines = machines(4, 3, 1);
+        let mut controls = start_all(&machines).await;
+        let all = addresses(&machines);
+        assert_eq!(put_configuration(&all, 0, &configuration(1, 500)).await, 200);
+        let mut gatekeeper = FeedCaller::gatekeeper(machines[1].feed(), "edge-1").await;
+        let names = |wanted: &'static [&'static str]| {
+            move |change: &Change| match change {
+                Change::ControlNodes(nodes) => {
+                    let mut names: Vec<&str> = nodes.iter().map(|node| node.node_name.as_str()).collect();
+                    names.sort_unstable();
+                    (names == wanted).then_some(())
+                }
+                _ => None,
+            }
+        };
+        gatekeeper.wait_for(names(&["core-1", "core-2", "core-3", "core-4"])).await;
+        let dropped = controls.remove(3);
+        let identity = dropped.process().host().identity();
+        dropped.end().await;
+        gatekeeper.wait_for(names(&["core-1", "core-2", "core-3"])).await;
+        let back = machines[3].start().await;
+        assert_eq!(back.process().host().identity(), identity);
+        gatekeeper.wait_for(names(&["core-1", "core-2", "core-3", "core-4"])).await;
+        assert_eq!(read_configuration(&all[3..]).await.body, configuration(1, 500));
+    });
+}
+
+#[test]
+fn subscribers_are_sent_elsewhere_when_a_process_ends() {
+    run_local(async {
+        let machines = machines(3, 3, 1);
+        let mut controls = start_all(&machines).await;
+        let all = addresses(&machines);
+        assert_eq!(put_configuration(&all, 0, &configuration(1, 500)).await, 200);
+        let mut gatekeeper = FeedCaller::gatekeeper(machines[0].feed(), "edge-1").await;
+        gatekeeper.next().await;
+        let ending = tokio::task::spawn_local(controls.remove(0).end());
+        while gatekeeper.next().await != FeedUpdate::GoElsewhere {}
+        ending.await.expect("it ends");
+        assert_eq!(put_configuration(&all[1..], 1, &configuration(2, 500)).await, 200);
+    });
+}
+
+/// A store whose disk is lost while another machine is being emptied: every partition keeps a quorum of whole replicas,
+/// and both ends are reached.
+#[test]
+fn a_store_is_wiped_while_another_one_retires() {
+    run_local(async {
+        let machines = machines(3, 3, 1);
+        let _controls = start_all(&machines).await;
+        let all = addresses(&machines);
+        let feed = machines[0].feed();
+        let mut stores: Vec<_> =
+            (1..=4).map(|identity| run_store(feed, identity, &format!("storage-{identity}"))).collect();
+        let mut gatekeeper = FeedCaller::gatekeeper(machines[2].feed(), "edge-1").await;
+        let formed = |change: &Change| match change {
+            Change::StoreMap(map) => (map.stores.len() == 4).then_some(()),
+            _ => None,
+        };
+        gatekeeper.wait_for(formed).await;
+        let order = call(&all, "POST", "/opalrun/retire/storage-1", "", "{\"deadline_s\":10}").await;
+        assert_eq!(order.status, 200);
+        stores.remove(1).abort();
+        stores.push(run_store(machines[1].feed(), 12, "storage-2"));
+        let done = |change: &Change| match change {
+            Change::StoreMap(map) => {
+                let whole = |partition: &Partition| partition.replicas.iter().all(|replica| replica.whole);
+                let gone = map.stores.iter().all(|store| store.identity != 1);
+                (gone && map.partitions.iter().all(whole)).then(|| map.clone())
+            }
+            _ => None,
+        };
+        let map = gatekeeper.wait_for(done).await;
+        let identities: BTreeSet<u64> = map.stores.iter().map(|store| store.identity).collect();
+        assert_eq!(identities, BTreeSet::from([3, 4, 12]));
+        let state = call(&all, "GET", "/opalrun/retire/storage-1", "", "").await;
+        assert_eq!(state.body, "{\"state\":\"completed\"}");
+    });
+}
