--- a/lab/src/tier/day.rs
+++ b/lab/src/tier/day.rs
@@ -5,7 +5,7 @@
     arrivals::Arrivals,
     deployment::Deployment,
     fleet::{TierError, TierSpec},
-    judge::Broken,
+    judge::{Broken, EarlyStop, early_stops},
     observation::{MachineEvent, Observation, Outcome, Seen},
     program::{Ended, Told},
     strike::{ORDER_LIMIT, Strikes},
@@ -17,6 +17,8 @@
     time::{Duration, Instant},
 };
 
+/// Early stops that a summary names.
+const EARLY_STOPS_SHOWN: usize = 5;
 /// A day is so many times as long as the pause before each strike.
 const PAUSES: u32 = 12;
 
@@ -47,6 +49,8 @@
     /// What befell machines, and when.
     pub events: Vec<(u64, String)>,
     pub broken: Vec<Broken>,
+    /// Turns answered 402 though the budget held them.
+    pub early_stops: Vec<EarlyStop>,
     /// Processes that ended by themselves.
     pub fallen: Vec<String>,
     /// For each second: tries answered by success, refused, and failed.
@@ -90,6 +94,12 @@
             writeln!(f, "{:<28}{event}", format!("{:.1} s", *at_ms as f64 / 1e3))?;
         }
         writeln!(f, "{:<28}{}", "struck by", self.strikes.join(", "))?;
+        writeln!(f, "{:<28}{}", "402 while budget was left", self.early_stops.len())?;
+        for stop in self.early_stops.iter().take(EARLY_STOPS_SHOWN) {
+            let EarlyStop { at_ms, program, spent, most, budget } = stop;
+            let at_s = *at_ms as f64 / 1e3;
+            writeln!(f, "{:<28}{program} at {at_s:.3} s: {spent} + {most} of {budget}", "")?;
+        }
         for fallen in &self.fallen {
             writeln!(f, "{:<28}{fallen}", "ended by itself")?;
         }
@@ -117,6 +127,7 @@
         let mut summary =
             summary(machines, &told, &seen[from..], deployment.broken(), deployment.tier.fallen());
         summary.strikes = strikes;
+        summary.early_stops = early_stops(&seen, &self.tier.bounds);
         if !summary.passed() {
             summary.words = deployment.tier.log_tails();
         }
@@ -172,6 +183,7 @@
         broken,
         fallen,
         strikes: Vec::new(),
+        early_stops: Vec::new(),
         words: String::new(),
     }
 }
--- a/lab/src/tier/judge/mod.rs
+++ b/lab/src/tier/judge/mod.rs
@@ -10,6 +10,7 @@
 
 use super::observation::Seen;
 use index::Index;
+pub use programs::EarlyStop;
 use std::fmt;
 
 /// A rule of the tier, by the name that the operators give it.
@@ -25,6 +26,7 @@
     Configuration,
     Order,
     Lost,
+    Denied,
 }
 
 /// A broken rule.
@@ -53,6 +55,7 @@
     pub downgrade_ms: u64,
     pub grace_ms: u64,
     pub retention_ms: u64,
+    pub settle_ms: u64,
 }
 
 impl Default for Bounds {
@@ -64,10 +67,17 @@
             downgrade_ms: 250,
             grace_ms: 8000,
             retention_ms: 60_000,
+            settle_ms: 1000,
         }
     }
 }
 
+/// Turns that were answered 402 though their program's budget held them.
+#[must_use]
+pub fn early_stops(seen: &[Seen], bounds: &Bounds) -> Vec<EarlyStop> {
+    programs::early_stops(&Index::new(seen), bounds.settle_ms)
+}
+
 /// Every broken rule, in the order of time.
 #[must_use]
 pub fn judge(seen: &[Seen], bounds: &Bounds) -> Vec<Broken> {
--- a/lab/src/tier/judge/programs.rs
+++ b/lab/src/tier/judge/programs.rs
@@ -39,6 +39,58 @@
     beyond.map(report).collect()
 }
 
+/// A turn that was answered 402 though its program's budget held it: no broken rule, but a turn refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EarlyStop {
+    pub at_ms: u64,
+    pub program: String,
+    /// Units that may have been spent by then.
+    pub spent: u64,
+    pub most: u64,
+    pub budget: u64,
+}
+
+/// All of them. Turns count at their most until `settle_ms` after they ended whole, or as not run.
+pub fn early_stops(index: &Index<'_>, settle_ms: u64) -> Vec<EarlyStop> {
+    let mut stops = Vec::new();
+    for request in index.requests.values() {
+        let Some((at_ms, Outcome::Answered { status: 402, .. })) = request.ended else { continue };
+        let Some(program) = request.sent.and_then(|(_, sent)| sent.program.as_ref()) else { continue };
+        let Some(budget) = program.budget else { continue };
+        let spent = spent_by(index, &program.name, at_ms, settle_ms);
+        if spent + program.most <= budget {
+            let (program, most) = (program.name.clone(), program.most);
+            stops.push(EarlyStop { at_ms, program, spent, most, budget });
+        }
+    }
+    stops
+}
+
+/// The most that a program can have spent by a moment.
+fn spent_by(index: &Index<'_>, name: &str, at_ms: u64, settle_ms: u64) -> u64 {
+    let mut spent = 0;
+    for request in index.requests.values() {
+        let Some((sent_ms, sent)) = request.sent else { continue };
+        let Some(program) = sent.program.as_ref().filter(|p| p.name == name && p.budget.is_some()) else {
+            continue;
+        };
+        if sent_ms > at_ms {
+            continue;
+        }
+        let settled = request.ended.filter(|(ended_ms, _)| ended_ms + settle_ms <= at_ms);
+        spent += match settled {
+            Some((_, Outcome::Answered { status: 200..=299, .. })) => {
+                request.received.len() as u64 * program.chunk_tokens
+            }
+            Some((_, Outcome::Answered { status: 400..=499 | 503, .. })) => 0,
+            // What asks now is not counted against itself.
+            None if matches!(request.ended, Some((_, Outcome::Answered { status: 402, .. }))) => 0,
+            _ => program.most,
+        };
+    }
+    spent
+}
+
 /// Turns answered 404 or 410 though what they continue was answered whole less than the retention ago.
 fn lost_turns(index: &Index<'_>, bounds: &Bounds) -> Vec<Broken> {
     let mut broken = Vec::new();
--- a/lab/src/tier/judge/requests.rs
+++ b/lab/src/tier/judge/requests.rs
@@ -1,4 +1,4 @@
-//! MIXED, UNASKED, TWICE, REFUSED, BUDGET of tries, and ROUTE.
+//! MIXED, UNASKED, TWICE, REFUSED, BUDGET of tries, ROUTE, and DENIED.
 
 use super::{
     Broken, Rule,
@@ -12,12 +12,15 @@
 
 /// Requests that may run on more workers than their route allows before it counts.
 const ATTEMPTS_ALLOWANCE: usize = 3;
+/// Proper requests that may be denied before it counts, besides one of so many.
+const DENIED_ALLOWANCE: usize = 5;
+const DENIED_ONE_IN: usize = 500;
 /// How far back a chain of turns is followed.
 const MOST_TURNS: usize = 1000;
 
 pub fn check(index: &Index<'_>) -> Vec<Broken> {
     let mut broken = Vec::new();
-    let mut beyond_attempts = Vec::new();
+    let (mut beyond_attempts, mut all_denied) = (Vec::new(), Vec::new());
     for (id, request) in &index.requests {
         broken.extend(unasked(index, id, request));
         broken.extend(twice(id, request));
@@ -25,6 +28,10 @@
         broken.extend(mixed(id, request));
         broken.extend(route(index, id, request));
         beyond_attempts.extend(attempts(index, id, request));
+        all_denied.extend(denied(index, id, request));
+    }
+    if all_denied.len() > DENIED_ALLOWANCE + index.requests.len() / DENIED_ONE_IN {
+        broken.extend(all_denied);
     }
     if beyond_attempts.len() > ATTEMPTS_ALLOWANCE {
         broken.extend(beyond_attempts);
@@ -165,3 +172,17 @@
     let what = format!("{id} ran at {} workers, of {} allowed", workers.len(), sent.max_attempts);
     Some(Broken { rule: Rule::Budget, at_ms: last.at_ms, what })
 }
+
+/// A 3xx or 4xx of the tier's own to a request that every configuration so far allows. A 402 has rules of its own, and so
+/// has a turn that is not found.
+fn denied(index: &Index<'_>, id: &str, request: &Request<'_>) -> Option<Broken> {
+    let (_, sent) = request.sent?;
+    let (at_ms, Outcome::Answered { status, signature: None, .. }) = request.ended? else { return None };
+    let own = matches!(status, 300..=399 | 400 | 401 | 403..=407 | 409..=420 | 422..=428 | 430..=499);
+    let allowed = index.versions.iter().filter(|v| v.valid);
+    let proper = allowed.into_iter().all(|v| services_for(&v.json, &sent.host, &sent.path).is_some());
+    if !own || !proper || sent.previous.is_some() {
+        return None;
+    }
+    Some(Broken { rule: Rule::Denied, at_ms, what: format!("{id} was answered {status}") })
+}
--- a/lab/src/tier/judge/tests.rs
+++ b/lab/src/tier/judge/tests.rs
@@ -327,3 +327,37 @@
     story.sent("a", RouteKind::Unsafe).machine(MachineEvent::Terminated).ended("a", closed());
     assert_eq!(story.rules(), [], "it was not passed on");
 }
+
+#[test]
+fn denied_requests_count_once_they_are_many() {
+    let denied = |count: usize| {
+        let mut story = Story::new();
+        for number in 0..count {
+            let request = format!("r{number}");
+            story.sent(&request, RouteKind::Safe).refused(&request, 400);
+        }
+        story.rules()
+    };
+    assert_eq!(denied(5), []);
+    assert_eq!(denied(6), [Rule::Denied; 6]);
+}
+
+#[test]
+fn a_402_is_early_while_the_budget_holds_another_turn() {
+    let stops = |budget: u64, later_ms: u64| {
+        let facts = ProgramFacts { name: "p".to_owned(), budget: Some(budget), most: 30, chunk_tokens: 3 };
+        let mut story = Story::new();
+        story.turn("t", None, "t", 2, &[1, 2]).later(later_ms);
+        story.sent("u", STREAMING).refused("u", 402);
+        for seen in &mut story.seen {
+            if let Observation::TrySent(sent) = &mut seen.what {
+                Arc::make_mut(sent).program = Some(facts.clone());
+            }
+        }
+        early_stops(&story.seen, &Bounds::default()).into_iter().map(|s| s.spent).collect::<Vec<_>>()
+    };
+    assert_eq!(stops(36, 1000), [6], "two events were spent, and thirty units are left");
+    assert!(stops(35, 1000).is_empty());
+    assert!(stops(36, 0).is_empty(), "the turn before counts at its most until it has settled");
+    assert_eq!(stops(60, 0), [30]);
+}
