--- a/crates/store/tests/cluster/main.rs
+++ b/crates/store/tests/cluster/main.rs
@@ -3,4 +3,5 @@
 mod copying;
 mod counts;
 mod harness;
+mod silent;
 mod turns;
