--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -302,6 +302,15 @@
         self.follow_members();
     }
 
+    /// The identities of a shard's voters, as this process's log says.
+    #[must_use]
+    pub fn voters(&self, shard: u16) -> Vec<u64> {
+        self.with_group(shard, |group| {
+            let members = &group.replica.membership().members;
+            members.iter().filter(|member| member.voter).map(|member| member.identity).collect()
+        })
+    }
+
     /// Other processes to which this one keeps links: members as its disk or its log says, and those that said hello.
     #[must_use]
     pub fn linked(&self) -> Vec<u64> {
--- a/crates/control/tests/tier.rs
+++ b/crates/control/tests/tier.rs
@@ -3,7 +3,7 @@
 
 mod support;
 
-use opalrun_control::Control;
+use opalrun_control::{Control, shards::SHARDS};
 use opalrun_wire::feed::{CONFIGURATION_SHARD, Change, FeedUpdate, Partition, WorkerState};
 use std::{collections::BTreeSet, net::SocketAddr};
 use support::{
@@ -27,6 +27,17 @@
     controls.iter().position(|control| control.process().host().is_owner(CONFIGURATION_SHARD))
 }
 
+/// Waits until all groups have exactly these processes as voters. The feed's updates come often enough to look again.
+async fn wait_for_voters(observer: &Control, gatekeeper: &mut FeedCaller, wanted: &[&Control]) {
+    let identity = |control: &&Control| control.process().host().identity();
+    let wanted: BTreeSet<u64> = wanted.iter().map(identity).collect();
+    let host = observer.process().host();
+    while !(0..SHARDS).all(|shard| host.voters(shard).into_iter().collect::<BTreeSet<u64>>() == wanted) {
+        gatekeeper.next().await;
+        gatekeeper.beat(0);
+    }
+}
+
 #[test]
 fn an_order_is_taken_and_read_at_any_process() {
     run_local(async {
@@ -135,6 +146,7 @@
         };
         gatekeeper.wait_for(replaced).await;
         assert_eq!(read_configuration(&all[..1]).await.body, configuration(1, 500));
+        wait_for_voters(&controls[0], &mut gatekeeper, &[&controls[0], &controls[1], &back]).await;
         // With the wiped one whole again, another may be lost.
         controls.remove(0).end().await;
         assert_eq!(put_configuration(&all, 1, &configuration(2, 500)).await, 200);
@@ -150,7 +162,7 @@
         let all = addresses(&machines);
         assert_eq!(put_configuration(&all[..3], 0, &configuration(1, 500)).await, 200);
         controls.remove(0).end().await;
-        let _new = machines[3].start().await;
+        let new = machines[3].start().await;
         let mut gatekeeper = FeedCaller::gatekeeper(machines[1].feed(), "edge-1").await;
         let replaced = |change: &Change| match change {
             Change::ControlNodes(nodes) => {
@@ -160,6 +172,7 @@
             _ => None,
         };
         gatekeeper.wait_for(replaced).await;
+        wait_for_voters(&controls[0], &mut gatekeeper, &[&controls[0], &controls[1], &new]).await;
         controls.remove(0).end().await;
         assert_eq!(put_configuration(&all[2..], 1, &configuration(2, 500)).await, 200);
     });
