--- a/crates/replication/tests/simulation/main.rs
+++ b/crates/replication/tests/simulation/main.rs
@@ -93,3 +93,32 @@
         world.settle();
     }
 }
+
+#[test]
+fn a_member_that_was_taken_out_does_not_disturb_and_can_come_back() {
+    for seed in 0..50 {
+        let mut world = World::new(seed, 4, 1, QUIET);
+        world.run(2_000);
+        let excluded = seed as usize % 4;
+        world.exclude(Some(excluded));
+        world.run(3_000);
+        assert_eq!(world.voters().len(), 3, "seed {seed}");
+        let terms = world.terms_with_leader();
+        world.run(5_000);
+        assert_eq!(world.terms_with_leader(), terms, "seed {seed}: the group was disturbed");
+        world.exclude(None);
+        world.settle();
+        assert_eq!(world.voters().len(), 4, "seed {seed}");
+    }
+}
+
+#[test]
+fn a_group_does_not_shrink_below_what_it_needs() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, 1, QUIET);
+        world.run(2_000);
+        world.exclude(Some(seed as usize % 3));
+        world.run(3_000);
+        assert_eq!(world.voters().len(), 3, "seed {seed}");
+    }
+}
--- a/crates/replication/tests/simulation/world.rs
+++ b/crates/replication/tests/simulation/world.rs
@@ -138,6 +138,8 @@
     wiped_at: u64,
     healthy: bool,
     clients_rest: bool,
+    /// A node that is not to be a member for now.
+    excluded: Option<usize>,
 }
 
 impl World {
@@ -170,6 +172,7 @@
             wiped_at: 0,
             healthy: false,
             clients_rest: false,
+            excluded: None,
         };
         for address in 0..nodes {
             let base = SnapshotHeader { index: 0, term: 0, membership: first_members.clone() };
@@ -217,6 +220,17 @@
         self.handle_output(node);
     }
 
+    /// Takes a node out of the members, or lets all in again.
+    pub fn exclude(&mut self, node: Option<usize>) {
+        self.excluded = node;
+    }
+
+    pub fn voters(&self) -> Vec<u64> {
+        let leader = self.leader().expect("there is a leader");
+        let replica = self.nodes[leader].replica.as_ref().expect("it runs");
+        replica.membership().voters().collect()
+    }
+
     /// Ends all troubles and checks that the group works again and that nothing acknowledged is lost.
     pub fn settle(&mut self) {
         self.healthy = true;
@@ -311,7 +325,8 @@
     }
 
     fn tick(&mut self) {
-        let desired: Vec<Member> = self.nodes.iter().map(as_member).collect();
+        let stays = |node: &&Node| Some(node.address) != self.excluded;
+        let desired: Vec<Member> = self.nodes.iter().filter(stays).map(as_member).collect();
         for index in 0..self.nodes.len() {
             if let Some(replica) = &mut self.nodes[index].replica {
                 replica.set_desired_members(desired.clone());
