--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -2,7 +2,7 @@
 //! thread for the disk.
 //!
 //! Everything but the disk runs on the thread of a `LocalSet`. Inputs (calls, frames, ticks, finished writes) change the
-//! groups and wake the [`driver`], which then does at once what all groups ask for: one frame for each peer, one job for
+//! groups and wake the driver, which then does at once what all groups ask for: one frame for each peer, one job for
 //! the disk with one sync, and the entries to apply.
 
 mod calls;
