--- a/crates/net/src/feed_client/mod.rs
+++ b/crates/net/src/feed_client/mod.rs
@@ -247,12 +247,13 @@
             }
             let wake = if self.only_seeds { next_heartbeat } else { next_heartbeat.min(stale_at) };
             let update = tokio::select! {
-                update = reader.next::<FeedUpdate>() => update?,
-                () = sleep_until(wake) => continue,
+                update = reader.next::<FeedUpdate>() => Some(update?),
+                () = sleep_until(wake) => None,
             };
             if now.elapsed() > ASLEEP_LIMIT {
                 return Ok(Left::Asleep);
             }
+            let Some(update) = update else { continue };
             match update {
                 None => return Ok(Left::Ended),
                 Some(FeedUpdate::GoElsewhere) => return Ok(Left::SentElsewhere),
--- a/crates/net/tests/feed_client.rs
+++ b/crates/net/tests/feed_client.rs
@@ -175,10 +175,10 @@
 #[test]
 fn the_only_server_is_kept_though_it_is_not_in_touch() {
     run(async {
-        tokio::time::pause();
         let [server] = listeners().await;
         let (_client, _events) = subscribe(&[&server], true);
         let mut session = accept(&server).await;
+        tokio::time::pause();
         for _ in 0..10 {
             assert!(session.reader.next::<FeedRequest>().await.unwrap().is_some());
         }
@@ -232,15 +232,15 @@
 #[test]
 fn a_process_that_was_stopped_subscribes_anew_before_it_trusts_what_it_reads() {
     run(async {
-        tokio::time::pause();
         let [server] = listeners().await;
         let (_client, mut events) = subscribe(&[&server], true);
-        let mut session = accept(&server).await;
-        assert!(session.reader.next::<FeedRequest>().await.unwrap().is_some());
+        let session = accept(&server).await;
+        tokio::time::pause();
         session.writer.send(&FeedUpdate::Fresh { gatekeepers: 1 }).unwrap();
         session.writer.send(&snapshot(0, 3)).unwrap();
         // The time passes before the client can read.
         tokio::time::advance(std::time::Duration::from_secs(5)).await;
+        tokio::time::resume();
         let session = accept(&server).await;
         assert_eq!(session.positions, [0, 0]);
         session.writer.send(&FeedUpdate::Fresh { gatekeepers: 2 }).unwrap();
