--- a/lab/src/tier/day.rs
+++ b/lab/src/tier/day.rs
@@ -17,6 +17,8 @@
     time::{Duration, Instant},
 };
 
+/// Broken rules that a summary names.
+const BROKEN_SHOWN: usize = 20;
 /// Early stops that a summary names.
 const EARLY_STOPS_SHOWN: usize = 5;
 /// A day is so many times as long as the pause before each strike.
@@ -103,7 +105,7 @@
         for fallen in &self.fallen {
             writeln!(f, "{:<28}{fallen}", "ended by itself")?;
         }
-        for broken in &self.broken {
+        for broken in self.broken.iter().take(BROKEN_SHOWN) {
             writeln!(f, "{:<28}{broken}", "broken")?;
         }
         f.write_str(&self.words)
--- a/lab/src/tier/strike.rs
+++ b/lab/src/tier/strike.rs
@@ -10,8 +10,10 @@
 use rand_chacha::ChaCha8Rng;
 use std::{sync::Arc, time::Duration};
 
-/// How long what was killed or frozen stays so.
+/// How long what is killed on the usual day stays down.
 const DOWN: Duration = Duration::from_millis(800);
+/// Bounds of what is drawn for it, in milliseconds.
+const DRAWN_DOWN_MS: (u64, u64) = (50, 6000);
 /// How long a machine with a disk counts as lost after it is back: no other may be lost meanwhile.
 const CATCH_UP: Duration = Duration::from_millis(4400);
 /// How long an order may take.
@@ -33,10 +35,10 @@
 pub enum Strike {
     /// The owner of the configuration is killed and comes back.
     KillOwner,
-    /// A machine is killed and comes back.
-    Kill(String),
-    /// A machine freezes and wakes.
-    Freeze(String),
+    /// A machine is killed and comes back after a time.
+    Kill(String, Duration),
+    /// A machine freezes and wakes after a time.
+    Freeze(String, Duration),
     /// A machine loses its disk and comes back empty.
     Wipe(String),
     /// A machine is stopped by SIGTERM and started again.
@@ -75,7 +77,7 @@
         let usual = vec![
             Strike::KillOwner,
             Strike::ChangeConfiguration,
-            Strike::Kill(killed),
+            Strike::Kill(killed, DOWN),
             Strike::WorkerLeaves,
             Strike::Stop(stopped),
         ];
@@ -102,8 +104,8 @@
     fn takes_disk(&self) -> bool {
         match self {
             Self::KillOwner | Self::LosePower => true,
-            Self::Kill(name)
-            | Self::Freeze(name)
+            Self::Kill(name, _)
+            | Self::Freeze(name, _)
             | Self::Wipe(name)
             | Self::Stop(name)
             | Self::Replace(name) => !name.starts_with(Class::Edge.name()),
@@ -129,12 +131,12 @@
         match self {
             Self::KillOwner => {
                 let owner = tier.who_logged(OWNER_LOG).unwrap_or_else(|| "core-1".to_owned());
-                kill(deployment, &owner).await
+                kill(deployment, &owner, DOWN).await
             }
-            Self::Kill(name) => kill(deployment, name).await,
-            Self::Freeze(name) => {
+            Self::Kill(name, down) => kill(deployment, name, *down).await,
+            Self::Freeze(name, down) => {
                 tier.freeze(name)?;
-                tokio::time::sleep(DOWN).await;
+                tokio::time::sleep(*down).await;
                 tier.thaw(name)
             }
             Self::Wipe(name) => {
@@ -184,9 +186,9 @@
     }
 }
 
-async fn kill(deployment: &mut Deployment, name: &str) -> Result<(), TierError> {
+async fn kill(deployment: &mut Deployment, name: &str, down: Duration) -> Result<(), TierError> {
     deployment.tier.kill(name).await?;
-    tokio::time::sleep(DOWN).await;
+    tokio::time::sleep(down).await;
     deployment.tier.start_machine(name)
 }
 
@@ -221,9 +223,11 @@
     let names = deployment.tier.names();
     let any = names.choose(rng).cloned().unwrap_or_default();
     let is_edge = any.starts_with(Class::Edge.name());
+    let (least, most) = DRAWN_DOWN_MS;
+    let down = Duration::from_millis(rng.random_range(least..most));
     match rng.random_range(0..14) {
-        0 | 1 => Strike::Kill(any),
-        2 | 3 => Strike::Freeze(any),
+        0 | 1 => Strike::Kill(any, down),
+        2 | 3 => Strike::Freeze(any, down),
         4 if !is_edge => Strike::Wipe(any),
         4 | 5 => Strike::Stop(any),
         6 => Strike::Reload(any),
