--- a/crates/gatekeeper/src/proxy/body.rs
+++ b/crates/gatekeeper/src/proxy/body.rs
@@ -4,8 +4,8 @@
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use snafu::Snafu;
-use std::{cell::Cell, rc::Rc, time::Instant};
-use tokio::time::timeout_at;
+use std::{cell::Cell, rc::Rc};
+use tokio::time::{Instant, timeout_at};
 
 /// Why a body could not be read.
 #[derive(Debug, Snafu, Clone, Copy, PartialEq, Eq)]
@@ -95,7 +95,7 @@
     let mut joined = BytesMut::new();
     let mut length = 0;
     loop {
-        let frame = timeout_at(until.into(), body.frame()).await.map_err(|_| BodyError::TooSlow)?;
+        let frame = timeout_at(until, body.frame()).await.map_err(|_| BodyError::TooSlow)?;
         let Some(frame) = frame else { break };
         let Ok(data) = frame.map_err(|_| BodyError::Broken)?.into_data() else { continue };
         length += data.len();
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -18,11 +18,8 @@
     body::ResponseBody,
     server::{Client, Handler},
 };
-use std::{
-    rc::Rc,
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{rc::Rc, sync::Arc, time::Duration};
+use tokio::time::Instant;
 
 /// Time to come back after while no configuration is known.
 const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(300);
--- a/crates/gatekeeper/src/proxy/request.rs
+++ b/crates/gatekeeper/src/proxy/request.rs
@@ -4,10 +4,8 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, Method, Uri};
 use opalrun_configuration::Route;
-use std::{
-    sync::Arc,
-    time::{Duration, Instant},
-};
+use std::{sync::Arc, time::Duration};
+use tokio::time::Instant;
 
 /// Kept of the client's time for the answer's way back.
 const ANSWER_MARGIN: Duration = Duration::from_millis(15);
--- a/crates/gatekeeper/src/proxy/stream.rs
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -14,11 +14,11 @@
 use bytes::Bytes;
 use hyper::Response;
 use opalrun_transport::body::{Gathered, MemoryBudget, Piece, ResponseBody};
-use std::{
-    rc::Rc,
-    time::{Duration, Instant},
+use std::{rc::Rc, time::Duration};
+use tokio::{
+    sync::mpsc,
+    time::{Instant, timeout_at},
 };
-use tokio::{sync::mpsc, time::timeout_at};
 use tracing::{info, warn};
 
 /// Events on their way to a client that does not read them yet.
@@ -196,7 +196,7 @@
     /// Reads what comes next, until `until`.
     async fn read_on(&mut self, until: Instant) -> Came {
         let Some(exchange) = &mut self.exchange else { return Came::Broken(Cause::Closed) };
-        match timeout_at(until.into(), exchange.piece()).await {
+        match timeout_at(until, exchange.piece()).await {
             Ok(Ok(Some(bytes))) if self.reader.push(&bytes).is_ok() => Came::Bytes,
             Ok(Ok(None)) => Came::End,
             Ok(Ok(Some(_))) => Came::Broken(Cause::Garbled),
--- a/crates/gatekeeper/src/proxy/upstream.rs
+++ b/crates/gatekeeper/src/proxy/upstream.rs
@@ -15,8 +15,8 @@
     connection::{Failure, Progress},
     pool::{Lease, NoConnection},
 };
-use std::{cell::RefCell, rc::Rc, time::Instant};
-use tokio::time::timeout_at;
+use std::{cell::RefCell, rc::Rc};
+use tokio::time::{Instant, timeout_at};
 use tracing::info;
 
 /// Connections tried in a row that turn out to be dead before a byte is written.
@@ -108,7 +108,7 @@
     async fn collect(&mut self, until: Instant) -> Result<Bytes, BrokenOff> {
         let mut first: Option<Bytes> = None;
         let mut joined = BytesMut::new();
-        while let Some(data) = timeout_at(until.into(), self.piece()).await.map_err(|_| BrokenOff)?? {
+        while let Some(data) = timeout_at(until, self.piece()).await.map_err(|_| BrokenOff)?? {
             if joined.len() + data.len() > MAX_ANSWER_BYTES {
                 return Err(BrokenOff);
             }
@@ -152,7 +152,7 @@
             let mut lease = self.connect(request, chosen, until).await?;
             let progress = lease.progress();
             let message = request_for(request, chosen, until, last_event_id);
-            let sent = timeout_at(until.into(), lease.connection().send(message)).await;
+            let sent = timeout_at(until, lease.connection().send(message)).await;
             match sent {
                 Ok(Ok(response)) => {
                     lease.heard();
@@ -187,7 +187,7 @@
         chosen: &Chosen,
         until: Instant,
     ) -> Result<Lease, Outcome> {
-        let lease = timeout_at(until.into(), self.pools.lease(&chosen.id)).await;
+        let lease = timeout_at(until, self.pools.lease(&chosen.id)).await;
         match lease {
             Ok(Ok(lease)) => Ok(lease),
             Ok(Err(NoConnection::Refused | NoConnection::TimedOut)) => {
--- a/crates/gatekeeper/tests/proxy/main.rs
+++ b/crates/gatekeeper/tests/proxy/main.rs
@@ -4,5 +4,6 @@
 mod forwarding;
 mod planned_work;
 mod programs;
+mod silence;
 mod stores;
 mod streams;
--- /dev/null
+++ b/crates/gatekeeper/tests/proxy/silence.rs
@@ -0,0 +1,75 @@
+//! Workers that fall silent. The clock stands still until a request has reached its worker, and then runs ahead.
+
+use crate::fakes::{
+    Act, CONFIGURATION, FakeWorker, Gatekeeper, LAST_CHUNK, Message, Reader, answer, event, events, request,
+    run, stream_head,
+};
+use std::rc::Rc;
+use tokio::{io::AsyncWriteExt, sync::Notify};
+
+/// Sends a request to a gatekeeper whose only worker is `silent`, and lets time run once it is there and `other` has
+/// been listed, too.
+async fn call(text: &str, silent: &FakeWorker, other: &FakeWorker) -> Option<Message> {
+    let gatekeeper = Gatekeeper::with(&[silent]).await;
+    let short = CONFIGURATION.replace("\"gap_aim_ms\":5000", "\"gap_aim_ms\":300");
+    gatekeeper.configure(2, &short.replace("\"target_latency_ms\":5000", "\"target_latency_ms\":200"));
+    let mut socket = gatekeeper.connect().await;
+    socket.write_all(text.as_bytes()).await.expect("it reads");
+    silent.came.notified().await;
+    gatekeeper.list(&[silent, other]);
+    tokio::time::pause();
+    let answer = Reader::new(&mut socket).message().await;
+    tokio::time::resume();
+    answer
+}
+
+#[test]
+fn a_safe_request_leaves_a_silent_worker_in_time() {
+    run(async {
+        let silent = FakeWorker::start("w1", vec![Act::Silence]).await;
+        let good = FakeWorker::start("w2", vec![answer("200 OK", "", "served")]).await;
+        let answer = call(&request("GET", "/safe/a", "id", "", ""), &silent, &good).await.expect("an answer");
+        assert_eq!((answer.status(), &answer.body[..]), (200, &b"served"[..]));
+        assert_eq!((silent.count(), good.count()), (1, 1));
+    });
+}
+
+#[test]
+fn an_unsafe_request_waits_for_its_worker_until_its_client_gives_up() {
+    run(async {
+        let silent = FakeWorker::start("w1", vec![Act::Silence]).await;
+        let good = FakeWorker::start("w2", vec![answer("200 OK", "", "served")]).await;
+        let answer =
+            call(&request("POST", "/unsafe/a", "id", "", ""), &silent, &good).await.expect("an answer");
+        assert_eq!(answer.status(), 504, "it may have run, or run yet");
+        assert_eq!(good.count(), 0);
+    });
+}
+
+#[test]
+fn a_resumable_stream_goes_on_elsewhere_after_a_long_pause() {
+    run(async {
+        let act = Act::SendWaitSend(stream_head() + &events(1, 2), Rc::new(Notify::new()), String::new());
+        let silent = FakeWorker::start("w1", vec![act]).await;
+        let rest = Act::Send(stream_head() + &events(3, 4) + LAST_CHUNK);
+        let good = FakeWorker::start("w2", vec![rest]).await;
+        let answer =
+            call(&request("POST", "/resume/a", "id", "", ""), &silent, &good).await.expect("an answer");
+        assert_eq!(answer.body, (1..=4).map(event).collect::<String>().into_bytes());
+        assert_eq!(good.request(0).header("last-event-id"), Some("2"));
+    });
+}
+
+#[test]
+fn a_stream_that_must_not_run_twice_stays_with_its_worker() {
+    run(async {
+        let act = Act::SendWaitSend(stream_head() + &events(1, 2), Rc::new(Notify::new()), String::new());
+        let silent = FakeWorker::start("w1", vec![act]).await;
+        let good = FakeWorker::start("w2", vec![answer("200 OK", "", "served")]).await;
+        assert!(
+            call(&request("POST", "/stream/a", "id", "", ""), &silent, &good).await.is_none(),
+            "it is cut"
+        );
+        assert_eq!(good.count(), 0);
+    });
+}
