Gatekeepers among many prefer workers of a subset of their own

Cause: 77 gatekeepers put new sessions on the same few model workers, because the order of a subject's workers is the same everywhere and each gatekeeper sees one 77th of the load: 47 of 60 workers got no request, and prompts waited for seconds. Now each prefers a subset, drawn by rendezvous hashing from the workers of its zone first; others serve while it is busy. Where the subset would be the whole service, as at few gatekeepers, nothing changes.

--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -8,6 +8,7 @@
 mod health;
 mod load;
 mod prefix;
+mod subset;
 #[cfg(test)]
 mod tests;
 mod worker;
@@ -15,9 +16,12 @@
 pub use load::LoadReport;
 pub use prefix::PromptPart;
 
-use crate::proxy::balance::worker::WorkerEntry;
+use crate::proxy::balance::{
+    subset::{Subset, rendezvous},
+    worker::WorkerEntry,
+};
 use fnv::FnvHashMap;
-use opalrun_wire::feed::{self, stable_hash};
+use opalrun_wire::feed;
 use std::sync::Arc;
 use std::{rc::Rc, time::Duration};
 
@@ -36,6 +40,10 @@
 const SHARE_OF_A_CONTINUED_PROMPT: f64 = 0.8;
 /// Places in that order that are told apart.
 const RANKS: usize = 6;
+/// What a worker outside this gatekeeper's subset is set back by, in prompt tokens.
+const TOKENS_OUTSIDE: f64 = 2000.0;
+/// What a worker in another zone is set back by there, in prompt tokens.
+const TOKENS_OF_ANOTHER_ZONE: f64 = 500.0;
 /// What a worker without a free place is set back by, in prompt tokens.
 const TOKENS_WITHOUT_PLACE: f64 = 100_000.0;
 /// What a worker in another zone is set back by, as a share of its places.
@@ -106,13 +114,38 @@
     workers: FnvHashMap<WorkerId, WorkerEntry>,
     /// Tokens that a worker's memory holds; 0: the service runs no language model.
     memory_tokens: u32,
+    subset: Subset,
+    /// There are so many gatekeepers that each has a subset of its own.
+    has_subset: bool,
 }
 
 impl Balancer {
-    /// For a gatekeeper in `zone`.
+    /// For a gatekeeper in `zone`, which `gatekeeper` tells from others.
     #[must_use]
-    pub fn new(zone: &str) -> Self {
-        Self { zone: zone.to_owned(), workers: FnvHashMap::default(), memory_tokens: 0 }
+    pub fn new(zone: &str, gatekeeper: u64) -> Self {
+        Self {
+            zone: zone.to_owned(),
+            workers: FnvHashMap::default(),
+            memory_tokens: 0,
+            subset: Subset { gatekeeper, gatekeepers: 1 },
+            has_subset: false,
+        }
+    }
+
+    /// So many gatekeepers share the service.
+    pub fn set_gatekeepers(&mut self, gatekeepers: u32) {
+        if self.subset.gatekeepers != gatekeepers {
+            self.subset.gatekeepers = gatekeepers;
+            self.draw_subset();
+        }
+    }
+
+    fn draw_subset(&mut self) {
+        let ready = self.workers.iter().filter(|(_, worker)| worker.is_ready());
+        let ready: Vec<(WorkerId, bool)> = ready.map(|(id, worker)| (id.clone(), worker.local)).collect();
+        self.has_subset = self.subset.is_part_of(ready.len());
+        let subset = self.subset.choose(&ready);
+        self.workers.iter_mut().for_each(|(id, worker)| worker.in_subset = subset.contains(id));
     }
 
     /// Tokens that a worker's memory holds; 0 for a service without a language model.
@@ -131,6 +164,7 @@
                 .or_insert_with(|| WorkerEntry::new(now, worker, local));
         }
         self.workers.retain(|_, worker| worker.listed || worker.in_flight > 0);
+        self.draw_subset();
     }
 
     /// Whether the service has a worker that takes requests.
@@ -199,8 +233,10 @@
         let Some(subject) = parts.first().filter(|_| self.memory_tokens > 0) else {
             return FnvHashMap::default();
         };
+        // The same order everywhere would crowd a subject's home where each gatekeeper sees little of its load.
+        let key = if self.has_subset { subject.id ^ self.subset.gatekeeper } else { subject.id };
         let mut order: Vec<(u64, &'a WorkerId)> =
-            candidates.iter().map(|(id, _)| (rendezvous(subject.id, id), *id)).collect();
+            candidates.iter().map(|(id, _)| (rendezvous(key, id), *id)).collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
         order.into_iter().take(RANKS).enumerate().map(|(rank, (_, id))| (id, rank)).collect()
     }
@@ -217,7 +253,7 @@
             return plain_score(now, worker);
         }
         let mut cached = worker.prefixes.cached_tokens(choice.parts);
-        if rank == 0 && cached == 0 && choice.parts.len() > 1 {
+        if !self.has_subset && rank == 0 && cached == 0 && choice.parts.len() > 1 {
             // Another gatekeeper has probably sent the subject there.
             cached = choice.parts.first().map_or(0, |part| part.tokens) / 2;
         }
@@ -235,7 +271,17 @@
         let running = load.total() * TOKENS_OF_A_RUNNING_REQUEST;
         let waiting = load.others_waiting * TOKENS_OF_A_WAITING_REQUEST;
         let full = if load.total() >= f64::from(worker.capacity) { TOKENS_WITHOUT_PLACE } else { 0.0 };
-        unread + running + waiting + full + rank as f64 * TOKENS_OF_A_RANK
+        unread + running + waiting + full + rank as f64 * TOKENS_OF_A_RANK + self.tokens_outside(worker)
+    }
+
+    /// What a worker is set back by that is not among those this gatekeeper prefers.
+    fn tokens_outside(&self, worker: &WorkerEntry) -> f64 {
+        if !self.has_subset {
+            return 0.0;
+        }
+        let outside = if worker.in_subset { 0.0 } else { TOKENS_OUTSIDE };
+        let far = if worker.local { 0.0 } else { TOKENS_OF_ANOTHER_ZONE };
+        outside + far
     }
 
     /// Whether a worker's queue is too long for a request of this rank.
@@ -330,10 +376,3 @@
     }
     score
 }
-
-fn rendezvous(subject: u64, worker: &str) -> u64 {
-    let mut bytes = Vec::with_capacity(8 + worker.len());
-    bytes.extend_from_slice(&subject.to_le_bytes());
-    bytes.extend_from_slice(worker.as_bytes());
-    stable_hash(&bytes)
-}
--- a/crates/gatekeeper/src/proxy/balance/tests.rs
+++ b/crates/gatekeeper/src/proxy/balance/tests.rs
@@ -27,7 +27,7 @@
 }
 
 fn balancer(count: usize, capacity: u32, memory: u32) -> Balancer {
-    let mut balancer = Balancer::new("here");
+    let mut balancer = Balancer::new("here", 1);
     balancer.set_memory_tokens(memory);
     let workers: Vec<_> = (0..count).map(|n| worker(&format!("w{n}"), "here", capacity)).collect();
     balancer.set_workers(at(0), workers.iter());
@@ -184,7 +184,7 @@
 
 #[test]
 fn a_worker_in_this_zone_is_preferred_while_it_is_not_fuller() {
-    let mut balancer = Balancer::new("here");
+    let mut balancer = Balancer::new("here", 1);
     let list = [worker("far", "there", 6), worker("near", "here", 6)];
     balancer.set_workers(at(0), list.iter());
     assert_eq!(&*balancer.choose(at(0), &Choice::default()).expect("free").id, "near");
@@ -225,3 +225,52 @@
 fn balancer_place(id: &WorkerId) -> super::Place {
     super::Place { worker: id.clone(), prompt_tokens: 0 }
 }
+
+fn subset_balancer(gatekeeper: u64, gatekeepers: u32, workers: &[Worker]) -> Balancer {
+    let mut balancer = Balancer::new("here", gatekeeper);
+    balancer.set_memory_tokens(ENGINE_MEMORY);
+    balancer.set_workers(at(0), workers.iter());
+    balancer.set_gatekeepers(gatekeepers);
+    balancer
+}
+
+#[test]
+fn many_gatekeepers_spread_one_subject_evenly_although_none_sees_the_others() {
+    let workers: Vec<_> = (0..60).map(|n| worker(&format!("w{n}"), "here", 24)).collect();
+    let mut used: BTreeMap<WorkerId, u32> = BTreeMap::new();
+    for gatekeeper in 0..300 {
+        let balancer = subset_balancer(gatekeeper * 7919, 300, &workers);
+        let first = parts(&[(7, 2500), (100 + gatekeeper, 900)]);
+        let chosen = balancer.choose(at(0), &Choice { parts: &first, ..Choice::default() }).expect("free");
+        *used.entry(chosen.id).or_default() += 1;
+    }
+    assert!(used.len() >= 55, "five requests a worker leave few without any: {}", used.len());
+    assert!(used.values().max() <= Some(&16), "none is crowded: {used:?}");
+}
+
+#[test]
+fn a_gatekeeper_among_many_stays_with_few_workers_of_its_zone_until_they_are_busy() {
+    let zone = |n: u32| if n % 4 == 0 { "here" } else { "there" };
+    let workers: Vec<_> = (0..60).map(|n| worker(&format!("w{n}"), zone(n), 24)).collect();
+    let mut balancer = subset_balancer(1, 77, &workers);
+    let mut calm = BTreeSet::new();
+    for n in 0..40 {
+        let next = parts(&[(n % 9, 2500), (100 + n, 900)]);
+        let chosen = balancer.choose(at(n), &Choice { parts: &next, ..Choice::default() }).expect("free");
+        let mut place = balancer.sent(at(n), &chosen.id, &next);
+        balancer.begun(at(n), &mut place, None);
+        balancer.ended(&place);
+        calm.insert(chosen.id);
+    }
+    assert!(calm.len() <= 10, "{calm:?}");
+    let local = |id: &WorkerId| id[1..].parse::<u32>().is_ok_and(|n| n % 4 == 0);
+    assert!(calm.iter().all(local), "{calm:?}");
+    let mut busy = BTreeSet::new();
+    for n in 0..400 {
+        let next = parts(&[(n % 9, 2500), (1000 + n, 900)]);
+        let chosen = balancer.choose(at(50), &Choice { parts: &next, ..Choice::default() }).expect("free");
+        drop(balancer.sent(at(50), &chosen.id, &next));
+        busy.insert(chosen.id);
+    }
+    assert!(busy.len() > 40, "the others serve, too: {}", busy.len());
+}
--- a/crates/gatekeeper/src/proxy/balance/worker.rs
+++ b/crates/gatekeeper/src/proxy/balance/worker.rs
@@ -14,6 +14,8 @@
     pub capacity: u32,
     /// It is in this gatekeeper's zone.
     pub local: bool,
+    /// It is among those that this gatekeeper prefers.
+    pub in_subset: bool,
     /// The feed names it.
     pub listed: bool,
     /// It answered 421: its address is another worker's.
@@ -35,6 +37,7 @@
             address: Rc::from(worker.address.as_str()),
             capacity: worker.capacity.max(1),
             local,
+            in_subset: false,
             listed: true,
             replaced: false,
             in_flight: 0,
--- a/crates/gatekeeper/src/proxy/state.rs
+++ b/crates/gatekeeper/src/proxy/state.rs
@@ -17,7 +17,7 @@
     clock::Clock,
     pool::{self, Pools, WorkerLimits},
 };
-use opalrun_wire::feed::{StoreMap, WorkerState};
+use opalrun_wire::feed::{StoreMap, WorkerState, stable_hash};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -44,6 +44,8 @@
 /// The state of the proxy, shared by all its requests.
 pub struct Proxy {
     zone: String,
+    /// Tells this gatekeeper from others.
+    gatekeeper: u64,
     started: Instant,
     configuration: RefCell<Option<Rc<Configuration>>>,
     services: RefCell<FnvHashMap<String, Balancer>>,
@@ -75,6 +77,7 @@
         let body_bytes = (settings.limits.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE) as usize;
         Rc::new(Self {
             zone: settings.zone.clone(),
+            gatekeeper: stable_hash(settings.node_name.as_bytes()),
             started: Instant::now(),
             configuration: RefCell::default(),
             services: RefCell::default(),
@@ -130,10 +133,12 @@
     pub(super) fn balance<T>(&self, service: &str, work: impl FnOnce(&mut Balancer) -> T) -> T {
         let mut services = self.services.borrow_mut();
         if !services.contains_key(service) {
-            services.insert(service.to_owned(), Balancer::new(&self.zone));
+            let mut balancer = Balancer::new(&self.zone, self.gatekeeper);
+            balancer.set_gatekeepers(self.gatekeepers.get());
+            services.insert(service.to_owned(), balancer);
         }
-        let balancer = services.entry(service.to_owned()).or_insert_with(|| Balancer::new(&self.zone));
-        work(balancer)
+        let new = || Balancer::new(&self.zone, self.gatekeeper);
+        work(services.entry(service.to_owned()).or_insert_with(new))
     }
 
     // ---- What the feed tells ----
@@ -174,7 +179,9 @@
 
     /// So many gatekeepers share the connections that workers take.
     pub fn set_gatekeepers(&self, gatekeepers: u32) {
-        if self.gatekeepers.replace(gatekeepers.max(1)) != gatekeepers.max(1) {
+        let gatekeepers = gatekeepers.max(1);
+        if self.gatekeepers.replace(gatekeepers) != gatekeepers {
+            self.services.borrow_mut().values_mut().for_each(|b| b.set_gatekeepers(gatekeepers));
             self.set_connection_limits();
         }
     }
