--- a/crates/store-client/src/retention.rs
+++ b/crates/store-client/src/retention.rs
@@ -1,6 +1,9 @@
 //! How long the stores keep turns that this client has stored or read, so that it knows which of a chain have to be
 //! kept longer when another turn builds on them.
 
+#[cfg(test)]
+mod tests;
+
 use std::{collections::HashMap, time::Duration};
 
 /// Turns above which those that are kept no more are forgotten here.
