--- a/crates/transport/src/pool/mod.rs
+++ b/crates/transport/src/pool/mod.rs
@@ -1,4 +1,4 @@
-//! The pools of connections to the workers: holds the sockets and carries out what [`state::PoolState`] commands.
+//! The pools of connections to the workers: holds the sockets and carries out what `state::PoolState` commands.
 
 mod lease;
 mod report;
