--- a/crates/control/src/host/identity.rs
+++ b/crates/control/src/host/identity.rs
@@ -26,12 +26,22 @@
 }
 
 impl Identity {
+    /// Reads the identity; `None` on an empty disk.
+    pub fn load(directory: &DataDirectory) -> Result<Option<Self>, HostError> {
+        let file = VersionedFile::new(directory, FILE, FORMAT);
+        match file.read().context(error::StorageSnafu)? {
+            Some((_, bytes)) => {
+                decode(&bytes).map(Some).context(error::UnreadableSnafu { what: "the identity" })
+            }
+            None => Ok(None),
+        }
+    }
+
     /// Reads the identity, or draws one on an empty disk and keeps it. At the first start of the whole system the seeds
     /// take identities that all of them can work out.
     pub fn load_or_draw(directory: &DataDirectory, options: &HostOptions) -> Result<Self, HostError> {
-        let file = VersionedFile::new(directory, FILE, FORMAT);
-        if let Some((_, bytes)) = file.read().context(error::StorageSnafu)? {
-            return decode(&bytes).context(error::UnreadableSnafu { what: "the identity" });
+        if let Some(known) = Self::load(directory)? {
+            return Ok(known);
         }
         let is_first_member = options.bootstrap && options.seeds.contains(&options.node.control_address);
         let drawn = if is_first_member {
@@ -39,6 +49,7 @@
         } else {
             Self { identity: random_number(), genesis: Membership::default() }
         };
+        let file = VersionedFile::new(directory, FILE, FORMAT);
         file.write(&encode(&drawn)).context(error::StorageSnafu)?;
         Ok(drawn)
     }
--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -15,6 +15,7 @@
 #[cfg(test)]
 mod journal_tests;
 mod links;
+pub(crate) mod on_disk;
 mod peer_frame;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/control/src/inspect.rs
@@ -0,0 +1,214 @@
+//! What a control process has on disk, for people: numbers and sizes, never contents.
+
+use crate::{
+    host::{
+        HostError,
+        on_disk::{self, ShardOnDisk},
+    },
+    shards::{SHARDS, Shards},
+};
+use facet::Facet;
+use opalrun_replication::{Entry, Payload, SnapshotHeader};
+use opalrun_storage::DataDirectory;
+use opalrun_wire::{ResultCode, feed::CONFIGURATION_SHARD};
+
+/// What a control process has on disk.
+#[derive(Facet, Debug, Clone, PartialEq, Eq)]
+pub struct ControlState {
+    /// Its identity.
+    pub identity: u64,
+    /// Members that its groups began with; 0 in a process that came later.
+    pub first_members: u64,
+    /// Bytes of the journal of all groups.
+    pub journal_bytes: u64,
+    /// The generation of the configuration in the snapshot; 0 for none.
+    pub snapshot_generation: u64,
+    /// The generation after all entries, which need not be committed; 0 for none.
+    pub log_generation: u64,
+    /// The epoch of the store map after all entries.
+    pub store_epoch: u64,
+    /// The groups.
+    pub shards: Vec<ShardState>,
+}
+
+/// One replicated group on disk.
+#[derive(Facet, Debug, Clone, PartialEq, Eq)]
+pub struct ShardState {
+    /// The shard's number; 0 holds the configuration, the others sessions.
+    pub shard: u16,
+    /// The newest term known.
+    pub term: u64,
+    /// Whom the process voted for in that term.
+    pub vote: Option<u64>,
+    /// The last entry that the snapshot covers; 0 without one.
+    pub snapshot_index: u64,
+    /// That entry's term.
+    pub snapshot_term: u64,
+    /// Bytes of the snapshot.
+    pub snapshot_bytes: u64,
+    /// Entries in the journal after the snapshot.
+    pub entries: u64,
+    /// About how many bytes they take.
+    pub entry_bytes: u64,
+    /// The last entry.
+    pub last_index: u64,
+    /// Its term.
+    pub last_term: u64,
+    /// Sessions of workers after all entries.
+    pub workers: u64,
+    /// The newest members, committed or not.
+    pub members: Vec<MemberState>,
+}
+
+/// A member of a group.
+#[derive(Facet, Debug, Clone, PartialEq, Eq)]
+pub struct MemberState {
+    /// Its identity.
+    pub identity: u64,
+    /// Where the others reach it.
+    pub address: String,
+    /// Whether it votes.
+    pub voter: bool,
+}
+
+/// What was found, with everything that is wrong about it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Inspection {
+    /// The state, as far as it can be read.
+    pub state: Option<ControlState>,
+    /// What is wrong, each beginning with a result code.
+    pub problems: Vec<String>,
+}
+
+/// Looks at a folder. It changes nothing if the folder's disk is read-only.
+#[must_use]
+pub fn inspect(directory: &DataDirectory) -> Inspection {
+    match on_disk::read(directory, SHARDS) {
+        Ok(Some(found)) => describe(&found),
+        Ok(None) => failed(format!(
+            "{}: {}: no control process has kept its state here",
+            ResultCode::STATE_MISSING,
+            directory.path().display()
+        )),
+        Err(error) => failed(told(&error)),
+    }
+}
+
+fn told(error: &HostError) -> String {
+    error.to_string()
+}
+
+fn failed(problem: String) -> Inspection {
+    Inspection { state: None, problems: vec![problem] }
+}
+
+fn describe(found: &on_disk::OnDisk) -> Inspection {
+    let mut problems = Vec::new();
+    let shards = Shards::new();
+    for (number, shard) in (0..).zip(&found.shards) {
+        check_order(number, shard, &mut problems);
+        restore(&shards, number, shard, &mut problems);
+    }
+    let snapshot_generation = shards.with_configuration(|shard| shard.generation());
+    for (number, shard) in (0..).zip(&found.shards) {
+        replay(&shards, number, &shard.log.entries, &mut problems);
+    }
+    let (log_generation, store_epoch) =
+        shards.with_configuration(|shard| (shard.generation(), shard.stores().map().epoch));
+    let state = ControlState {
+        identity: found.identity,
+        first_members: found.first_members as u64,
+        journal_bytes: found.journal_bytes,
+        snapshot_generation,
+        log_generation,
+        store_epoch,
+        shards: (0..).zip(&found.shards).map(|(number, shard)| shard_state(&shards, number, shard)).collect(),
+    };
+    Inspection { state: Some(state), problems }
+}
+
+fn shard_state(shards: &Shards, number: u16, found: &ShardOnDisk) -> ShardState {
+    let log = &found.log;
+    let none = SnapshotHeader::default();
+    let snapshot = found.snapshot_header().unwrap_or(&none);
+    let (last_index, last_term) = last_entry(found);
+    ShardState {
+        shard: number,
+        term: log.hard_state.term,
+        vote: log.hard_state.vote,
+        snapshot_index: snapshot.index,
+        snapshot_term: snapshot.term,
+        snapshot_bytes: found.snapshot.as_ref().map_or(0, Vec::len) as u64,
+        entries: log.entries.len() as u64,
+        entry_bytes: log.entries.iter().map(Entry::size).sum::<usize>() as u64,
+        last_index,
+        last_term,
+        workers: shards.with_sessions(number, |sessions| sessions.workers().len()).unwrap_or(0) as u64,
+        members: newest_members(found),
+    }
+}
+
+fn last_entry(found: &ShardOnDisk) -> (u64, u64) {
+    let base = &found.log.base;
+    found.log.entries.last().map_or((base.index, base.term), |entry| (entry.index, entry.term))
+}
+
+fn newest_members(found: &ShardOnDisk) -> Vec<MemberState> {
+    let in_log = found.log.entries.iter().rev().find_map(|entry| match &entry.payload {
+        Payload::Members(membership) => Some(membership),
+        _ => None,
+    });
+    let members = &in_log.unwrap_or(&found.log.base.membership).members;
+    let describe = |member: &opalrun_replication::Member| MemberState {
+        identity: member.identity,
+        address: member.address.clone(),
+        voter: member.voter,
+    };
+    members.iter().map(describe).collect()
+}
+
+/// Terms never fall along a log, and none is above the newest term known.
+fn check_order(number: u16, found: &ShardOnDisk, problems: &mut Vec<String>) {
+    let mut term = found.log.base.term;
+    for entry in &found.log.entries {
+        if entry.term < term {
+            problems.push(inconsistent(number, &format!("the term falls at entry {}", entry.index)));
+        }
+        term = term.max(entry.term);
+    }
+    let known = found.log.hard_state.term;
+    // A snapshot from another process may be newer than the last term written: its term is taken over at the start.
+    if !found.log.entries.is_empty() && term > known {
+        problems.push(inconsistent(number, &format!("an entry has term {term}, the newest known is {known}")));
+    }
+}
+
+fn restore(shards: &Shards, number: u16, found: &ShardOnDisk, problems: &mut Vec<String>) {
+    let Some(snapshot) = &found.snapshot else { return };
+    if shards.restore(number, snapshot).is_err() {
+        problems.push(corrupt(number, "the state in the snapshot can't be read"));
+    }
+}
+
+/// Applies the entries. A command that can't be read has no outcome.
+fn replay(shards: &Shards, number: u16, entries: &[Entry], problems: &mut Vec<String>) {
+    for entry in entries {
+        if let Payload::Command(command) = &entry.payload
+            && shards.apply(number, entry.index, command).is_empty()
+        {
+            problems.push(corrupt(number, &format!("the command of entry {} can't be read", entry.index)));
+        }
+    }
+}
+
+fn inconsistent(shard: u16, what: &str) -> String {
+    format!("{}: {}: {what}", ResultCode::STATE_INCONSISTENT, shard_name(shard))
+}
+
+fn corrupt(shard: u16, what: &str) -> String {
+    format!("{}: {}: {what}", ResultCode::DISK_CORRUPT, shard_name(shard))
+}
+
+fn shard_name(shard: u16) -> String {
+    if shard == CONFIGURATION_SHARD { "shard 0 (configuration)".to_owned() } else { format!("shard {shard}") }
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod error;
 pub mod feed;
 pub mod host;
+pub mod inspect;
 pub mod process;
 mod run;
 pub mod sessions;
--- a/crates/opalrun/src/flags.rs
+++ b/crates/opalrun/src/flags.rs
@@ -1,6 +1,6 @@
 //! The command line.
 
-use crate::exit;
+use crate::{exit, state::StatefulRole};
 use std::path::PathBuf;
 
 xflags::xflags! {
@@ -13,6 +13,8 @@
     ///   OPALRUN_CONFIG=/etc/opalrun/settings.toml opalrun control
     ///   opalrun check settings /etc/opalrun/settings.toml
     ///   opalrun check configuration routes.json
+    ///   opalrun state show control /var/lib/opalrun/control --json
+    ///   opalrun state verify store /var/lib/opalrun/store
     cmd opalrun {
         /// Carries requests of clients to workers.
         cmd proxy {}
@@ -35,6 +37,25 @@
                 required file: PathBuf
             }
         }
+        /// Looks at what a process has on disk. The process must not run; nothing is changed.
+        cmd state {
+            /// Prints numbers and sizes, never contents.
+            cmd show {
+                /// The role whose folder it is: control or store.
+                required role: StatefulRole
+                /// The folder: data_dir in the settings.
+                required folder: PathBuf
+                /// Prints JSON.
+                optional --json
+            }
+            /// Reads everything and tells what is wrong.
+            cmd verify {
+                /// The role whose folder it is: control or store.
+                required role: StatefulRole
+                /// The folder: data_dir in the settings.
+                required folder: PathBuf
+            }
+        }
     }
 }
 
--- a/crates/opalrun/src/main.rs
+++ b/crates/opalrun/src/main.rs
@@ -6,8 +6,10 @@
 mod flags;
 mod logging;
 mod roles;
+mod state;
+mod table;
 
-use flags::{CheckCmd, OpalrunCmd};
+use flags::{CheckCmd, OpalrunCmd, StateCmd};
 use std::process::ExitCode;
 
 fn main() -> ExitCode {
@@ -21,6 +23,10 @@
             CheckCmd::Settings(settings) => check::settings(&settings.file),
             CheckCmd::Configuration(configuration) => check::configuration(&configuration.file),
         },
+        OpalrunCmd::State(state) => match state.subcommand {
+            StateCmd::Show(show) => state::show(show.role, &show.folder, show.json),
+            StateCmd::Verify(verify) => state::verify(verify.role, &verify.folder),
+        },
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
--- /dev/null
+++ b/crates/storage/src/read_only_disk.rs
@@ -0,0 +1,100 @@
+//! The machine's disk, looked at without changing it: what a start would mend is noted and not done.
+
+use crate::{Disk, DiskFile, SystemDisk};
+use std::{
+    io,
+    path::{Path, PathBuf},
+    sync::{Arc, Mutex, PoisonError},
+};
+
+/// The machine's disk for reading only. Changes succeed, are noted in words, and leave the disk as it is, so what opens
+/// a folder of files can be used to look at it.
+#[derive(Debug, Clone, Default)]
+pub struct ReadOnlyDisk {
+    notes: Arc<Mutex<Vec<String>>>,
+}
+
+impl ReadOnlyDisk {
+    /// A disk that has noted nothing yet.
+    #[must_use]
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    /// What would have been changed so far, in words.
+    #[must_use]
+    pub fn notes(&self) -> Vec<String> {
+        self.notes.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn note(&self, words: String) {
+        self.notes.lock().unwrap_or_else(PoisonError::into_inner).push(words);
+    }
+
+    fn untouched(&self, path: &Path) -> Box<dyn DiskFile> {
+        Box::new(UntouchedFile { disk: self.clone(), path: path.to_owned() })
+    }
+}
+
+impl Disk for ReadOnlyDisk {
+    fn create_directory(&self, path: &Path) -> io::Result<()> {
+        if path.is_dir() {
+            return Ok(());
+        }
+        Err(io::Error::new(io::ErrorKind::NotFound, "there is no such folder"))
+    }
+
+    fn list(&self, directory: &Path) -> io::Result<Vec<String>> {
+        SystemDisk.list(directory)
+    }
+
+    fn read(&self, path: &Path) -> io::Result<Option<Vec<u8>>> {
+        SystemDisk.read(path)
+    }
+
+    fn create(&self, path: &Path) -> io::Result<Box<dyn DiskFile>> {
+        self.note(format!("{} would be written", path.display()));
+        Ok(self.untouched(path))
+    }
+
+    fn open_at(&self, path: &Path, _position: u64) -> io::Result<Box<dyn DiskFile>> {
+        Ok(self.untouched(path))
+    }
+
+    fn rename(&self, from: &Path, _to: &Path) -> io::Result<()> {
+        self.note(format!("{} would be renamed", from.display()));
+        Ok(())
+    }
+
+    fn remove(&self, path: &Path) -> io::Result<()> {
+        self.note(format!("{} would be removed: it was left unfinished", path.display()));
+        Ok(())
+    }
+
+    fn sync_directory(&self, _path: &Path) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// A file that is not written.
+#[derive(Debug)]
+struct UntouchedFile {
+    disk: ReadOnlyDisk,
+    path: PathBuf,
+}
+
+impl DiskFile for UntouchedFile {
+    fn write_all(&mut self, _bytes: &[u8]) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn sync(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+
+    fn truncate(&mut self, length: u64) -> io::Result<()> {
+        let path = self.path.display();
+        self.disk.note(format!("{path} would be cut off at byte {length}: its end was never synced"));
+        Ok(())
+    }
+}
--- a/crates/store/src/identity.rs
+++ b/crates/store/src/identity.rs
@@ -18,16 +18,28 @@
 }
 
 impl Identity {
+    /// The identity on the disk; `None` on an empty one.
+    ///
+    /// # Errors
+    /// Where the disk can't be read.
+    pub fn load(directory: &DataDirectory) -> Result<Option<Self>, StoreError> {
+        let file = VersionedFile::new(directory, FILE_NAME, FORMAT);
+        match file.read().context(StorageSnafu)? {
+            Some((_, content)) => Self::decode(&content).context(IdentitySnafu).map(Some),
+            None => Ok(None),
+        }
+    }
+
     /// The identity on the disk; on an empty one a new one is drawn and kept before it is used.
     ///
     /// # Errors
     /// Where the disk can't be read or written.
     pub fn load_or_draw(directory: &DataDirectory, bootstrap: bool) -> Result<Self, StoreError> {
-        let file = VersionedFile::new(directory, FILE_NAME, FORMAT);
-        if let Some((_, content)) = file.read().context(StorageSnafu)? {
-            return Self::decode(&content).context(IdentitySnafu);
+        if let Some(known) = Self::load(directory)? {
+            return Ok(known);
         }
         let identity = Self { number: fastrand::u64(1..), bootstrap };
+        let file = VersionedFile::new(directory, FILE_NAME, FORMAT);
         file.write(&identity.encode()).context(StorageSnafu)?;
         Ok(identity)
     }
--- /dev/null
+++ b/crates/store/src/inspect.rs
@@ -0,0 +1,97 @@
+//! What a store has on disk, for people: numbers and sizes, never contents.
+
+use crate::{
+    Identity, StoreError,
+    server::replay_log,
+    state::{PartitionSize, StoreLimits},
+};
+use facet::Facet;
+use opalrun_storage::DataDirectory;
+use opalrun_wire::ResultCode;
+
+/// What a store has on disk.
+#[derive(Facet, Debug, Clone, PartialEq, Eq)]
+pub struct StoreOnDisk {
+    /// Its identity.
+    pub identity: u64,
+    /// Its disk was empty at the first start of the whole system.
+    pub bootstrap: bool,
+    /// The highest epoch of the store map that it has learned.
+    pub epoch: u64,
+    /// Bytes of the log.
+    pub log_bytes: u64,
+    /// The log's oldest record.
+    pub first_record: u64,
+    /// The number that the next record gets.
+    pub next_record: u64,
+    /// Bytes of the newest state of everything, about.
+    pub live_bytes: u64,
+    /// The partitions of which it holds something. Before the first map of a run arrives, some may be another's by now.
+    pub partitions: Vec<PartitionOnDisk>,
+}
+
+/// What is on disk of a partition.
+#[derive(Facet, Debug, Clone, PartialEq, Eq)]
+pub struct PartitionOnDisk {
+    /// Its number.
+    pub partition: u16,
+    /// Programs with a count.
+    pub programs: u64,
+    /// Turns.
+    pub turns: u64,
+    /// Bytes, about.
+    pub bytes: u64,
+}
+
+/// What was found, with everything that is wrong about it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Inspection {
+    /// The state, as far as it can be read.
+    pub state: Option<StoreOnDisk>,
+    /// What is wrong, each beginning with a result code.
+    pub problems: Vec<String>,
+}
+
+/// Looks at a folder. It changes nothing if the folder's disk is read-only.
+#[must_use]
+pub fn inspect(directory: &DataDirectory) -> Inspection {
+    match read(directory) {
+        Ok(Some(state)) => Inspection { state: Some(state), problems: Vec::new() },
+        Ok(None) => failed(format!(
+            "{}: {}: no store has kept its state here",
+            ResultCode::STATE_MISSING,
+            directory.path().display()
+        )),
+        Err(error) => failed(error.to_string()),
+    }
+}
+
+fn failed(problem: String) -> Inspection {
+    Inspection { state: None, problems: vec![problem] }
+}
+
+fn read(directory: &DataDirectory) -> Result<Option<StoreOnDisk>, StoreError> {
+    let Some(identity) = Identity::load(directory)? else { return Ok(None) };
+    let unlimited = StoreLimits { memory_bytes: usize::MAX, disk_bytes: u64::MAX };
+    let (state, log) = replay_log(directory, identity.number, unlimited)?;
+    let partitions = (0..).zip(state.sizes()).filter(|(_, size)| size.programs + size.turns > 0);
+    Ok(Some(StoreOnDisk {
+        identity: identity.number,
+        bootstrap: identity.bootstrap,
+        epoch: state.epoch(),
+        log_bytes: log.bytes(),
+        first_record: log.first_record(),
+        next_record: log.next_record(),
+        live_bytes: state.live_bytes() as u64,
+        partitions: partitions.map(|(number, size)| partition(number, size)).collect(),
+    }))
+}
+
+fn partition(number: u16, size: PartitionSize) -> PartitionOnDisk {
+    PartitionOnDisk {
+        partition: number,
+        programs: size.programs as u64,
+        turns: size.turns as u64,
+        bytes: size.bytes as u64,
+    }
+}
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod copy;
 mod error;
 mod identity;
+pub mod inspect;
 mod journal;
 mod process;
 pub mod record;
--- a/crates/store/src/server.rs
+++ b/crates/store/src/server.rs
@@ -54,20 +54,7 @@
         identity: u64,
         limits: StoreLimits,
     ) -> Result<Rc<Self>, StoreError> {
-        let mut state = StoreState::new(identity, limits);
-        let mut unreadable: Option<(u64, FrameError)> = None;
-        let options = RecordLogOptions { segment_bytes: SEGMENT_BYTES };
-        let log = RecordLog::open(directory, LOG_NAME, options, |number, record| {
-            if let Err(error) = state.replay(number, record, Duration::ZERO) {
-                unreadable.get_or_insert((number, error));
-            }
-        })
-        .context(StorageSnafu)?;
-        if let Some((number, source)) = unreadable {
-            return Err(source).context(RecordSnafu { number });
-        }
-        state.start_at(log.next_record());
-        state.set_disk(log.bytes(), false);
+        let (state, log) = replay_log(directory, identity, limits)?;
         Ok(Rc::new(Self {
             identity,
             state: RefCell::new(state),
@@ -178,3 +165,26 @@
         }
     }
 }
+
+/// Opens the log and takes its records in.
+pub(crate) fn replay_log(
+    directory: &DataDirectory,
+    identity: u64,
+    limits: StoreLimits,
+) -> Result<(StoreState, RecordLog), StoreError> {
+    let mut state = StoreState::new(identity, limits);
+    let mut unreadable: Option<(u64, FrameError)> = None;
+    let options = RecordLogOptions { segment_bytes: SEGMENT_BYTES };
+    let log = RecordLog::open(directory, LOG_NAME, options, |number, record| {
+        if let Err(error) = state.replay(number, record, Duration::ZERO) {
+            unreadable.get_or_insert((number, error));
+        }
+    })
+    .context(StorageSnafu)?;
+    if let Some((number, source)) = unreadable {
+        return Err(source).context(RecordSnafu { number });
+    }
+    state.start_at(log.next_record());
+    state.set_disk(log.bytes(), false);
+    Ok((state, log))
+}
--- a/crates/store/src/state/mod.rs
+++ b/crates/store/src/state/mod.rs
@@ -17,6 +17,7 @@
     frame::FrameError,
     store::{CountEntry, StoreReply, Turn},
 };
+pub use partition::PartitionSize;
 use partition::{Item, PartitionData};
 use rkyv::util::AlignedVec;
 use std::{rc::Rc, time::Duration};
@@ -242,6 +243,11 @@
         items.chain(epoch).min().unwrap_or(self.next_record)
     }
 
+    /// What each partition holds, by number.
+    pub fn sizes(&self) -> impl Iterator<Item = PartitionSize> + '_ {
+        self.partitions.iter().map(PartitionData::size)
+    }
+
     /// Bytes of data in memory, about.
     #[must_use]
     pub fn live_bytes(&self) -> usize {
--- a/crates/store/src/state/partition.rs
+++ b/crates/store/src/state/partition.rs
@@ -19,6 +19,17 @@
     bytes: usize,
 }
 
+/// How much is held of a partition.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct PartitionSize {
+    /// Programs with a count.
+    pub programs: usize,
+    /// Turns.
+    pub turns: usize,
+    /// Bytes of memory that they take, about.
+    pub bytes: usize,
+}
+
 /// A program's count or a turn.
 #[derive(Debug)]
 pub enum Item {
@@ -83,6 +94,12 @@
         self.bytes
     }
 
+    /// How much is held.
+    #[must_use]
+    pub fn size(&self) -> PartitionSize {
+        PartitionSize { programs: self.programs.len(), turns: self.turns.len(), bytes: self.bytes }
+    }
+
     /// The lowest record that some item still needs.
     #[must_use]
     pub fn oldest_record(&self) -> Option<u64> {
--- a/crates/wire/src/result_code.rs
+++ b/crates/wire/src/result_code.rs
@@ -51,6 +51,12 @@
     pub const UNKNOWN_NODE: Self = Self(403);
     /// Too few store machines would be left.
     pub const TOO_FEW_STORES: Self = Self(404);
+    /// No control process gave a clear answer.
+    pub const CONTROL_UNREACHABLE: Self = Self(405);
+    /// An order was not carried out within the time that was given for it.
+    pub const ORDER_UNFINISHED: Self = Self(406);
+    /// An order was refused for a reason without a code of its own.
+    pub const ORDER_REFUSED: Self = Self(407);
     /// A message names an older epoch of the store map than the receiver knows.
     pub const STALE_EPOCH: Self = Self(501);
     /// A replica is still copying data and can't answer for it.
@@ -75,6 +81,10 @@
     pub const DISK_NEWER: Self = Self(603);
     /// An operation on the disk failed for another reason.
     pub const DISK_FAILED: Self = Self(604);
+    /// A folder holds no state of the role that was looked for.
+    pub const STATE_MISSING: Self = Self(605);
+    /// What lies on a disk is undamaged and contradicts itself.
+    pub const STATE_INCONSISTENT: Self = Self(606);
 }
 
 impl fmt::Display for ResultCode {
