--- a/crates/control/src/inspect.rs
+++ b/crates/control/src/inspect.rs
@@ -179,7 +179,8 @@
     let known = found.log.hard_state.term;
     // A snapshot from another process may be newer than the last term written: its term is taken over at the start.
     if !found.log.entries.is_empty() && term > known {
-        problems.push(inconsistent(number, &format!("an entry has term {term}, the newest known is {known}")));
+        problems
+            .push(inconsistent(number, &format!("an entry has term {term}, the newest known is {known}")));
     }
 }
 
