--- a/lab/src/tier/judge/index.rs
+++ b/lab/src/tier/judge/index.rs
@@ -27,8 +27,8 @@
     pub sent: Option<(u64, &'a Arc<Try>)>,
     pub reached: Vec<(u64, &'a str)>,
     pub runs: Vec<Run<'a>>,
-    /// Failures of workers that did not run it.
-    pub rejections: Vec<(u16, &'a str)>,
+    /// Statuses and signatures of heads that workers sent.
+    pub heads: Vec<(u16, &'a str)>,
     pub received: Vec<&'a StreamEvent>,
     pub ended: Option<(u64, &'a Outcome)>,
 }
@@ -106,13 +106,13 @@
                 }
             }
             Observation::WorkerAnswered { request, worker, status, signature, body, whole } => {
-                match self.last_run(request, worker) {
-                    Some(run) if run.answer.is_none() => {
-                        run.answer = Some((*status, signature, body, *whole))
-                    }
-                    _ => self.request(request).rejections.push((*status, signature)),
+                if let Some(run) = self.last_run(request, worker) {
+                    run.answer = Some((*status, signature, body, *whole));
                 }
             }
+            Observation::AnswerBegun { request, status, signature } => {
+                self.request(request).heads.push((*status, signature));
+            }
             Observation::WorkerCrashed { worker } => self.crashes.push((at_ms, worker)),
             Observation::LeaveAcknowledged { worker, leave } => self.leaves.push((at_ms, worker, *leave)),
             Observation::ConfigurationSent { generation, body, valid } => {
--- a/lab/src/tier/judge/requests.rs
+++ b/lab/src/tier/judge/requests.rs
@@ -146,7 +146,7 @@
 
 fn made_by_worker(request: &Request<'_>, status: u16, signature: &str) -> bool {
     let of_runs = request.runs.iter().filter_map(|r| r.answer.map(|a| (a.0, a.1)));
-    let mut all = of_runs.chain(request.rejections.iter().copied());
+    let mut all = of_runs.chain(request.heads.iter().copied());
     all.any(|made| made == (status, signature))
 }
 
--- a/lab/src/tier/judge/tests.rs
+++ b/lab/src/tier/judge/tests.rs
@@ -225,6 +225,36 @@
     assert_eq!(Story::new().turn("t", None, "t", 3, &[1, 2, 3]).rules(), []);
 }
 
+#[test]
+fn a_resumed_stream_keeps_the_signature_of_its_first_worker() {
+    let resumable = RouteKind::Streaming { resumable: true };
+    let event = |id: u64| StreamEvent { id, data: id.to_string().into_bytes() };
+    let resumed = |second_made: &[u64]| {
+        let mut story = Story::new();
+        story.sent_with("t", resumable, |t| {
+            t.path = "/turn/1".to_owned();
+            t.max_attempts = 2;
+        });
+        for (worker, made) in [("v", &[1, 2][..]), ("w", second_made)] {
+            story.ran_with("t", worker, "model", "/turn/1", b"t");
+            let (request, status, signature) = ("t".to_owned(), 200, format!("t@{worker}"));
+            story.note(Observation::AnswerBegun { request, status, signature });
+            for id in made {
+                let (request, worker) = ("t".to_owned(), worker.to_owned());
+                story.note(Observation::EventMade { request, worker, event: event(*id) });
+            }
+        }
+        story.made("t", "w", "");
+        for id in 1..=4 {
+            story.note(Observation::EventReceived { request: "t".to_owned(), event: event(id) });
+        }
+        story.got("t", Some("t@v"), "").rules()
+    };
+    assert_eq!(resumed(&[3, 4]), []);
+    assert_eq!(resumed(&[3, 4, 5]), [Rule::Order], "it ended before its last event");
+    assert_eq!(resumed(&[4]), [Rule::Order], "no worker made the third");
+}
+
 #[test]
 fn programs_beyond_their_budget_are_found() {
     let of = |budget: u64| {
--- a/lab/src/tier/observation.rs
+++ b/lab/src/tier/observation.rs
@@ -144,6 +144,12 @@
         worker: String,
         event: StreamEvent,
     },
+    /// A worker sent the head of an answer.
+    AnswerBegun {
+        request: String,
+        status: u16,
+        signature: String,
+    },
     /// A worker ended its answer; `whole`: it did not break it off.
     WorkerAnswered {
         request: String,
--- a/lab/src/tier/worker/model.rs
+++ b/lab/src/tier/worker/model.rs
@@ -168,6 +168,11 @@
             self.signature,
             self.worker.server_load()
         );
+        self.worker.log.note(Observation::AnswerBegun {
+            request: self.request.to_owned(),
+            status: 200,
+            signature: self.signature.to_owned(),
+        });
         self.peer.write(head.as_bytes()).await
     }
 
