--- a/crates/gatekeeper/src/proxy/balance/tests.rs
+++ b/crates/gatekeeper/src/proxy/balance/tests.rs
@@ -250,7 +250,7 @@
 
 #[test]
 fn a_gatekeeper_among_many_stays_with_few_workers_of_its_zone_until_they_are_busy() {
-    let zone = |n: u32| if n % 4 == 0 { "here" } else { "there" };
+    let zone = |n: u32| if n.is_multiple_of(4) { "here" } else { "there" };
     let workers: Vec<_> = (0..60).map(|n| worker(&format!("w{n}"), zone(n), 24)).collect();
     let mut balancer = subset_balancer(1, 77, &workers);
     let mut calm = BTreeSet::new();
