--- a/crates/control/src/api/answer.rs
+++ b/crates/control/src/api/answer.rs
@@ -7,6 +7,7 @@
 use crate::{
     process::{ConfigurationAnswer, ControlProcess, RetireAnswer, Unavailable},
     store_map::RetireState,
+    tier_view,
 };
 use bytes::Bytes;
 use http_body_util::Full;
@@ -65,6 +66,7 @@
         ApiRequest::RemoveWorker { id } => process.remove_worker(&id).await.map(|()| ApiAnswer::ok()),
         ApiRequest::PutConfiguration { if_match, body } => put_configuration(process, if_match, &body).await,
         ApiRequest::ReadConfiguration => read_configuration(process).await,
+        ApiRequest::Tier => Ok(tier(process).await),
         ApiRequest::Retire { node_name } => process.retire(&node_name).await.map(retire_answer),
         ApiRequest::RetireState { node_name } => process.retire_state(&node_name).await.map(retire_answer),
     };
@@ -112,6 +114,13 @@
     })
 }
 
+async fn tier(process: &Rc<ControlProcess>) -> ApiAnswer {
+    match facet_json::to_string(&tier_view::view(process).await) {
+        Ok(body) => ApiAnswer::new(StatusCode::OK, body),
+        Err(_) => ApiAnswer::unavailable(),
+    }
+}
+
 fn retire_answer(answer: RetireAnswer) -> ApiAnswer {
     match answer {
         RetireAnswer::State(RetireState::Active) => ApiAnswer::new(StatusCode::OK, r#"{"state":"active"}"#),
--- a/crates/control/src/api/request.rs
+++ b/crates/control/src/api/request.rs
@@ -41,6 +41,8 @@
     },
     /// `GET /opalrun/config`.
     ReadConfiguration,
+    /// `GET /opalrun/tier`.
+    Tier,
     /// `POST /opalrun/retire/NODE`.
     Retire {
         /// The machine's name.
@@ -80,6 +82,8 @@
     let read_configuration = with(process, |process, _: Request| async move {
         hand_over(&process, ApiRequest::ReadConfiguration).await
     });
+    let tier =
+        with(process, |process, _: Request| async move { hand_over(&process, ApiRequest::Tier).await });
     let retire = with(process, |process, request: Request| async move {
         let node_name: String = request.param("node")?;
         hand_over(&process, ApiRequest::Retire { node_name }).await
@@ -93,6 +97,7 @@
         .delete("/opalrun/instances/:id", remove_worker)
         .put("/opalrun/config", put_configuration)
         .get("/opalrun/config", read_configuration)
+        .get("/opalrun/tier", tier)
         .post("/opalrun/retire/:node", retire)
         .get("/opalrun/retire/:node", retire_state)
 }
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -55,6 +55,8 @@
     },
     /// A control process wants to be a member.
     Hello(ControlNode),
+    /// Which gatekeepers subscribe there.
+    Subscribers,
 }
 
 /// The answer to a [`ControlCall`].
@@ -77,4 +79,6 @@
     Gatekeepers(u32),
     /// It is done.
     Done,
+    /// Names of the machines of gatekeepers, each with the generation in force there.
+    Subscribers(Vec<(String, u64)>),
 }
--- a/crates/control/src/feed/subscribers.rs
+++ b/crates/control/src/feed/subscribers.rs
@@ -83,6 +83,13 @@
         heard.all(|session| session.generation >= generation)
     }
 
+    /// The machines of the gatekeepers that are heard, each with the generation in force there.
+    #[must_use]
+    pub fn in_force(&self, now: Duration) -> Vec<(String, u64)> {
+        let heard = self.gatekeepers.values().filter(|session| lasts(session.heard, now));
+        heard.map(|session| (session.node_name.clone(), session.generation)).collect()
+    }
+
     /// How many gatekeepers are heard.
     #[must_use]
     pub fn gatekeepers(&self, now: Duration) -> u32 {
--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -303,6 +303,18 @@
         self.follow_members();
     }
 
+    /// The newest term of a shard that is known here.
+    #[must_use]
+    pub fn term(&self, shard: u16) -> u64 {
+        self.with_group(shard, |group| group.replica.term())
+    }
+
+    /// A shard's members, as this process's log says.
+    #[must_use]
+    pub fn members(&self, shard: u16) -> Vec<Member> {
+        self.with_group(shard, |group| group.replica.membership().members.clone())
+    }
+
     /// The identities of a shard's voters, as this process's log says.
     #[must_use]
     pub fn voters(&self, shard: u16) -> Vec<u64> {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod sessions;
 pub mod shards;
 pub mod store_map;
+pub mod tier_view;
 
 pub use error::ControlError;
 pub use run::{Control, run};
--- a/crates/control/src/process/call_handler.rs
+++ b/crates/control/src/process/call_handler.rs
@@ -48,6 +48,7 @@
             ControlCall::Renew { shard, ids } => self.answer_renew(shard, &ids),
             ControlCall::StoresHeard { identities } => self.answer_stores_heard(&identities),
             ControlCall::Gatekeepers { from, count } => self.answer_gatekeepers(from, count),
+            ControlCall::Subscribers => ControlAnswer::Subscribers(self.subscribed_here()),
             ControlCall::Hello(node) => {
                 let command = ConfigurationCommand::AdmitControl { node };
                 match self.submit_configuration(&command).await {
--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -4,6 +4,7 @@
 mod duties;
 mod member_watch;
 mod operations;
+mod report;
 pub mod store_watch;
 #[cfg(test)]
 mod tests;
--- /dev/null
+++ b/crates/control/src/tier_view.rs
@@ -0,0 +1,250 @@
+//! The whole tier as a control process sees it, for people and programs that watch it.
+
+use crate::{
+    process::ControlProcess,
+    shards::SHARDS,
+    store_map::{Silence, StoreEntry, StoreTable},
+};
+use facet::Facet;
+use opalrun_wire::feed::{ControlNode, Partition, Worker, WorkerState};
+use std::rc::Rc;
+
+/// The tier as one control process sees it.
+#[derive(Facet, Debug, Clone, PartialEq)]
+pub struct TierView {
+    /// The identity of the control process that tells this.
+    pub told_by: u64,
+    /// It is in touch with the owner of every group, so what it tells is fresh.
+    pub fresh: bool,
+    /// The generation of the configuration; 0 before the first.
+    pub generation: u64,
+    /// The epoch of the store map; 0 before the first.
+    pub store_epoch: u64,
+    /// The replicated groups of control.
+    pub groups: Vec<GroupView>,
+    /// The control processes.
+    pub control: Vec<ControlView>,
+    /// The gatekeepers that subscribe to the change feed.
+    pub gatekeepers: Vec<GatekeeperView>,
+    /// The sessions of workers.
+    pub workers: Vec<WorkerView>,
+    /// The stores.
+    pub stores: Vec<StoreView>,
+    /// Partitions with a replica that still copies.
+    pub partitions_not_whole: Vec<PartitionView>,
+}
+
+/// One replicated group.
+#[derive(Facet, Debug, Clone, PartialEq)]
+pub struct GroupView {
+    /// The shard's number; 0 holds the configuration, the others sessions.
+    pub shard: u16,
+    /// The identity of its owner, if known.
+    pub owner: Option<u64>,
+    /// The term.
+    pub term: u64,
+    /// The last entry that is applied here.
+    pub applied: u64,
+    /// Identities of its voters.
+    pub voters: Vec<u64>,
+    /// Identities of members without a vote, which are catching up.
+    pub learners: Vec<u64>,
+}
+
+/// A control process.
+#[derive(Facet, Debug, Clone, PartialEq)]
+pub struct ControlView {
+    /// Its identity.
+    pub identity: u64,
+    /// Its machine's name.
+    pub node_name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where workers and the operator reach it.
+    pub control_address: String,
+    /// It has answered just now.
+    pub answers: bool,
+}
+
+/// A gatekeeper.
+#[derive(Facet, Debug, Clone, PartialEq)]
+pub struct GatekeeperView {
+    /// Its machine's name.
+    pub node_name: String,
+    /// The generation in force there; 0 for none.
+    pub generation: u64,
+    /// The identity of the control process where it subscribes.
+    pub subscribed_at: u64,
+}
+
+/// A worker's session.
+#[derive(Facet, Debug, Clone, PartialEq)]
+pub struct WorkerView {
+    /// Its id.
+    pub id: String,
+    /// Its service.
+    pub service: String,
+    /// Where it takes requests.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// The generation of its software.
+    pub generation: String,
+    /// Requests that it works on at a time.
+    pub capacity: u32,
+    /// It finishes what it has and takes nothing new.
+    pub draining: bool,
+}
+
+/// A store.
+#[derive(Facet, Debug, Clone, PartialEq)]
+pub struct StoreView {
+    /// Its identity.
+    pub identity: u64,
+    /// Its machine's name.
+    pub node_name: String,
+    /// Its zone.
+    pub zone: String,
+    /// Where gatekeepers reach it.
+    pub address: String,
+    /// Active, Retiring or Retired.
+    pub state: String,
+    /// It is heard.
+    pub heard: bool,
+    /// Replicas that it holds.
+    pub replicas: u64,
+    /// How many of them are whole.
+    pub whole: u64,
+}
+
+/// Where a partition lies.
+#[derive(Facet, Debug, Clone, PartialEq)]
+pub struct PartitionView {
+    /// Its number.
+    pub partition: u16,
+    /// Identities of the stores that hold it whole.
+    pub whole: Vec<u64>,
+    /// Identities of the stores that copy it.
+    pub copying: Vec<u64>,
+    /// Identities of former replicas that are kept to copy from.
+    pub sources: Vec<u64>,
+}
+
+/// What a control process knows, and what the others tell it of their subscribers.
+pub async fn view(process: &Rc<ControlProcess>) -> TierView {
+    let reports = process.ask_for_subscribers().await;
+    let shards = process.shards();
+    let answers = |identity: u64| reports.iter().any(|report| report.from == identity);
+    let (generation, control, store_epoch, stores, partitions_not_whole) =
+        shards.with_configuration(|shard| {
+            let nodes = shard.directory().nodes();
+            let control = nodes.iter().map(|node| control_view(node, answers(node.identity))).collect();
+            let table = shard.stores();
+            (shard.generation(), control, table.map().epoch, store_views(table), not_whole(table))
+        });
+    let mut gatekeepers: Vec<GatekeeperView> = Vec::new();
+    for report in &reports {
+        let told = report.gatekeepers.iter().map(|(node_name, generation)| GatekeeperView {
+            node_name: node_name.clone(),
+            generation: *generation,
+            subscribed_at: report.from,
+        });
+        gatekeepers.extend(told);
+    }
+    gatekeepers.sort_by(|a, b| a.node_name.cmp(&b.node_name));
+    let workers = (1..SHARDS).filter_map(|shard| {
+        shards
+            .with_sessions(shard, |sessions| sessions.workers().values().map(worker_view).collect::<Vec<_>>())
+    });
+    TierView {
+        told_by: process.host().identity(),
+        fresh: process.is_fresh(),
+        generation,
+        store_epoch,
+        groups: (0..SHARDS).map(|shard| group_view(process, shard)).collect(),
+        control,
+        gatekeepers,
+        workers: workers.flatten().collect(),
+        stores,
+        partitions_not_whole,
+    }
+}
+
+fn group_view(process: &ControlProcess, shard: u16) -> GroupView {
+    let host = process.host();
+    let members = host.members(shard);
+    let identities = |voter: bool| {
+        let of_kind = members.iter().filter(|member| member.voter == voter);
+        of_kind.map(|member| member.identity).collect()
+    };
+    GroupView {
+        shard,
+        owner: host.owner(shard),
+        term: host.term(shard),
+        applied: host.applied(shard),
+        voters: identities(true),
+        learners: identities(false),
+    }
+}
+
+fn control_view(node: &ControlNode, answers: bool) -> ControlView {
+    ControlView {
+        identity: node.identity,
+        node_name: node.node_name.clone(),
+        zone: node.zone.clone(),
+        control_address: node.control_address.clone(),
+        answers,
+    }
+}
+
+fn worker_view(worker: &Worker) -> WorkerView {
+    WorkerView {
+        id: worker.id.clone(),
+        service: worker.service.clone(),
+        address: worker.address.clone(),
+        zone: worker.zone.clone(),
+        generation: worker.generation.clone(),
+        capacity: worker.capacity,
+        draining: worker.state == WorkerState::Draining,
+    }
+}
+
+fn store_views(table: &StoreTable) -> Vec<StoreView> {
+    table.stores().iter().map(|entry| store_view(entry, &table.map().partitions)).collect()
+}
+
+fn store_view(entry: &StoreEntry, partitions: &[Partition]) -> StoreView {
+    let node = &entry.node;
+    let replicas = partitions.iter().flat_map(|partition| &partition.replicas);
+    let own: Vec<bool> =
+        replicas.filter(|replica| replica.store == node.identity).map(|replica| replica.whole).collect();
+    StoreView {
+        identity: node.identity,
+        node_name: node.node_name.clone(),
+        zone: node.zone.clone(),
+        address: node.address.clone(),
+        state: format!("{:?}", node.state),
+        heard: entry.silence == Silence::Heard,
+        replicas: own.len() as u64,
+        whole: own.iter().filter(|whole| **whole).count() as u64,
+    }
+}
+
+fn not_whole(table: &StoreTable) -> Vec<PartitionView> {
+    let numbered = (0..).zip(&table.map().partitions);
+    let copying = numbered.filter(|(_, partition)| partition.replicas.iter().any(|replica| !replica.whole));
+    copying
+        .map(|(number, partition)| {
+            let stores = |whole: bool| {
+                let of_kind = partition.replicas.iter().filter(|replica| replica.whole == whole);
+                of_kind.map(|replica| replica.store).collect()
+            };
+            PartitionView {
+                partition: number,
+                whole: stores(true),
+                copying: stores(false),
+                sources: partition.sources.clone(),
+            }
+        })
+        .collect()
+}
--- /dev/null
+++ b/crates/control/tests/looked_at.rs
@@ -0,0 +1,93 @@
+//! What people can see of a control process: the tier while it runs, its folder after it has ended.
+
+mod support;
+
+use opalrun_control::{inspect, tier_view::TierView};
+use opalrun_storage::{DataDirectory, ReadOnlyDisk};
+use opalrun_wire::feed::FeedUpdate;
+use std::sync::Arc;
+use support::{
+    FeedCaller, Machine, call, configuration, heartbeat, machines, put_configuration, run_local, run_store,
+};
+
+async fn view(machine: &Machine) -> TierView {
+    let answer = call(&[machine.api()], "GET", "/opalrun/tier", "", "").await;
+    assert_eq!(answer.status, 200, "{answer:?}");
+    facet_json::from_slice(answer.body.as_bytes()).expect("a view of the tier")
+}
+
+/// Looks again until the view is as wanted.
+async fn view_with(machine: &Machine, wanted: impl Fn(&TierView) -> bool) -> TierView {
+    loop {
+        let view = view(machine).await;
+        if wanted(&view) {
+            return view;
+        }
+    }
+}
+
+#[test]
+fn the_view_has_all_that_belongs_to_the_tier() {
+    run_local(async {
+        let machines = machines(3, 3, 1);
+        let _first = machines[0].start().await;
+        let _second = machines[1].start().await;
+        let _third = machines[2].start().await;
+        let api = [machines[0].api()];
+        assert_eq!(put_configuration(&api, 0, &configuration(3, 500)).await, 200);
+        assert_eq!(heartbeat(&api, "a", "s", "draining", 1).await, 200);
+        let stores: Vec<_> = (1..=3)
+            .map(|identity| run_store(machines[0].feed(), identity, &format!("storage-{identity}")))
+            .collect();
+        // It subscribes at another process than the one that is asked.
+        let mut gatekeeper = FeedCaller::gatekeeper(machines[1].feed(), "edge-1").await;
+        while !matches!(gatekeeper.next().await, FeedUpdate::Fresh { .. }) {
+            gatekeeper.beat(3);
+        }
+        gatekeeper.beat(3);
+        let view = view_with(&machines[0], |view| {
+            view.control.len() == 3
+                && view.gatekeepers.iter().any(|gatekeeper| gatekeeper.generation == 3)
+                && view.stores.iter().any(|store| store.whole > 0)
+                && view.partitions_not_whole.is_empty()
+                && view.groups.iter().all(|group| group.owner.is_some() && group.voters.len() == 3)
+        })
+        .await;
+        assert_eq!(view.generation, 3);
+        assert_eq!(view.groups.len(), 4);
+        assert!(view.control.iter().all(|node| node.answers));
+        assert_eq!(view.gatekeepers[0].node_name, "edge-1");
+        assert_ne!(view.gatekeepers[0].subscribed_at, view.told_by);
+        assert_eq!(view.workers.len(), 1);
+        assert!(view.workers[0].draining && view.workers[0].capacity == 32);
+        assert_eq!(view.stores.len(), 3);
+        assert!(view.stores.iter().all(|store| store.state == "Active" && store.heard));
+        assert!(view.store_epoch > 0);
+        stores.iter().for_each(tokio::task::JoinHandle::abort);
+    });
+}
+
+#[test]
+fn the_folder_of_an_ended_process_tells_what_it_had() {
+    run_local(async {
+        let machine = machines(1, 1, 0).remove(0);
+        let control = machine.start().await;
+        let identity = control.process().host().identity();
+        let api = [machine.api()];
+        assert_eq!(put_configuration(&api, 0, &configuration(3, 500)).await, 200);
+        assert_eq!(heartbeat(&api, "a", "s", "ready", 1).await, 200);
+        control.end().await;
+        let folder = machine.settings.data_dir.clone().expect("a folder");
+        let disk = ReadOnlyDisk::new();
+        let directory = DataDirectory::open_on(Arc::new(disk.clone()), &folder).expect("a folder");
+        let found = inspect::inspect(&directory);
+        assert_eq!(found.problems, Vec::<String>::new());
+        let state = found.state.expect("a state");
+        assert_eq!(state.identity, identity);
+        assert_eq!((state.first_members, state.log_generation), (1, 3));
+        assert_eq!(state.shards.len(), 4);
+        assert_eq!(state.shards.iter().map(|shard| shard.workers).sum::<u64>(), 1);
+        assert!(state.shards.iter().all(|shard| shard.term > 0 && shard.members.len() == 1));
+        assert!(state.journal_bytes > 0);
+    });
+}
--- /dev/null
+++ b/crates/opalrun/src/operator/tables.rs
@@ -0,0 +1,138 @@
+//! The tier as text.
+
+use crate::table::{Table, or_dash, yes_no};
+use opalrun_control::tier_view::TierView;
+use std::collections::BTreeMap;
+
+/// Everything that a control process tells of the tier.
+pub fn tier(view: &TierView) -> String {
+    let names = names(view);
+    let mut text = format!(
+        "told by {}{}\nconfiguration: generation {}\nstore map: epoch {}\n",
+        name(&names, view.told_by),
+        if view.fresh { "" } else { ", which is out of touch: this may be old" },
+        view.generation,
+        view.store_epoch,
+    );
+    for part in [
+        control(view),
+        groups(view, &names),
+        gatekeepers(view, &names),
+        workers(view),
+        stores(view),
+        not_whole(view, &names),
+    ] {
+        text.push('\n');
+        text.push_str(&part);
+    }
+    text
+}
+
+/// Machine names of control processes and stores by identity.
+fn names(view: &TierView) -> BTreeMap<u64, String> {
+    let control = view.control.iter().map(|node| (node.identity, node.node_name.clone()));
+    let stores = view.stores.iter().map(|store| (store.identity, store.node_name.clone()));
+    control.chain(stores).collect()
+}
+
+fn name(names: &BTreeMap<u64, String>, identity: u64) -> String {
+    names.get(&identity).cloned().unwrap_or_else(|| identity.to_string())
+}
+
+fn list(names: &BTreeMap<u64, String>, identities: &[u64]) -> String {
+    if identities.is_empty() {
+        return "-".to_owned();
+    }
+    identities.iter().map(|identity| name(names, *identity)).collect::<Vec<_>>().join(" ")
+}
+
+fn control(view: &TierView) -> String {
+    let mut table = Table::new("control processes", &["machine", "zone", "address", "identity", "answers"]);
+    for node in &view.control {
+        table.row([
+            node.node_name.clone(),
+            node.zone.clone(),
+            node.control_address.clone(),
+            node.identity.to_string(),
+            yes_no(node.answers),
+        ]);
+    }
+    table.text()
+}
+
+fn groups(view: &TierView, names: &BTreeMap<u64, String>) -> String {
+    let mut table = Table::new("groups", &["shard", "owner", "term", "applied", "voters", "learners"]);
+    for group in &view.groups {
+        table.row([
+            group.shard.to_string(),
+            or_dash(group.owner.map(|owner| name(names, owner))),
+            group.term.to_string(),
+            group.applied.to_string(),
+            list(names, &group.voters),
+            list(names, &group.learners),
+        ]);
+    }
+    table.text()
+}
+
+fn gatekeepers(view: &TierView, names: &BTreeMap<u64, String>) -> String {
+    let mut table = Table::new("gatekeepers", &["machine", "generation in force", "subscribes at"]);
+    for gatekeeper in &view.gatekeepers {
+        let generation = if gatekeeper.generation == view.generation {
+            gatekeeper.generation.to_string()
+        } else {
+            format!("{} (behind)", gatekeeper.generation)
+        };
+        table.row([gatekeeper.node_name.clone(), generation, name(names, gatekeeper.subscribed_at)]);
+    }
+    table.text()
+}
+
+fn workers(view: &TierView) -> String {
+    let columns = ["service", "id", "address", "zone", "software", "slots", "draining"];
+    let mut table = Table::new("workers", &columns);
+    for worker in &view.workers {
+        table.row([
+            worker.service.clone(),
+            worker.id.clone(),
+            worker.address.clone(),
+            worker.zone.clone(),
+            worker.generation.clone(),
+            worker.capacity.to_string(),
+            yes_no(worker.draining),
+        ]);
+    }
+    table.text()
+}
+
+fn stores(view: &TierView) -> String {
+    let columns = ["machine", "zone", "address", "identity", "state", "heard", "replicas", "whole"];
+    let mut table = Table::new("stores", &columns);
+    for store in &view.stores {
+        table.row([
+            store.node_name.clone(),
+            store.zone.clone(),
+            store.address.clone(),
+            store.identity.to_string(),
+            store.state.clone(),
+            yes_no(store.heard),
+            store.replicas.to_string(),
+            store.whole.to_string(),
+        ]);
+    }
+    table.text()
+}
+
+fn not_whole(view: &TierView, names: &BTreeMap<u64, String>) -> String {
+    let columns = ["partition", "whole at", "copying to", "former replicas"];
+    let mut table = Table::new("partitions not whole", &columns);
+    for partition in &view.partitions_not_whole {
+        table.row([
+            partition.partition.to_string(),
+            list(names, &partition.whole),
+            list(names, &partition.copying),
+            list(names, &partition.sources),
+        ]);
+    }
+    table.text()
+}
--- a/crates/opalrun/src/state/mod.rs
+++ b/crates/opalrun/src/state/mod.rs
@@ -29,6 +29,27 @@
     }
 }
 
+/// What to do with a folder.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StateAction {
+    /// Print numbers and sizes.
+    Show,
+    /// Read everything and tell what is wrong.
+    Verify,
+}
+
+impl FromStr for StateAction {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "show" => Ok(Self::Show),
+            "verify" => Ok(Self::Verify),
+            other => Err(format!("{other:?} is neither show nor verify")),
+        }
+    }
+}
+
 /// What was found in a folder.
 #[derive(Facet, Debug)]
 struct Report {
@@ -42,36 +63,25 @@
     mended_at_start: Vec<String>,
 }
 
-/// Prints what a folder holds.
+/// Reads a folder and prints what it holds, or only what the process would mend at its next start.
 ///
 /// # Errors
-/// The problems, if there are any.
-pub fn show(role: StatefulRole, folder: &Path, as_json: bool) -> Result<(), String> {
-    let report = look(role, folder)?;
-    if as_json {
-        let text = facet_json::to_string(&report).map_err(|error| error.to_string())?;
-        println!("{text}");
-    } else {
-        print!("{}", tables::report(&report));
+/// All that is wrong with it.
+pub fn look_at(action: StateAction, role: StatefulRole, folder: &Path, as_json: bool) -> Result<(), String> {
+    let report = read(role, folder)?;
+    let is_right = report.problems.is_empty();
+    match action {
+        _ if as_json => println!("{}", facet_json::to_string(&report).map_err(|error| error.to_string())?),
+        StateAction::Show => print!("{}", tables::report(&report)),
+        StateAction::Verify => print!("{}", tables::mended(&report)),
     }
-    outcome(report.problems)
-}
-
-/// Reads everything in a folder and tells what is wrong.
-///
-/// # Errors
-/// The problems, if there are any.
-pub fn verify(role: StatefulRole, folder: &Path) -> Result<(), String> {
-    let report = look(role, folder)?;
-    for mended in &report.mended_at_start {
-        println!("at the next start: {mended}");
+    if action == StateAction::Verify && is_right && !as_json {
+        println!("{}: everything can be read", folder.display());
     }
-    outcome(report.problems)?;
-    println!("{}: everything can be read", folder.display());
-    Ok(())
+    if is_right { Ok(()) } else { Err(report.problems.join("\n")) }
 }
 
-fn look(role: StatefulRole, folder: &Path) -> Result<Report, String> {
+fn read(role: StatefulRole, folder: &Path) -> Result<Report, String> {
     let disk = ReadOnlyDisk::new();
     let directory =
         DataDirectory::open_on(Arc::new(disk.clone()), folder).map_err(|error| error.to_string())?;
@@ -87,7 +97,3 @@
     };
     Ok(Report { control, store, problems, mended_at_start: disk.notes() })
 }
-
-fn outcome(problems: Vec<String>) -> Result<(), String> {
-    if problems.is_empty() { Ok(()) } else { Err(problems.join("\n")) }
-}
--- a/crates/opalrun/src/state/tables.rs
+++ b/crates/opalrun/src/state/tables.rs
@@ -9,8 +9,12 @@
 pub fn report(report: &Report) -> String {
     let control = report.control.as_ref().map(control);
     let store = report.store.as_ref().map(store);
-    let mended = report.mended_at_start.iter().map(|mended| format!("at the next start: {mended}\n"));
-    control.into_iter().chain(store).chain(mended).collect()
+    control.into_iter().chain(store).chain([mended(report)]).collect()
+}
+
+/// What the process would mend by itself at its next start.
+pub fn mended(report: &Report) -> String {
+    report.mended_at_start.iter().map(|mended| format!("at the next start: {mended}\n")).collect()
 }
 
 fn control(state: &ControlState) -> String {
--- a/crates/opalrun/tests/commands.rs
+++ b/crates/opalrun/tests/commands.rs
@@ -118,3 +118,13 @@
         read.push(byte[0]);
     }
 }
+
+#[test]
+fn control_that_is_not_there_is_told_as_such() {
+    let output =
+        run(&["configuration", "put", "/nonexistent", "--control", "127.0.0.1:1", "--if-match", "0"]);
+    assert_eq!(output.status.code(), Some(3), "{output:?}");
+    let output = run(&["tier", "show"]);
+    assert_eq!(output.status.code(), Some(64), "{output:?}");
+    assert!(text(&output.stderr).contains("--control"), "{output:?}");
+}
--- a/crates/opalrun/tests/tier.rs
+++ b/crates/opalrun/tests/tier.rs
@@ -20,3 +20,6 @@
 
 #[path = "tier/acknowledged.rs"]
 mod acknowledged;
+
+#[path = "tier/looked_at.rs"]
+mod looked_at;
--- /dev/null
+++ b/crates/opalrun/tests/tier/looked_at.rs
@@ -0,0 +1,86 @@
+//! The commands for people against a running tier.
+
+use crate::{support::with_deployment, view};
+use fleetlab::tier::deployment::Deployment;
+use serde_json::Value;
+use std::{
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    process::Output,
+};
+
+/// The control address of the first machine of the core.
+fn control(deployment: &Deployment) -> SocketAddr {
+    let ip = deployment.tier.ip("core-1").expect("a control machine");
+    SocketAddr::from((ip, deployment.tier.ports.control))
+}
+
+async fn run(arguments: &[&str]) -> Output {
+    let arguments: Vec<String> = arguments.iter().map(ToString::to_string).collect();
+    let run = move || {
+        std::process::Command::new(env!("CARGO_BIN_EXE_opalrun")).args(arguments).output().expect("it runs")
+    };
+    tokio::task::spawn_blocking(run).await.expect("it runs")
+}
+
+async fn shown(control: &str) -> Value {
+    let output = run(&["tier", "show", "--control", control, "--json"]).await;
+    assert!(output.status.success(), "{output:?}");
+    serde_json::from_slice(&output.stdout).expect("JSON")
+}
+
+fn words(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned() + &String::from_utf8_lossy(&output.stderr)
+}
+
+fn written(folder: &Path, name: &str, value: &Value) -> PathBuf {
+    let path = folder.join(name);
+    std::fs::write(&path, value.to_string()).expect("a file");
+    path
+}
+
+#[test]
+fn a_tier_is_shown_reconfigured_and_loses_a_store_by_order() {
+    with_deployment(async |mut deployment| {
+        deployment
+            .tier
+            .add("storage-4", fleetlab::tier::settings_file::Class::Storage, "zone-1")
+            .expect("added");
+        view::store_identity(&deployment, "storage-4").await;
+        let control = control(&deployment).to_string();
+        let tier = shown(&control).await;
+        assert_eq!(tier["control"].as_array().expect("a list").len(), 3);
+        assert_eq!(tier["stores"].as_array().expect("a list").len(), 4);
+        let table = run(&["tier", "show", "--control", &control]).await;
+        assert!(words(&table).contains("groups") && words(&table).contains("edge-1"), "{table:?}");
+
+        // Nothing listens at the first address: the second one is asked.
+        let read = run(&["configuration", "get", "--control", "127.0.0.1:1", "--control", &control]).await;
+        assert!(read.status.success(), "{read:?}");
+        let mut body: Value = serde_json::from_slice(&read.stdout).expect("a configuration");
+        let current = body["generation"].as_u64().expect("a generation");
+        body["generation"] = (current + 5).into();
+        let folder = tempfile::tempdir().expect("a folder");
+        let file = written(folder.path(), "next.json", &body);
+        let file = file.to_str().expect("a path");
+        let put = ["configuration", "put", file, "--control", &control, "--if-match"];
+        let stale = run(&[&put[..], &[(current + 1).to_string().as_str()]].concat()).await;
+        assert_eq!(stale.status.code(), Some(3), "{stale:?}");
+        assert!(words(&stale).starts_with("E302: "), "{stale:?}");
+        let taken = run(&[&put[..], &[current.to_string().as_str()]].concat()).await;
+        assert!(taken.status.success(), "{taken:?}");
+        assert_eq!(shown(&control).await["generation"], current + 5);
+
+        let unknown = run(&["store", "retire", "storage-9", "--control", &control]).await;
+        assert_eq!(unknown.status.code(), Some(4), "{unknown:?}");
+        assert!(words(&unknown).starts_with("E403: "), "{unknown:?}");
+        let retired =
+            run(&["store", "retire", "storage-4", "--control", &control, "--deadline-s", "15", "--follow"])
+                .await;
+        assert!(retired.status.success(), "{retired:?}");
+        assert!(words(&retired).contains("it can be taken away"), "{retired:?}");
+        let too_few = run(&["store", "retire", "storage-1", "--control", &control]).await;
+        assert!(words(&too_few).starts_with("E404: "), "{too_few:?}");
+        deployment
+    });
+}
