--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -42,7 +42,7 @@
 const RANKS: usize = 6;
 /// What a worker outside this gatekeeper's subset is set back by, in prompt tokens.
 const TOKENS_OUTSIDE: f64 = 2000.0;
-/// What a worker in another zone is set back by there, in prompt tokens.
+/// What a worker in another zone is set back by, in prompt tokens: bytes between zones have their price.
 const TOKENS_OF_ANOTHER_ZONE: f64 = 500.0;
 /// What a worker without a free place is set back by, in prompt tokens.
 const TOKENS_WITHOUT_PLACE: f64 = 100_000.0;
@@ -235,10 +235,10 @@
         };
         // The same order everywhere would crowd a subject's home where each gatekeeper sees little of its load.
         let key = if self.has_subset { subject.id ^ self.subset.gatekeeper } else { subject.id };
-        let mut order: Vec<(u64, &'a WorkerId)> =
-            candidates.iter().map(|(id, _)| (rendezvous(key, id), *id)).collect();
+        let mut order: Vec<(bool, u64, &'a WorkerId)> =
+            candidates.iter().map(|(id, worker)| (worker.local, rendezvous(key, id), *id)).collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
-        order.into_iter().take(RANKS).enumerate().map(|(rank, (_, id))| (id, rank)).collect()
+        order.into_iter().take(RANKS).enumerate().map(|(rank, (_, _, id))| (id, rank)).collect()
     }
 
     fn score(
@@ -276,10 +276,7 @@
 
     /// What a worker is set back by that is not among those this gatekeeper prefers.
     fn tokens_outside(&self, worker: &WorkerEntry) -> f64 {
-        if !self.has_subset {
-            return 0.0;
-        }
-        let outside = if worker.in_subset { 0.0 } else { TOKENS_OUTSIDE };
+        let outside = if worker.in_subset || !self.has_subset { 0.0 } else { TOKENS_OUTSIDE };
         let far = if worker.local { 0.0 } else { TOKENS_OF_ANOTHER_ZONE };
         outside + far
     }
--- a/crates/gatekeeper/src/proxy/balance/tests.rs
+++ b/crates/gatekeeper/src/proxy/balance/tests.rs
@@ -193,6 +193,20 @@
     assert_eq!(&*balancer.choose(at(0), &Choice::default()).expect("free").id, "far");
 }
 
+#[test]
+fn a_subject_has_its_home_in_this_zone_where_there_are_workers() {
+    let mut balancer = Balancer::new("here", 1);
+    balancer.set_memory_tokens(ENGINE_MEMORY);
+    let zones = ["there", "there", "there", "here", "here"];
+    let list: Vec<_> = zones.iter().enumerate().map(|(n, zone)| worker(&format!("w{n}"), zone, 32)).collect();
+    balancer.set_workers(at(0), list.iter());
+    for subject in 0..32 {
+        let prompt = parts(&[(subject, 2500), (1000 + subject, 500)]);
+        let chosen = balancer.choose(at(0), &Choice { parts: &prompt, ..Choice::default() }).expect("free");
+        assert!(["w3", "w4"].contains(&&*chosen.id));
+    }
+}
+
 #[test]
 fn no_order_of_events_loses_count_of_what_is_in_flight() {
     bolero::check!().with_type::<Vec<(u8, u8)>>().for_each(|events| {
