--- a/crates/control/src/shards.rs
+++ b/crates/control/src/shards/mod.rs
@@ -1,5 +1,8 @@
 //! All shards of this process: their state, and the changes that subscribers of the feed have not seen yet.
 
+#[cfg(test)]
+mod tests;
+
 use crate::{
     configuration_shard::{ConfigurationCommand, ConfigurationShard},
     host::StateMachine,
--- /dev/null
+++ b/crates/control/src/shards/tests.rs
@@ -0,0 +1,197 @@
+//! Whatever the order of commands, snapshots and looks: who follows the feed knows what the state holds.
+
+use super::Shards;
+use crate::{
+    configuration_shard::ConfigurationCommand,
+    sessions::SessionCommand,
+    store_map::{StoreCommand, StoreOutcome},
+};
+use opalrun_wire::{
+    feed::{
+        CONFIGURATION_SHARD, Change, ControlNode, FeedUpdate, StoreNode, StoreState, Worker, WorkerState,
+    },
+    frame::{decode, encode},
+};
+use std::collections::BTreeMap;
+
+const SESSIONS: u16 = 1;
+
+/// What a subscriber has made of the feed.
+#[derive(Debug, Default, Clone, PartialEq)]
+struct View {
+    offset: Option<u64>,
+    workers: BTreeMap<String, Worker>,
+    configuration: Option<(u64, Vec<u8>)>,
+    nodes: Vec<ControlNode>,
+    map_epoch: u64,
+}
+
+impl View {
+    fn follow(&mut self, shards: &Shards, shard: u16) {
+        match shards.update_since(shard, self.offset) {
+            Some(FeedUpdate::Snapshot { offset, changes, .. }) => {
+                assert!(self.offset.is_none_or(|held| held <= offset), "the feed goes back");
+                *self = Self { offset: Some(offset), ..Self::default() };
+                changes.into_iter().for_each(|change| self.take(change));
+            }
+            Some(FeedUpdate::Changes { offset, changes, .. }) => {
+                assert!(self.offset.is_some_and(|held| held < offset), "the feed stands still");
+                self.offset = Some(offset);
+                changes.into_iter().for_each(|change| self.take(change));
+            }
+            Some(FeedUpdate::Fresh { .. } | FeedUpdate::GoElsewhere) | None => {}
+        }
+    }
+
+    fn take(&mut self, change: Change) {
+        match change {
+            Change::Configuration { generation, body } => {
+                let newer = self.configuration.as_ref().is_none_or(|(held, _)| *held < generation);
+                assert!(newer, "an older configuration");
+                self.configuration = Some((generation, body));
+            }
+            Change::ControlNodes(nodes) => self.nodes = nodes,
+            Change::StoreMap(map) => {
+                assert!(map.epoch > self.map_epoch, "an older map");
+                self.map_epoch = map.epoch;
+            }
+            Change::Worker(worker) => {
+                self.workers.insert(worker.id.clone(), worker);
+            }
+            Change::WorkerGone { id, .. } => {
+                self.workers.remove(&id);
+            }
+        }
+    }
+}
+
+fn worker(id: u8, sequence: u8, kind: u8) -> Worker {
+    Worker {
+        id: format!("w{}", id % 4),
+        service: "service".to_owned(),
+        address: "10.1.0.1:80".to_owned(),
+        zone: "zone".to_owned(),
+        generation: format!("v{}", kind % 2),
+        capacity: 4,
+        state: if kind % 3 == 0 { WorkerState::Draining } else { WorkerState::Ready },
+        cold_remaining_ms: 0,
+        sequence: u64::from(sequence),
+    }
+}
+
+fn session_command(kind: u8, id: u8, sequence: u8) -> Vec<u8> {
+    let name = format!("w{}", id % 4);
+    let command = match kind % 5 {
+        0 => SessionCommand::Remove { id: name },
+        1 => SessionCommand::Expire { workers: vec![(name, u64::from(sequence))] },
+        _ => SessionCommand::Put(worker(id, sequence, kind)),
+    };
+    encode(&command).to_vec()
+}
+
+fn configuration_command(kind: u8, one: u8, two: u8) -> Vec<u8> {
+    let name = format!("machine-{}", one % 4);
+    let command = match kind % 5 {
+        0 => ConfigurationCommand::AdmitControl {
+            node: ControlNode {
+                identity: u64::from(two % 8),
+                node_name: name.clone(),
+                peer_address: String::new(),
+                control_address: name,
+                zone: String::new(),
+            },
+        },
+        1 => ConfigurationCommand::DropControl { identity: u64::from(two % 8) },
+        2 => ConfigurationCommand::Store(StoreCommand::Hello {
+            node: StoreNode {
+                identity: u64::from(two % 8),
+                node_name: name.clone(),
+                address: name,
+                zone: String::new(),
+                state: StoreState::Active,
+            },
+        }),
+        3 => ConfigurationCommand::Store(StoreCommand::Form { replicas: 2 }),
+        _ => ConfigurationCommand::PutConfiguration {
+            if_match: u64::from(one),
+            generation: u64::from(two),
+            body: vec![one, two],
+            sha256: [two; 32],
+        },
+    };
+    encode(&command).to_vec()
+}
+
+fn follow_random_orders(shard: u16, command: fn(u8, u8, u8) -> Vec<u8>) {
+    bolero::check!().with_type::<Vec<(u8, u8, u8, u8)>>().for_each(|events| {
+        let (leader, follower) = (Shards::new(), Shards::new());
+        let mut subscribers = [View::default(), View::default()];
+        for (index, (event, kind, one, two)) in events.iter().enumerate() {
+            let index = index as u64 + 1;
+            let bytes = command(*kind, *one, *two);
+            let reply = leader.apply(shard, index, &bytes);
+            if event % 4 == 0 {
+                follower.restore(shard, &leader.snapshot(shard)).expect("it is a snapshot");
+            } else {
+                assert_eq!(follower.apply(shard, index, &bytes), reply, "replicas differ");
+            }
+            // The first subscriber goes between the replicas, the second follows one of them now and then.
+            subscribers[0].follow(if event % 2 == 0 { &leader } else { &follower }, shard);
+            if event % 7 == 0 {
+                subscribers[1].follow(&follower, shard);
+            }
+        }
+        assert_eq!(leader.snapshot(shard), follower.snapshot(shard));
+        let mut newcomer = View::default();
+        newcomer.follow(&leader, shard);
+        for mut subscriber in subscribers {
+            subscriber.follow(&leader, shard);
+            let known = View { offset: newcomer.offset, ..subscriber };
+            assert_eq!(known, newcomer);
+        }
+    });
+}
+
+#[test]
+fn subscribers_of_sessions_know_what_the_state_holds() {
+    follow_random_orders(SESSIONS, session_command);
+}
+
+#[test]
+fn subscribers_of_the_configuration_know_what_the_state_holds() {
+    follow_random_orders(CONFIGURATION_SHARD, configuration_command);
+}
+
+#[test]
+fn a_subscriber_that_is_far_behind_gets_a_snapshot() {
+    let shards = Shards::new();
+    let mut view = View::default();
+    for index in 1..=2000 {
+        shards.apply(SESSIONS, index, &encode(&SessionCommand::Put(worker(1, 0, index as u8))));
+        if index == 1 {
+            view.follow(&shards, SESSIONS);
+        }
+    }
+    assert!(matches!(shards.update_since(SESSIONS, view.offset), Some(FeedUpdate::Snapshot { .. })));
+    view.follow(&shards, SESSIONS);
+    assert_eq!(view.workers.len(), 1);
+}
+
+#[test]
+fn a_subscriber_that_is_ahead_is_sent_nothing() {
+    let shards = Shards::new();
+    shards.apply(SESSIONS, 5, &session_command(2, 1, 1));
+    assert_eq!(shards.update_since(SESSIONS, Some(9)), None);
+}
+
+#[test]
+fn commands_and_snapshots_that_can_t_be_read_change_nothing() {
+    let shards = Shards::new();
+    shards.apply(SESSIONS, 1, &session_command(2, 1, 1));
+    assert!(shards.apply(SESSIONS, 2, b"no command").is_empty());
+    assert!(shards.restore(SESSIONS, b"no snapshot").is_err());
+    assert!(shards.restore(CONFIGURATION_SHARD, &shards.snapshot(SESSIONS)).is_err());
+    assert_eq!(shards.with_sessions(SESSIONS, |sessions| sessions.workers().len()), Some(1));
+    let outcome: Result<StoreOutcome, _> = decode(b"");
+    assert!(outcome.is_err());
+}
