--- a/crates/control/src/shards/tests.rs
+++ b/crates/control/src/shards/tests.rs
@@ -73,7 +73,7 @@
         zone: "zone".to_owned(),
         generation: format!("v{}", kind % 2),
         capacity: 4,
-        state: if kind % 3 == 0 { WorkerState::Draining } else { WorkerState::Ready },
+        state: if kind.is_multiple_of(3) { WorkerState::Draining } else { WorkerState::Ready },
         cold_remaining_ms: 0,
         sequence: u64::from(sequence),
     }
