--- /dev/null
+++ b/crates/hollow/src/main.rs
@@ -0,0 +1,60 @@
+//! `opalrun-hollow`: measures control processes under hollow gatekeepers and workers; prints one line of JSON.
+#![forbid(unsafe_code)]
+
+use opalrun_hollow::measure::{Size, measure};
+use std::{path::PathBuf, process::ExitCode, time::Duration};
+use tokio::{runtime, task::LocalSet};
+
+mod flags {
+    use std::path::PathBuf;
+
+    xflags::xflags! {
+        /// Measures control processes under hollow gatekeepers and workers.
+        cmd opalrun-hollow {
+            /// The program of all roles: target/tier/opalrun.
+            optional --build path: PathBuf
+            /// Hollow gatekeepers: 100.
+            optional --gatekeepers count: usize
+            /// Hollow workers: 150.
+            optional --workers count: usize
+            /// Routes of the configuration: 350.
+            optional --routes count: usize
+            /// Seconds for which nothing changes: 10.
+            optional --steady-s seconds: u64
+            /// Changes of the configuration after that, one a second: 10.
+            optional --changes count: u64
+        }
+    }
+}
+
+/// The pause between heartbeats that the deployments set.
+const HEARTBEAT: Duration = Duration::from_millis(1200);
+
+fn main() -> ExitCode {
+    let flags = flags::OpalrunHollow::from_env_or_exit();
+    match run(&flags) {
+        Ok(line) => {
+            println!("{line}");
+            ExitCode::SUCCESS
+        }
+        Err(message) => {
+            eprintln!("{message}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(flags: &flags::OpalrunHollow) -> Result<String, String> {
+    let size = Size {
+        gatekeepers: flags.gatekeepers.unwrap_or(100),
+        workers: flags.workers.unwrap_or(150),
+        routes: flags.routes.unwrap_or(350),
+        heartbeat: HEARTBEAT,
+        steady: Duration::from_secs(flags.steady_s.unwrap_or(10)),
+        changes: flags.changes.unwrap_or(10),
+    };
+    let build = flags.build.clone().unwrap_or_else(|| PathBuf::from("target/tier/opalrun"));
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
+    let figures = LocalSet::new().block_on(&runtime, measure(&build, &size)).map_err(|e| e.to_string())?;
+    Ok(figures.to_json().to_string())
+}
--- /dev/null
+++ b/crates/opalrun/tests/hollow.rs
@@ -0,0 +1,33 @@
+//! The measurement under hollow gatekeepers and workers, at a small size.
+
+use opalrun_hollow::measure::{Size, measure};
+use std::{path::Path, time::Duration};
+use tokio::{runtime, task::LocalSet};
+
+/// A measurement that takes longer has failed.
+const TEST_LIMIT: Duration = Duration::from_secs(60);
+
+#[test]
+fn a_small_size_gives_figures_of_every_process() {
+    let size = Size {
+        gatekeepers: 4,
+        workers: 6,
+        routes: 20,
+        heartbeat: Duration::from_millis(400),
+        steady: Duration::from_millis(500),
+        changes: 2,
+    };
+    let program = Path::new(env!("CARGO_BIN_EXE_opalrun"));
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
+    let measured = LocalSet::new().block_on(&runtime, async {
+        tokio::time::timeout(TEST_LIMIT, measure(program, &size)).await.expect("a measurement in time")
+    });
+    let figures = measured.unwrap_or_else(|e| panic!("{e}"));
+    assert_eq!((figures.everywhere_in.len(), figures.acknowledged_in.len()), (2, 2));
+    assert!(figures.bytes_a_change >= figures.configuration_bytes as f64, "{figures:?}");
+    assert!(figures.frames_a_second > 0.0 && figures.heartbeats_a_second > 0.0, "{figures:?}");
+    let mut names: Vec<&str> = figures.loads.iter().map(|load| load.name.as_str()).collect();
+    names.sort_unstable();
+    assert_eq!(names, ["agent edge-1", "control core-1", "control core-2", "control core-3", "proxy edge-1"]);
+    assert!(figures.loads.iter().all(|load| load.peak_bytes > 0), "{figures:?}");
+}
--- a/lab/src/tier/fleet.rs
+++ b/lab/src/tier/fleet.rs
@@ -432,6 +432,16 @@
         self.machines.iter().find(|m| m.has_logged(text)).map(|m| m.name.clone())
     }
 
+    /// All processes that run: role and machine, and the process's id.
+    #[must_use]
+    pub fn process_ids(&self) -> Vec<(String, u32)> {
+        let of = |machine: &Machine| {
+            let name = machine.name.clone();
+            machine.process_ids().into_iter().map(move |(role, id)| (format!("{role} {name}"), id))
+        };
+        self.machines.iter().flat_map(of).collect()
+    }
+
     /// Processes that have ended though nobody ended them.
     pub fn fallen(&mut self) -> Vec<String> {
         self.machines.iter_mut().flat_map(Machine::fallen).collect()
--- a/lab/src/tier/machine.rs
+++ b/lab/src/tier/machine.rs
@@ -149,6 +149,13 @@
         fs::create_dir_all(self.data_dir())
     }
 
+    /// The roles of the processes that run, with their ids.
+    #[must_use]
+    pub fn process_ids(&self) -> Vec<(&'static str, u32)> {
+        let id = |process: &Process| Some((process.role, process.child.as_ref()?.id()?));
+        self.processes.iter().filter_map(id).collect()
+    }
+
     /// Processes that have ended though nobody ended them.
     pub fn fallen(&mut self) -> Vec<String> {
         let mut fallen = Vec::new();
