--- /dev/null
+++ b/crates/control/src/figures.rs
@@ -0,0 +1,44 @@
+//! Figures of a control process for scrapers: all are read when a scraper asks.
+
+use crate::{process::ControlProcess, shards::SHARDS};
+use opalrun_figures::Scrape;
+
+/// Tells a scraper the figures.
+pub fn scrape(process: &ControlProcess, scrape: &mut Scrape) {
+    for shard in 0..SHARDS {
+        group(process, shard, scrape);
+    }
+    let (generation, epoch, copying) = process.shards().with_configuration(|shard| {
+        let map = shard.stores().map();
+        let not_whole = map.partitions.iter().flat_map(|partition| &partition.replicas);
+        (shard.generation(), map.epoch, not_whole.filter(|replica| !replica.whole).count())
+    });
+    let fresh = f64::from(u8::from(process.is_fresh()));
+    scrape.gauge("configuration_generation", "Generation of the newest configuration", generation as f64);
+    scrape.gauge("store_map_epoch", "Epoch of the store map", epoch as f64);
+    scrape.gauge("replicas_copying", "Replicas of partitions that are not whole", copying as f64);
+    scrape.gauge("fresh", "1 while in touch with the owner of every group", fresh);
+    let gatekeepers = process.subscribers().borrow().gatekeepers(process.now());
+    scrape.gauge("gatekeepers_here", "Gatekeepers that subscribe here", f64::from(gatekeepers));
+    scrape.gauge(
+        "gatekeepers",
+        "Gatekeepers of the whole tier, as last heard",
+        f64::from(process.gatekeepers()),
+    );
+    scrape.gauge("disk_bytes", "Bytes of the journal", process.host().journal_bytes() as f64);
+}
+
+fn group(process: &ControlProcess, shard: u16, scrape: &mut Scrape) {
+    let host = process.host();
+    let labels = [("shard", shard.to_string())];
+    let owns = f64::from(u8::from(host.is_owner(shard)));
+    scrape.labelled_gauge("group_owner", "1 where this process owns the group", &labels, owns);
+    let term = host.term(shard) as f64;
+    scrape.labelled_gauge("group_term", "Term; each election raises it", &labels, term);
+    let applied = host.applied(shard) as f64;
+    scrape.labelled_gauge("group_applied", "Entries committed and applied here", &labels, applied);
+    let workers = process.shards().with_sessions(shard, |sessions| sessions.workers().len());
+    if let Some(workers) = workers {
+        scrape.labelled_gauge("workers", "Sessions of workers", &labels, workers as f64);
+    }
+}
--- a/crates/control/src/host/driver.rs
+++ b/crates/control/src/host/driver.rs
@@ -68,6 +68,11 @@
             votes: Cell::default(),
         }
     }
+
+    /// Bytes of the journal after the last job.
+    pub fn journal_bytes(&self) -> u64 {
+        self.journal_bytes.get()
+    }
 }
 
 /// Starts the tasks that drive the host until it is dropped.
--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -303,6 +303,12 @@
         self.follow_members();
     }
 
+    /// Bytes of the journal of all groups.
+    #[must_use]
+    pub fn journal_bytes(&self) -> u64 {
+        self.driver.journal_bytes()
+    }
+
     /// The newest term of a shard that is known here.
     #[must_use]
     pub fn term(&self, shard: u16) -> u64 {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod configuration_shard;
 mod error;
 pub mod feed;
+pub mod figures;
 pub mod host;
 pub mod inspect;
 pub mod process;
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -3,7 +3,7 @@
 use crate::{
     api,
     error::{ControlError, FeedSnafu, HostSnafu, ListenSnafu, MissingSnafu},
-    feed,
+    feed, figures,
     host::{Host, HostOptions, StateMachine},
     process::{ControlProcess, ProcessOptions},
     shards::{SHARDS, ShardMachine, Shards},
@@ -57,6 +57,8 @@
         let api_server = api::bind(api_address).await.context(ListenSnafu { address: api_address })?;
         let feed_listener = Listener::bind(feed_address).await.context(FeedSnafu)?;
         let process = start_process(settings, api_address).await?;
+        let scraped = Rc::clone(&process);
+        opalrun_figures::start(settings.figures, move |scrape| figures::scrape(&scraped, scrape));
         tracing::info!(identity = process.host().identity(), "the control process serves");
         let mut tasks = process.start_duties();
         tasks.push(tokio::task::spawn_local(feed::serve(Rc::clone(&process), feed_listener)));
--- a/crates/gatekeeper/src/agent/mod.rs
+++ b/crates/gatekeeper/src/agent/mod.rs
@@ -39,6 +39,8 @@
     let listener = Listener::bind(settings.agent_address()).await.context(ListenSnafu)?;
     let grace = settings.bounds.grace.saturating_sub(ENDING);
     let server = start(&settings, listener);
+    let scraped = server.clone();
+    opalrun_figures::start(settings.figures, move |scrape| scraped.scrape(scrape));
     signals::terminated().await;
     let _ = tokio::time::timeout(grace, server.no_proxies()).await;
     Ok(())
--- a/crates/gatekeeper/src/agent/server.rs
+++ b/crates/gatekeeper/src/agent/server.rs
@@ -1,6 +1,7 @@
 //! Serving the feed to the proxy.
 
 use crate::feed::ControlState;
+use opalrun_figures::Scrape;
 use opalrun_net::{
     Connection, FrameReader, FrameWriter, Listener, NetError,
     feed_client::{FeedClient, FeedEvent},
@@ -68,6 +69,22 @@
         }
     }
 
+    /// Tells a scraper the figures.
+    pub fn scrape(&self, scrape: &mut Scrape) {
+        let generation = self.state.borrow().generation();
+        scrape.gauge(
+            "configuration_generation",
+            "Generation of the newest configuration known",
+            generation as f64,
+        );
+        let proxies = self.proxies.borrow();
+        scrape.gauge("proxies", "Proxies that are told what control says", proxies.len() as f64);
+        if let Some(in_force) = proxies.values().map(|proxy| proxy.generation).min() {
+            let help = "Generation in force at the proxy";
+            scrape.gauge("configuration_generation_in_force", help, in_force as f64);
+        }
+    }
+
     /// Waits until no proxy is connected.
     pub async fn no_proxies(&self) {
         loop {
--- /dev/null
+++ b/crates/gatekeeper/src/lease/figures.rs
@@ -0,0 +1,32 @@
+//! Figures of the leases for scrapers.
+
+use opalrun_figures::{Counter, Histogram, Scrape, duration_histogram};
+use std::time::Duration;
+
+/// What is counted of raises of programs' counts.
+pub struct RaiseFigures {
+    times: Histogram,
+    unanswered: Counter,
+}
+
+impl Default for RaiseFigures {
+    fn default() -> Self {
+        Self { times: duration_histogram(), unanswered: Counter::default() }
+    }
+}
+
+impl RaiseFigures {
+    /// A raise has ended after this long; whether a quorum answered it.
+    pub fn ended(&self, time: Duration, answered: bool) {
+        self.times.observe(time.as_secs_f64());
+        if !answered {
+            self.unanswered.inc();
+        }
+    }
+
+    /// Tells a scraper the figures.
+    pub fn scrape(&self, scrape: &mut Scrape) {
+        scrape.histogram("lease_raise_seconds", "Time of raises of programs' counts", &self.times);
+        scrape.counter("lease_raises_unanswered", "Raises that no quorum answered in time", &self.unanswered);
+    }
+}
--- a/crates/gatekeeper/src/lease/mod.rs
+++ b/crates/gatekeeper/src/lease/mod.rs
@@ -8,6 +8,7 @@
 
 mod demand;
 mod error;
+mod figures;
 mod program;
 mod shell;
 mod state;
--- a/crates/gatekeeper/src/lease/shell.rs
+++ b/crates/gatekeeper/src/lease/shell.rs
@@ -1,6 +1,6 @@
 //! Runs the leases against the stores.
 
-use super::{Action, LeaseError, Leases, Terms, TurnId};
+use super::{Action, LeaseError, Leases, Terms, TurnId, figures::RaiseFigures};
 use fnv::FnvHashMap;
 use opalrun_store_client::StoreClient;
 use std::cell::RefCell;
@@ -67,6 +67,7 @@
     /// Rings when the time of the next tick may have changed.
     changed: Notify,
     started: Instant,
+    figures: RaiseFigures,
 }
 
 impl<C: Count> ProgramLeases<C> {
@@ -79,6 +80,7 @@
             waiting: RefCell::default(),
             changed: Notify::new(),
             started: Instant::now(),
+            figures: RaiseFigures::default(),
         });
         let timekeeper = tokio::task::spawn_local(keep_time(Rc::clone(&shared)));
         Self { shared, timekeeper }
@@ -100,6 +102,12 @@
         Ok(lease)
     }
 
+    /// What is counted for scrapers.
+    #[must_use]
+    pub fn figures(&self) -> &RaiseFigures {
+        &self.shared.figures
+    }
+
     /// For an orderly end: gives back what no turn under way needs, now and from now on, and waits until that is
     /// written. To be called when the process is told to end, and again when its last turn has ended.
     pub async fn drain(&self, limit: Duration) -> bool {
@@ -135,8 +143,10 @@
     }
 
     async fn raise(self: Rc<Self>, program: Rc<str>, held: u64, wanted: u64) {
+        let began = self.now();
         let answer = self.count.raise(&program, held, wanted, COUNT_LIMIT).await;
         let now = self.now();
+        self.figures.ended(now.saturating_sub(began), answer.is_some());
         match answer {
             Some(others_taken) => self.leases.borrow_mut().granted(&program, others_taken, now),
             None => self.leases.borrow_mut().unavailable(&program, now),
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -59,10 +59,12 @@
 
 impl Proxy {
     async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Answer {
-        match self.admit(request).await {
+        let answer = match self.admit(request).await {
             Ok(request) => self.try_workers(request).await,
             Err(answer) => answer,
-        }
+        };
+        self.figures.answered(answer.status());
+        answer
     }
 
     /// Finds the route, and reads the request whole.
@@ -116,6 +118,9 @@
                 Ok(chosen) => chosen,
                 Err(_) => return give_up(&request, &attempts),
             };
+            if !tried.is_empty() {
+                self.figures.retried();
+            }
             tried.push(chosen.id.clone());
             let more = attempts.may_try_more();
             match self.try_at(&request, &chosen, more).await {
--- a/crates/gatekeeper/src/proxy/mod.rs
+++ b/crates/gatekeeper/src/proxy/mod.rs
@@ -5,6 +5,7 @@
 pub mod balance;
 mod body;
 pub mod event_stream;
+mod figures;
 mod handler;
 mod headers;
 mod readiness;
--- a/crates/gatekeeper/src/proxy/run.rs
+++ b/crates/gatekeeper/src/proxy/run.rs
@@ -56,6 +56,8 @@
     let platform = listen(readiness).await?;
     let proxy = Proxy::new(&settings);
     spawn_local(sweep(proxy.clone()));
+    let scraped = proxy.clone();
+    opalrun_figures::start(settings.figures, move |scrape| scraped.scrape(scrape));
     spawn_local(follow(proxy.clone(), ControlFeed::start_at(settings.agent_address())));
     spawn_local(watch_settings(settings.clone()));
     serve(proxy, &settings, clients, platform, opalrun_net::signals::terminated()).await;
--- a/crates/gatekeeper/src/proxy/state.rs
+++ b/crates/gatekeeper/src/proxy/state.rs
@@ -6,6 +6,7 @@
     proxy::{
         balance::{Balancer, WorkerId},
         body::BodyMemory,
+        figures::ProxyFigures,
     },
     turns::Turns,
 };
@@ -62,6 +63,8 @@
     pub(super) leases: ProgramLeases<Rc<StoreClient>>,
     /// What was said in earlier turns.
     pub(super) turns: Turns<Rc<StoreClient>>,
+    /// What is counted for scrapers.
+    pub(super) figures: ProxyFigures,
     store_client: Rc<StoreClient>,
     store_epoch: Cell<u64>,
 }
@@ -89,6 +92,7 @@
             memory: BodyMemory::new(body_bytes),
             leases: ProgramLeases::new(store_client.clone(), fastrand::u64(..)),
             turns: Turns::new(store_client.clone(), TURN_CACHE_BYTES),
+            figures: ProxyFigures::default(),
             store_client,
             store_epoch: Cell::new(0),
         })
@@ -124,6 +128,12 @@
         self.fresh_at.get().is_some_and(|at| self.now() <= at + FRESH_FOR)
     }
 
+    /// For how long what is known has not been fresh; `None` where it never was.
+    #[must_use]
+    pub fn feed_age(&self) -> Option<Duration> {
+        self.fresh_at.get().map(|at| self.now().saturating_sub(at))
+    }
+
     /// The process is to end.
     pub fn stop(&self) {
         self.stopping.set(true);
--- a/crates/gatekeeper/src/proxy/turn.rs
+++ b/crates/gatekeeper/src/proxy/turn.rs
@@ -137,6 +137,8 @@
             retention_ms: u64::try_from(retained.retention.as_millis()).unwrap_or(u64::MAX),
             worker: worker.to_owned(),
         };
-        self.turns.store(record).await.map_err(|_| NotKept)
+        self.turns.store(record).await.map_err(|_| NotKept)?;
+        self.figures.turn_kept();
+        Ok(())
     }
 }
--- a/crates/gatekeeper/tests/proxy/main.rs
+++ b/crates/gatekeeper/tests/proxy/main.rs
@@ -1,6 +1,7 @@
 //! The whole proxy over loopback, between clients and fake workers.
 
 mod fakes;
+mod figures;
 mod forwarding;
 mod planned_work;
 mod programs;
--- a/crates/gatekeeper/tests/proxy/programs.rs
+++ b/crates/gatekeeper/tests/proxy/programs.rs
@@ -8,7 +8,7 @@
     stores::Stores,
 };
 
-const ROUTES: &str = r#"{"generation":GENERATION,"routes":[
+pub const ROUTES: &str = r#"{"generation":GENERATION,"routes":[
 {"name":"kept","host":"h.example","path_prefix":"/kept/","route_type":"streaming","timeout_ms":5000,
  "target_latency_ms":250,"priority":0,"backend":"s","max_attempts":2,"retained":true,"retention_s":60.0,
  "resumable":false,"gap_aim_ms":5000},
@@ -18,19 +18,19 @@
  "engine":{"capacity":32,"kv_capacity":200000,"kv_bytes":131072,"bandwidth_mbps":260000.0,"chunk_tokens":3,
  "models":[{"name":"m"}]}}],"limits":{}}"#;
 
-async fn gatekeeper(stores: &Stores, workers: &[&FakeWorker]) -> Gatekeeper {
+pub async fn gatekeeper(stores: &Stores, workers: &[&FakeWorker]) -> Gatekeeper {
     let gatekeeper = Gatekeeper::with(workers).await;
     gatekeeper.configure(2, ROUTES);
     gatekeeper.proxy.set_store_map(&stores.map);
     gatekeeper
 }
 
-fn whole(count: u64) -> Act {
+pub fn whole(count: u64) -> Act {
     Act::Send(stream_head() + &events(1, count) + LAST_CHUNK)
 }
 
 /// A turn that may emit up to 30 tokens.
-async fn turn(
+pub async fn turn(
     gatekeeper: &Gatekeeper,
     path: &str,
     id: &str,
--- a/crates/settings/src/fields.rs
+++ b/crates/settings/src/fields.rs
@@ -66,6 +66,11 @@
         self.optional(key, "an IP address and a port", address)
     }
 
+    pub(crate) fn loopback_address(&self, key: &str) -> Option<SocketAddr> {
+        let loopback = |value: &Value| address(value).filter(|address| address.ip().is_loopback());
+        self.optional(key, "a loopback address and a port", loopback)
+    }
+
     pub(crate) fn address_list(&self, key: &str) -> Vec<SocketAddr> {
         let addresses = |value: &Value| list(value, address).filter(|addresses| !addresses.is_empty());
         self.required(key, "a list of one or more IP addresses with ports", addresses)
--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -57,6 +57,8 @@
     pub zones: BTreeMap<String, String>,
     /// Addresses of what the role serves.
     pub listen: Listen,
+    /// Where figures are served to scrapers: a loopback address. Off where it is not named.
+    pub figures: Option<SocketAddr>,
     /// What the machine gives to the process.
     pub limits: Limits,
     /// What may be lost at one time.
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -36,6 +36,18 @@
     assert!(!settings.guarantees("others"));
 }
 
+#[test]
+fn figures_are_off_unless_a_loopback_address_is_named() {
+    assert_eq!(parse(EXAMPLE).unwrap().figures, None);
+    let with = |listen: &str| format!("{EXAMPLE}\n[figures]\nlisten = \"{listen}\"\n");
+    let settings = parse(&with("127.0.0.1:9100")).unwrap();
+    assert_eq!(settings.figures, Some("127.0.0.1:9100".parse().unwrap()));
+    for wrong in ["10.1.0.42:9100", "0.0.0.0:9100", "here"] {
+        let error = parse(&with(wrong)).unwrap_err().to_string();
+        assert!(error.contains("`figures.listen` is") && error.contains("a loopback address"), "{error}");
+    }
+}
+
 #[test]
 fn unknown_keys_are_ignored() {
     let text = format!("future = [1, 2]\n{EXAMPLE}\nfuture_s = true\n[future_table]\nx = 1\n");
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,6 +4,7 @@
 mod copier;
 pub mod copy;
 mod error;
+pub mod figures;
 mod identity;
 pub mod inspect;
 mod journal;
--- a/crates/store/src/process.rs
+++ b/crates/store/src/process.rs
@@ -3,6 +3,7 @@
 use crate::{
     Copier, CopyDone, Identity, StoreError, StoreServer,
     error::{DiskFailedSnafu, ListenSnafu, SettingsSnafu, StorageSnafu},
+    figures,
     state::StoreLimits,
 };
 use opalrun_net::{
@@ -45,6 +46,8 @@
     let server = StoreServer::open(&directory, identity.number, store_limits(&settings.limits))?;
     let listener = Listener::bind(settings.peer_address()).await.context(ListenSnafu)?;
     tracing::info!(identity = identity.number, address = %listener.local_address(), "the store is up");
+    let scraped = server.clone();
+    opalrun_figures::start(settings.figures, move |scrape| figures::scrape(&scraped, scrape));
     let copier = Copier::new(server.clone());
     let feed = start_feed(&settings, identity, listener.local_address(), &server);
     tokio::select! {
