--- a/lab/src/judge.rs
+++ b/lab/src/judge.rs
@@ -3,7 +3,7 @@
 use crate::{
     bucket::Bucket,
     record::{Ending, Event, GateState, Micros, Outcome, Recording, Seen, WorkerState},
-    scenario::{Effect, Peers, Scenario, What},
+    scenario::{Effect, FaultKind, Peers, Scenario},
 };
 use serde::{Deserialize, Serialize};
 use std::{
@@ -399,18 +399,18 @@
                     let Some(fault) = self.scenario.faults.get(*index) else { continue };
                     let link = matches!(
                         fault.what,
-                        What::Cut
-                            | What::Delay
-                            | What::Lose
-                            | What::Reset
-                            | What::Refuse
-                            | What::HalfOpen
-                            | What::Throttle
+                        FaultKind::Cut
+                            | FaultKind::Delay
+                            | FaultKind::Lose
+                            | FaultKind::Reset
+                            | FaultKind::Refuse
+                            | FaultKind::HalfOpen
+                            | FaultKind::Throttle
                     );
                     let front = matches!(Peers::parse(&fault.peers, zones), Ok(Peers::Front | Peers::All));
                     if link && front {
                         // What the cut held back comes after it has healed.
-                        let once = fault.what == What::Reset;
+                        let once = fault.what == FaultKind::Reset;
                         let lasts = if once { 0.0 } else { fault.for_s.unwrap_or(f64::INFINITY) };
                         let until = at + lasts + 1.0;
                         gates.iter().for_each(|g| excuses.entry(*g).or_default().push((at, until)));
--- a/lab/src/switchboard.rs
+++ b/lab/src/switchboard.rs
@@ -6,7 +6,7 @@
 //! up, as the listener's line is kept full. Datagrams between gateways pass through [`Relay`] and can be lost,
 //! doubled and reordered as well.
 
-use crate::scenario::{Way, What};
+use crate::scenario::{Direction, FaultKind};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::{
@@ -84,8 +84,8 @@
 /// What a fault does to a link.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Strike {
-    pub what: What,
-    pub way: Way,
+    pub what: FaultKind,
+    pub way: Direction,
     pub delay: Duration,
     pub jitter: Duration,
     pub share: f64,
@@ -122,8 +122,8 @@
     pub fn strike(&self, index: usize, strike: Strike) {
         let mut strikes = self.strikes.lock().unwrap_or_else(PoisonError::into_inner);
         match strike.what {
-            What::Reset => self.state.send_modify(|s| s.resets += 1),
-            What::HalfOpen => self.state.send_modify(|s| s.halves += 1),
+            FaultKind::Reset => self.state.send_modify(|s| s.resets += 1),
+            FaultKind::HalfOpen => self.state.send_modify(|s| s.halves += 1),
             _ => strikes.push((index, strike)),
         }
         self.settle(&strikes);
@@ -140,23 +140,23 @@
         self.state.send_modify(|state| {
             let mut next = LinkState { resets: state.resets, halves: state.halves, ..self.base };
             for (_, strike) in strikes {
-                if strike.what == What::Refuse {
+                if strike.what == FaultKind::Refuse {
                     next.refuse = true;
                 }
-                for (way, shape) in [(Way::Out, &mut next.out), (Way::In, &mut next.into)] {
-                    if strike.way != Way::Both && strike.way != way {
+                for (way, shape) in [(Direction::Out, &mut next.out), (Direction::In, &mut next.into)] {
+                    if strike.way != Direction::Both && strike.way != way {
                         continue;
                     }
                     match strike.what {
-                        What::Cut => shape.cut = true,
-                        What::Delay => {
+                        FaultKind::Cut => shape.cut = true,
+                        FaultKind::Delay => {
                             shape.delay += strike.delay;
                             shape.jitter += strike.jitter;
                         }
-                        What::Lose => shape.lose = 1.0 - (1.0 - shape.lose) * (1.0 - strike.share),
-                        What::Throttle => shape.bytes_per_s = strike.bytes_per_s,
-                        What::Duplicate => shape.duplicate = strike.share,
-                        What::Reorder => shape.reorder = strike.share,
+                        FaultKind::Lose => shape.lose = 1.0 - (1.0 - shape.lose) * (1.0 - strike.share),
+                        FaultKind::Throttle => shape.bytes_per_s = strike.bytes_per_s,
+                        FaultKind::Duplicate => shape.duplicate = strike.share,
+                        FaultKind::Reorder => shape.reorder = strike.share,
                         _ => {}
                     }
                 }
@@ -511,10 +511,10 @@
     const LOCAL: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
     const LONG: Duration = Duration::from_secs(20);
 
-    fn strike(what: What) -> Strike {
+    fn strike(what: FaultKind) -> Strike {
         Strike {
             what,
-            way: Way::Both,
+            way: Direction::Both,
             delay: Duration::ZERO,
             jitter: Duration::ZERO,
             share: 1.0,
@@ -551,7 +551,7 @@
         let mut client = TcpStream::connect(addr).await.expect("it is up");
         client.write_all(b"one").await.expect("up");
         assert_eq!(heard.recv().await, Some(Some(b"one".to_vec())));
-        link.strike(0, strike(What::Cut));
+        link.strike(0, strike(FaultKind::Cut));
         client.write_all(b"two").await.expect("the sender notices nothing");
         // The line is full once a connection does not come up any more.
         let refused = async {
@@ -586,7 +586,7 @@
         let mut client = TcpStream::connect(addr).await.expect("it is up");
         client.write_all(b"one").await.expect("up");
         assert_eq!(heard.recv().await, Some(Some(b"one".to_vec())));
-        link.strike(0, strike(What::Reset));
+        link.strike(0, strike(FaultKind::Reset));
         assert_eq!(heard.recv().await, Some(None));
         let ended = client.read(&mut [0]).await;
         assert!(ended.is_err(), "a reset, not an end: {ended:?}");
@@ -599,7 +599,7 @@
                 }
             }
         };
-        link.strike(1, strike(What::Refuse));
+        link.strike(1, strike(FaultKind::Refuse));
         tokio::time::timeout(LONG, refused(addr)).await.expect("refused");
         link.heal(1);
         let again = |addr| async move { while TcpStream::connect(addr).await.is_err() {} };
@@ -617,7 +617,7 @@
         let mut old = TcpStream::connect(addr).await.expect("it is up");
         old.write_all(b"one").await.expect("up");
         assert_eq!(heard.recv().await, Some(Some(b"one".to_vec())));
-        link.strike(0, strike(What::HalfOpen));
+        link.strike(0, strike(FaultKind::HalfOpen));
         old.write_all(b"lost").await.expect("the sender notices nothing");
         let mut new = TcpStream::connect(addr).await.expect("it is up");
         new.write_all(b"two").await.expect("up");
@@ -631,12 +631,13 @@
     fn faults_on_one_link_add_up_and_each_is_taken_back_by_itself() {
         let link = Link::new(Duration::from_millis(1), 1);
         let whole = link.state();
-        let slow = |ms| Strike { delay: Duration::from_millis(ms), way: Way::In, ..strike(What::Delay) };
+        let slow =
+            |ms| Strike { delay: Duration::from_millis(ms), way: Direction::In, ..strike(FaultKind::Delay) };
         link.strike(0, slow(10));
         link.strike(1, slow(20));
         assert_eq!(link.state().into.delay, Duration::from_millis(31));
         assert_eq!(link.state().out, whole.out, "the other way is whole");
-        link.strike(2, Strike { way: Way::Out, ..strike(What::Cut) });
+        link.strike(2, Strike { way: Direction::Out, ..strike(FaultKind::Cut) });
         assert!(link.arrival(Dir::Out, 10).is_none());
         assert!(link.arrival(Dir::In, 10).is_some());
         link.heal(0);
@@ -676,7 +677,7 @@
         sockets[0].send_to(b"one", relay.addrs[1]).await.expect("sent");
         // It comes from where the first is known to the second, so that an answer finds its way.
         assert_eq!(receive(1).await, (b"one".to_vec(), relay.addrs[0]));
-        links[1].strike(0, strike(What::Lose));
+        links[1].strike(0, strike(FaultKind::Lose));
         sockets[0].send_to(b"lost", relay.addrs[1]).await.expect("sent");
         sockets[1].send_to(b"back", relay.addrs[0]).await.expect("sent");
         assert_eq!(receive(0).await.0, b"back", "the other way is whole");
@@ -684,7 +685,7 @@
             tokio::task::yield_now().await;
         }
         links[1].heal(0);
-        links[1].strike(1, strike(What::Duplicate));
+        links[1].strike(1, strike(FaultKind::Duplicate));
         sockets[0].send_to(b"twice", relay.addrs[1]).await.expect("sent");
         assert_eq!(receive(1).await.0, b"twice");
         assert_eq!(receive(1).await.0, b"twice");
--- a/lab/src/world/faults.rs
+++ b/lab/src/world/faults.rs
@@ -3,7 +3,7 @@
 use super::{World, discovery, plan::Plan, worker::Worker};
 use crate::{
     record::{Event, GateState, WorkerState},
-    scenario::{Disk, Fault, Peers, Pick, Way, What},
+    scenario::{Direction, Disk, Fault, FaultKind, Peers, Selection},
     switchboard::Strike,
 };
 use rand::RngExt;
@@ -40,7 +40,7 @@
 
 fn chosen(text: &str, plan: &Plan, zones: &[usize], rng: &mut ChaCha8Rng) -> Vec<usize> {
     // The file has been checked.
-    let pick = Pick::parse(text, &plan.scenario.world.zones).unwrap_or(Pick::Range(0, 0));
+    let pick = Selection::parse(text, &plan.scenario.world.zones).unwrap_or(Selection::Range(0, 0));
     pick.of(zones, |n| rng.random_range(0..n))
 }
 
@@ -68,45 +68,50 @@
         self.log.note(Event::Fault { index, on: true, gates: gates.clone(), workers: workers.clone() });
         let until = fault.for_s.map(|s| at + Duration::from_secs_f64(s));
         match fault.what {
-            What::Cut
-            | What::Delay
-            | What::Lose
-            | What::Reset
-            | What::Refuse
-            | What::HalfOpen
-            | What::Throttle
-            | What::Duplicate
-            | What::Reorder => self.links(index, &fault, &gates, until, &mut rng).await,
-            What::Kill => self.kill(&fault, &gates, until, &mut rng).await,
-            What::Pause => {
+            FaultKind::Cut
+            | FaultKind::Delay
+            | FaultKind::Lose
+            | FaultKind::Reset
+            | FaultKind::Refuse
+            | FaultKind::HalfOpen
+            | FaultKind::Throttle
+            | FaultKind::Duplicate
+            | FaultKind::Reorder => self.links(index, &fault, &gates, until, &mut rng).await,
+            FaultKind::Kill => self.kill(&fault, &gates, until, &mut rng).await,
+            FaultKind::Pause => {
                 gates.iter().for_each(|g| self.gates[*g].pause());
                 wait(until).await;
                 gates.iter().for_each(|g| self.gates[*g].go_on());
             }
-            What::Roll => self.roll(&fault, &gates).await,
-            What::Reload => {
+            FaultKind::Roll => self.roll(&fault, &gates).await,
+            FaultKind::Reload => {
                 for gate in &gates {
                     // A disk of the lab's own that fails shows as a gateway that keeps what it has.
                     let _ = self.gates[*gate].reload();
                 }
             }
-            What::Leave => {
+            FaultKind::Leave => {
                 let leave = |g: &usize| self.gates[*g].leave.send_modify(|l| *l = (l.0 + 1, fault.share));
                 gates.iter().for_each(leave);
             }
-            What::Crash => self.crash(&fault, &workers, &mut rng).await,
-            What::Replace => self.replace(&fault, &workers).await,
-            What::Slow | What::Errors | What::Silent | What::Spoil | What::Stall | What::BreakOff => {
+            FaultKind::Crash => self.crash(&fault, &workers, &mut rng).await,
+            FaultKind::Replace => self.replace(&fault, &workers).await,
+            FaultKind::Slow
+            | FaultKind::Errors
+            | FaultKind::Silent
+            | FaultKind::Spoil
+            | FaultKind::Stall
+            | FaultKind::BreakOff => {
                 let set = |on: bool| {
                     let share = if on { fault.share } else { 0.0 };
                     for worker in &workers {
                         self.workers[*worker].set(|t| match fault.what {
-                            What::Slow if on => t.slower *= fault.times,
-                            What::Slow => t.slower /= fault.times,
-                            What::Errors => t.errors = share,
-                            What::Silent => t.silent = on,
-                            What::Stall => t.stall = share,
-                            What::BreakOff => t.break_off = share,
+                            FaultKind::Slow if on => t.slower *= fault.times,
+                            FaultKind::Slow => t.slower /= fault.times,
+                            FaultKind::Errors => t.errors = share,
+                            FaultKind::Silent => t.silent = on,
+                            FaultKind::Stall => t.stall = share,
+                            FaultKind::BreakOff => t.break_off = share,
                             _ => t.spoil = share,
                         });
                     }
@@ -115,19 +120,22 @@
                 wait(until).await;
                 set(false);
             }
-            What::CounterEmpty => self.counter.empty(),
-            What::CounterDown => {
+            FaultKind::CounterEmpty => self.counter.empty(),
+            FaultKind::CounterDown => {
                 self.counter.up.send_replace(false);
                 wait(until).await;
                 self.counter.up.send_replace(true);
             }
-            What::CounterBusy | What::CounterSlow | What::CounterLoseCalls | What::CounterLoseAnswers => {
+            FaultKind::CounterBusy
+            | FaultKind::CounterSlow
+            | FaultKind::CounterLoseCalls
+            | FaultKind::CounterLoseAnswers => {
                 let set = |share: f64, slower: f64| {
                     let mut trouble = self.counter.trouble.lock().unwrap_or_else(PoisonError::into_inner);
                     match fault.what {
-                        What::CounterBusy => trouble.busy = share,
-                        What::CounterSlow => trouble.slower = slower,
-                        What::CounterLoseCalls => trouble.lose_calls = share,
+                        FaultKind::CounterBusy => trouble.busy = share,
+                        FaultKind::CounterSlow => trouble.slower = slower,
+                        FaultKind::CounterLoseCalls => trouble.lose_calls = share,
                         _ => trouble.lose_answers = share,
                     }
                 };
@@ -135,16 +143,16 @@
                 wait(until).await;
                 set(0.0, 1.0);
             }
-            What::DiscoveryMove => {
+            FaultKind::DiscoveryMove => {
                 self.move_agents(&gates, true).await;
                 wait(until).await;
                 self.move_agents(&gates, false).await;
             }
-            What::DiscoveryDown | What::DiscoveryLate | What::DiscoveryOverbooked => {
+            FaultKind::DiscoveryDown | FaultKind::DiscoveryLate | FaultKind::DiscoveryOverbooked => {
                 let set = |on: bool| {
                     self.discovery.trouble.send_modify(|t| match fault.what {
-                        What::DiscoveryDown => t.down = on,
-                        What::DiscoveryOverbooked => t.overbooked = on,
+                        FaultKind::DiscoveryDown => t.down = on,
+                        FaultKind::DiscoveryOverbooked => t.overbooked = on,
                         _ => t.later = if on { fault.ms / 1e3 } else { 0.0 },
                     });
                 };
@@ -179,7 +187,7 @@
         rng: &mut ChaCha8Rng,
     ) {
         let zones = &self.plan.scenario.world.zones;
-        let peers = Peers::parse(&fault.peers, zones).unwrap_or(Peers::Gates(Pick::Range(0, 0)));
+        let peers = Peers::parse(&fault.peers, zones).unwrap_or(Peers::Gates(Selection::Range(0, 0)));
         let workers = match &peers {
             Peers::Workers(pick) => pick.of(&self.plan.worker_zones, |n| rng.random_range(0..n)),
             Peers::Gates(pick) => pick.of(&self.plan.gate_zones, |n| rng.random_range(0..n)),
@@ -188,7 +196,7 @@
         let strike = Strike {
             what: fault.what,
             // Between gateways each way is a link, and is struck as a whole.
-            way: if matches!(peers, Peers::Gates(_)) { Way::Both } else { fault.way },
+            way: if matches!(peers, Peers::Gates(_)) { Direction::Both } else { fault.way },
             delay: Duration::from_secs_f64(fault.ms / 1e3),
             jitter: Duration::from_secs_f64(fault.jitter_ms / 1e3),
             share: fault.share,
@@ -200,7 +208,7 @@
             }
         };
         every(true);
-        if !matches!(fault.what, What::Reset | What::HalfOpen) {
+        if !matches!(fault.what, FaultKind::Reset | FaultKind::HalfOpen) {
             wait(until).await;
             every(false);
         }
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     record::{FORM, Header, Log, Meter, Recording},
-    scenario::{Peers, Scenario, Way},
+    scenario::{Direction, Peers, Scenario},
     switchboard::{Link, Port, Relay},
 };
 use counter::Counter;
@@ -115,7 +115,7 @@
     }
 
     /// The links of `gate` to those named.
-    fn of(&self, gate: usize, peers: &Peers, others: &[usize], way: Way) -> Vec<&Arc<Link>> {
+    fn of(&self, gate: usize, peers: &Peers, others: &[usize], way: Direction) -> Vec<&Arc<Link>> {
         let (workers, n) = (others, self.front.len());
         let to_workers = || workers.iter().map(|w| &self.workers[gate][*w]);
         match peers {
@@ -129,8 +129,9 @@
             }
             // A way is a link of its own there.
             Peers::Gates(_) => {
-                let out = others.iter().filter(|_| way != Way::In).map(|to| &self.gates[gate * n + to]);
-                let into = others.iter().filter(|_| way != Way::Out).map(|from| &self.gates[from * n + gate]);
+                let out = others.iter().filter(|_| way != Direction::In).map(|to| &self.gates[gate * n + to]);
+                let into =
+                    others.iter().filter(|_| way != Direction::Out).map(|from| &self.gates[from * n + gate]);
                 out.chain(into).collect()
             }
         }
