--- /dev/null
+++ b/lab/src/judge/departures.rs
@@ -0,0 +1,40 @@
+//! The rule on clients that have left: what waited for its first attempt then is not sent on.
+
+use super::{Judge, Rule};
+use crate::record::Outcome;
+
+/// What waited when its client left may be sent on for so long after.
+const GONE_S: f64 = 0.3;
+/// Share of those that may be sent on later, where there are so many of them at least.
+const GONE_MOST: (f64, usize) = (0.25, 5);
+
+impl Judge<'_> {
+    /// Sends for clients that have left.
+    pub(super) fn departures(&mut self) {
+        let excuses = self.excuses();
+        let machine = self.recording.meter.late_ms[2] / 1e3;
+        let (mut waited, mut sent) = (0, Vec::new());
+        for (txn, tried) in &self.tries {
+            let Some((left, Outcome::Left)) = tried.answer else { continue };
+            let first = tried.sent.first().map_or(f64::INFINITY, |s| s.at);
+            // A gateway that the lab has cut off from its clients, stopped or killed can't know.
+            let excused = excuses
+                .get(&tried.gate)
+                .is_some_and(|e| e.iter().any(|(from, to)| *from <= left && left <= *to));
+            if first <= left || excused {
+                continue;
+            }
+            waited += 1;
+            if first.is_finite() && first > left + GONE_S + machine {
+                sent.push((first, *txn));
+            }
+        }
+        self.verdict.gone = [waited as u64, sent.len() as u64];
+        let (share, least) = GONE_MOST;
+        if waited >= least && sent.len() as f64 > share * waited as f64 {
+            let found =
+                |(at, txn)| (Rule::Gone, at, format!("{txn:016x} was sent on after its client had left"));
+            self.tell(sent.into_iter().map(found).collect());
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/judge/excuses.rs
@@ -0,0 +1,62 @@
+//! The times for which a gateway owes its clients nothing, because of what the lab did to it.
+
+use super::{Judge, seconds};
+use crate::{
+    record::{Event, GateState, Seen},
+    scenario::{FaultKind, Peers},
+};
+use std::collections::HashMap;
+
+/// A gateway that came back may owe its clients nothing for so long: their connections were reset.
+const EXCUSED_S: f64 = 0.3;
+
+impl Judge<'_> {
+    /// By gateway, the times for which it owes nothing: killed, paused, or cut off from the front by the lab.
+    pub(super) fn excuses(&self) -> HashMap<usize, Vec<(f64, f64)>> {
+        let mut excuses: HashMap<usize, Vec<(f64, f64)>> = HashMap::new();
+        let mut since: HashMap<usize, f64> = HashMap::new();
+        let zones = &self.scenario.world.zones;
+        for Seen { at, event } in &self.recording.seen {
+            let at = seconds(*at);
+            match event {
+                Event::Gate { gate, state } => match state {
+                    GateState::Killed | GateState::Paused | GateState::Exited { .. } => {
+                        since.entry(*gate).or_insert(at);
+                    }
+                    GateState::Ready | GateState::Continued => {
+                        if let Some(from) = since.remove(gate) {
+                            excuses.entry(*gate).or_default().push((from, at + EXCUSED_S));
+                        }
+                    }
+                    GateState::Terminated => {}
+                },
+                Event::Fault { index, on: true, gates, .. } => {
+                    let Some(fault) = self.scenario.faults.get(*index) else { continue };
+                    let link = matches!(
+                        fault.what,
+                        FaultKind::Cut
+                            | FaultKind::Delay
+                            | FaultKind::Lose
+                            | FaultKind::Reset
+                            | FaultKind::Refuse
+                            | FaultKind::HalfOpen
+                            | FaultKind::Throttle
+                    );
+                    let front = matches!(Peers::parse(&fault.peers, zones), Ok(Peers::Front | Peers::All));
+                    if link && front {
+                        // What the cut held back comes after it has healed.
+                        let once = fault.what == FaultKind::Reset;
+                        let lasts = if once { 0.0 } else { fault.for_s.unwrap_or(f64::INFINITY) };
+                        let until = at + lasts + 1.0;
+                        gates.iter().for_each(|g| excuses.entry(*g).or_default().push((at, until)));
+                    }
+                }
+                _ => {}
+            }
+        }
+        since
+            .into_iter()
+            .for_each(|(gate, from)| excuses.entry(gate).or_default().push((from, f64::INFINITY)));
+        excuses
+    }
+}
--- /dev/null
+++ b/lab/src/judge/recovery.rs
@@ -0,0 +1,32 @@
+//! How long the fleet took to recover after the last fault.
+
+use super::{Judge, Recovery};
+
+/// Seconds over which goodput is compared.
+const SPAN_S: f64 = 2.0;
+/// Share of the goodput before at which a fleet has recovered.
+const RECOVERED: f64 = 0.95;
+
+impl Judge<'_> {
+    /// Compares goodput after the faults with that before them.
+    pub(super) fn recovery(&mut self) {
+        let Some((from, to)) = self.scenario.fault_span() else { return };
+        let (seconds, end) = (&self.verdict.seconds, self.scenario.length_s);
+        let share = |from: f64, to: f64| {
+            let span = seconds.iter().take(to as usize).skip(from as usize);
+            let (asked, earned) = span.fold((0.0, 0.0), |s, x| (s.0 + x.asked, s.1 + x.earned));
+            (asked > 0.0).then(|| earned / asked)
+        };
+        let Some(before) = share(self.scenario.lead_s.min(from - 1.0).max(0.0), from) else { return };
+        let mut at = to.ceil();
+        let mut after_s = None;
+        while at + SPAN_S <= end {
+            if share(at, at + SPAN_S).is_some_and(|s| s >= RECOVERED * before) {
+                after_s = Some(at - to);
+                break;
+            }
+            at += 1.0;
+        }
+        self.verdict.recovery = Some(Recovery { before, fault_from_s: from, fault_to_s: to, after_s });
+    }
+}
--- /dev/null
+++ b/lab/src/judge/repeats.rs
@@ -0,0 +1,48 @@
+//! Rules on repeats: what may have run is sent again only where that does no harm.
+
+use super::{Judge, Rule, SLACK_S};
+use crate::{record::Outcome, scenario::Effect};
+
+impl Judge<'_> {
+    /// Sends and refusals after one that may have run.
+    pub(super) fn repeats(&mut self) {
+        let mut found = Vec::new();
+        let zones = &self.recording.header.worker_zones;
+        for (txn, tried) in &self.tries {
+            let class = &self.scenario.classes[tried.class];
+            if class.effect == Effect::Safe {
+                continue;
+            }
+            for (i, later) in tried.sent.iter().enumerate() {
+                for earlier in tried.sent[..i].iter().filter(|s| s.may_have_run(later.at)) {
+                    match class.effect {
+                        Effect::Unsafe => {
+                            found.push((
+                                Rule::Unsafe,
+                                later.at,
+                                format!("{txn:016x} was sent again after it may have run"),
+                            ));
+                        }
+                        _ => {
+                            let strange = zones.get(earlier.worker) != zones.get(later.worker);
+                            if strange || later.at - earlier.at > class.window_s + SLACK_S {
+                                found.push((
+                                    Rule::Keyed,
+                                    later.at,
+                                    format!("{txn:016x} was sent where nobody remembers it"),
+                                ));
+                            }
+                        }
+                    }
+                }
+            }
+            if let Some((at, Outcome::Refused { .. })) = &tried.answer
+                && tried.sent.iter().any(|s| s.may_have_run(*at))
+            {
+                let rule = if class.effect == Effect::Unsafe { Rule::Unsafe } else { Rule::Keyed };
+                found.push((rule, *at, format!("{txn:016x} was refused though it may have run")));
+            }
+        }
+        self.tell(found);
+    }
+}
--- a/lab/src/judge/tests.rs
+++ b/lab/src/judge/tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::record::{FORM, Header, Meter};
+use crate::record::{Ending, Event, FORM, GateState, Header, Meter, Outcome, Seen, WorkerState};
 
 const SERVED: Outcome = Outcome::Served { genuine: true };
 
