--- a/lab/src/judge/gather.rs
+++ b/lab/src/judge/gather.rs
@@ -7,74 +7,22 @@
 use crate::record::{Event, GateState, Outcome, Seen};
 use std::collections::HashMap;
 
+/// Attempts by second and worker.
+type AttemptCounts = HashMap<(usize, usize), u64>;
+
 impl Judge<'_> {
     /// Sorts what was seen by request, and counts it by second.
     pub(super) fn gather(&mut self) {
         let recording = self.recording;
-        let mut worst: HashMap<(usize, usize), u64> = HashMap::new();
+        let mut attempts = AttemptCounts::new();
         for Seen { at, event } in &recording.seen {
             let at = seconds(*at);
             match event {
-                Event::Try { txn, first, again, gate, customer, plan, class, remaining } => {
-                    let second = self.second(at);
-                    if *again == 0 {
-                        second.tries += 1
-                    } else {
-                        second.retries += 1
-                    }
-                    let tried = Try {
-                        at,
-                        first: *first,
-                        again: *again,
-                        gate: *gate,
-                        customer: *customer,
-                        plan: *plan,
-                        class: *class,
-                        remaining: *remaining,
-                        answer: None,
-                        sent: Vec::new(),
-                    };
-                    self.tries.insert(*txn, tried);
-                    self.order.push(*txn);
-                }
-                Event::Answer { txn, outcome } => {
-                    let second = self.second(at);
-                    match outcome {
-                        Outcome::Refused { .. } => second.refused += 1,
-                        Outcome::Failed { .. } | Outcome::Broken | Outcome::CutOff | Outcome::Never => {
-                            second.failed += 1;
-                        }
-                        _ => {}
-                    }
-                    let Some(tried) = self.tries.get_mut(txn) else { continue };
-                    if tried.answer.is_some() {
-                        self.broken(Rule::Answers, at, format!("{txn:016x} has a second answer"));
-                    } else {
-                        tried.answer = Some((at, outcome.clone()));
-                    }
-                }
+                Event::Try { .. } => self.gather_try(at, event),
+                Event::Answer { txn, outcome } => self.gather_answer(at, *txn, outcome),
                 Event::Attempt { txn, worker, intact, .. } => {
-                    let zone = recording.header.worker_zones.get(*worker).copied().unwrap_or(0);
-                    let second = self.second(at);
-                    if let Some(n) = second.attempts.get_mut(zone) {
-                        *n += 1;
-                    }
-                    *worst.entry((at as usize, *worker)).or_default() += 1;
-                    if !intact {
-                        self.broken(
-                            Rule::Strangers,
-                            at,
-                            format!("{txn:016x} came to worker {worker} changed"),
-                        );
-                    }
-                    let Some(tried) = self.tries.get_mut(txn) else {
-                        self.broken(Rule::Strangers, at, format!("{txn:016x} was never sent"));
-                        continue;
-                    };
-                    tried.sent.push(Attempt { at, worker: *worker, ended: None });
-                    if tried.sent.len() == 1 {
-                        self.second(at).sent += 1;
-                    }
+                    *attempts.entry((at as usize, *worker)).or_default() += 1;
+                    self.gather_attempt(at, *txn, *worker, *intact);
                 }
                 Event::Ended { txn, worker, how, worked, .. } => {
                     let Some(tried) = self.tries.get_mut(txn) else { continue };
@@ -82,11 +30,8 @@
                     open.into_iter().for_each(|s| s.ended = Some((at, *how, *worked)));
                 }
                 Event::Stranger { gate, worker } => {
-                    self.broken(
-                        Rule::Strangers,
-                        at,
-                        format!("gateway {gate} sent worker {worker} what no client sent"),
-                    );
+                    let what = format!("gateway {gate} sent worker {worker} what no client sent");
+                    self.broken(Rule::Strangers, at, what);
                 }
                 Event::Probe { .. } => self.second(at).probes += 1,
                 Event::Handshake { .. } => self.second(at).handshakes += 1,
@@ -104,7 +49,59 @@
                 Event::Gate { .. } | Event::Told { .. } | Event::Worker { .. } | Event::Fault { .. } => {}
             }
         }
-        for ((second, _), n) in worst {
+        self.count_worst_workers(attempts);
+    }
+
+    fn gather_try(&mut self, at: f64, event: &Event) {
+        let &Event::Try { txn, first, again, gate, customer, plan, class, remaining } = event else { return };
+        let second = self.second(at);
+        if again == 0 {
+            second.tries += 1;
+        } else {
+            second.retries += 1;
+        }
+        let (answer, sent) = (None, Vec::new());
+        let tried = Try { at, first, again, gate, customer, plan, class, remaining, answer, sent };
+        self.tries.insert(txn, tried);
+        self.order.push(txn);
+    }
+
+    fn gather_answer(&mut self, at: f64, txn: u64, outcome: &Outcome) {
+        let second = self.second(at);
+        match outcome {
+            Outcome::Refused { .. } => second.refused += 1,
+            Outcome::Failed { .. } | Outcome::Broken | Outcome::CutOff | Outcome::Never => second.failed += 1,
+            _ => {}
+        }
+        let Some(tried) = self.tries.get_mut(&txn) else { return };
+        if tried.answer.is_some() {
+            self.broken(Rule::Answers, at, format!("{txn:016x} has a second answer"));
+        } else {
+            tried.answer = Some((at, outcome.clone()));
+        }
+    }
+
+    fn gather_attempt(&mut self, at: f64, txn: u64, worker: usize, intact: bool) {
+        let zone = self.recording.header.worker_zones.get(worker).copied().unwrap_or(0);
+        if let Some(n) = self.second(at).attempts.get_mut(zone) {
+            *n += 1;
+        }
+        if !intact {
+            self.broken(Rule::Strangers, at, format!("{txn:016x} came to worker {worker} changed"));
+        }
+        let Some(tried) = self.tries.get_mut(&txn) else {
+            self.broken(Rule::Strangers, at, format!("{txn:016x} was never sent"));
+            return;
+        };
+        tried.sent.push(Attempt { at, worker, ended: None });
+        if tried.sent.len() == 1 {
+            self.second(at).sent += 1;
+        }
+    }
+
+    /// Finds the attempts at the worker that got most, second by second.
+    fn count_worst_workers(&mut self, attempts: AttemptCounts) {
+        for ((second, _), n) in attempts {
             let worst = &mut self.verdict.seconds[second].worst_worker;
             *worst = (*worst).max(n);
         }
--- a/lab/src/judge/mod.rs
+++ b/lab/src/judge/mod.rs
@@ -26,8 +26,8 @@
 
 /// What sockets and this machine may add to a time limit.
 const SLACK_S: f64 = 0.05;
-/// Broken rules that are told one by one.
-const TOLD: usize = 20;
+/// Broken rules that are listed one by one; the others are only counted.
+const MOST_LISTED: usize = 20;
 
 /// A recording's time in seconds.
 fn seconds(at: Micros) -> f64 {
@@ -71,7 +71,7 @@
     /// Takes down one broken rule.
     fn broken(&mut self, rule: Rule, at_s: f64, what: String) {
         *self.verdict.broken_by.entry(rule).or_default() += 1;
-        if self.verdict.broken.len() < TOLD {
+        if self.verdict.broken.len() < MOST_LISTED {
             self.verdict.broken.push(Broken { rule, at_s, what });
         }
     }
--- a/lab/src/judge/quotas.rs
+++ b/lab/src/judge/quotas.rs
@@ -1,99 +1,162 @@
 //! Quotas and ceilings against exact buckets.
 
-use super::{Causes, Judge, Rule};
-use crate::{bucket::Bucket, record::Outcome};
+use super::{Causes, Judge, Rule, tries::Try};
+use crate::{bucket::Bucket, record::Outcome, scenario::PlanSpec};
 use std::collections::HashMap;
 
+/// Seconds of a ceiling's rate by which a customer may be past it, besides the plan's slack.
+const CEILING_SLACK_S: f64 = 0.15;
+
+/// What happens to a customer's accounts.
+#[derive(Clone, Copy, PartialEq)]
+enum Step {
+    /// A try is sent on.
+    Sent,
+    /// The last attempt of a try has ended.
+    Finished,
+    /// A try is refused.
+    Refused,
+}
+
+/// A step of one try, at a time in seconds.
+struct TimedStep {
+    at: f64,
+    step: Step,
+    txn: u64,
+}
+
+/// What one customer has used.
+struct Account {
+    quota: Bucket,
+    ceiling: Bucket,
+    /// Tries that are sent on and not finished.
+    open: u32,
+    /// Units beyond the quota.
+    beyond: u64,
+}
+
+impl Account {
+    fn new(plan: &PlanSpec) -> Self {
+        Self {
+            quota: Bucket::full(plan.rate, plan.burst),
+            ceiling: Bucket::full(plan.ceiling_rate, plan.ceiling_burst),
+            open: 0,
+            beyond: 0,
+        }
+    }
+
+    /// Takes a unit from the ceiling; the units past it, where that is more than the plan allows.
+    fn past_ceiling(&mut self, at: f64, plan: &PlanSpec) -> Option<f64> {
+        if plan.ceiling_rate <= 0.0 {
+            return None;
+        }
+        self.ceiling.refill(at);
+        self.ceiling.level -= 1.0;
+        let slack = plan.slack + CEILING_SLACK_S * plan.ceiling_rate;
+        (self.ceiling.level < -slack).then_some(-self.ceiling.level)
+    }
+}
+
+/// Counts over all customers.
+#[derive(Default)]
+struct Counts {
+    sent: u64,
+    beyond: u64,
+    refused_with_room: u64,
+    refused_half_full: u64,
+    beyond_causes: Causes,
+    refused_causes: Causes,
+    past_ceiling: Vec<(Rule, f64, String)>,
+}
+
 impl Judge<'_> {
     /// Quotas and ceilings against exact buckets, with a cause for each unit that went astray.
     pub(super) fn quotas(&mut self) {
-        #[derive(Clone, Copy, PartialEq)]
-        enum Step {
-            Out,
-            Back,
-            Refused,
-        }
-        let plans = &self.scenario.plans;
-        let mut steps: Vec<(f64, Step, u64)> = Vec::new();
-        for (txn, tried) in &self.tries {
-            if let Some(first) = tried.sent.first() {
-                steps.push((first.at, Step::Out, *txn));
-                let ends = tried.sent.iter().map(|s| s.ended.as_ref().map_or(s.at, |e| e.0));
-                steps.push((ends.fold(first.at, f64::max), Step::Back, *txn));
-            } else if let Some((at, Outcome::Refused { .. })) = &tried.answer {
-                steps.push((*at, Step::Refused, *txn));
-            }
-        }
-        steps.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.2.cmp(&b.2)));
-        struct Account {
-            quota: Bucket,
-            ceiling: Bucket,
-            out: u32,
-            beyond: u64,
-        }
         let mut accounts: HashMap<usize, Account> = HashMap::new();
-        let (mut broken, lead) = (Vec::new(), self.scenario.lead_s);
-        let (mut beyond_causes, mut refused_causes) = (Causes::new(), Causes::new());
-        let (mut half, mut with_room, mut beyond, mut sent) = (0_u64, 0, 0, 0);
-        for (at, step, txn) in steps {
+        let mut counts = Counts::default();
+        for TimedStep { at, step, txn } in self.quota_steps() {
             let tried = &self.tries[&txn];
-            let plan = &plans[tried.plan];
-            let account = accounts.entry(tried.customer).or_insert_with(|| Account {
-                quota: Bucket::full(plan.rate, plan.burst),
-                ceiling: Bucket::full(plan.ceiling_rate, plan.ceiling_burst),
-                out: 0,
-                beyond: 0,
-            });
+            let plan = &self.scenario.plans[tried.plan];
+            let account = accounts.entry(tried.customer).or_insert_with(|| Account::new(plan));
             let level = account.quota.refill(at);
-            let room = level >= 1.0 && (plan.open == 0 || account.out < plan.open);
-            let cause = || self.reasons.get(&txn).copied().unwrap_or("not told").to_owned();
+            let room = level >= 1.0 && (plan.open == 0 || account.open < plan.open);
             match step {
-                Step::Out => {
-                    sent += 1;
-                    account.out += 1;
+                Step::Sent => {
+                    counts.sent += 1;
+                    account.open += 1;
                     if room {
                         account.quota.level -= 1.0;
                     } else {
                         account.beyond += 1;
-                        if at >= lead {
-                            beyond += 1;
-                            let open = if level >= 1.0 { "open cap: " } else { "" };
-                            *beyond_causes.entry(format!("{open}{}", cause())).or_default() += 1;
-                        }
+                        self.count_beyond(&mut counts, at, level, txn);
                     }
-                    if plan.ceiling_rate > 0.0 {
-                        account.ceiling.refill(at);
-                        account.ceiling.level -= 1.0;
-                        let slack = plan.slack + 0.15 * plan.ceiling_rate;
-                        if account.ceiling.level < -slack {
-                            broken.push((
-                                Rule::Ceiling,
-                                at,
-                                format!(
-                                    "customer {} is {:.1} units past its ceiling",
-                                    tried.customer, -account.ceiling.level
-                                ),
-                            ));
-                        }
+                    if let Some(units) = account.past_ceiling(at, plan) {
+                        counts.past_ceiling.push((Rule::Ceiling, at, past_ceiling_text(tried, units)));
                     }
                 }
-                Step::Back => account.out = account.out.saturating_sub(1),
-                Step::Refused if room && at >= lead => {
-                    with_room += 1;
-                    half += u64::from(level >= plan.burst / 2.0);
-                    *refused_causes.entry(cause()).or_default() += 1;
+                Step::Finished => account.open = account.open.saturating_sub(1),
+                Step::Refused if room && at >= self.scenario.lead_s => {
+                    counts.refused_with_room += 1;
+                    counts.refused_half_full += u64::from(level >= plan.burst / 2.0);
+                    *counts.refused_causes.entry(self.cause(txn)).or_default() += 1;
                 }
                 Step::Refused => {}
             }
         }
-        self.tell(broken);
+        let worst_beyond = accounts.values().map(|a| a.beyond).max().unwrap_or(0);
+        self.take_quota_counts(counts, worst_beyond);
+    }
+
+    /// All steps of all tries, in the order that they happened.
+    fn quota_steps(&self) -> Vec<TimedStep> {
+        let mut steps = Vec::new();
+        for (&txn, tried) in &self.tries {
+            if let Some(first) = tried.sent.first() {
+                steps.push(TimedStep { at: first.at, step: Step::Sent, txn });
+                let ends = tried.sent.iter().map(|s| s.ended.as_ref().map_or(s.at, |e| e.0));
+                let last = ends.fold(first.at, f64::max);
+                steps.push(TimedStep { at: last, step: Step::Finished, txn });
+            } else if let Some((at, Outcome::Refused { .. })) = tried.answer {
+                steps.push(TimedStep { at, step: Step::Refused, txn });
+            }
+        }
+        steps.sort_by(|a, b| a.at.total_cmp(&b.at).then(a.txn.cmp(&b.txn)));
+        steps
+    }
+
+    /// What its gateway said last of a try.
+    fn cause(&self, txn: u64) -> String {
+        self.reasons.get(&txn).copied().unwrap_or("not told").to_owned()
+    }
+
+    /// Counts a unit beyond its quota, unless that was in the lead-in.
+    fn count_beyond(&self, counts: &mut Counts, at: f64, level: f64, txn: u64) {
+        if at < self.scenario.lead_s {
+            return;
+        }
+        counts.beyond += 1;
+        let open = if level >= 1.0 { "open cap: " } else { "" };
+        *counts.beyond_causes.entry(format!("{open}{}", self.cause(txn))).or_default() += 1;
+    }
+
+    /// Takes the counts into the verdict.
+    fn take_quota_counts(&mut self, counts: Counts, worst_beyond: u64) {
+        self.tell(counts.past_ceiling);
+        let lead = self.scenario.lead_s;
         let tries = self.tries.values().filter(|t| t.at >= lead).count().max(1) as f64;
-        let v = &mut self.verdict;
-        (v.beyond, v.beyond_share) = (beyond, beyond as f64 / sent.max(1) as f64);
-        v.worst_beyond = accounts.values().map(|a| a.beyond).max().unwrap_or(0);
-        (v.refused_with_room, v.refused_with_room_share) = (with_room, with_room as f64 / tries);
-        v.refused_half_share = half as f64 / tries;
-        (v.beyond_causes, v.refused_causes) = (beyond_causes, refused_causes);
-        v.sent = sent;
+        let verdict = &mut self.verdict;
+        verdict.sent = counts.sent;
+        verdict.beyond = counts.beyond;
+        verdict.beyond_share = counts.beyond as f64 / counts.sent.max(1) as f64;
+        verdict.worst_beyond = worst_beyond;
+        verdict.refused_with_room = counts.refused_with_room;
+        verdict.refused_with_room_share = counts.refused_with_room as f64 / tries;
+        verdict.refused_half_share = counts.refused_half_full as f64 / tries;
+        verdict.beyond_causes = counts.beyond_causes;
+        verdict.refused_causes = counts.refused_causes;
     }
 }
+
+fn past_ceiling_text(tried: &Try, units: f64) -> String {
+    format!("customer {} is {units:.1} units past its ceiling", tried.customer)
+}
