--- a/lab/src/judge/mod.rs
+++ b/lab/src/judge/mod.rs
@@ -15,7 +15,7 @@
 mod worth;
 
 pub use rule::{Broken, Rule};
-pub use verdict::{Causes, Fare, Recovery, Second, Verdict};
+pub use verdict::{Causes, Recovery, Second, Totals, Verdict};
 
 use crate::{
     record::{Micros, Recording},
--- a/lab/src/judge/verdict.rs
+++ b/lab/src/judge/verdict.rs
@@ -30,7 +30,7 @@
 
 /// How requests of one plan or class fared.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Fare {
+pub struct Totals {
     pub tries: u64,
     pub served: u64,
     pub refused: u64,
@@ -85,8 +85,8 @@
     pub refused_half_share: f64,
     pub beyond_causes: Causes,
     pub refused_causes: Causes,
-    pub by_plan: Vec<(String, Fare)>,
-    pub by_class: Vec<(String, Fare)>,
+    pub by_plan: Vec<(String, Totals)>,
+    pub by_class: Vec<(String, Totals)>,
     /// Milliseconds from the first try to the answer, of what was served: median, 95th and 99th percentile.
     pub latency_ms: [f64; 3],
     /// Share of the workers' work that nobody got an answer from.
--- a/lab/src/judge/worth.rs
+++ b/lab/src/judge/worth.rs
@@ -1,7 +1,10 @@
 //! What the play earned, and the figures on latency, waste and amplification.
 
-use super::{Fare, Judge, Second};
-use crate::record::{Ending, Outcome};
+use super::{Judge, Second, Totals, tries::Try};
+use crate::{
+    record::{Ending, Outcome},
+    scenario::ClassSpec,
+};
 use std::collections::HashMap;
 
 /// A second with fewer tries sent on says nothing of amplification.
@@ -9,100 +12,168 @@
 /// What a unit sent on beyond its quota costs, of its worth.
 const OVERRUN: f64 = 0.8;
 
+/// What one try asked for, earned and cost.
+struct TryValue {
+    /// When the client's first try went out.
+    first: f64,
+    asked: f64,
+    earned: f64,
+    /// Core seconds of all its attempts, and of the one that earned something.
+    worked: f64,
+    useful: f64,
+    /// Seconds from the first try to the answer, where it was served.
+    took: Option<f64>,
+    refused: bool,
+    failed: bool,
+}
+
+/// Sums over the tries after the lead-in.
+struct PlayTotals {
+    plans: Vec<Totals>,
+    classes: Vec<Totals>,
+    /// By gateway, its tries and those refused.
+    gates: HashMap<usize, (u64, u64)>,
+    latencies_ms: Vec<f64>,
+    worked: f64,
+    useful: f64,
+}
+
+impl PlayTotals {
+    fn add(&mut self, tried: &Try, value: &TryValue) {
+        self.worked += value.worked;
+        self.useful += value.useful;
+        self.latencies_ms.extend(value.took.map(|took| took * 1e3));
+        for totals in [&mut self.plans[tried.plan], &mut self.classes[tried.class]] {
+            totals.tries += 1;
+            totals.served += u64::from(value.took.is_some());
+            totals.refused += u64::from(value.refused);
+            totals.failed += u64::from(value.failed);
+            totals.asked += value.asked;
+            totals.earned += value.earned;
+        }
+        let (tries, refused) = self.gates.entry(tried.gate).or_default();
+        *tries += 1;
+        *refused += u64::from(value.refused);
+    }
+
+    /// The median, the 95th and the 99th percentile.
+    fn latency_ms(&mut self) -> [f64; 3] {
+        self.latencies_ms.sort_by(f64::total_cmp);
+        let count = self.latencies_ms.len();
+        let index = |share: f64| ((count as f64 * share) as usize).min(count.saturating_sub(1));
+        [0.5, 0.95, 0.99].map(|share| self.latencies_ms.get(index(share)).copied().unwrap_or(0.0))
+    }
+
+    /// The least and the greatest share of refused tries at any gateway.
+    fn refused_spread(&self) -> [f64; 2] {
+        let busy = self.gates.values().filter(|(tries, _)| *tries >= LEAST_TRIES);
+        let shares: Vec<f64> = busy.map(|(tries, refused)| *refused as f64 / *tries as f64).collect();
+        [shares.iter().copied().fold(1.0, f64::min), shares.iter().copied().fold(0.0, f64::max)]
+    }
+}
+
 impl Judge<'_> {
-    /// Worth, fares, latencies and waste.
+    /// Worth, totals, latencies and waste.
     pub(super) fn worth(&mut self) {
         let scenario = self.scenario;
-        let lead = scenario.lead_s;
-        let mut plans = vec![Fare::default(); scenario.plans.len()];
-        let mut classes = vec![Fare::default(); scenario.classes.len()];
-        let mut gates: HashMap<usize, (u64, u64)> = HashMap::new();
         let firsts: HashMap<u64, f64> =
             self.tries.values().filter(|t| t.again == 0).map(|t| (t.first, t.at)).collect();
-        let mut latencies = Vec::new();
-        let (mut useful, mut work) = (0.0, 0.0);
-        let mut marks: Vec<(f64, f64, f64, f64)> = Vec::new();
+        let mut totals = PlayTotals {
+            plans: vec![Totals::default(); scenario.plans.len()],
+            classes: vec![Totals::default(); scenario.classes.len()],
+            gates: HashMap::new(),
+            latencies_ms: Vec::new(),
+            worked: 0.0,
+            useful: 0.0,
+        };
+        let mut values = Vec::new();
         for txn in &self.order {
             let tried = &self.tries[txn];
             let Some(first) = firsts.get(&tried.first).copied() else { continue };
-            let (class, plan) = (&scenario.classes[tried.class], &scenario.plans[tried.plan]);
-            let worth = class.worth * plan.pays;
-            let asked = if tried.again == 0 { worth } else { 0.0 };
-            let mut earned = 0.0;
-            let served = matches!(tried.answer, Some((_, Outcome::Served { genuine: true })));
-            if let (true, Some((at, _))) = (served, &tried.answer) {
-                let took = at - first;
-                let share = if took <= class.aim_ms / 1e3 {
-                    1.0
-                } else if took <= class.deadline_ms / 1e3 {
-                    class.late_worth
-                } else {
-                    0.0
-                };
-                earned = worth * share;
-                if first >= lead {
-                    latencies.push(took * 1e3);
-                }
+            let value = self.value_of(tried, first);
+            if first >= scenario.lead_s {
+                totals.add(tried, &value);
             }
-            let worked: f64 = tried.sent.iter().filter_map(|s| s.ended.as_ref()).map(|e| e.2).sum();
-            let best = tried.sent.iter().filter_map(|s| s.ended.as_ref()).filter(|e| e.1 == Ending::Served);
-            let best = best.map(|e| e.2).fold(0.0, f64::max);
-            let good = if earned > 0.0 { best } else { 0.0 };
-            marks.push((first, asked, earned, worked - good));
-            if first < lead {
-                continue;
-            }
-            useful += good;
-            work += worked;
-            let refused = matches!(tried.answer, Some((_, Outcome::Refused { .. })));
-            let failed = !served && !refused && !matches!(tried.answer, Some((_, Outcome::Left)) | None);
-            for fare in [&mut plans[tried.plan], &mut classes[tried.class]] {
-                fare.tries += 1;
-                fare.served += u64::from(served);
-                fare.refused += u64::from(refused);
-                fare.failed += u64::from(failed);
-                fare.asked += asked;
-                fare.earned += earned;
-            }
-            let at_gate = gates.entry(tried.gate).or_default();
-            at_gate.0 += 1;
-            at_gate.1 += u64::from(refused);
+            values.push(value);
         }
-        for (first, asked, earned, wasted) in marks {
-            let second = self.second(first);
-            second.asked += asked;
-            second.earned += earned;
-            second.wasted_s += wasted;
+        for value in values {
+            let second = self.second(value.first);
+            second.asked += value.asked;
+            second.earned += value.earned;
+            second.wasted_s += value.worked - value.useful;
         }
-        latencies.sort_by(f64::total_cmp);
-        let at = |q: f64| {
-            latencies.get(((latencies.len() as f64 * q) as usize).min(latencies.len().saturating_sub(1)))
+        let requests = firsts.values().filter(|at| **at >= scenario.lead_s).count();
+        self.take_worth(totals, requests);
+        self.take_tries();
+    }
+
+    fn value_of(&self, tried: &Try, first: f64) -> TryValue {
+        let class = &self.scenario.classes[tried.class];
+        let worth = class.worth * self.scenario.plans[tried.plan].pays;
+        let took = match tried.answer {
+            Some((at, Outcome::Served { genuine: true })) => Some(at - first),
+            _ => None,
         };
-        let spread: Vec<f64> =
-            gates.values().filter(|g| g.0 >= LEAST_TRIES).map(|g| g.1 as f64 / g.0 as f64).collect();
-        let v = &mut self.verdict;
-        v.latency_ms = [0.5, 0.95, 0.99].map(|q| at(q).copied().unwrap_or(0.0));
-        v.wasted = if work > 0.0 { 1.0 - useful / work } else { 0.0 };
-        v.refused_spread =
-            [spread.iter().copied().fold(1.0, f64::min), spread.iter().copied().fold(0.0, f64::max)];
+        let earned = took.map_or(0.0, |took| worth * share_earned(class, took));
+        let ended = || tried.sent.iter().filter_map(|s| s.ended.as_ref());
+        let worked: f64 = ended().map(|e| e.2).sum();
+        let best = ended().filter(|e| e.1 == Ending::Served).map(|e| e.2).fold(0.0, f64::max);
+        let refused = matches!(tried.answer, Some((_, Outcome::Refused { .. })));
+        let left = matches!(tried.answer, Some((_, Outcome::Left)) | None);
+        TryValue {
+            first,
+            asked: if tried.again == 0 { worth } else { 0.0 },
+            earned,
+            worked,
+            useful: if earned > 0.0 { best } else { 0.0 },
+            took,
+            refused,
+            failed: took.is_none() && !refused && !left,
+        }
+    }
+
+    /// Takes the sums into the verdict.
+    fn take_worth(&mut self, mut totals: PlayTotals, requests: usize) {
+        let scenario = self.scenario;
         let (asked, earned): (f64, f64) =
-            plans.iter().fold((0.0, 0.0), |s, f| (s.0 + f.asked, s.1 + f.earned));
-        v.goodput = earned / asked.max(1e-9);
-        v.by_plan = scenario.plans.iter().map(|p| p.name.clone()).zip(plans).collect();
-        v.by_class = scenario.classes.iter().map(|c| c.name.clone()).zip(classes).collect();
+            totals.plans.iter().fold((0.0, 0.0), |s, t| (s.0 + t.asked, s.1 + t.earned));
+        let verdict = &mut self.verdict;
+        verdict.latency_ms = totals.latency_ms();
+        verdict.wasted = if totals.worked > 0.0 { 1.0 - totals.useful / totals.worked } else { 0.0 };
+        verdict.refused_spread = totals.refused_spread();
+        verdict.goodput = earned / asked.max(1e-9);
+        verdict.by_plan = scenario.plans.iter().map(|p| p.name.clone()).zip(totals.plans).collect();
+        verdict.by_class = scenario.classes.iter().map(|c| c.name.clone()).zip(totals.classes).collect();
         // Each unit beyond costs a share of a mean request's worth.
-        let mean = asked / firsts.values().filter(|at| **at >= lead).count().max(1) as f64;
-        v.score = (earned - OVERRUN * mean * v.beyond as f64) / asked.max(1e-9);
-        v.requests = firsts.values().filter(|at| **at >= lead).count() as u64;
-        v.tries = self.tries.values().filter(|t| t.at >= lead).count() as u64;
-        v.attempts = self.tries.values().map(|t| t.sent.len() as u64).sum();
-        v.amplification = v.attempts as f64 / v.sent.max(1) as f64;
-        let end = self.scenario.length_s as usize;
-        let loud = v.seconds.iter().take(end).skip(lead as usize).filter(|s| s.sent >= LEAST_TRIES);
-        v.worst_amplification =
-            loud.map(|s| s.attempts.iter().sum::<u64>() as f64 / s.sent as f64).fold(0.0, f64::max);
-        let sum = |f: fn(&Second) -> u64| v.seconds.iter().map(f).sum::<u64>() as f64;
-        v.probes_a_request = sum(|s| s.probes) / v.requests.max(1) as f64;
-        v.calls_a_try = sum(|s| s.calls) / v.tries.max(1) as f64;
+        let mean = asked / requests.max(1) as f64;
+        verdict.score = (earned - OVERRUN * mean * verdict.beyond as f64) / asked.max(1e-9);
+        verdict.requests = requests as u64;
+    }
+
+    /// Counts tries and attempts, and what came of each on the mean.
+    fn take_tries(&mut self) {
+        let (lead, end) = (self.scenario.lead_s, self.scenario.length_s as usize);
+        let verdict = &mut self.verdict;
+        verdict.tries = self.tries.values().filter(|t| t.at >= lead).count() as u64;
+        verdict.attempts = self.tries.values().map(|t| t.sent.len() as u64).sum();
+        verdict.amplification = verdict.attempts as f64 / verdict.sent.max(1) as f64;
+        let seconds = verdict.seconds.iter().take(end).skip(lead as usize);
+        let busy = seconds.filter(|s| s.sent >= LEAST_TRIES);
+        let amplifications = busy.map(|s| s.attempts.iter().sum::<u64>() as f64 / s.sent as f64);
+        verdict.worst_amplification = amplifications.fold(0.0, f64::max);
+        let sum = |f: fn(&Second) -> u64| verdict.seconds.iter().map(f).sum::<u64>() as f64;
+        verdict.probes_a_request = sum(|s| s.probes) / verdict.requests.max(1) as f64;
+        verdict.calls_a_try = sum(|s| s.calls) / verdict.tries.max(1) as f64;
+    }
+}
+
+/// The share of a request's worth that an answer after so many seconds earns.
+fn share_earned(class: &ClassSpec, took: f64) -> f64 {
+    if took <= class.aim_ms / 1e3 {
+        1.0
+    } else if took <= class.deadline_ms / 1e3 {
+        class.late_worth
+    } else {
+        0.0
     }
 }
