--- a/lab/src/judge/excuses.rs
+++ b/lab/src/judge/excuses.rs
@@ -32,18 +32,8 @@
                 },
                 Event::Fault { index, on: true, gates, .. } => {
                     let Some(fault) = self.scenario.faults.get(*index) else { continue };
-                    let link = matches!(
-                        fault.what,
-                        FaultKind::Cut
-                            | FaultKind::Delay
-                            | FaultKind::Lose
-                            | FaultKind::Reset
-                            | FaultKind::Refuse
-                            | FaultKind::HalfOpen
-                            | FaultKind::Throttle
-                    );
                     let front = matches!(Peers::parse(&fault.peers, zones), Ok(Peers::Front | Peers::All));
-                    if link && front {
+                    if holds_up_links(fault.what) && front {
                         // What the cut held back comes after it has healed.
                         let once = fault.what == FaultKind::Reset;
                         let lasts = if once { 0.0 } else { fault.for_s.unwrap_or(f64::INFINITY) };
@@ -60,3 +50,17 @@
         excuses
     }
 }
+
+/// Whether a fault of this kind strikes links so that answers are late or lost.
+fn holds_up_links(kind: FaultKind) -> bool {
+    matches!(
+        kind,
+        FaultKind::Cut
+            | FaultKind::Delay
+            | FaultKind::Lose
+            | FaultKind::Reset
+            | FaultKind::Refuse
+            | FaultKind::HalfOpen
+            | FaultKind::Throttle
+    )
+}
