--- a/crates/control/src/shards/mod.rs
+++ b/crates/control/src/shards/mod.rs
@@ -1,5 +1,7 @@
 //! All shards of this process: their state, and the changes that subscribers of the feed have not seen yet.
 
+#[cfg(test)]
+mod steps_tests;
 #[cfg(test)]
 mod tests;
 
@@ -77,6 +79,7 @@
         };
         self.offset = index;
         if !changes.is_empty() {
+            self.drop_superseded(&changes);
             self.steps.push_back((index, changes));
         }
         if self.steps.len() > STEPS_KEPT
@@ -87,6 +90,13 @@
         reply
     }
 
+    /// Drops what the newest changes replace whole, so that no subscriber is sent it and no memory is held by it.
+    fn drop_superseded(&mut self, newest: &[Change]) {
+        for (_, changes) in &mut self.steps {
+            changes.retain(|older| !newest.iter().any(|newer| supersedes(newer, older)));
+        }
+    }
+
     /// Changes after what is held; the whole state where nothing or too little is held.
     fn update_since(&self, held: Option<u64>) -> Option<FeedUpdateBody> {
         let Some(held) = held.filter(|held| *held >= self.steps_from) else {
@@ -107,6 +117,16 @@
     }
 }
 
+/// Whether a change replaces all that an older one says.
+fn supersedes(newer: &Change, older: &Change) -> bool {
+    matches!(
+        (newer, older),
+        (Change::Configuration { .. }, Change::Configuration { .. })
+            | (Change::StoreMap(_), Change::StoreMap(_))
+            | (Change::ControlNodes(_), Change::ControlNodes(_))
+    )
+}
+
 struct FeedUpdateBody {
     snapshot: bool,
     offset: u64,
--- /dev/null
+++ b/crates/control/src/shards/steps_tests.rs
@@ -0,0 +1,87 @@
+//! What is kept of the changes that subscribers have not seen yet.
+
+use super::{Shard, Shards};
+use crate::{configuration_shard::ConfigurationCommand, sessions::SessionCommand};
+use opalrun_wire::{
+    feed::{CONFIGURATION_SHARD, Change, ControlNode, FeedUpdate, Worker, WorkerState},
+    frame::encode,
+};
+
+fn configuration(generation: u64) -> Vec<u8> {
+    let body = format!("configuration {generation}").into_bytes();
+    let sha256 = [generation as u8; 32];
+    let if_match = generation - 1;
+    encode(&ConfigurationCommand::PutConfiguration { if_match, generation, body, sha256 }).to_vec()
+}
+
+fn control_node(identity: u64) -> Vec<u8> {
+    let node = ControlNode {
+        identity,
+        node_name: format!("core-{identity}"),
+        peer_address: format!("10.0.0.{identity}:7380"),
+        control_address: format!("10.0.0.{identity}:8144"),
+        zone: "zone-1".to_owned(),
+    };
+    encode(&ConfigurationCommand::AdmitControl { node }).to_vec()
+}
+
+fn worker(id: &str) -> Vec<u8> {
+    let worker = Worker {
+        id: id.to_owned(),
+        service: "models".to_owned(),
+        address: "10.0.1.1:8080".to_owned(),
+        zone: "zone-1".to_owned(),
+        generation: "v1".to_owned(),
+        capacity: 4,
+        state: WorkerState::Ready,
+        cold_remaining_ms: 0,
+        sequence: 1,
+    };
+    encode(&SessionCommand::Put(worker)).to_vec()
+}
+
+fn generations(changes: &[Change]) -> Vec<u64> {
+    let generation = |change: &Change| match change {
+        Change::Configuration { generation, .. } => Some(*generation),
+        _ => None,
+    };
+    changes.iter().filter_map(generation).collect()
+}
+
+#[test]
+fn only_the_newest_configuration_is_kept_among_the_steps() {
+    let mut shard = Shard::new(CONFIGURATION_SHARD);
+    for generation in 1..=100 {
+        shard.apply(generation, &configuration(generation));
+    }
+    let kept: Vec<Change> = shard.steps.iter().flat_map(|(_, changes)| changes.clone()).collect();
+    assert_eq!(generations(&kept), [100]);
+}
+
+#[test]
+fn a_subscriber_behind_gets_the_newest_configuration_and_every_other_change_it_lacks() {
+    let shards = Shards::new();
+    shards.apply(CONFIGURATION_SHARD, 1, &configuration(1));
+    shards.apply(CONFIGURATION_SHARD, 2, &control_node(1));
+    shards.apply(CONFIGURATION_SHARD, 3, &configuration(2));
+    shards.apply(CONFIGURATION_SHARD, 4, &configuration(3));
+    for held in 1..=3 {
+        let update = shards.update_since(CONFIGURATION_SHARD, Some(held));
+        let Some(FeedUpdate::Changes { offset, changes, .. }) = update else { panic!("{update:?}") };
+        assert_eq!((offset, generations(&changes)), (4, vec![3]), "from {held}");
+        let has_nodes = changes.iter().any(|change| matches!(change, Change::ControlNodes(_)));
+        assert_eq!(has_nodes, held < 2, "from {held}");
+    }
+    assert_eq!(shards.update_since(CONFIGURATION_SHARD, Some(4)), None);
+}
+
+#[test]
+fn changes_of_workers_are_all_kept() {
+    let shards = Shards::new();
+    for index in 1..=3 {
+        shards.apply(1, index, &worker(&format!("i-{index}")));
+    }
+    let update = shards.update_since(1, Some(1));
+    let Some(FeedUpdate::Changes { offset, changes, .. }) = update else { panic!("{update:?}") };
+    assert_eq!((offset, changes.len()), (3, 2));
+}
--- a/crates/hollow/src/main.rs
+++ b/crates/hollow/src/main.rs
@@ -21,8 +21,10 @@
             optional --routes count: usize
             /// Seconds for which nothing changes: 10.
             optional --steady-s seconds: u64
-            /// Changes of the configuration after that, one a second: 10.
+            /// Changes of the configuration after that: 10.
             optional --changes count: u64
+            /// Milliseconds from one change to the next: 1000.
+            optional --change-period-ms milliseconds: u64
         }
     }
 }
@@ -52,6 +54,7 @@
         heartbeat: HEARTBEAT,
         steady: Duration::from_secs(flags.steady_s.unwrap_or(10)),
         changes: flags.changes.unwrap_or(10),
+        change_period: Duration::from_millis(flags.change_period_ms.unwrap_or(1000)),
     };
     let build = flags.build.clone().unwrap_or_else(|| PathBuf::from("target/tier/opalrun"));
     let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(|e| e.to_string())?;
--- a/crates/hollow/src/measure.rs
+++ b/crates/hollow/src/measure.rs
@@ -20,8 +20,6 @@
 const START_LIMIT: Duration = Duration::from_secs(20);
 /// How long a change may take to be acknowledged, and to be everywhere.
 const CHANGE_LIMIT: Duration = Duration::from_secs(14);
-/// Pause between two changes.
-const CHANGE_PERIOD: Duration = Duration::from_secs(1);
 /// Time after the start until the use is steady.
 const SETTLE: Duration = Duration::from_secs(2);
 
@@ -40,6 +38,8 @@
     pub steady: Duration,
     /// Changes of the configuration after that.
     pub changes: u64,
+    /// Time from one change to the next; a change is also not sent before the last one is everywhere.
+    pub change_period: Duration,
 }
 
 /// The processes that are measured.
@@ -153,7 +153,7 @@
             return Err(MeasureError::Late { what: format!("configuration {generation} everywhere") });
         };
         changes.everywhere_in.push(everywhere);
-        sleep_until(sent + CHANGE_PERIOD).await;
+        sleep_until(sent + size.change_period).await;
     }
     Ok(changes)
 }
--- a/crates/opalrun/tests/hollow.rs
+++ b/crates/opalrun/tests/hollow.rs
@@ -16,6 +16,7 @@
         heartbeat: Duration::from_millis(400),
         steady: Duration::from_millis(500),
         changes: 2,
+        change_period: Duration::from_millis(100),
     };
     let program = Path::new(env!("CARGO_BIN_EXE_opalrun"));
     let runtime = runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
