--- a/crates/opalrun/tests/commands.rs
+++ b/crates/opalrun/tests/commands.rs
@@ -1,9 +1,11 @@
 //! The command line of the program.
 
 use std::{
-    io::Read,
+    io::{Read, Write},
+    net::TcpStream,
     path::{Path, PathBuf},
     process::{Command, Output, Stdio},
+    time::{Duration, Instant},
 };
 
 const SETTINGS: &str = include_str!("../../settings/tests/example.toml");
@@ -109,6 +111,37 @@
     assert!(child.wait().unwrap().success());
 }
 
+#[test]
+fn figures_are_served_where_the_settings_say() {
+    let folder = tempfile::tempdir().unwrap();
+    let free = [(); 2].map(|()| std::net::TcpListener::bind("127.0.0.1:0").unwrap());
+    let [port, figures] = free.map(|listener| listener.local_addr().unwrap().port());
+    let settings = SETTINGS.replace("[7380,7395]", &format!("[{},{port}]", port - 1));
+    let settings = format!("{settings}\n[figures]\nlisten = \"127.0.0.1:{figures}\"\n");
+    let path = file(folder.path(), "settings.toml", &settings);
+    let mut child = opalrun().arg("agent").env("OPALRUN_CONFIG", path).stderr(Stdio::null()).spawn().unwrap();
+    let told = scraped(figures);
+    child.kill().unwrap();
+    child.wait().unwrap();
+    assert!(told.contains("opalrun_configuration_generation 0.0"), "{told}");
+}
+
+/// What a scraper gets at a port of loopback, as soon as something listens there.
+fn scraped(port: u16) -> String {
+    let until = Instant::now() + Duration::from_secs(10);
+    let mut stream = loop {
+        match TcpStream::connect(("127.0.0.1", port)) {
+            Ok(stream) => break stream,
+            Err(error) => assert!(Instant::now() < until, "{error}"),
+        }
+        std::thread::yield_now();
+    };
+    stream.write_all(b"GET /metrics HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n").unwrap();
+    let mut told = String::new();
+    stream.read_to_string(&mut told).unwrap();
+    told
+}
+
 /// Reads a log until it holds a word.
 fn wait_for(log: &mut impl Read, word: &str) {
     let mut read = Vec::new();
@@ -120,7 +153,7 @@
 }
 
 #[test]
-fn control_that_is_not_there_is_told_as_such() {
+fn orders_that_are_not_sent_say_why() {
     let output =
         run(&["configuration", "put", "/nonexistent", "--control", "127.0.0.1:1", "--if-match", "0"]);
     assert_eq!(output.status.code(), Some(3), "{output:?}");
--- a/crates/opalrun/tests/tier/looked_at.rs
+++ b/crates/opalrun/tests/tier/looked_at.rs
@@ -1,6 +1,9 @@
 //! The commands for people against a running tier.
 
-use crate::{support::with_deployment, view};
+use crate::{
+    support::{conversation, with_deployment},
+    view,
+};
 use fleetlab::tier::deployment::Deployment;
 use serde_json::Value;
 use std::{
@@ -84,3 +87,36 @@
         deployment
     });
 }
+
+#[test]
+fn the_folders_of_ended_processes_are_in_order() {
+    with_deployment(async |mut deployment| {
+        conversation(&mut deployment).await;
+        for (machine, role) in [("core-1", "control"), ("storage-1", "store")] {
+            deployment.tier.kill(machine).await.expect("killed");
+            let folder = deployment.tier.data_dir(machine).expect("a folder");
+            let folder = folder.to_str().expect("a path");
+            let verified = run(&["state", "verify", role, folder]).await;
+            assert!(verified.status.success(), "{verified:?}");
+            let shown = run(&["state", "show", role, folder, "--json"]).await;
+            assert!(shown.status.success(), "{shown:?}");
+            let state: Value = serde_json::from_slice(&shown.stdout).expect("JSON");
+            let state = &state[role];
+            assert!(state["identity"].as_u64().expect("an identity") > 0);
+            if role == "control" {
+                assert!(state["log_generation"].as_u64().expect("a generation") > 0, "{state}");
+                let voters = state["shards"][0]["members"].as_array().expect("members");
+                assert_eq!(voters.len(), 3);
+            } else {
+                let partitions = state["partitions"].as_array().expect("partitions");
+                let turns: u64 = partitions.iter().filter_map(|partition| partition["turns"].as_u64()).sum();
+                // Of the conversation's two turns the last may lie at the other two stores only.
+                assert!(turns >= 1, "{state}");
+            }
+            deployment.tier.start_machine(machine).expect("started");
+            let again = run(&["state", "verify", "proxy", folder]).await;
+            assert_eq!(again.status.code(), Some(64));
+        }
+        deployment
+    });
+}
--- a/lab/src/tier/fleet.rs
+++ b/lab/src/tier/fleet.rs
@@ -148,6 +148,15 @@
         machine.map(|m| m.ip).ok_or_else(|| TierError::NoMachine(name.to_owned()))
     }
 
+    /// The folder where a machine keeps its data.
+    ///
+    /// # Errors
+    /// There is no such machine.
+    pub fn data_dir(&self, name: &str) -> Result<PathBuf, TierError> {
+        let machine = self.machines.iter().find(|m| m.name == name);
+        machine.map(Machine::data_dir).ok_or_else(|| TierError::NoMachine(name.to_owned()))
+    }
+
     /// What a machine is.
     ///
     /// # Errors
