--- a/crates/transport/src/server/mod.rs
+++ b/crates/transport/src/server/mod.rs
@@ -38,7 +38,7 @@
 const UNREAD: Duration = Duration::from_secs(1);
 /// Between looks for idle connections while clients are sent away.
 const SHED: Duration = Duration::from_millis(100);
-/// Pause at the edge of the budget, and after the system had no descriptor left.
+/// Pause after the system had no descriptor left.
 const PAUSE: Duration = Duration::from_millis(20);
 
 /// Serves the connections of server.
@@ -47,6 +47,8 @@
     settings: Settings,
     peers: RefCell<FnvHashMap<u64, Rc<Peer>>>,
     numbers: Cell<u64>,
+    /// Connections that are about to end to make room.
+    evicted: Cell<usize>,
     budget: Cell<usize>,
     /// Connections are accepted.
     accepting: watch::Sender<bool>,
@@ -66,7 +68,7 @@
 impl<H: Handler> Server<H> {
     /// `budget` connections at most.
     pub fn new(handler: H, settings: Settings, budget: usize) -> Rc<Self> {
-        let (numbers, freed) = (Cell::new(0), Notify::new());
+        let (numbers, evicted, freed) = (Cell::new(0), Cell::new(0), Notify::new());
         let [stopping, away, shedding, begun, left] = [const { Cell::new(false) }; 5];
         let (peers, budget, accepting) = (RefCell::default(), Cell::new(budget), watch::Sender::new(true));
         Rc::new(Self {
@@ -74,6 +76,7 @@
             settings,
             peers,
             numbers,
+            evicted,
             budget,
             accepting,
             begun,
@@ -193,35 +196,43 @@
                 let _ = open.changed().await;
                 continue;
             }
-            if self.connections() >= self.budget.get() {
-                // At the edge the connection that has stood idle longest makes room; if none has, new ones
-                // wait unaccepted until one ends or has.
-                self.close_longest_idle();
-                let _ = tokio::time::timeout(PAUSE, self.one_ended()).await;
-                continue;
-            }
             let accepted = tokio::select! {
                 biased;
                 _ = open.changed() => continue,
                 accepted = listener.accept() => accepted,
             };
             match accepted {
-                Ok((socket, _)) => self.serve(socket),
+                // Nobody waits in the socket's queue, where the end of a client could not be seen.
+                Ok((socket, _)) if self.makes_room() => self.serve(socket),
+                Ok((socket, _)) => drop(socket),
                 Err(e) => {
                     // No descriptor, or the client went at once: never a reason to spin or to stop.
                     warn!("accept: {e}");
-                    self.close_longest_idle();
+                    self.evict_one();
                     tokio::time::sleep(PAUSE).await;
                 }
             }
         }
     }
 
-    fn close_longest_idle(&self) {
-        let peers = self.peers.borrow();
-        if let Some(peer) = peers.values().filter(|p| p.idle()).min_by_key(|p| p.since.get()) {
-            peer.close.notify_one();
-        }
+    /// Whether there is a place within the budget for one connection more, if need be by the end of another.
+    fn makes_room(&self) -> bool {
+        self.places_taken() < self.budget.get() || self.evict_one()
+    }
+
+    /// Connections, but for those that are about to end to make room.
+    fn places_taken(&self) -> usize {
+        self.connections() - self.evicted.get()
+    }
+
+    /// Ends the connection that gives way first; `false`: none may.
+    fn evict_one(&self) -> bool {
+        let (peers, now) = (self.peers.borrow(), Instant::now());
+        let spare = peers.values().filter_map(|peer| Some((peer.spare(now)?, peer)));
+        let Some((_, peer)) = spare.min_by_key(|(spare, _)| *spare) else { return false };
+        peer.evict();
+        self.evicted.set(self.evicted.get() + 1);
+        true
     }
 
     fn serve(self: &Rc<Self>, socket: TcpStream) {
@@ -251,6 +262,7 @@
                 _ = connection.as_mut() => return,
                 () = gone.as_mut() => return,
                 () = peer.overdue() => return,
+                () = peer.evicted() => return,
                 () = peer.may_close() => connection.as_mut().graceful_shutdown(),
             }
             // One whose client does not read its answer must not keep its place for good.
@@ -259,6 +271,7 @@
                     biased;
                     _ = connection.as_mut() => return,
                     () = gone.as_mut() => return,
+                    () = peer.evicted() => return,
                     () = tokio::time::sleep(UNREAD) => {}
                 }
                 let owed = peer.busy() || peer.head.get().is_some();
@@ -297,7 +310,10 @@
 
 impl<H: Handler> Drop for Place<H> {
     fn drop(&mut self) {
-        self.server.peers.borrow_mut().remove(&self.number);
+        let peer = self.server.peers.borrow_mut().remove(&self.number);
+        if peer.is_some_and(|peer| peer.is_evicted()) {
+            self.server.evicted.set(self.server.evicted.get() - 1);
+        }
         self.server.freed.notify_one();
     }
 }
--- a/crates/transport/src/server/peer.rs
+++ b/crates/transport/src/server/peer.rs
@@ -13,6 +13,35 @@
 /// Between looks at a connection that has a request in hand.
 const BUSY_TIME: Duration = Duration::from_secs(1);
 
+/// A new connection has so long to bring something before it may make room for another.
+const FRESH_TIME: Duration = Duration::from_millis(100);
+/// An answer of which its client takes nothing for so long may be broken off to make room.
+const UNREAD_TIME: Duration = Duration::from_secs(3);
+
+/// What a connection holds its place for; the first gives way first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Kind {
+    /// It has sent nothing for a while.
+    Silent,
+    /// It is idle after a request.
+    Kept,
+    /// It has sent nothing yet.
+    Fresh,
+    /// The beginning of a request has come, and not the whole.
+    HalfRequest,
+    /// It has had its answer a moment ago: the next request may be on its way.
+    JustUsed,
+    /// Its client does not read its answer.
+    Unread,
+}
+
+/// How soon a connection gives way to another: kind by kind, and of one kind the oldest first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) struct Spare {
+    pub(super) kind: Kind,
+    pub(super) since: Instant,
+}
+
 /// A client's connection as the others see it.
 pub struct Peer {
     settings: Settings,
@@ -28,6 +57,9 @@
     pub(super) taken: Cell<Instant>,
     /// Something is left that its client has not taken yet.
     pub(super) untaken: Cell<bool>,
+    /// It ends to make room for another.
+    evicted: Cell<bool>,
+    evict: Notify,
     pub(super) close: Notify,
     /// A head has come whole.
     pub(super) came: Notify,
@@ -36,10 +68,10 @@
 impl Peer {
     pub(super) fn new(settings: Settings) -> Self {
         let now = Instant::now();
-        let (hands, used, untaken) = Default::default();
+        let (hands, used, untaken, evicted) = Default::default();
         let (since, head, taken) = (Cell::new(now), Cell::new(None), Cell::new(now));
-        let (close, came) = Default::default();
-        Self { settings, hands, since, used, head, taken, untaken, close, came }
+        let (close, came, evict) = Default::default();
+        Self { settings, hands, since, used, head, taken, untaken, evicted, evict, close, came }
     }
 
     /// Since when it has been idle, or open where it has carried nothing yet.
@@ -78,6 +110,43 @@
         !self.busy() && self.head.get().is_none() && self.since.get().elapsed() > self.settings.spare_time
     }
 
+    /// Whether it may be ended at once to make room for another, and how soon before others: never while a request of
+    /// its is under way.
+    pub(super) fn spare(&self, now: Instant) -> Option<Spare> {
+        let (kind, since, least) = match (self.hands.get() > 0, self.head.get()) {
+            _ if self.evicted.get() => return None,
+            _ if self.untaken.get() => (Kind::Unread, self.taken.get(), UNREAD_TIME),
+            (true, _) if self.used.get() => return None,
+            (true, None) => (Kind::HalfRequest, self.since.get(), self.settings.spare_time),
+            (_, Some(head)) => (Kind::HalfRequest, head, self.settings.spare_time),
+            (false, None) if self.used.get() => (Kind::Kept, self.since.get(), Duration::ZERO),
+            (false, None) => (Kind::Silent, self.since.get(), FRESH_TIME),
+        };
+        let age = now.saturating_duration_since(since);
+        let kind = match kind {
+            Kind::Kept if age < self.settings.spare_time => Kind::JustUsed,
+            Kind::Silent if age < self.settings.spare_time => Kind::Fresh,
+            kind => kind,
+        };
+        (age >= least).then_some(Spare { kind, since })
+    }
+
+    /// Ends it, whatever it brings.
+    pub(super) fn evict(&self) {
+        self.evicted.set(true);
+        self.evict.notify_one();
+    }
+
+    /// Whether it is ended to make room.
+    pub(super) fn is_evicted(&self) -> bool {
+        self.evicted.get()
+    }
+
+    /// Waits until it is to end to make room.
+    pub(super) async fn evicted(&self) {
+        self.evict.notified().await;
+    }
+
     /// Waits until it may be closed from this side, where that is wanted: a request whose head has begun to come is
     /// owed its answer first.
     pub(super) async fn may_close(&self) {
