--- a/crates/transport/src/connection.rs
+++ b/crates/transport/src/connection.rs
@@ -22,7 +22,7 @@
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
-    net::TcpStream,
+    net::{TcpSocket, TcpStream},
 };
 
 /// Most bytes of a body that is read whole.
@@ -30,6 +30,17 @@
 /// Most bytes that a connection buffers either way, and longest head.
 const BUFFER: usize = 16 * 1024;
 
+/// Connects a socket that holds no small writes back. That is set before it connects: bytes that are still held back when
+/// a connection is reset go with it.
+///
+/// # Errors
+/// The system's, as it gives them.
+pub async fn connect(addr: SocketAddr) -> io::Result<TcpStream> {
+    let socket = if addr.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    socket.set_nodelay(true)?;
+    socket.connect(addr).await
+}
+
 /// How much of the present request has been written to the socket.
 #[derive(Debug, Default)]
 pub struct Progress {
@@ -139,8 +150,7 @@
 impl Connection {
     /// Connects within `limit`.
     pub async fn open(addr: SocketAddr, limit: Duration) -> io::Result<Self> {
-        let socket = tokio::time::timeout(limit, TcpStream::connect(addr)).await??;
-        socket.set_nodelay(true)?;
+        let socket = tokio::time::timeout(limit, connect(addr)).await??;
         let progress = Rc::new(Progress::default());
         let io = TokioIo::new(Counted { socket, progress: progress.clone() });
         let (sender, driver) = Builder::new()
--- a/src/bin/yardspur/counter.rs
+++ b/src/bin/yardspur/counter.rs
@@ -5,6 +5,7 @@
 //! answers must come in order.
 
 use crate::gateway::Hub;
+use opalrun_transport::connection::connect;
 use std::{
     cell::{Cell, RefCell},
     collections::VecDeque,
@@ -268,7 +269,7 @@
     let (mut wait, mut well) = (BACKOFF.0, true);
     loop {
         let now = *addr.borrow_and_update();
-        let end = match tokio::time::timeout(counter.limit.get() * 5, TcpStream::connect(now)).await {
+        let end = match tokio::time::timeout(counter.limit.get() * 5, connect(now)).await {
             Ok(Ok(socket)) => run(counter, index, socket, &hub, &mut wait, &mut addr).await,
             Ok(Err(e)) => e,
             Err(_) => ErrorKind::TimedOut.into(),
@@ -299,9 +300,6 @@
     wait: &mut Duration,
     addr: &mut watch::Receiver<SocketAddr>,
 ) -> io::Error {
-    if let Err(e) = socket.set_nodelay(true) {
-        return e;
-    }
     let (mut reader, writer) = socket.into_split();
     let writer = Rc::new(writer);
     let wake = {
