Judge workers by part of their answers, and bring them back by requests that may be repeated

Now failures of late set a worker back, the more so for requests that can't be repeated, and trials are requests that may be repeated.

--- a/crates/gatekeeper/src/proxy/balance/load.rs
+++ b/crates/gatekeeper/src/proxy/balance/load.rs
@@ -24,6 +24,12 @@
         let (running, waiting, slots) = (numbers.next()?.ok()?, numbers.next()?.ok()?, numbers.next()?.ok()?);
         numbers.next().is_none().then_some(Self { running, waiting, slots })
     }
+
+    /// Whether the worker could take a request at once.
+    #[must_use]
+    pub fn has_places(self) -> bool {
+        self.running < self.slots && self.waiting == 0
+    }
 }
 
 /// Requests that are probably at a worker.
--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -44,6 +44,12 @@
 const TOKENS_OUTSIDE: f64 = 2000.0;
 /// What a worker in another zone is set back by, in prompt tokens: bytes between zones have their price.
 const TOKENS_OF_ANOTHER_ZONE: f64 = 500.0;
+/// What each failure of late sets a worker back by, in prompt tokens.
+const TOKENS_OF_A_FAILURE: f64 = 3000.0;
+/// The same at other services, as a share of its places.
+const LOAD_OF_A_FAILURE: f64 = 0.4;
+/// How much more a failure counts for a request that can't be repeated.
+const UNREPEATABLE_WEIGHT: f64 = 2.0;
 /// What a worker without a free place is set back by, in prompt tokens.
 const TOKENS_WITHOUT_PLACE: f64 = 100_000.0;
 /// What a worker in another zone is set back by, as a share of its places.
@@ -72,6 +78,8 @@
     pub priority: u32,
     /// The request goes on with a program that is under way.
     pub under_way: bool,
+    /// The request may run more than once.
+    pub repeatable: bool,
 }
 
 /// Why there is no worker for a request.
@@ -189,11 +197,12 @@
     /// # Errors
     /// Where none can serve.
     pub fn choose(&self, now: Duration, choice: &Choice<'_>) -> Result<Chosen, NoWorker> {
-        let candidates = self.candidates(now, choice.tried);
+        let candidates = self.candidates(now, choice);
         if candidates.is_empty() {
             return Err(NoWorker::Absent);
         }
         let ranks = self.ranks(&candidates, choice.parts);
+        let usual_failures = usual_failures(now, &candidates);
         let mut best: Option<(f64, &WorkerId, &WorkerEntry)> = None;
         let mut turned_away = false;
         for (id, worker) in &candidates {
@@ -203,7 +212,10 @@
             }
             let rank = ranks.get(*id).copied().unwrap_or(RANKS);
             let is_previous = choice.previous_worker == Some(&***id);
-            let score = self.score(now, worker, choice, rank, is_previous) + fastrand::f64() * 1e-3;
+            let failures = (worker.health.recent_failures(now) - usual_failures).max(0.0);
+            let score = self.score(now, worker, choice, rank, is_previous)
+                + self.setback(failures, choice)
+                + fastrand::f64() * 1e-3;
             if best.as_ref().is_none_or(|(least, ..)| score < *least) {
                 best = Some((score, *id, *worker));
             }
@@ -216,9 +228,11 @@
     }
 
     /// Ready workers that were not tried, without those that are paused unless all are.
-    fn candidates(&self, now: Duration, tried: &[WorkerId]) -> Vec<(&WorkerId, &WorkerEntry)> {
-        let ready = || self.workers.iter().filter(|(id, worker)| worker.is_ready() && !tried.contains(id));
-        let healthy: Vec<_> = ready().filter(|(_, worker)| worker.health.may_try(now)).collect();
+    fn candidates(&self, now: Duration, choice: &Choice<'_>) -> Vec<(&WorkerId, &WorkerEntry)> {
+        let ready =
+            || self.workers.iter().filter(|(id, worker)| worker.is_ready() && !choice.tried.contains(id));
+        let healthy: Vec<_> =
+            ready().filter(|(_, worker)| worker.health.may_try(now, choice.repeatable)).collect();
         // At most half may be paused: with more the fault is hardly theirs.
         if healthy.len() * 2 >= ready().count() { healthy } else { ready().collect() }
     }
@@ -271,7 +285,8 @@
         let running = load.total() * TOKENS_OF_A_RUNNING_REQUEST;
         let waiting = load.others_waiting * TOKENS_OF_A_WAITING_REQUEST;
         let full = if load.total() >= f64::from(worker.capacity) { TOKENS_WITHOUT_PLACE } else { 0.0 };
-        unread + running + waiting + full + rank as f64 * TOKENS_OF_A_RANK + self.tokens_outside(worker)
+        let place = rank as f64 * TOKENS_OF_A_RANK + self.tokens_outside(worker);
+        unread + running + waiting + full + place
     }
 
     /// What a worker is set back by that is not among those this gatekeeper prefers.
@@ -281,6 +296,13 @@
         outside + far
     }
 
+    /// What failures beyond the usual set a worker back by.
+    fn setback(&self, failures: f64, choice: &Choice<'_>) -> f64 {
+        let each = if self.memory_tokens == 0 { LOAD_OF_A_FAILURE } else { TOKENS_OF_A_FAILURE };
+        let weight = if choice.repeatable { 1.0 } else { UNREPEATABLE_WEIGHT };
+        failures * each * weight
+    }
+
     /// Whether a worker's queue is too long for a request of this rank.
     fn is_full(&self, now: Duration, worker: &WorkerEntry, choice: &Choice<'_>) -> bool {
         let under_way = choice.under_way || worker.prefixes.knows_last(choice.parts);
@@ -315,28 +337,46 @@
         let Some(worker) = self.workers.get_mut(&place.worker) else { return };
         worker.tokens_unread = worker.tokens_unread.saturating_sub(place.prompt_tokens);
         place.prompt_tokens = 0;
-        worker.health.answered();
         if let Some(report) = report {
             worker.reported(now, report);
         }
     }
 
+    /// The worker has done what it was asked to, so far.
+    pub fn answered(&mut self, now: Duration, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.health.answered(now);
+        }
+    }
+
     /// The worker turned the request away, and said how full it is.
     pub fn turned_away(&mut self, now: Duration, place: &Place, report: Option<LoadReport>) {
         let Some(worker) = self.workers.get_mut(&place.worker) else { return };
         match report {
-            Some(report) => worker.reported(now, report),
+            Some(report) => {
+                worker.reported(now, report);
+                if report.has_places() {
+                    worker.health.may_have_failed(now);
+                }
+            }
             None => worker.seems_full(now),
         }
     }
 
-    /// The connection failed, or what came on it was no answer.
+    /// The connection failed, what came on it was no answer, or it was the worker's own failure.
     pub fn failed(&mut self, now: Duration, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
             worker.health.failed(now);
         }
     }
 
+    /// Nothing came in all the time that the request had.
+    pub fn was_silent(&mut self, now: Duration, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.health.may_have_failed(now);
+        }
+    }
+
     /// Another worker is at that address now: this one gets nothing more until the feed tells of it anew.
     pub fn replaced(&mut self, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
@@ -361,6 +401,12 @@
     }
 }
 
+/// Failures of late at the average worker: where all fail alike, the fault is hardly theirs.
+fn usual_failures(now: Duration, candidates: &[(&WorkerId, &WorkerEntry)]) -> f64 {
+    let all: f64 = candidates.iter().map(|(_, worker)| worker.health.recent_failures(now)).sum();
+    all / candidates.len().max(1) as f64
+}
+
 /// How full a worker is, with what counts against it.
 fn plain_score(now: Duration, worker: &WorkerEntry) -> f64 {
     let places = f64::from(worker.capacity.max(1));
--- a/crates/gatekeeper/src/proxy/balance/tests.rs
+++ b/crates/gatekeeper/src/proxy/balance/tests.rs
@@ -277,7 +277,7 @@
         calm.insert(chosen.id);
     }
     assert!(calm.len() <= 10, "{calm:?}");
-    let local = |id: &WorkerId| id[1..].parse::<u32>().is_ok_and(|n| n % 4 == 0);
+    let local = |id: &WorkerId| id[1..].parse::<u32>().is_ok_and(|n| n.is_multiple_of(4));
     assert!(calm.iter().all(local), "{calm:?}");
     let mut busy = BTreeSet::new();
     for n in 0..400 {
@@ -288,3 +288,54 @@
     }
     assert!(busy.len() > 40, "the others serve, too: {}", busy.len());
 }
+
+#[test]
+fn a_worker_that_fails_part_of_its_requests_gets_few_until_it_answers_again() {
+    let mut balancer = balancer(6, 32, ENGINE_MEMORY);
+    let session = parts(&[(1, 2500), (100, 500)]);
+    let repeatable = Choice { parts: &session, repeatable: true, ..Choice::default() };
+    let grey = balancer.choose(at(0), &repeatable).expect("free").id;
+    let mut place = balancer.sent(at(0), &grey, &session);
+    balancer.begun(at(0), &mut place, None);
+    balancer.ended(&place);
+    for step in 0..3 {
+        balancer.failed(at(step), &grey);
+        balancer.answered(at(step), &grey);
+    }
+    let other = parts(&[(1, 2500), (101, 500)]);
+    let next = Choice { parts: &other, repeatable: true, ..Choice::default() };
+    assert_ne!(balancer.choose(at(10), &next).expect("free").id, grey);
+    assert_eq!(
+        balancer.choose(at(30_000), &next).expect("free").id,
+        grey,
+        "it has the prompt, and time has passed"
+    );
+}
+
+#[test]
+fn a_worker_comes_back_by_a_request_that_may_be_repeated() {
+    let mut balancer = balancer(3, 4, 0);
+    (0..2).for_each(|_| balancer.failed(at(0), "w0"));
+    let after_pause = at(1000);
+    let ids = |balancer: &Balancer, now, repeatable| {
+        let choice = Choice { repeatable, ..Choice::default() };
+        (0..64).filter_map(|_| balancer.choose(now, &choice).ok()).collect_ids()
+    };
+    for name in ["w1", "w2"] {
+        (0..4).for_each(|_| drop(balancer.sent(after_pause, &WorkerId::from(name), &[])));
+    }
+    assert!(!ids(&balancer, after_pause, false).contains("w0"), "others are fuller, but proven");
+    assert!(ids(&balancer, after_pause, true).contains("w0"));
+    drop(balancer.sent(after_pause, &WorkerId::from("w0"), &[]));
+    assert!(!ids(&balancer, after_pause, true).contains("w0"), "one at a time");
+    balancer.answered(at(1100), "w0");
+    assert!(ids(&balancer, at(1100), false).contains("w0"));
+}
+
+#[test]
+fn a_worker_that_is_tried_by_nothing_gets_requests_again_in_time() {
+    let mut balancer = balancer(3, 4, 0);
+    (0..4).for_each(|_| balancer.failed(at(0), "w0"));
+    let ids = (0..64).filter_map(|_| balancer.choose(at(60_000), &Choice::default()).ok()).collect_ids();
+    assert_eq!(ids.len(), 3);
+}
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -148,6 +148,7 @@
             priority: u32::from(request.route.priority),
             previous_worker: request.turn.previous_worker(),
             under_way: request.terms.previous.is_some(),
+            repeatable: request.route.is_repeatable(),
         };
         let now = self.now();
         self.balance(&request.service, |balancer| balancer.choose(now, &choice))
--- a/crates/gatekeeper/src/proxy/stream.rs
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -119,6 +119,7 @@
     fn first_event_came(&self) {
         if let Some(exchange) = &self.exchange {
             exchange.visit.begun(exchange.load_report());
+            exchange.visit.answered();
         }
     }
 
--- a/crates/gatekeeper/src/proxy/upstream.rs
+++ b/crates/gatekeeper/src/proxy/upstream.rs
@@ -47,8 +47,14 @@
         self.proxy.balance(&self.service, |b| b.begun(now, place, report));
     }
 
-    /// What came was no whole answer.
-    fn failed(&self) {
+    /// The worker has done what it was asked to, so far.
+    pub fn answered(&self) {
+        let now = self.proxy.now();
+        self.proxy.balance(&self.service, |b| b.answered(now, self.place.borrow().worker()));
+    }
+
+    /// What came was no whole answer, or the worker's own failure.
+    pub fn failed(&self) {
         let now = self.proxy.now();
         self.proxy.balance(&self.service, |b| b.failed(now, self.place.borrow().worker()));
     }
@@ -95,6 +101,12 @@
     pub async fn read_whole(mut self, until: Instant) -> Result<(Parts, Bytes), BrokenOff> {
         match self.collect(until).await {
             Ok(bytes) => {
+                let failed = self.parts.status.is_server_error();
+                if failed {
+                    self.visit.failed()
+                } else {
+                    self.visit.answered()
+                }
                 self.lease.give_back(false);
                 Ok((self.parts, bytes))
             }
@@ -174,6 +186,9 @@
                     if until < request.until {
                         info!(worker = &*chosen.id, "a worker was silent for too long");
                         self.failed(request, chosen);
+                    } else {
+                        let now = self.now();
+                        self.balance(&request.service, |b| b.was_silent(now, &chosen.id));
                     }
                     return Err(outcome_of(&progress));
                 }
