Wait for answers as long as is usual at workers that are not busy; workers are told the whole time that is left

Cause: a request at a hanging worker was held for three or six times its target, and as Deadline-Ms gave that time, a stream that had begun was cut at its end.

--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -7,6 +7,7 @@
 
 mod health;
 mod load;
+mod pace;
 mod prefix;
 mod subset;
 #[cfg(test)]
@@ -17,6 +18,7 @@
 pub use prefix::PromptPart;
 
 use crate::proxy::balance::{
+    pace::Pace,
     subset::{Subset, rendezvous},
     worker::WorkerEntry,
 };
@@ -65,6 +67,9 @@
 /// Ranks from here on are treated alike.
 const LAST_RANK: u32 = 4;
 
+/// Share of its places from which on a worker counts as busy, and may take longer than usual.
+const BUSY_SHARE: f64 = 0.25;
+
 /// What the choice of a worker goes by.
 #[derive(Debug, Clone, Default)]
 pub struct Choice<'a> {
@@ -105,6 +110,8 @@
 pub struct Place {
     worker: WorkerId,
     prompt_tokens: u32,
+    /// When the request was sent; `None` once it is known how long the answer took to begin.
+    sent_at: Option<Duration>,
 }
 
 impl Place {
@@ -122,6 +129,8 @@
     workers: FnvHashMap<WorkerId, WorkerEntry>,
     /// Tokens that a worker's memory holds; 0: the service runs no language model.
     memory_tokens: u32,
+    /// How long answers take to begin.
+    pace: Pace,
     subset: Subset,
     /// There are so many gatekeepers that each has a subset of its own.
     has_subset: bool,
@@ -135,6 +144,7 @@
             zone: zone.to_owned(),
             workers: FnvHashMap::default(),
             memory_tokens: 0,
+            pace: Pace::default(),
             subset: Subset { gatekeeper, gatekeepers: 1 },
             has_subset: false,
         }
@@ -329,11 +339,12 @@
                 worker.tokens_unread += prompt_tokens;
             }
         }
-        Place { worker: id.clone(), prompt_tokens }
+        Place { worker: id.clone(), prompt_tokens, sent_at: Some(now) }
     }
 
     /// The worker has begun to answer: the prompt has been read.
     pub fn begun(&mut self, now: Duration, place: &mut Place, report: Option<LoadReport>) {
+        self.note_pace(now, place);
         let Some(worker) = self.workers.get_mut(&place.worker) else { return };
         worker.tokens_unread = worker.tokens_unread.saturating_sub(place.prompt_tokens);
         place.prompt_tokens = 0;
@@ -342,6 +353,22 @@
         }
     }
 
+    /// Notes how long an answer took to begin, or was waited for in vain.
+    pub fn note_pace(&mut self, now: Duration, place: &mut Place) {
+        if let Some(sent_at) = place.sent_at.take() {
+            self.pace.add(now.saturating_sub(sent_at));
+        }
+    }
+
+    /// How long an answer of this worker may take to begin, going by what was usual of late; `None`: nothing is known,
+    /// or the worker is busy.
+    #[must_use]
+    pub fn usual_time(&self, now: Duration, id: &str) -> Option<Duration> {
+        let worker = self.workers.get(id)?;
+        let busy = worker.load(now).total() >= f64::from(worker.capacity) * BUSY_SHARE;
+        if busy { None } else { self.pace.longest_usual() }
+    }
+
     /// The worker has done what it was asked to, so far.
     pub fn answered(&mut self, now: Duration, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/gatekeeper/src/proxy/balance/tests.rs
+++ b/crates/gatekeeper/src/proxy/balance/tests.rs
@@ -237,7 +237,7 @@
 }
 
 fn balancer_place(id: &WorkerId) -> super::Place {
-    super::Place { worker: id.clone(), prompt_tokens: 0 }
+    super::Place { worker: id.clone(), prompt_tokens: 0, sent_at: None }
 }
 
 fn subset_balancer(gatekeeper: u64, gatekeepers: u32, workers: &[Worker]) -> Balancer {
@@ -339,3 +339,26 @@
     let ids = (0..64).filter_map(|_| balancer.choose(at(60_000), &Choice::default()).ok()).collect_ids();
     assert_eq!(ids.len(), 3);
 }
+
+#[test]
+fn an_answer_is_waited_for_as_long_as_is_usual_unless_its_worker_is_busy() {
+    let mut balancer = balancer(2, 8, 0);
+    let worker = WorkerId::from("w0");
+    assert_eq!(balancer.usual_time(at(0), "w0"), None, "nothing is known yet");
+    for n in 0..40 {
+        let mut place = balancer.sent(at(n * 100), &worker, &[]);
+        balancer.begun(at(n * 100 + 40 + n % 3 * 10), &mut place, None);
+        balancer.ended(&place);
+    }
+    let usual = balancer.usual_time(at(5000), "w0").expect("known");
+    assert!(usual > at(60) && usual < at(200), "{usual:?}");
+    (0..4).for_each(|_| drop(balancer.sent(at(5000), &worker, &[])));
+    assert_eq!(balancer.usual_time(at(5000), "w0"), None);
+    for n in 0..16 {
+        let mut place = balancer.sent(at(6000 + n), &WorkerId::from("w1"), &[]);
+        balancer.note_pace(at(6300 + n), &mut place);
+        balancer.ended(&place);
+    }
+    let slower = balancer.usual_time(at(9000), "w1").expect("known");
+    assert!(slower > usual * 2, "all have become slow: {slower:?}");
+}
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -25,8 +25,8 @@
 const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(300);
 /// Share of the target latency after which a refused client may come back.
 const REFUSAL_PAUSE_SHARE: f64 = 0.3;
-/// How long a repeatable request waits for the head of an answer while another worker could be tried, as a multiple
-/// of its target latency.
+/// The longest that a repeatable request waits for an answer to begin while another worker could be tried, as a
+/// multiple of its target latency.
 const PATIENCE_IN_TARGETS: u32 = 3;
 /// The same for a stream, whose prompt would have to be read anew.
 const STREAM_PATIENCE_IN_TARGETS: u32 = 6;
@@ -156,7 +156,7 @@
 
     /// Sends the request to one worker. `more`: another one could be tried after it.
     async fn try_at(self: &Rc<Self>, request: &Rc<ForwardedRequest>, chosen: &Chosen, more: bool) -> Tried {
-        let until = patience(request, more);
+        let until = self.patience(request, chosen, more);
         let last_event_id = request.terms.last_event_id;
         let exchange = match self.exchange(request, chosen, until, last_event_id).await {
             Ok(exchange) => exchange,
@@ -169,6 +169,23 @@
         self.plain_answer(request, exchange).await
     }
 
+    /// Until when to wait for an answer of this worker to begin.
+    fn patience(&self, request: &ForwardedRequest, chosen: &Chosen, more: bool) -> Instant {
+        if !request.route.is_repeatable() || !more {
+            return request.until;
+        }
+        let targets = match request.route.route_type {
+            RouteType::Streaming => STREAM_PATIENCE_IN_TARGETS,
+            RouteType::Safe | RouteType::Unsafe => PATIENCE_IN_TARGETS,
+        };
+        let target = request.route.target_latency;
+        let most = (target * targets).max(LEAST_PATIENCE);
+        let now = self.now();
+        let usual = self.balance(&request.service, |b| b.usual_time(now, &chosen.id));
+        let patience = usual.map_or(most, |usual| usual.max(target).min(most));
+        request.until.min(Instant::now() + patience)
+    }
+
     /// Reads an answer that is no stream.
     async fn plain_answer(&self, request: &ForwardedRequest, exchange: Exchange) -> Tried {
         let Ok((parts, bytes)) = exchange.read_whole(request.until).await else {
@@ -210,20 +227,6 @@
     answer
 }
 
-/// Until when to wait for the head of a worker's answer.
-fn patience(request: &ForwardedRequest, more: bool) -> Instant {
-    let repeatable = request.route.is_repeatable();
-    if !repeatable || !more {
-        return request.until;
-    }
-    let targets = match request.route.route_type {
-        RouteType::Streaming => STREAM_PATIENCE_IN_TARGETS,
-        RouteType::Safe | RouteType::Unsafe => PATIENCE_IN_TARGETS,
-    };
-    let patience = (request.route.target_latency * targets).max(LEAST_PATIENCE);
-    request.until.min(Instant::now() + patience)
-}
-
 /// The answer when no worker can be tried any more.
 fn give_up(request: &ForwardedRequest, attempts: &Attempts) -> Answer {
     match attempts.give_up() {
--- a/crates/gatekeeper/src/proxy/stream.rs
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -81,7 +81,11 @@
             match stream.read_on(until).await {
                 Came::Bytes => {}
                 Came::End => return stream.without_events().await,
-                Came::Broken(_) | Came::ClientGone => {
+                Came::Broken(cause) => {
+                    stream.left_before_an_event(cause);
+                    return Tried::Ended(Outcome::MayHaveRun);
+                }
+                Came::ClientGone => {
                     stream.leave_worker();
                     return Tried::Ended(Outcome::MayHaveRun);
                 }
@@ -110,6 +114,14 @@
         }
     }
 
+    /// Closes the connection to a worker that has sent no event.
+    fn left_before_an_event(&mut self, cause: Cause) {
+        if let (Cause::Silent, Some(exchange)) = (cause, &self.exchange) {
+            exchange.visit.waited_in_vain();
+        }
+        self.leave_worker();
+    }
+
     /// Keeps the turn, where its route is for turns that are retained.
     async fn keep_turn(&self) -> Result<(), NotKept> {
         let (request, worker) = (&self.request, &self.worker);
--- a/crates/gatekeeper/src/proxy/upstream.rs
+++ b/crates/gatekeeper/src/proxy/upstream.rs
@@ -53,6 +53,13 @@
         self.proxy.balance(&self.service, |b| b.answered(now, self.place.borrow().worker()));
     }
 
+    /// No answer has begun by now.
+    pub fn waited_in_vain(&self) {
+        let now = self.proxy.now();
+        let place = &mut *self.place.borrow_mut();
+        self.proxy.balance(&self.service, |b| b.note_pace(now, place));
+    }
+
     /// What came was no whole answer, or the worker's own failure.
     pub fn failed(&self) {
         let now = self.proxy.now();
@@ -163,7 +170,7 @@
         loop {
             let mut lease = self.connect(request, chosen, until).await?;
             let progress = lease.progress();
-            let message = request_for(request, chosen, until, last_event_id);
+            let message = request_for(request, chosen, last_event_id);
             let sent = timeout_at(until, lease.connection().send(message)).await;
             match sent {
                 Ok(Ok(response)) => {
@@ -183,6 +190,7 @@
                     return Err(outcome_of(&progress));
                 }
                 Err(_elapsed) => {
+                    visit.waited_in_vain();
                     if until < request.until {
                         info!(worker = &*chosen.id, "a worker was silent for too long");
                         self.failed(request, chosen);
@@ -269,7 +277,6 @@
 fn request_for(
     request: &ForwardedRequest,
     chosen: &Chosen,
-    until: Instant,
     last_event_id: Option<u64>,
 ) -> Request<RequestBody> {
     let mut message = Request::new(RequestBody::Whole(Some(request.body.clone())));
@@ -277,7 +284,8 @@
     *message.uri_mut() = request.uri.clone();
     let headers = message.headers_mut();
     headers.clone_from(&request.headers);
-    let left_ms = until.saturating_duration_since(Instant::now()).as_millis().max(1);
+    // The whole time that is left: a worker that is waited for less may still answer in it once it has begun.
+    let left_ms = request.time_left().as_millis().max(1);
     headers.insert(terms::DEADLINE_MS, HeaderValue::from(left_ms as u64));
     headers.insert(terms::PRIORITY, HeaderValue::from(u16::from(request.route.priority.min(LEAST_URGENT))));
     if let Ok(id) = HeaderValue::from_str(&chosen.id) {
