--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -1,6 +1,6 @@
 //! What control processes ask of each other, beside the replication of their shards.
 
-use opalrun_wire::feed::ControlNode;
+use opalrun_wire::feed::{ControlNode, WorkerFailures};
 use rkyv::{Archive, Deserialize, Serialize};
 
 /// A question to another control process.
@@ -53,6 +53,9 @@
         /// How many.
         count: u32,
     },
+    /// To the owner of shard 0: requests that failed at workers, by the gatekeepers that reported them. Answered by the
+    /// suspects over the whole tier.
+    WorkerFailures(Vec<(u64, Vec<WorkerFailures>)>),
     /// A control process wants to be a member.
     Hello(ControlNode),
     /// Which gatekeepers subscribe there.
@@ -77,6 +80,8 @@
     Offset(u64),
     /// Gatekeepers over the whole tier.
     Gatekeepers(u32),
+    /// Workers that are suspected.
+    Suspects(Vec<String>),
     /// It is done.
     Done,
     /// Names of the machines of gatekeepers, each with the generation in force there.
--- a/crates/control/src/feed/connection.rs
+++ b/crates/control/src/feed/connection.rs
@@ -13,6 +13,8 @@
 
 /// How often a subscriber is told that what it has is fresh.
 const FRESH_PERIOD: Duration = Duration::from_millis(200);
+/// How often a gatekeeper is told anew which workers are suspected: it forgets what is not renewed.
+const SUSPECTS_PERIOD: Duration = Duration::from_secs(1);
 /// How long a connection may take to subscribe.
 const SUBSCRIBE_LIMIT: Duration = Duration::from_secs(3);
 /// A subscriber that says nothing for so long is taken to be gone.
@@ -44,6 +46,9 @@
     subscriber: Subscriber,
     /// The offset that it holds of each shard that it asked for; `None`: nothing yet.
     held: BTreeMap<u16, Option<u64>>,
+    /// The workers that it was last told are suspected, and when.
+    suspects_told: Vec<String>,
+    suspects_told_at: Duration,
     /// A store's hello is being committed.
     hello_under_way: Rc<Cell<bool>>,
 }
@@ -60,7 +65,16 @@
         let held = asked
             .map(|position| (position.shard, (position.offset > 0).then_some(position.offset)))
             .collect();
-        Self { process, writer, number, subscriber, held, hello_under_way: Rc::default() }
+        Self {
+            process,
+            writer,
+            number,
+            subscriber,
+            held,
+            suspects_told: Vec::new(),
+            suspects_told_at: Duration::ZERO,
+            hello_under_way: Rc::default(),
+        }
     }
 
     fn begin(&self) {
@@ -101,6 +115,7 @@
                     }
                     self.send_updates()?;
                     self.send_fresh()?;
+                    self.send_suspects()?;
                 }
                 () = self.writer.closed() => return Ok(()),
             }
@@ -126,6 +141,21 @@
         self.writer.send(&FeedUpdate::Fresh { gatekeepers: self.process.gatekeepers() })
     }
 
+    /// Tells a gatekeeper which workers are suspected when that has changed, and again now and then.
+    fn send_suspects(&mut self) -> Result<(), NetError> {
+        if !matches!(self.subscriber, Subscriber::Gatekeeper { .. }) {
+            return Ok(());
+        }
+        let (now, suspects) = (self.process.now(), self.process.suspects());
+        let due = !suspects.is_empty() && now >= self.suspects_told_at + SUSPECTS_PERIOD;
+        if suspects == self.suspects_told && !due {
+            return Ok(());
+        }
+        self.suspects_told_at = now;
+        self.suspects_told.clone_from(&suspects);
+        self.writer.send(&FeedUpdate::Suspects(suspects))
+    }
+
     fn take(&self, request: FeedRequest) {
         match request {
             FeedRequest::Heartbeat { generation, .. } => {
@@ -133,6 +163,11 @@
                 self.process.subscribers().borrow_mut().heard(self.number, generation, now);
                 self.introduce_store();
             }
+            FeedRequest::WorkerFailures(failures) => {
+                if let Subscriber::Gatekeeper { node_name, .. } = &self.subscriber {
+                    self.process.note_worker_failures(node_name, failures);
+                }
+            }
             FeedRequest::ReplicasWhole { store, epoch, partitions } => {
                 let command = StoreCommand::ReplicasWhole { store, epoch, partitions };
                 tokio::task::spawn_local(report(Rc::clone(&self.process), command));
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod shards;
 pub mod store_map;
 pub mod tier_view;
+pub mod verdicts;
 
 pub use error::ControlError;
 pub use run::{Control, run};
--- a/crates/control/src/process/call_handler.rs
+++ b/crates/control/src/process/call_handler.rs
@@ -7,7 +7,7 @@
     shards::SHARDS,
 };
 use opalrun_wire::{
-    feed::CONFIGURATION_SHARD,
+    feed::{CONFIGURATION_SHARD, WorkerFailures},
     frame::{decode, encode},
 };
 use std::{rc::Rc, time::Duration};
@@ -49,6 +49,7 @@
             ControlCall::StoresHeard { identities } => self.answer_stores_heard(&identities),
             ControlCall::Gatekeepers { from, count } => self.answer_gatekeepers(from, count),
             ControlCall::Subscribers => ControlAnswer::Subscribers(self.subscribed_here()),
+            ControlCall::WorkerFailures(reports) => self.answer_worker_failures(reports),
             ControlCall::Hello(node) => {
                 let command = ConfigurationCommand::AdmitControl { node };
                 match self.submit_configuration(&command).await {
@@ -115,6 +116,18 @@
         ControlAnswer::Done
     }
 
+    fn answer_worker_failures(&self, reports: Vec<(u64, Vec<WorkerFailures>)>) -> ControlAnswer {
+        if !self.host.is_owner(CONFIGURATION_SHARD) {
+            return ControlAnswer::NotOwner;
+        }
+        let now = self.now();
+        let mut verdicts = self.verdicts.borrow_mut();
+        for (reporter, failures) in reports {
+            verdicts.report(now, reporter, failures);
+        }
+        ControlAnswer::Suspects(verdicts.suspects(now))
+    }
+
     fn answer_gatekeepers(&self, from: u64, count: u32) -> ControlAnswer {
         if !self.host.is_owner(CONFIGURATION_SHARD) {
             return ControlAnswer::NotOwner;
--- a/crates/control/src/process/duties.rs
+++ b/crates/control/src/process/duties.rs
@@ -141,6 +141,7 @@
             ticks.tick().await;
             self.report_renewals().await;
             self.report_subscribers().await;
+            self.report_worker_failures().await;
         }
     }
 
@@ -172,6 +173,19 @@
         }
     }
 
+    /// Tells the owner of shard 0 which requests failed at workers, and hears which of these are suspected.
+    async fn report_worker_failures(self: &Rc<Self>) {
+        let reports = mem::take(&mut *self.worker_failures.borrow_mut());
+        let call = ControlCall::WorkerFailures(reports);
+        let answer = self.ask_owner(CONFIGURATION_SHARD, call, REPORT_LIMIT).await;
+        // What could not be told is not worth telling later; without an owner nobody is suspected.
+        let suspects = match answer {
+            Some(ControlAnswer::Suspects(suspects)) => suspects,
+            _ => Vec::new(),
+        };
+        self.suspects.replace(suspects);
+    }
+
     /// Says hello until the directory names this process, and when it may have been dropped.
     async fn repeat_hello(self: Rc<Self>) {
         let mut ticks = interval(HELLO_PERIOD);
--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -17,10 +17,11 @@
     host::Host,
     sessions::silence::SilenceWatch,
     shards::{SHARDS, Shards},
+    verdicts::Verdicts,
 };
 use member_watch::MemberWatch;
 use opalrun_wire::{
-    feed::ControlNode,
+    feed::{ControlNode, WorkerFailures, stable_hash},
     frame::{decode, encode},
 };
 use std::{
@@ -31,6 +32,9 @@
 };
 use store_watch::StoreWatch;
 
+/// Reports of failures at workers that are kept until the owner of shard 0 is told.
+const MOST_FAILURE_REPORTS: usize = 1024;
+
 /// What a process is told by its settings.
 #[derive(Debug, Clone)]
 pub struct ProcessOptions {
@@ -63,6 +67,12 @@
     gatekeepers_counted: RefCell<HashMap<u64, (u32, Duration)>>,
     /// Gatekeepers over the whole tier as last heard.
     gatekeepers: Cell<u32>,
+    /// Failures at workers that gatekeepers reported here and of which the owner of shard 0 has to be told.
+    worker_failures: RefCell<Vec<(u64, Vec<WorkerFailures>)>>,
+    /// What all reported; used while this process owns shard 0.
+    verdicts: RefCell<Verdicts>,
+    /// The workers that are suspected, as last heard.
+    suspects: RefCell<Vec<String>>,
     /// When each shard was last in touch.
     in_touch: RefCell<Vec<Duration>>,
     stopping: Cell<bool>,
@@ -86,6 +96,9 @@
             subscribers: RefCell::default(),
             gatekeepers_counted: RefCell::default(),
             gatekeepers: Cell::new(0),
+            worker_failures: RefCell::default(),
+            verdicts: RefCell::default(),
+            suspects: RefCell::default(),
             in_touch: RefCell::new(vec![Duration::ZERO; usize::from(SHARDS)]),
             stopping: Cell::new(false),
         })
@@ -147,6 +160,20 @@
         self.gatekeepers.get()
     }
 
+    /// A gatekeeper that subscribes here reports failures at workers.
+    pub fn note_worker_failures(&self, node_name: &str, failures: Vec<WorkerFailures>) {
+        let mut reports = self.worker_failures.borrow_mut();
+        if reports.len() < MOST_FAILURE_REPORTS {
+            reports.push((stable_hash(node_name.as_bytes()), failures));
+        }
+    }
+
+    /// The workers that are suspected, as last heard.
+    #[must_use]
+    pub fn suspects(&self) -> Vec<String> {
+        self.suspects.borrow().clone()
+    }
+
     /// Whether the process is about to end.
     #[must_use]
     pub fn is_stopping(&self) -> bool {
--- a/crates/control/src/shards/tests.rs
+++ b/crates/control/src/shards/tests.rs
@@ -39,7 +39,7 @@
                 self.offset = Some(offset);
                 changes.into_iter().for_each(|change| self.take(change));
             }
-            Some(FeedUpdate::Fresh { .. } | FeedUpdate::GoElsewhere) | None => {}
+            Some(FeedUpdate::Fresh { .. } | FeedUpdate::Suspects(_) | FeedUpdate::GoElsewhere) | None => {}
         }
     }
 
--- a/crates/gatekeeper/src/agent/server.rs
+++ b/crates/gatekeeper/src/agent/server.rs
@@ -127,6 +127,7 @@
                     }
                     self.report_generation();
                 }
+                FeedRequest::WorkerFailures(failures) => self.upstream.report_worker_failures(failures),
                 // Only stores say this, and never to an agent.
                 FeedRequest::ReplicasWhole { .. } => {}
             }
@@ -154,6 +155,7 @@
             FeedEvent::Snapshot { shard, offset, changes } => FeedUpdate::Snapshot { shard, offset, changes },
             FeedEvent::Changes { shard, offset, changes } => FeedUpdate::Changes { shard, offset, changes },
             FeedEvent::Fresh { gatekeepers } => FeedUpdate::Fresh { gatekeepers },
+            FeedEvent::Suspects(workers) => FeedUpdate::Suspects(workers),
         });
         self.report_generation();
     }
--- a/crates/gatekeeper/src/feed/client.rs
+++ b/crates/gatekeeper/src/feed/client.rs
@@ -2,7 +2,7 @@
 
 use super::{ControlView, all_shards};
 use opalrun_net::feed_client::{FeedClient, FeedEvent, FeedOptions};
-use opalrun_wire::feed::Subscriber;
+use opalrun_wire::feed::{Subscriber, WorkerFailures};
 use std::{
     cell::{Ref, RefCell},
     net::SocketAddr,
@@ -56,6 +56,11 @@
         self.changes.subscribe()
     }
 
+    /// Tells control of requests that failed at workers.
+    pub fn report_worker_failures(&self, failures: Vec<WorkerFailures>) {
+        self.client.report_worker_failures(failures);
+    }
+
     fn take(&self, event: FeedEvent) {
         let changed = self.view.borrow_mut().take(event);
         if !changed {
--- a/crates/gatekeeper/src/feed/view.rs
+++ b/crates/gatekeeper/src/feed/view.rs
@@ -25,6 +25,8 @@
     pub control_nodes: Vec<ControlNode>,
     /// Gatekeepers with a session, over the whole tier, this one included; 0 while unknown.
     pub gatekeepers: u32,
+    /// Workers at which requests of several gatekeepers failed of late.
+    pub suspects: Vec<String>,
     /// When a control process in touch with its group was last heard.
     pub fresh_at: Option<Instant>,
 }
@@ -60,6 +62,7 @@
                 self.fresh_at = Some(Instant::now());
                 return std::mem::replace(&mut self.gatekeepers, gatekeepers) != gatekeepers;
             }
+            FeedEvent::Suspects(workers) => self.suspects = workers,
         }
         true
     }
--- a/crates/gatekeeper/src/proxy/balance/health.rs
+++ b/crates/gatekeeper/src/proxy/balance/health.rs
@@ -20,6 +20,10 @@
 const LEFT_BY_AN_ANSWER: f64 = 0.7;
 /// The most that they count.
 const MOST_FAILURES: f64 = 4.0;
+/// What failures that others report count like.
+const FAILURES_OF_A_SUSPECT: f64 = 2.0;
+/// How long a report of others counts that is not renewed.
+const SUSPICION_LASTS: Duration = Duration::from_secs(2);
 
 /// Whether a worker has failed of late.
 #[derive(Debug, Default)]
@@ -29,6 +33,10 @@
     /// Failures of late, fading, as of `faded_at`.
     failures: f64,
     faded_at: Duration,
+    /// Failures that other gatekeepers have not been told of.
+    untold: u32,
+    /// Others report failures, as of then.
+    suspected_at: Option<Duration>,
 }
 
 impl Health {
@@ -42,8 +50,24 @@
         self.failures_in_a_row >= FAILURES_TO_PAUSE
     }
 
-    /// How many failures there were of late.
+    /// How many failures there were of late, where those that others report count like some.
     pub fn recent_failures(&self, now: Duration) -> f64 {
+        let suspected = self.suspected_at.is_some_and(|at| now <= at + SUSPICION_LASTS);
+        let of_others = if suspected { FAILURES_OF_A_SUSPECT } else { 0.0 };
+        self.own_failures(now).max(of_others)
+    }
+
+    /// Others report failures of this worker, or do so no longer.
+    pub fn suspect(&mut self, now: Duration, suspected: bool) {
+        self.suspected_at = suspected.then_some(now);
+    }
+
+    /// Failures that others have not been told of; they count as told from now on.
+    pub fn take_untold(&mut self) -> u32 {
+        std::mem::take(&mut self.untold)
+    }
+
+    fn own_failures(&self, now: Duration) -> f64 {
         let age = now.saturating_sub(self.faded_at).as_secs_f64();
         self.failures * (-age / HALF_LIFE.as_secs_f64()).exp2()
     }
@@ -58,7 +82,7 @@
     pub fn answered(&mut self, now: Duration) {
         self.failures_in_a_row = 0;
         self.paused_until = Duration::ZERO;
-        self.set_failures(now, self.recent_failures(now) * LEFT_BY_AN_ANSWER);
+        self.set_failures(now, self.own_failures(now) * LEFT_BY_AN_ANSWER);
     }
 
     pub fn failed(&mut self, now: Duration) {
@@ -66,12 +90,13 @@
         if self.is_on_trial() {
             self.paused_until = now + self.pause();
         }
-        self.set_failures(now, self.recent_failures(now) + 1.0);
+        self.untold += 1;
+        self.set_failures(now, self.own_failures(now) + 1.0);
     }
 
     /// It may have failed, but may as well have been busy: this pauses nobody.
     pub fn may_have_failed(&mut self, now: Duration) {
-        self.set_failures(now, self.recent_failures(now) + 1.0);
+        self.set_failures(now, self.own_failures(now) + 1.0);
     }
 
     fn set_failures(&mut self, now: Duration, failures: f64) {
--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -52,6 +52,8 @@
 const LOAD_OF_A_FAILURE: f64 = 0.4;
 /// How much more a failure counts for a request that can't be repeated.
 const UNREPEATABLE_WEIGHT: f64 = 2.0;
+/// One in so many workers may be suspected by what others report.
+const MOST_SUSPECTS_OF_ALL: usize = 3;
 /// What a worker without a free place is set back by, in prompt tokens.
 const TOKENS_WITHOUT_PLACE: f64 = 100_000.0;
 /// What a worker in another zone is set back by, as a share of its places.
@@ -191,6 +193,24 @@
         self.workers.values().any(WorkerEntry::is_ready)
     }
 
+    /// Others report failures of these workers, of whatever service. Where these are more than a third of this service's,
+    /// the fault is hardly theirs: then only what was seen here counts.
+    pub fn set_suspects(&mut self, now: Duration, suspects: &[String]) {
+        let named = |id: &WorkerId| suspects.iter().any(|suspect| **suspect == **id);
+        let count = self.workers.keys().filter(|id| named(id)).count();
+        let believed = count * MOST_SUSPECTS_OF_ALL <= self.workers.len();
+        for (id, worker) in &mut self.workers {
+            worker.health.suspect(now, believed && named(id));
+        }
+    }
+
+    /// Requests that failed since this was last asked.
+    pub fn take_failures(&mut self) -> Vec<feed::WorkerFailures> {
+        let untold = self.workers.iter_mut().map(|(id, worker)| (id, worker.health.take_untold()));
+        let failed = untold.filter(|(_, failures)| *failures > 0);
+        failed.map(|(id, failures)| feed::WorkerFailures { worker: id.to_string(), failures }).collect()
+    }
+
     /// The ids of all workers.
     pub fn worker_ids(&self) -> impl Iterator<Item = &WorkerId> {
         self.workers.keys()
--- a/crates/gatekeeper/src/proxy/balance/tests.rs
+++ b/crates/gatekeeper/src/proxy/balance/tests.rs
@@ -362,3 +362,32 @@
     let slower = balancer.usual_time(at(9000), "w1").expect("known");
     assert!(slower > usual * 2, "all have become slow: {slower:?}");
 }
+
+#[test]
+fn failures_that_others_report_count_for_a_while_unless_too_many_are_suspected() {
+    let mut balancer = balancer(6, 4, 0);
+    let ids = |balancer: &Balancer, now| {
+        (0..64).filter_map(|_| balancer.choose(now, &Choice::default()).ok()).collect_ids()
+    };
+    balancer.set_suspects(at(0), &["w0".to_owned(), "w1".to_owned(), "of another service".to_owned()]);
+    assert_eq!(ids(&balancer, at(1)).len(), 4);
+    assert_eq!(ids(&balancer, at(5000)).len(), 6, "nobody has renewed it");
+    balancer.set_suspects(at(6000), &["w0".to_owned()]);
+    assert!(!ids(&balancer, at(6001)).contains("w0"));
+    balancer.set_suspects(at(6100), &[]);
+    assert_eq!(ids(&balancer, at(6101)).len(), 6);
+    let half: Vec<String> = (0..3).map(|n| format!("w{n}")).collect();
+    balancer.set_suspects(at(7000), &half);
+    assert_eq!(ids(&balancer, at(7001)).len(), 6, "the fault is hardly theirs");
+}
+
+#[test]
+fn each_failure_is_told_once() {
+    let mut balancer = balancer(3, 4, 0);
+    balancer.failed(at(0), "w0");
+    balancer.failed(at(0), "w0");
+    balancer.answered(at(0), "w0");
+    let told = balancer.take_failures();
+    assert_eq!(told.iter().map(|told| (&*told.worker, told.failures)).collect::<Vec<_>>(), [("w0", 2)]);
+    assert!(balancer.take_failures().is_empty());
+}
--- a/crates/gatekeeper/src/proxy/run.rs
+++ b/crates/gatekeeper/src/proxy/run.rs
@@ -17,6 +17,8 @@
 const READINESS_CONNECTIONS: usize = 32;
 /// Between looks whether what is known is fresh.
 const FRESHNESS_INTERVAL: Duration = Duration::from_millis(500);
+/// Between reports of requests that failed.
+const FAILURES_INTERVAL: Duration = Duration::from_millis(300);
 /// Between looks for idle connections to workers.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(1);
 /// After SIGTERM the platform still sends new connections until it has seen that the process is not ready.
@@ -58,7 +60,9 @@
     spawn_local(sweep(proxy.clone()));
     let scraped = proxy.clone();
     opalrun_figures::start(settings.figures, move |scrape| scraped.scrape(scrape));
-    spawn_local(follow(proxy.clone(), ControlFeed::start_at(settings.agent_address())));
+    let feed = ControlFeed::start_at(settings.agent_address());
+    spawn_local(follow(proxy.clone(), feed.clone()));
+    spawn_local(report_failures(proxy.clone(), feed));
     spawn_local(watch_settings(settings.clone()));
     serve(proxy, &settings, clients, platform, opalrun_net::signals::terminated()).await;
     Ok(())
@@ -128,6 +132,17 @@
     }
 }
 
+/// Tells control of requests that failed at workers, so that other gatekeepers need not find out for themselves.
+async fn report_failures(proxy: Rc<Proxy>, feed: Rc<ControlFeed>) {
+    loop {
+        tokio::time::sleep(FAILURES_INTERVAL).await;
+        let failures = proxy.take_failures();
+        if !failures.is_empty() {
+            feed.report_worker_failures(failures);
+        }
+    }
+}
+
 /// Reads the settings again whenever they have changed. Nothing that the proxy goes by changes while it runs.
 async fn watch_settings(settings: Settings) {
     loop {
--- a/crates/gatekeeper/src/proxy/state.rs
+++ b/crates/gatekeeper/src/proxy/state.rs
@@ -18,7 +18,7 @@
     clock::Clock,
     pool::{self, Pools, WorkerLimits},
 };
-use opalrun_wire::feed::{StoreMap, WorkerState, stable_hash};
+use opalrun_wire::feed::{StoreMap, WorkerFailures, WorkerState, stable_hash};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -159,12 +159,24 @@
         self.set_store_map(&view.store_map);
         // Workers first: a configuration that is in force should find those of its services.
         self.set_workers(&view.workers);
+        self.set_suspects(&view.suspects);
         if let Some((_, configuration)) = &view.configuration {
             self.set_configuration(configuration.clone());
         }
         self.take_freshness(view);
     }
 
+    /// Others report failures of these workers.
+    fn set_suspects(&self, suspects: &[String]) {
+        let now = self.now();
+        self.services.borrow_mut().values_mut().for_each(|balancer| balancer.set_suspects(now, suspects));
+    }
+
+    /// Requests that failed at workers since this was last asked.
+    pub(super) fn take_failures(&self) -> Vec<WorkerFailures> {
+        self.services.borrow_mut().values_mut().flat_map(Balancer::take_failures).collect()
+    }
+
     /// Takes over since when what is known is fresh.
     pub fn take_freshness(&self, view: &ControlView) {
         if let Some(at) = view.fresh_at {
--- a/crates/hollow/src/gatekeepers.rs
+++ b/crates/hollow/src/gatekeepers.rs
@@ -136,6 +136,7 @@
         FeedEvent::Snapshot { shard, offset, changes } => FeedUpdate::Snapshot { shard, offset, changes },
         FeedEvent::Changes { shard, offset, changes } => FeedUpdate::Changes { shard, offset, changes },
         FeedEvent::Fresh { gatekeepers } => FeedUpdate::Fresh { gatekeepers },
+        FeedEvent::Suspects(workers) => FeedUpdate::Suspects(workers),
     }
 }
 
--- a/crates/net/src/feed_client/mod.rs
+++ b/crates/net/src/feed_client/mod.rs
@@ -10,7 +10,7 @@
 use positions::Positions;
 
 use crate::{FrameReader, FrameWriter, NetError, connect};
-use opalrun_wire::feed::{Change, ControlNode, FeedRequest, FeedUpdate, Subscriber};
+use opalrun_wire::feed::{Change, ControlNode, FeedRequest, FeedUpdate, Subscriber, WorkerFailures};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -74,6 +74,8 @@
         /// Gatekeepers with a session, over the whole tier.
         gatekeepers: u32,
     },
+    /// Workers at which requests of several gatekeepers failed of late.
+    Suspects(Vec<String>),
 }
 
 /// A subscription that is kept up until the client is dropped.
@@ -129,6 +131,11 @@
         self.shared.send(&FeedRequest::ReplicasWhole { store, epoch, partitions })
     }
 
+    /// From a gatekeeper: requests that failed at workers. Nothing is lost if it does not arrive.
+    pub fn report_worker_failures(&self, failures: Vec<WorkerFailures>) {
+        self.shared.send(&FeedRequest::WorkerFailures(failures));
+    }
+
     /// Whether a server is connected.
     #[must_use]
     pub fn is_connected(&self) -> bool {
@@ -266,6 +273,7 @@
                     self.candidates.succeeded();
                     (self.deliver)(FeedEvent::Fresh { gatekeepers });
                 }
+                Some(FeedUpdate::Suspects(workers)) => (self.deliver)(FeedEvent::Suspects(workers)),
                 Some(FeedUpdate::Snapshot { shard, offset, changes }) => {
                     if self.shared.positions.borrow_mut().advance(shard, offset) {
                         self.learn_servers(&changes);
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -201,6 +201,8 @@
         /// The generation of the configuration in force there.
         generation: u64,
     },
+    /// From a gatekeeper: requests that failed at workers since it last told.
+    WorkerFailures(Vec<WorkerFailures>),
     /// From a store: these partitions are whole here as of this epoch.
     ReplicasWhole {
         /// The store's identity.
@@ -212,6 +214,15 @@
     },
 }
 
+/// Requests of one gatekeeper that failed at one worker.
+#[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
+pub struct WorkerFailures {
+    /// The worker's id.
+    pub worker: String,
+    /// How many failed.
+    pub failures: u32,
+}
+
 /// Who subscribes.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
 pub enum Subscriber {
@@ -262,6 +273,9 @@
         /// Gatekeepers with a session, over the whole tier.
         gatekeepers: u32,
     },
+    /// Workers at which requests of several gatekeepers failed of late; those that an earlier list named and this one
+    /// does not are no longer suspected. Nothing is lost if one goes missing.
+    Suspects(Vec<String>),
     /// This process can't serve now: go to another one.
     GoElsewhere,
 }
