See the end of a client that came before its request was read

A new socket is read before the event loop has told of anything on it, so a request whose client had left while it waited went to the handler, and on, in the same turn.

--- a/crates/transport/src/server/mod.rs
+++ b/crates/transport/src/server/mod.rs
@@ -19,11 +19,12 @@
 };
 use hyper_util::rt::TokioIo;
 use peer::Busy;
-use socket::{Watched, gone};
+use socket::{Watched, gone, has_ended};
 use std::{
     any::Any,
     cell::{Cell, RefCell},
     convert::Infallible,
+    future::pending,
     pin::pin,
     rc::Rc,
     time::{Duration, Instant},
@@ -246,13 +247,13 @@
             let _place = Place { server: server.clone(), number };
             // Without this an answer might wait for the acknowledgement of the one before.
             let _ = socket.set_nodelay(true);
-            let service = service_fn(|request| {
-                let (server, peer) = (server.clone(), peer.clone());
-                async move { Ok::<_, Infallible>(server.handle(request, &peer).await) }
-            });
             let mut builder = Builder::new();
             builder.max_buf_size(server.settings.longest_head).auto_date_header(false);
             let socket = Rc::new(RefCell::new(socket));
+            let service = service_fn(|request| {
+                let (server, peer, socket) = (server.clone(), peer.clone(), socket.clone());
+                async move { Ok::<_, Infallible>(server.handle(request, &peer, &socket).await) }
+            });
             let watched = Watched { socket: socket.clone(), peer: peer.clone() };
             let mut connection = pin!(builder.serve_connection(TokioIo::new(watched), service));
             let mut gone = pin!(gone(&socket, &peer));
@@ -286,12 +287,17 @@
         self: &Rc<Self>,
         request: Request<Incoming>,
         peer: &Rc<Peer>,
+        socket: &RefCell<TcpStream>,
     ) -> Response<HeldBody<H::Body>> {
         peer.head.set(None);
         peer.came.notify_one();
         peer.taken.set(Instant::now());
         // Also when the client goes and this is dropped half way.
         let in_hand: Rc<dyn Any> = Rc::new(Busy::new(peer));
+        if !peer.used() && has_ended(socket).await {
+            // It went before its request was read. The task that serves it ends with the same look.
+            return pending().await;
+        }
         let client = Client { peer: peer.clone(), in_hand: in_hand.clone(), up: self.up() };
         let mut response = self.handler.handle(request, client).await;
         if self.closing() {
--- a/crates/transport/src/server/socket.rs
+++ b/crates/transport/src/server/socket.rs
@@ -1,10 +1,12 @@
 //! A client's socket, and how its end is noticed.
 
 use super::peer::Peer;
+use socket2::SockRef;
 use std::{
     cell::RefCell,
     future::{Future, poll_fn},
     io::{self, IoSlice},
+    mem::MaybeUninit,
     pin::{Pin, pin},
     rc::Rc,
     task::{Context, Poll},
@@ -24,6 +26,24 @@
     pub peer: Rc<Peer>,
 }
 
+/// Whether the client has ended its sending, or all, and every byte before that is read. To be called by the task that
+/// serves the connection.
+pub async fn has_ended(socket: &RefCell<TcpStream>) -> bool {
+    let told = poll_fn(|cx| {
+        let socket = socket.borrow();
+        let ready = pin!(socket.ready(Interest::READABLE)).poll(cx);
+        Poll::Ready(matches!(ready, Poll::Ready(Ok(ready)) if ready.is_read_closed()))
+    });
+    // A socket that is new is read before the runtime has asked what has come on it, so the end is looked for as well.
+    told.await || at_end(&socket.borrow())
+}
+
+/// Whether the next read would find the end.
+fn at_end(socket: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    SockRef::from(socket).peek(&mut byte).is_ok_and(|read| read == 0)
+}
+
 impl AsyncRead for Watched {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, to: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = to.filled().len();
