--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -151,11 +151,15 @@
     gates: Vec<Arc<Gate>>,
 }
 
+/// Addresses that the runs of one process have in turn: the last part is neither 0 nor 255.
+const RUN_ADDRESSES: u8 = 254;
+
 /// An address of this run's own in the loopback range, so that runs side by side do not meet.
 fn own_ip() -> IpAddr {
     static RUNS: AtomicU8 = AtomicU8::new(0);
     let (pid, run) = (std::process::id(), RUNS.fetch_add(1, Ordering::Relaxed));
-    IpAddr::V4(Ipv4Addr::new(127, 64 + (pid % 128) as u8, (pid / 128 % 256) as u8, run.max(1)))
+    let host = 1 + run % RUN_ADDRESSES;
+    IpAddr::V4(Ipv4Addr::new(127, 64 + (pid % 128) as u8, (pid / 128 % 256) as u8, host))
 }
 
 /// Accepts on `port` for good, and serves each connection in a task of its own.
@@ -369,3 +373,6 @@
         while stops.join_next().await.is_some() {}
     }
 }
+
+#[cfg(test)]
+mod tests;
