Test of a lost zone: ask as many at once as there are workers

Cause: the test asked one request at a time, so all went to whichever worker had answered quickest. Now six requests go out together, and the worker's work in hand is awaited before they answer again.

--- a/tests/zone_loss.rs
+++ b/tests/zone_loss.rs
@@ -4,6 +4,10 @@
 use fakes::*;
 use serde_json::{Value, json};
 
+/// Requests sent together. One at a time would all go to whichever worker answered quickest at first, and a worker
+/// that is never asked can't be found broken: with as many as there are workers, each of them is asked.
+const AT_ONCE: usize = 6;
+
 /// Three workers in each of two zones; the gateway is in the first.
 struct Halls {
     workers: Vec<Worker>,
@@ -35,13 +39,22 @@
         self.workers[..3].iter().for_each(|w| w.now(does.clone()));
     }
 
+    /// Sends `AT_ONCE` requests together; how many of them were served.
+    fn ask_together(&mut self, node: &Node) -> usize {
+        let mut clients: Vec<Client> = (0..AT_ONCE).map(|_| node.client()).collect();
+        for client in &mut clients {
+            self.asked += 1;
+            client.send(&Ask::new(&format!("z{}", self.asked)).with("X-Remaining", "0.5"));
+        }
+        let served = |client: &mut Client| client.answer().expect("a whole answer").status() == 200;
+        clients.iter_mut().map(|client| usize::from(served(client))).sum()
+    }
+
     /// Asks until the log holds `text`; how many were served of how many.
     fn until(&mut self, node: &Node, text: &str) -> (usize, usize) {
         let (start, mut served, before) = (std::time::Instant::now(), 0, self.asked);
         loop {
-            self.asked += 1;
-            let ask = Ask::new(&format!("z{}", self.asked)).with("X-Remaining", "0.5");
-            served += usize::from(node.ask(&ask).status() == 200);
+            served += self.ask_together(node);
             if node.log.try_iter().any(|line| line.contains(text)) {
                 return (served, self.asked - before);
             }
@@ -62,7 +75,7 @@
     // A busy machine may answer slowly near at first: the own zone is preferred once that news has faded.
     let start = std::time::Instant::now();
     let told = loop {
-        (0..30).for_each(|i| assert_eq!(node.ask(&Ask::new(&format!("a{i}"))).status(), 200));
+        (0..5).for_each(|_| assert_eq!(halls.ask_together(&node), AT_ONCE));
         let told = zones(&node);
         if told[0]["share"].as_f64() > told[1]["share"].as_f64() {
             break told;
@@ -77,6 +90,8 @@
     halls.until(&node, "zone 0 is left: Broken");
     let told = zones(&node);
     assert_eq!((&told[0]["left"]["why"], &told[0]["weight"]), (&json!("broken"), &json!(0.0)));
+    // An answer to what was in hand when the zone was left would show that its workers have lived on.
+    (0..3).for_each(|i| drop(node.pool(&format!("w{i}"), |pool| pool["in_use"] == 0)));
     halls.near(&Does::Serves("back"));
     halls.until(&node, "zone 0 is used again");
     let told = zones(&node);
