Keep clients to the time limits of the configuration in force

Need: limits.header_timeout_ms and idle_timeout_ms were checked and had no effect; the proxy's server took its times at its start. Now each change of the configuration sets them, with half a second for what is delayed on its way. A connection that is idle already may rest as long as it might when it became so. The shared server looked at a connection that had a request in hand every 30 s only and not when a head began: it now looks each second, and when a head begins. Tests on sockets: half heads, the second one too, idle connections; a limit that becomes shorter.

--- a/crates/gatekeeper/src/proxy/run.rs
+++ b/crates/gatekeeper/src/proxy/run.rs
@@ -25,6 +25,8 @@
 const NEW_CONNECTIONS_LINGER: Duration = Duration::from_millis(2500);
 /// How long the stores may take to note what is given back of programs' budgets.
 const LEASE_RETURN_LIMIT: Duration = Duration::from_millis(500);
+/// Beyond the configuration's time limits, for what is delayed on its way.
+const TIME_LIMIT_TOLERANCE: Duration = Duration::from_millis(500);
 /// Kept of the time until SIGKILL.
 const KILL_MARGIN: Duration = Duration::from_millis(1000);
 
@@ -81,6 +83,7 @@
     let answering = spawn_local(async move { readiness.accept(&platform).await });
     let most = state::connections_of_clients(settings);
     let server = Server::new(ClientHandler(proxy.clone()), server_settings(), most);
+    let limiting = spawn_local(apply_time_limits(proxy.clone(), server.clone()));
     let acceptor = server.clone();
     let accepting = spawn_local(async move { acceptor.accept(&clients).await });
     stop.await;
@@ -96,6 +99,20 @@
     let _ = tokio::time::timeout(until, all_ended(&server)).await;
     proxy.give_leases_back(LEASE_RETURN_LIMIT).await;
     answering.abort();
+    limiting.abort();
+}
+
+/// Has the server keep to the times that the configuration in force gives clients.
+async fn apply_time_limits(proxy: Rc<Proxy>, server: Rc<Server<ClientHandler>>) {
+    let mut changes = proxy.limits();
+    loop {
+        let limits = *changes.borrow_and_update();
+        let header_time = limits.header_timeout + TIME_LIMIT_TOLERANCE;
+        server.set_times(header_time, limits.idle_timeout + TIME_LIMIT_TOLERANCE);
+        if changes.changed().await.is_err() {
+            return;
+        }
+    }
 }
 
 async fn all_ended(server: &Rc<Server<ClientHandler>>) {
--- a/crates/gatekeeper/src/proxy/state.rs
+++ b/crates/gatekeeper/src/proxy/state.rs
@@ -11,7 +11,7 @@
     turns::Turns,
 };
 use fnv::{FnvHashMap, FnvHashSet};
-use opalrun_configuration::Configuration;
+use opalrun_configuration::{Configuration, Limits};
 use opalrun_settings::Settings;
 use opalrun_store_client::StoreClient;
 use opalrun_transport::{
@@ -25,6 +25,7 @@
     rc::Rc,
     time::{Duration, Instant},
 };
+use tokio::sync::watch;
 
 /// Seconds after which a worker is taken to close an idle connection when it has not said.
 const USUAL_IDLE_LIMIT_S: f64 = 5.0;
@@ -52,6 +53,8 @@
     services: RefCell<FnvHashMap<String, Balancer>>,
     keep_alive: RefCell<FnvHashMap<WorkerId, u32>>,
     gatekeepers: Cell<u32>,
+    /// What the configuration in force allows clients.
+    limits: watch::Sender<Limits>,
     /// When what is known was last fresh.
     fresh_at: Cell<Option<Duration>>,
     stopping: Cell<bool>,
@@ -86,6 +89,7 @@
             services: RefCell::default(),
             keep_alive: RefCell::default(),
             gatekeepers: Cell::new(1),
+            limits: watch::Sender::default(),
             fresh_at: Cell::new(None),
             stopping: Cell::new(false),
             pools: Pools::new(budget, pool_settings, Clock::steady(), fastrand::u64(..)),
@@ -110,6 +114,12 @@
         self.configuration.borrow().clone()
     }
 
+    /// What the configuration in force allows clients, and the news of its changes.
+    #[must_use]
+    pub fn limits(&self) -> watch::Receiver<Limits> {
+        self.limits.subscribe()
+    }
+
     /// Whether new clients are welcome: the proxy knows what holds, and is not stopping.
     #[must_use]
     pub fn is_ready(&self) -> bool {
@@ -195,6 +205,7 @@
             let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
             self.balance(&service.name, |balancer| balancer.set_memory_tokens(tokens));
         }
+        self.limits.send_if_modified(|limits| std::mem::replace(limits, configuration.limits) != *limits);
         self.configuration.replace(Some(configuration));
         self.set_connection_limits();
     }
--- a/crates/gatekeeper/tests/proxy/main.rs
+++ b/crates/gatekeeper/tests/proxy/main.rs
@@ -3,6 +3,7 @@
 mod fakes;
 mod figures;
 mod forwarding;
+mod limits;
 mod planned_work;
 mod programs;
 mod silence;
--- a/crates/transport/src/server/mod.rs
+++ b/crates/transport/src/server/mod.rs
@@ -45,7 +45,7 @@
 /// Serves the connections of server.
 pub struct Server<H: Handler> {
     handler: H,
-    settings: Settings,
+    settings: Rc<Cell<Settings>>,
     peers: RefCell<FnvHashMap<u64, Rc<Peer>>>,
     numbers: Cell<u64>,
     /// Connections that are about to end to make room.
@@ -70,6 +70,7 @@
     /// `budget` connections at most.
     pub fn new(handler: H, settings: Settings, budget: usize) -> Rc<Self> {
         let (numbers, evicted, freed) = (Cell::new(0), Cell::new(0), Notify::new());
+        let settings = Rc::new(Cell::new(settings));
         let [stopping, away, shedding, begun, left] = [const { Cell::new(false) }; 5];
         let (peers, budget, accepting) = (RefCell::default(), Cell::new(budget), watch::Sender::new(true));
         Rc::new(Self {
@@ -104,6 +105,12 @@
         self.budget.set(budget);
     }
 
+    /// From now on a head may take `head_time` to come, and a connection stand idle for `idle_time`. One that is idle
+    /// already may go on for as long as it might before, if that was longer.
+    pub fn set_times(&self, head_time: Duration, idle_time: Duration) {
+        self.settings.set(Settings { head_time, first_time: idle_time, idle_time, ..self.settings.get() });
+    }
+
     /// Accepts no more: another process of this gatekeeper is about to.
     pub fn hand_over(&self) {
         self.accepting.send_replace(false);
@@ -239,7 +246,7 @@
     fn serve(self: &Rc<Self>, socket: TcpStream) {
         let number = self.numbers.get();
         self.numbers.set(number + 1);
-        let peer = Rc::new(Peer::new(self.settings));
+        let peer = Rc::new(Peer::new(self.settings.clone()));
         self.peers.borrow_mut().insert(number, peer.clone());
         let server = self.clone();
         tokio::task::spawn_local(async move {
@@ -248,7 +255,7 @@
             // Without this an answer might wait for the acknowledgement of the one before.
             let _ = socket.set_nodelay(true);
             let mut builder = Builder::new();
-            builder.max_buf_size(server.settings.longest_head).auto_date_header(false);
+            builder.max_buf_size(server.settings.get().longest_head).auto_date_header(false);
             let socket = Rc::new(RefCell::new(socket));
             let service = service_fn(|request| {
                 let (server, peer, socket) = (server.clone(), peer.clone(), socket.clone());
@@ -276,7 +283,7 @@
                     () = tokio::time::sleep(UNREAD) => {}
                 }
                 let owed = peer.busy() || peer.head.get().is_some();
-                if !owed || peer.taken.get().elapsed() >= server.settings.untaken_time {
+                if !owed || peer.taken.get().elapsed() >= server.settings.get().untaken_time {
                     return;
                 }
             }
--- a/crates/transport/src/server/peer.rs
+++ b/crates/transport/src/server/peer.rs
@@ -44,7 +44,10 @@
 
 /// A client's connection as the others see it.
 pub struct Peer {
-    settings: Settings,
+    /// The server's, which may change meanwhile.
+    settings: Rc<Cell<Settings>>,
+    /// How long it may stand idle by the settings that held when it last had something in hand: its client may go by them.
+    idle_time: Cell<Duration>,
     /// Requests on it that are in hand: the rest of one that is answered may still be coming to its end when the
     /// next has come.
     pub(super) hands: Cell<usize>,
@@ -63,15 +66,32 @@
     pub(super) close: Notify,
     /// A head has come whole.
     pub(super) came: Notify,
+    /// A head has begun to come.
+    begun: Notify,
 }
 
 impl Peer {
-    pub(super) fn new(settings: Settings) -> Self {
+    pub(super) fn new(settings: Rc<Cell<Settings>>) -> Self {
         let now = Instant::now();
+        let idle_time = Cell::new(settings.get().idle_time);
         let (hands, used, untaken, evicted) = Default::default();
         let (since, head, taken) = (Cell::new(now), Cell::new(None), Cell::new(now));
-        let (close, came, evict) = Default::default();
-        Self { settings, hands, since, used, head, taken, untaken, evicted, evict, close, came }
+        let (close, came, begun, evict) = Default::default();
+        Self {
+            settings,
+            idle_time,
+            hands,
+            since,
+            used,
+            head,
+            taken,
+            untaken,
+            evicted,
+            evict,
+            close,
+            came,
+            begun,
+        }
     }
 
     /// Since when it has been idle, or open where it has carried nothing yet.
@@ -101,31 +121,52 @@
         }
         if self.untaken.replace(done.is_pending()) && done.is_ready() {
             // It may be idle from now on, and not from when its answer was made.
-            self.since.set(Instant::now());
+            self.rest();
         }
     }
 
+    /// Something has come on it; where nothing is in hand, that begins a head.
+    pub(super) fn read(&self) {
+        if !self.busy() && self.head.get().is_none() {
+            self.head.set(Some(Instant::now()));
+            self.begun.notify_one();
+        }
+    }
+
+    /// It may be idle from now on.
+    fn rest(&self) {
+        self.since.set(Instant::now());
+        self.idle_time.set(self.settings.get().idle_time);
+    }
+
+    /// The longest that it may stand idle: a limit that has become shorter holds from its next request on.
+    pub(super) fn idle_limit(&self) -> Duration {
+        self.idle_time.get().max(self.settings.get().idle_time)
+    }
+
     /// One that has just come, or just had its answer, may have a request on its way.
     pub(super) fn idle(&self) -> bool {
-        !self.busy() && self.head.get().is_none() && self.since.get().elapsed() > self.settings.spare_time
+        let spare_time = self.settings.get().spare_time;
+        !self.busy() && self.head.get().is_none() && self.since.get().elapsed() > spare_time
     }
 
     /// Whether it may be ended at once to make room for another, and how soon before others: never while a request of
     /// its is under way.
     pub(super) fn spare(&self, now: Instant) -> Option<Spare> {
+        let spare_time = self.settings.get().spare_time;
         let (kind, since, least) = match (self.hands.get() > 0, self.head.get()) {
             _ if self.evicted.get() => return None,
             _ if self.untaken.get() => (Kind::Unread, self.taken.get(), UNREAD_TIME),
             (true, _) if self.used.get() => return None,
-            (true, None) => (Kind::HalfRequest, self.since.get(), self.settings.spare_time),
-            (_, Some(head)) => (Kind::HalfRequest, head, self.settings.spare_time),
+            (true, None) => (Kind::HalfRequest, self.since.get(), spare_time),
+            (_, Some(head)) => (Kind::HalfRequest, head, spare_time),
             (false, None) if self.used.get() => (Kind::Kept, self.since.get(), Duration::ZERO),
             (false, None) => (Kind::Silent, self.since.get(), FRESH_TIME),
         };
         let age = now.saturating_duration_since(since);
         let kind = match kind {
-            Kind::Kept if age < self.settings.spare_time => Kind::JustUsed,
-            Kind::Silent if age < self.settings.spare_time => Kind::Fresh,
+            Kind::Kept if age < spare_time => Kind::JustUsed,
+            Kind::Silent if age < spare_time => Kind::Fresh,
             kind => kind,
         };
         (age >= least).then_some(Spare { kind, since })
@@ -159,17 +200,23 @@
     /// Waits until it is to be closed for bringing nothing, or for taking nothing.
     pub(super) async fn overdue(&self) {
         loop {
+            let settings = self.settings.get();
+            let first = self.since.get() + settings.first_time;
             let until = match (self.busy(), self.head.get()) {
-                (true, _) if self.untaken.get() => self.taken.get() + self.settings.untaken_time,
-                (true, _) => (self.taken.get() + self.settings.untaken_time).max(Instant::now() + BUSY_TIME),
-                (false, Some(head)) if self.used.get() => head + self.settings.head_time,
-                (false, None) if self.used.get() => self.since.get() + self.settings.idle_time,
-                (false, _) => self.since.get() + self.settings.first_time,
+                (true, _) if self.untaken.get() => self.taken.get() + settings.untaken_time,
+                (true, _) => Instant::now() + BUSY_TIME,
+                (false, Some(head)) if self.used.get() => head + settings.head_time,
+                (false, Some(head)) => first.min(head + settings.head_time),
+                (false, None) if self.used.get() => self.since.get() + self.idle_limit(),
+                (false, None) => first,
             };
             if until <= Instant::now() {
                 return;
             }
-            tokio::time::sleep_until(until.into()).await;
+            tokio::select! {
+                () = tokio::time::sleep_until(until.into()) => {}
+                () = self.begun.notified() => {}
+            }
         }
     }
 }
@@ -187,6 +234,6 @@
 impl Drop for Busy {
     fn drop(&mut self) {
         self.0.hands.set(self.0.hands.get() - 1);
-        self.0.since.set(Instant::now());
+        self.0.rest();
     }
 }
--- a/crates/transport/src/server/socket.rs
+++ b/crates/transport/src/server/socket.rs
@@ -10,7 +10,7 @@
     pin::{Pin, pin},
     rc::Rc,
     task::{Context, Poll},
-    time::{Duration, Instant},
+    time::Duration,
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, Interest, ReadBuf},
@@ -48,8 +48,8 @@
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, to: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
         let before = to.filled().len();
         let done = Pin::new(&mut *self.socket.borrow_mut()).poll_read(cx, to);
-        if to.filled().len() > before && !self.peer.busy() && self.peer.head.get().is_none() {
-            self.peer.head.set(Some(Instant::now()));
+        if to.filled().len() > before {
+            self.peer.read();
         }
         done
     }
--- a/crates/transport/src/server/tests.rs
+++ b/crates/transport/src/server/tests.rs
@@ -14,11 +14,15 @@
     }
 }
 
+fn shared(settings: Settings) -> Rc<Cell<Settings>> {
+    Rc::new(Cell::new(settings))
+}
+
 /// How much of an answer the sockets hold is the system's business, so no test of the whole program can fill them
 /// to just before an answer's end.
 #[test]
 fn a_connection_is_busy_until_its_client_has_taken_the_last_answer() {
-    let peer = Peer::new(settings());
+    let peer = Peer::new(shared(settings()));
     peer.since.set(Instant::now() - 2 * settings().spare_time);
     assert!(peer.idle() && !peer.busy());
     peer.wrote(&Poll::Pending);
@@ -27,3 +31,18 @@
     assert!(!peer.busy(), "all has gone out");
     assert!(!peer.idle(), "and a request may be on its way");
 }
+
+/// Its client goes by the limit that held when the last answer came.
+#[test]
+fn an_idle_connection_may_rest_as_long_as_when_it_became_idle() {
+    let settings_of_server = shared(settings());
+    let peer = Rc::new(Peer::new(settings_of_server.clone()));
+    drop(Busy::new(&peer));
+    let shorter = Settings { idle_time: settings().idle_time / 4, ..settings() };
+    settings_of_server.set(shorter);
+    assert_eq!(peer.idle_limit(), settings().idle_time);
+    drop(Busy::new(&peer));
+    assert_eq!(peer.idle_limit(), shorter.idle_time, "from its next request on the new limit holds");
+    settings_of_server.set(settings());
+    assert_eq!(peer.idle_limit(), settings().idle_time, "a longer limit holds at once");
+}
