Tell each new worker the control process that is its home

Need: heartbeats were never told an address for later ones, so at 600 workers their spread over control processes was the workers' chance. A worker that says something new and is ready is told the first of the processes that were heard within half a second, in an order of its own (rendezvous hashing). It is told once, so one whose heartbeats fail there stays where they don't. Tests: even spread, only a silent process's workers move; over loopback that the home acknowledges.

--- a/crates/control/src/api/answer.rs
+++ b/crates/control/src/api/answer.rs
@@ -75,11 +75,19 @@
 
 async fn heartbeat(process: &Rc<ControlProcess>, id: &str, body: &[u8]) -> Result<ApiAnswer, Unavailable> {
     match read_heartbeat(id, body) {
-        Ok(worker) => process.heartbeat(worker).await.map(|()| ApiAnswer::ok()),
+        Ok(worker) => process.heartbeat(worker).await.map(|home| heartbeat_answer(id, home)),
         Err(reason) => Ok(ApiAnswer::refusal(StatusCode::BAD_REQUEST, ResultCode::INSTANCE_INVALID, &reason)),
     }
 }
 
+/// The acknowledgement of a heartbeat, which may name the address for later ones.
+fn heartbeat_answer(id: &str, home: Option<String>) -> ApiAnswer {
+    let is_plain = |byte: u8| byte.is_ascii_alphanumeric() || b"-._~".contains(&byte);
+    let Some(address) = home.filter(|_| id.bytes().all(is_plain)) else { return ApiAnswer::ok() };
+    let url = json_string(&format!("http://{address}/opalrun/instances/{id}"));
+    ApiAnswer::new(StatusCode::OK, format!("{{\"heartbeat_url\":{url}}}"))
+}
+
 async fn put_configuration(
     process: &Rc<ControlProcess>,
     if_match: Option<u64>,
--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub mod store_watch;
 #[cfg(test)]
 mod tests;
+mod worker_homes;
 
 pub use operations::{ConfigurationAnswer, RetireAnswer, Unavailable};
 
--- a/crates/control/src/process/operations.rs
+++ b/crates/control/src/process/operations.rs
@@ -1,6 +1,6 @@
 //! What workers, the operator and stores can have done, at whichever control process they ask.
 
-use super::ControlProcess;
+use super::{ControlProcess, worker_homes};
 use crate::{
     calls::{ControlAnswer, ControlCall},
     configuration_shard::{ConfigurationCommand, ConfigurationOutcome},
@@ -11,7 +11,7 @@
 };
 use opalrun_configuration::Configuration;
 use opalrun_wire::{
-    feed::{CONFIGURATION_SHARD, Worker, shard_of_service},
+    feed::{CONFIGURATION_SHARD, Worker, WorkerState, shard_of_service},
     frame::{decode, encode},
 };
 use sha2::{Digest, Sha256};
@@ -126,11 +126,12 @@
         decode(&outcome).map_err(|_| Unavailable)
     }
 
-    /// A worker has called.
+    /// A worker has called. Returns the address it should call from now on, where that is another process's: a worker is
+    /// told so when it says something new, and not again, so that one whose calls fail there stays where they don't.
     ///
     /// # Errors
     /// Where what it says could not be committed in time.
-    pub async fn heartbeat(self: &Rc<Self>, worker: Worker) -> Result<(), Unavailable> {
+    pub async fn heartbeat(self: &Rc<Self>, worker: Worker) -> Result<Option<String>, Unavailable> {
         let arrived = Instant::now();
         let shard = shard_of_service(&worker.service);
         let nothing_new = self.shards.with_sessions(shard, |sessions| sessions.says_nothing_new(&worker));
@@ -139,14 +140,21 @@
                 return Err(Unavailable);
             }
             self.note_renewal(shard, &worker.id);
-            return Ok(());
+            return Ok(None);
         }
-        let id = worker.id.clone();
+        let (id, stays) = (worker.id.clone(), worker.state == WorkerState::Ready);
         let command = SessionCommand::Put(worker);
         let (index, _) = self.submit(shard, encode(&command).to_vec()).await?;
         self.note_renewal(shard, &id);
         self.tell_others(shard, index, arrived).await;
-        Ok(())
+        Ok(if stays { self.other_home(&id) } else { None })
+    }
+
+    /// Where a worker should call from now on, if not here.
+    fn other_home(&self, worker_id: &str) -> Option<String> {
+        let nodes = self.shards.with_configuration(|shard| shard.directory().nodes().to_vec());
+        let home = worker_homes::home(worker_id, &nodes, |identity| self.host.silent_for(identity))?;
+        (home.identity != self.host.identity()).then(|| home.control_address.clone())
     }
 
     /// A worker has said that it is gone.
--- /dev/null
+++ b/crates/control/src/process/worker_homes/tests.rs
@@ -0,0 +1,49 @@
+//! How homes are spread, and how they move.
+
+use super::*;
+use std::collections::HashMap;
+
+const WORKERS: u64 = 3_000;
+
+fn nodes(count: u64) -> Vec<ControlNode> {
+    let node = |identity: u64| ControlNode {
+        identity,
+        node_name: format!("core-{identity}"),
+        peer_address: format!("10.0.0.{identity}:7380"),
+        control_address: format!("10.0.0.{identity}:8144"),
+        zone: "z".to_owned(),
+    };
+    (1..=count).map(node).collect()
+}
+
+fn homes(nodes: &[ControlNode], silent: &[u64]) -> HashMap<u64, u64> {
+    let silent_for = |identity: u64| if silent.contains(&identity) { HEARD_WITHIN } else { Duration::ZERO };
+    let of =
+        |worker: u64| home(&format!("i-{worker:08x}"), nodes, silent_for).map(|node| (worker, node.identity));
+    (0..WORKERS).filter_map(of).collect()
+}
+
+#[test]
+fn each_process_is_the_home_of_about_as_many_workers() {
+    let nodes = nodes(5);
+    let homes = homes(&nodes, &[]);
+    for node in &nodes {
+        let count = homes.values().filter(|home| **home == node.identity).count() as u64;
+        assert!((WORKERS / 6..=WORKERS / 4).contains(&count), "{}: {count}", node.identity);
+    }
+}
+
+#[test]
+fn only_the_workers_of_a_silent_process_move() {
+    let nodes = nodes(5);
+    let (before, after) = (homes(&nodes, &[]), homes(&nodes, &[2]));
+    for (worker, home) in &before {
+        assert_ne!(after[worker], 2, "it is silent");
+        assert!(*home == 2 || after[worker] == *home, "worker {worker} had no reason to move");
+    }
+}
+
+#[test]
+fn nobody_has_a_home_where_all_are_silent() {
+    assert!(homes(&nodes(3), &[1, 2, 3]).is_empty());
+}
--- a/crates/control/tests/support/mod.rs
+++ b/crates/control/tests/support/mod.rs
@@ -195,12 +195,23 @@
     )
 }
 
-/// A worker's call.
+/// A worker's call; the status of its answer.
 pub async fn heartbeat(addresses: &[SocketAddr], id: &str, service: &str, state: &str, sequence: u64) -> u16 {
+    heartbeat_answer(addresses, id, service, state, sequence).await.status
+}
+
+/// A worker's call, and the whole answer.
+pub async fn heartbeat_answer(
+    addresses: &[SocketAddr],
+    id: &str,
+    service: &str,
+    state: &str,
+    sequence: u64,
+) -> Answer {
     let body = format!(
         r#"{{"backend":"{service}","address":"10.128.0.9:8080","zone":"zone-1","generation":"v1","capacity":32,"state":"{state}","cold_remaining_ms":0,"phase":"both","models":[{{"name":"m","generation":1,"adapters":[]}}],"sequence":{sequence}}}"#
     );
-    call(addresses, "PUT", &format!("/opalrun/instances/{id}"), "", &body).await.status
+    call(addresses, "PUT", &format!("/opalrun/instances/{id}"), "", &body).await
 }
 
 /// A subscriber of the feed.
--- a/crates/control/tests/tier.rs
+++ b/crates/control/tests/tier.rs
@@ -7,8 +7,8 @@
 use opalrun_wire::feed::{CONFIGURATION_SHARD, Change, FeedUpdate, Partition, WorkerState};
 use std::{collections::BTreeSet, net::SocketAddr};
 use support::{
-    FeedCaller, Machine, call, configuration, heartbeat, machines, put_configuration, read_configuration,
-    run_local, run_store,
+    FeedCaller, Machine, call, configuration, heartbeat, heartbeat_answer, machines, put_configuration,
+    read_configuration, run_local, run_store,
 };
 
 async fn start_all(machines: &[Machine]) -> Vec<Control> {
@@ -104,6 +104,33 @@
     });
 }
 
+#[test]
+fn workers_are_told_once_to_call_the_process_that_is_their_home() {
+    run_local(async {
+        let machines = machines(3, 3, 1);
+        let _controls = start_all(&machines).await;
+        let all = addresses(&machines);
+        let mut homes = BTreeSet::new();
+        for number in 0..64 {
+            let id = format!("w{number}");
+            let answer = heartbeat_answer(&all[..1], &id, "alpha", "ready", 1).await;
+            assert_eq!(answer.status, 200);
+            let Some(rest) = answer.body.strip_prefix("{\"heartbeat_url\":\"http://") else { continue };
+            let (address, path) = rest.trim_end_matches("\"}").split_once('/').expect("a path");
+            assert_eq!(path, format!("opalrun/instances/{id}"));
+            let home: SocketAddr = address.parse().expect("an address");
+            assert!(all[1..].contains(&home), "{home} is another process");
+            let again = heartbeat_answer(&[home], &id, "alpha", "ready", 2).await;
+            assert_eq!((again.status, &*again.body), (200, "{}"), "at home it is told nothing more");
+            let elsewhere = heartbeat_answer(&all[..1], &id, "alpha", "ready", 3).await;
+            assert_eq!((elsewhere.status, &*elsewhere.body), (200, "{}"), "nor where its home has failed it");
+            homes.insert(home);
+        }
+        assert_eq!(homes.len(), 2, "both others have workers: {homes:?}");
+        assert_eq!(heartbeat_answer(&all[..1], "w64", "alpha", "draining", 1).await.body, "{}");
+    });
+}
+
 #[test]
 fn an_order_outlives_the_owner_and_a_restart_of_all() {
     run_local(async {
