--- /dev/null
+++ b/crates/model-check/tests/explore.rs
@@ -0,0 +1,76 @@
+//! The checker itself: it reaches every state, and finds the shortest way to a broken rule.
+
+use opalrun_model_check::{Fingerprint, Model, explore};
+
+/// Two jugs, of three and five units, that are filled, emptied and poured into each other.
+struct Jugs {
+    forbidden: Option<u32>,
+}
+
+const SIZES: [u32; 2] = [3, 5];
+
+#[derive(Debug, Clone, PartialEq)]
+enum Event {
+    Fill(usize),
+    Empty(usize),
+    Pour(usize),
+}
+
+impl Model for Jugs {
+    type State = [u32; 2];
+    type Event = Event;
+
+    fn events(&self, _: &[u32; 2]) -> Vec<Event> {
+        (0..2).flat_map(|jug| [Event::Fill(jug), Event::Empty(jug), Event::Pour(jug)]).collect()
+    }
+
+    fn apply(&self, state: &mut [u32; 2], event: &Event) {
+        match *event {
+            Event::Fill(jug) => state[jug] = SIZES[jug],
+            Event::Empty(jug) => state[jug] = 0,
+            Event::Pour(from) => {
+                let to = 1 - from;
+                let poured = state[from].min(SIZES[to] - state[to]);
+                state[from] -= poured;
+                state[to] += poured;
+            }
+        }
+    }
+
+    fn check(&self, state: &[u32; 2]) -> Result<(), String> {
+        match self.forbidden {
+            Some(forbidden) if state[1] == forbidden => Err(format!("the large jug holds {forbidden}")),
+            _ => Ok(()),
+        }
+    }
+}
+
+#[test]
+fn all_states_are_reached() {
+    let outcome = explore(&Jugs { forbidden: None }, [0, 0], usize::MAX);
+    // Of 24 fillings those are reached in which at least one jug is empty or full.
+    assert_eq!((outcome.states, outcome.is_exhausted), (16, true));
+    assert_eq!(outcome.violation, None);
+}
+
+#[test]
+fn the_shortest_way_to_a_broken_rule_is_told() {
+    let outcome = explore(&Jugs { forbidden: Some(4) }, [0, 0], usize::MAX);
+    let violation = outcome.violation.expect("it can be reached");
+    assert_eq!(violation.rule, "the large jug holds 4");
+    let way = ["Fill(1)", "Pour(1)", "Empty(0)", "Pour(1)", "Fill(1)", "Pour(1)"];
+    assert_eq!(violation.events, way);
+}
+
+#[test]
+fn a_limit_ends_the_search_and_says_so() {
+    let outcome = explore(&Jugs { forbidden: None }, [0, 0], 3);
+    assert!(!outcome.is_exhausted && outcome.states >= 3);
+}
+
+#[test]
+fn fingerprints_tell_states_apart() {
+    assert_eq!(Fingerprint::of(&[1, 2]), Fingerprint::of(&[1, 2]));
+    assert_ne!(Fingerprint::of(&[1, 2]), Fingerprint::of(&[2, 1]));
+    assert_ne!(Fingerprint::of(&""), Fingerprint::of(&"\0"));
+}
--- a/crates/store-client/src/raise.rs
+++ b/crates/store-client/src/raise.rs
@@ -58,7 +58,7 @@
 }
 
 /// A raise in one layout of its partition.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Raise {
     holder: u64,
     first: Answers,
