Model check of the replicated log at small sizes

Need: the protocol under every acknowledgement of the configuration was shown in random orders only. Three mistakes made on purpose are each found.

--- a/crates/replication/src/follower.rs
+++ b/crates/replication/src/follower.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 /// A snapshot that is being received.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct IncomingSnapshot {
     header: SnapshotHeader,
     state: Vec<u8>,
--- a/crates/replication/src/leader.rs
+++ b/crates/replication/src/leader.rs
@@ -19,7 +19,7 @@
 const ROUND_LASTS_MS: u64 = 2 * timing::ELECTION_MAX_MS;
 
 /// A leader's state.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Leader {
     /// The other members.
     pub peers: BTreeMap<u64, Progress>,
@@ -38,7 +38,7 @@
 }
 
 /// A transfer of leadership under way.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) struct Transfer {
     target: u64,
     until: u64,
--- a/crates/replication/src/output.rs
+++ b/crates/replication/src/output.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 /// What a replica asks its caller to do.
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct Output {
     /// To be written and synced in this order; then [`Replica::persisted`](crate::Replica::persisted) is called with the
     /// sequence of the last one.
--- a/crates/replication/src/replica.rs
+++ b/crates/replication/src/replica.rs
@@ -47,7 +47,7 @@
     Busy,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub(crate) enum Role {
     Follower,
     /// Asks whether it would be voted for.
@@ -63,7 +63,7 @@
 }
 
 /// One member's copy of a group's log.
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 pub struct Replica {
     pub(crate) options: Options,
     pub(crate) random: fastrand::Rng,
--- /dev/null
+++ b/crates/replication/tests/model_check/group.rs
@@ -0,0 +1,363 @@
+//! The group, its disks and its network.
+
+use opalrun_model_check::Model;
+use opalrun_replication::{
+    Body, Entry, HardState, Member, Membership, Message, Options, Replica, Restored, SnapshotHeader, Write,
+    timing,
+};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    rc::Rc,
+};
+
+const MEMBERS: usize = 3;
+const HOSTS_LOST: usize = 1;
+/// A new process's identity is its old one and this.
+const NEW_IDENTITY: u64 = 10;
+
+/// How much may happen.
+#[derive(Debug, Clone, Copy)]
+pub struct Budget {
+    /// Elections that begin because no leader was heard.
+    pub timeouts: u32,
+    /// Commands.
+    pub proposals: u32,
+    /// Heartbeats of leaders.
+    pub heartbeats: u32,
+    /// Losses of power.
+    pub power_losses: u32,
+    /// Lost disks.
+    pub wipes: u32,
+}
+
+/// Mistakes that the check has to find.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Mistake {
+    /// What is only handed to the disk counts as synced.
+    AcknowledgeBeforeSync,
+    /// A loss of power loses the vote, but not the term.
+    ForgetVote,
+    /// A process that lost its disk goes on under its old identity.
+    KeepIdentityWithoutDisk,
+}
+
+pub struct Group {
+    pub budget: Budget,
+    pub mistake: Option<Mistake>,
+}
+
+#[derive(Debug, Clone)]
+struct Disk {
+    hard_state: HardState,
+    base: SnapshotHeader,
+    entries: Vec<Rc<Entry>>,
+}
+
+impl Disk {
+    fn write(&mut self, write: &Write) {
+        self.hard_state = write.hard_state.unwrap_or(self.hard_state);
+        for entry in &write.entries {
+            self.entries.truncate((entry.index - self.base.index - 1) as usize);
+            self.entries.push(entry.clone());
+        }
+    }
+
+    fn has(&self, entry: &Entry) -> bool {
+        self.entries.iter().any(|known| **known == *entry)
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Node {
+    identity: u64,
+    now: u64,
+    replica: Replica,
+    disk: Disk,
+    /// Handed to the disk and not synced.
+    writes: VecDeque<Write>,
+}
+
+#[derive(Debug, Clone)]
+pub struct State {
+    nodes: Vec<Node>,
+    messages: Vec<Message>,
+    /// By index from 1.
+    committed: Vec<Rc<Entry>>,
+    /// By term.
+    leaders: BTreeMap<u64, u64>,
+    left: Budget,
+    broken: Option<String>,
+}
+
+#[derive(Debug, Clone)]
+pub enum Event {
+    Timeout(usize),
+    Heartbeat(usize),
+    Propose(usize),
+    Deliver(Message),
+    Sync(usize),
+    LosePower(usize),
+    Wipe(usize),
+}
+
+impl Group {
+    /// Three members that have just started.
+    pub fn new_group(&self) -> State {
+        let members = (1..=MEMBERS as u64).map(member).collect();
+        let base = SnapshotHeader { index: 0, term: 0, membership: Membership::new(members) };
+        let disk = Disk { hard_state: HardState::default(), base, entries: Vec::new() };
+        let node = |identity| Node {
+            identity,
+            now: 0,
+            replica: replica(identity, &disk, 0),
+            disk: disk.clone(),
+            writes: VecDeque::new(),
+        };
+        State {
+            nodes: (1..=MEMBERS as u64).map(node).collect(),
+            messages: Vec::new(),
+            committed: Vec::new(),
+            leaders: BTreeMap::new(),
+            left: self.budget,
+            broken: None,
+        }
+    }
+
+    /// The same with a leader whom all follow, and nothing under way.
+    pub fn led(&self) -> State {
+        self.led_over(|_| true)
+    }
+
+    /// The same, but the last member has heard nothing of it: it was cut off.
+    pub fn led_by_two(&self) -> State {
+        let cut_off = MEMBERS as u64;
+        self.led_over(|message| message.from != cut_off && message.to != cut_off)
+    }
+
+    /// Two that have begun an election in the same term; their requests for votes are under way.
+    pub fn two_candidates(&self) -> State {
+        let voter = 2;
+        let is_pre_vote = |message: &Message| {
+            let is_for_voter = message.from == voter || message.to == voter;
+            is_for_voter && matches!(message.body, Body::PreVote { .. } | Body::PreVoteAnswer { .. })
+        };
+        let mut state = self.new_group();
+        state.left.timeouts = 2;
+        self.apply(&mut state, &Event::Timeout(0));
+        self.apply(&mut state, &Event::Timeout(2));
+        self.settle(&mut state, is_pre_vote);
+        state.messages.retain(|message| matches!(message.body, Body::Vote { .. }));
+        assert_eq!(state.messages.len(), 4, "each asks the two others for their votes");
+        state.left = self.budget;
+        state
+    }
+
+    fn led_over(&self, arrives: impl Fn(&Message) -> bool) -> State {
+        let mut state = self.new_group();
+        state.left = Budget { timeouts: 1, heartbeats: 1, ..self.budget };
+        self.apply(&mut state, &Event::Timeout(0));
+        self.settle(&mut state, &arrives);
+        self.apply(&mut state, &Event::Heartbeat(0));
+        self.settle(&mut state, &arrives);
+        state.messages.clear();
+        assert!(state.nodes[0].replica.is_leader() && state.committed.len() == 1, "a leader's first entry");
+        state.left = self.budget;
+        state
+    }
+
+    /// Syncs, and delivers the messages that arrive, until there is no more to do.
+    fn settle(&self, state: &mut State, arrives: impl Fn(&Message) -> bool) {
+        loop {
+            let is_due = |event: &Event| match event {
+                Event::Deliver(message) => arrives(message),
+                event => matches!(event, Event::Sync(_)),
+            };
+            let Some(event) = self.events(state).into_iter().find(is_due) else { return };
+            self.apply(state, &event);
+        }
+    }
+
+    /// Does what a replica asks for.
+    fn carry_out(&self, state: &mut State, place: usize) {
+        let node = &mut state.nodes[place];
+        let mut output = node.replica.take_output();
+        if self.mistake == Some(Mistake::AcknowledgeBeforeSync)
+            && let Some(newest) = output.writes.last()
+        {
+            node.replica.persisted(newest.sequence);
+            let more = node.replica.take_output();
+            output.messages.extend(more.messages);
+            output.committed.extend(more.committed);
+            output.writes.extend(more.writes);
+        }
+        node.writes.extend(output.writes);
+        state.messages.extend(output.messages);
+        for entry in output.committed {
+            commit(state, place, &entry);
+        }
+        note_leader(state, place);
+        // What is there counts, not how it came to be there.
+        state.messages.sort_by_cached_key(|message| format!("{message:?}"));
+    }
+
+    fn lose_power(&self, state: &mut State, place: usize) {
+        let node = &mut state.nodes[place];
+        node.writes.clear();
+        if self.mistake == Some(Mistake::ForgetVote) {
+            node.disk.hard_state.vote = None;
+        }
+        node.replica = replica(node.identity, &node.disk, node.now);
+    }
+
+    fn wipe(&self, state: &mut State, place: usize) {
+        let node = &mut state.nodes[place];
+        let old = node.identity;
+        let keeps = self.mistake == Some(Mistake::KeepIdentityWithoutDisk);
+        let base = if keeps { node.disk.base.clone() } else { SnapshotHeader::default() };
+        node.identity = if keeps { old } else { old + NEW_IDENTITY };
+        node.disk = Disk { hard_state: HardState::default(), base, entries: Vec::new() };
+        node.writes.clear();
+        node.replica = replica(node.identity, &node.disk, node.now);
+        let desired: Vec<Member> = state.nodes.iter().map(|node| member(node.identity)).collect();
+        state.nodes.iter_mut().for_each(|node| node.replica.set_desired_members(desired.clone()));
+        state.messages.retain(|message| keeps || message.to != old);
+    }
+}
+
+impl Model for Group {
+    type State = State;
+    type Event = Event;
+
+    fn events(&self, state: &State) -> Vec<Event> {
+        let mut events = Vec::new();
+        for (place, node) in state.nodes.iter().enumerate() {
+            let is_leader = node.replica.is_leader();
+            if state.left.timeouts > 0 && !is_leader {
+                events.push(Event::Timeout(place));
+            }
+            if state.left.heartbeats > 0 && is_leader {
+                events.push(Event::Heartbeat(place));
+            }
+            if state.left.proposals > 0 && is_leader {
+                events.push(Event::Propose(place));
+            }
+            if !node.writes.is_empty() {
+                events.push(Event::Sync(place));
+            }
+            if state.left.power_losses > 0 {
+                events.push(Event::LosePower(place));
+            }
+            if state.left.wipes > 0 {
+                events.push(Event::Wipe(place));
+            }
+        }
+        events.extend(state.messages.iter().cloned().map(Event::Deliver));
+        events
+    }
+
+    fn apply(&self, state: &mut State, event: &Event) {
+        let place = match event {
+            Event::Timeout(place) => {
+                state.left.timeouts -= 1;
+                let node = &mut state.nodes[*place];
+                node.now += timing::ELECTION_MAX_MS;
+                node.replica.tick(node.now);
+                *place
+            }
+            Event::Heartbeat(place) => {
+                state.left.heartbeats -= 1;
+                let node = &mut state.nodes[*place];
+                node.now += timing::HEARTBEAT_MS;
+                node.replica.tick(node.now);
+                *place
+            }
+            Event::Propose(place) => {
+                state.left.proposals -= 1;
+                let _ = state.nodes[*place].replica.propose(vec![1]);
+                *place
+            }
+            Event::Deliver(message) => {
+                let known = state.messages.iter().position(|other| other == message);
+                state.messages.remove(known.expect("it is under way"));
+                let Some(place) = state.nodes.iter().position(|node| node.identity == message.to) else {
+                    return;
+                };
+                let node = &mut state.nodes[place];
+                node.replica.receive(node.now, message.clone());
+                place
+            }
+            Event::Sync(place) => {
+                let node = &mut state.nodes[*place];
+                let write = node.writes.pop_front().expect("there is one");
+                node.disk.write(&write);
+                node.replica.persisted(write.sequence);
+                *place
+            }
+            Event::LosePower(place) => {
+                state.left.power_losses -= 1;
+                self.lose_power(state, *place);
+                *place
+            }
+            Event::Wipe(place) => {
+                state.left.wipes -= 1;
+                self.wipe(state, *place);
+                *place
+            }
+        };
+        self.carry_out(state, place);
+    }
+
+    fn check(&self, state: &State) -> Result<(), String> {
+        state.broken.clone().map_or(Ok(()), Err)
+    }
+}
+
+/// A replica hands an entry over to be applied.
+fn commit(state: &mut State, place: usize, entry: &Rc<Entry>) {
+    let known = state.committed.get(entry.index as usize - 1).cloned();
+    match known {
+        Some(known) if known != *entry => {
+            state.broken = Some(format!("{entry:?} is committed after {known:?}"));
+        }
+        Some(_) => {}
+        None => state.committed.push(entry.clone()),
+    }
+    if state.nodes[place].replica.is_leader() {
+        let disks = state.nodes.iter().filter(|node| node.disk.has(entry)).count();
+        let membership = state.nodes[place].replica.membership();
+        // One of the disks may be lost by now.
+        let lost = state.nodes.iter().filter(|node| node.identity > NEW_IDENTITY).count();
+        if disks + lost < membership.commit_quorum(HOSTS_LOST) {
+            state.broken = Some(format!("{entry:?} is committed on {disks} disks"));
+        }
+    }
+}
+
+/// A leader is alone in its term, and has what is committed.
+fn note_leader(state: &mut State, place: usize) {
+    let node = &state.nodes[place];
+    if !node.replica.is_leader() {
+        return;
+    }
+    let (term, identity) = (node.replica.term(), node.identity);
+    let first = *state.leaders.entry(term).or_insert(identity);
+    if first != identity {
+        state.broken = Some(format!("{first} and {identity} both lead in term {term}"));
+    }
+    let is_newest = state.leaders.keys().next_back() == Some(&term);
+    let log = node.replica.entries_after(0);
+    if let Some(missing) = state.committed.iter().find(|entry| is_newest && !log.contains(entry)) {
+        state.broken = Some(format!("the leader of term {term} lacks {missing:?}"));
+    }
+}
+
+fn member(identity: u64) -> Member {
+    Member { identity, address: identity.to_string(), voter: true }
+}
+
+fn replica(identity: u64, disk: &Disk, now: u64) -> Replica {
+    let options = Options { identity, hosts_lost: HOSTS_LOST, seed: identity };
+    let entries = disk.entries.iter().map(|entry| Entry::clone(entry)).collect();
+    let restored = Restored { hard_state: disk.hard_state, base: disk.base.clone(), entries };
+    Replica::new(options, restored, now)
+}
--- /dev/null
+++ b/crates/replication/tests/model_check/main.rs
@@ -0,0 +1,143 @@
+//! A group of three replicas at small sizes, in every order of events: elections at any moment, messages that arrive late or
+//! never, syncs, losses of power that take with them what was not synced, a disk that is lost and the change of members that
+//! follows.
+//!
+//! What must hold: at most one leader in each term, who has every committed entry; the same entry committed everywhere at an
+//! index; and a committed entry is on the disks of a majority, and of `hosts_lost + 1`, when its leader says so.
+
+mod group;
+
+use group::{Budget, Group, Mistake};
+use opalrun_model_check::{Outcome, explore};
+
+/// States that are explored of a size that is too large to be exhausted.
+const NEAREST_STATES: usize = 12_000;
+const LARGE_STATES: usize = 600_000;
+/// Far above any size that is meant to be exhausted.
+const ALL_STATES: usize = 2_000_000;
+
+/// Whether larger sizes are asked for.
+fn is_large() -> bool {
+    std::env::var_os("OPALRUN_MODEL_CHECK").is_some_and(|value| value == "large")
+}
+
+fn nearest() -> usize {
+    if is_large() { LARGE_STATES } else { NEAREST_STATES }
+}
+
+/// Where an exploration begins.
+#[derive(Clone, Copy)]
+enum Start {
+    /// Nobody has heard of anybody.
+    New,
+    /// All follow a leader.
+    Led,
+    /// One has heard nothing of the leader that the others follow.
+    LedByTwo,
+    /// Two have begun an election in the same term.
+    TwoCandidates,
+}
+
+fn check(group: &Group, start: Start, most_states: usize) -> Outcome {
+    let initial = match start {
+        Start::New => group.new_group(),
+        Start::Led => group.led(),
+        Start::LedByTwo => group.led_by_two(),
+        Start::TwoCandidates => group.two_candidates(),
+    };
+    let outcome = explore(group, initial, most_states);
+    println!("{} states, {} transitions, depth {}", outcome.states, outcome.transitions, outcome.depth);
+    outcome
+}
+
+fn keeps_the_rules(budget: Budget, start: Start, most_states: usize) -> Outcome {
+    let outcome = check(&Group { budget, mistake: None }, start, most_states);
+    assert_eq!(outcome.violation, None);
+    outcome
+}
+
+fn find(budget: Budget, mistake: Mistake, start: Start) {
+    let outcome = check(&Group { budget, mistake: Some(mistake) }, start, ALL_STATES);
+    let violation = outcome.violation.unwrap_or_else(|| panic!("{mistake:?} was not found"));
+    println!("{mistake:?}: {} after {} events", violation.rule, violation.events.len());
+}
+
+const NOTHING: Budget = Budget { timeouts: 0, proposals: 0, heartbeats: 0, power_losses: 0, wipes: 0 };
+
+#[test]
+fn one_election_is_exhausted() {
+    let outcome = keeps_the_rules(Budget { timeouts: 1, ..NOTHING }, Start::New, ALL_STATES);
+    assert!(outcome.is_exhausted);
+}
+
+#[test]
+fn one_proposal_is_exhausted() {
+    let outcome = keeps_the_rules(Budget { proposals: 1, ..NOTHING }, Start::Led, ALL_STATES);
+    assert!(outcome.is_exhausted);
+}
+
+/// 51,290 states, which an unoptimised build does not reach soon: so all of them where larger sizes are asked for.
+#[test]
+fn a_proposal_and_a_heartbeat() {
+    let budget = Budget { proposals: 1, heartbeats: 1, ..NOTHING };
+    let outcome = keeps_the_rules(budget, Start::Led, nearest());
+    assert!(outcome.is_exhausted || !is_large());
+}
+
+#[test]
+fn a_proposal_and_a_loss_of_power_are_exhausted() {
+    let outcome =
+        keeps_the_rules(Budget { proposals: 1, power_losses: 1, ..NOTHING }, Start::Led, ALL_STATES);
+    assert!(outcome.is_exhausted);
+}
+
+#[test]
+fn two_candidates_to_a_depth() {
+    keeps_the_rules(Budget { timeouts: 2, ..NOTHING }, Start::New, nearest());
+}
+
+#[test]
+fn a_proposal_while_another_is_elected_to_a_depth() {
+    keeps_the_rules(Budget { timeouts: 2, proposals: 1, power_losses: 1, ..NOTHING }, Start::Led, nearest());
+}
+
+#[test]
+fn a_lost_disk_and_a_new_member_to_a_depth() {
+    keeps_the_rules(Budget { proposals: 1, heartbeats: 4, wipes: 1, ..NOTHING }, Start::Led, nearest());
+}
+
+#[test]
+fn a_member_that_was_cut_off_and_a_lost_disk_are_exhausted() {
+    let budget = Budget { timeouts: 1, wipes: 1, ..NOTHING };
+    assert!(keeps_the_rules(budget, Start::LedByTwo, ALL_STATES).is_exhausted);
+}
+
+#[test]
+fn a_member_that_was_cut_off_and_a_loss_of_power_are_exhausted() {
+    let budget = Budget { timeouts: 1, power_losses: 1, ..NOTHING };
+    assert!(keeps_the_rules(budget, Start::LedByTwo, ALL_STATES).is_exhausted);
+}
+
+#[test]
+fn two_candidates_in_one_term_and_a_loss_of_power_are_exhausted() {
+    let budget = Budget { power_losses: 1, ..NOTHING };
+    assert!(keeps_the_rules(budget, Start::TwoCandidates, ALL_STATES).is_exhausted);
+}
+
+#[test]
+fn an_acknowledgement_before_the_sync_is_found() {
+    let budget = Budget { proposals: 1, ..NOTHING };
+    find(budget, Mistake::AcknowledgeBeforeSync, Start::Led);
+}
+
+#[test]
+fn a_forgotten_vote_is_found() {
+    let budget = Budget { power_losses: 1, ..NOTHING };
+    find(budget, Mistake::ForgetVote, Start::TwoCandidates);
+}
+
+#[test]
+fn a_wiped_member_that_votes_as_before_is_found() {
+    let budget = Budget { timeouts: 1, wipes: 1, ..NOTHING };
+    find(budget, Mistake::KeepIdentityWithoutDisk, Start::LedByTwo);
+}
