--- a/crates/store/tests/cluster/copying.rs
+++ b/crates/store/tests/cluster/copying.rs
@@ -1,6 +1,6 @@
 //! Wiped, new and retired stores.
 
-use crate::harness::{AMPLE, Control, SHORT, TestStore, run, turn};
+use crate::harness::{AMPLE, Control, SHORT, TestStore, run, three_stores, turn};
 use opalrun_store_client::{CountError, Granted, StoreClient};
 
 const TURNS: usize = 40;
@@ -26,11 +26,7 @@
 #[test]
 fn a_wiped_store_copies_everything_back() {
     run(async {
-        let [one, two, three] =
-            [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
-        let mut control = Control::new(&[&one, &two, &three]);
-        let client = StoreClient::new(11, "zone-1");
-        control.tell_all(&[&one, &two, &three], &[&client]);
+        let ([one, two, three], mut control, client) = three_stores().await;
         drop(three);
         write_all(&client).await;
         let three = TestStore::start(33).await;
@@ -49,11 +45,7 @@
 #[test]
 fn a_store_that_is_not_whole_counts_towards_no_quorum() {
     run(async {
-        let [one, two, three] =
-            [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
-        let mut control = Control::new(&[&one, &two, &three]);
-        let client = StoreClient::new(11, "zone-1");
-        control.tell_all(&[&one, &two, &three], &[&client]);
+        let ([one, two, three], mut control, client) = three_stores().await;
         write_all(&client).await;
         drop(three);
         let three = TestStore::start(33).await;
@@ -68,11 +60,7 @@
 #[test]
 fn a_retired_store_hands_over_also_while_another_is_down() {
     run(async {
-        let [one, two, three] =
-            [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
-        let mut control = Control::new(&[&one, &two, &three]);
-        let client = StoreClient::new(11, "zone-1");
-        control.tell_all(&[&one, &two, &three], &[&client]);
+        let ([one, two, three], mut control, client) = three_stores().await;
         write_all(&client).await;
         let four = TestStore::start(4).await;
         control.replace(1, &four, true);
@@ -89,11 +77,7 @@
 #[test]
 fn a_copy_begins_anew_when_the_replicas_change() {
     run(async {
-        let [one, two, three] =
-            [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
-        let mut control = Control::new(&[&one, &two, &three]);
-        let client = StoreClient::new(11, "zone-1");
-        control.tell_all(&[&one, &two, &three], &[&client]);
+        let ([one, two, three], mut control, client) = three_stores().await;
         write_all(&client).await;
         let four = TestStore::start(4).await;
         control.replace(1, &four, true);
--- a/crates/store/tests/cluster/counts.rs
+++ b/crates/store/tests/cluster/counts.rs
@@ -1,6 +1,6 @@
 //! Counts of programs.
 
-use crate::harness::{AMPLE, Control, SHORT, TestStore, run};
+use crate::harness::{AMPLE, Control, SHORT, TestStore, run, three_stores};
 use opalrun_store_client::{CountError, Granted, StoreClient};
 
 #[test]
@@ -23,11 +23,7 @@
 #[test]
 fn a_count_outlives_one_store_and_the_restart_of_all() {
     run(async {
-        let [one, two, three] =
-            [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
-        let control = Control::new(&[&one, &two, &three]);
-        let client = StoreClient::new(11, "zone-1");
-        control.tell_all(&[&one, &two, &three], &[&client]);
+        let ([one, two, three], control, client) = three_stores().await;
         drop(one);
         client.raise("p", 0, 70, AMPLE).await.unwrap();
         let (two, three) = (two.restart().await, three.restart().await);
--- a/crates/store/tests/cluster/harness.rs
+++ b/crates/store/tests/cluster/harness.rs
@@ -29,6 +29,15 @@
     thread: Option<JoinHandle<()>>,
 }
 
+/// Three new stores that hold everything, the map that says so, and a gatekeeper's client that knows it.
+pub async fn three_stores() -> ([TestStore; 3], Control, Rc<StoreClient>) {
+    let stores = [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+    let control = Control::new(&stores.each_ref());
+    let client = StoreClient::new(11, "zone-1");
+    control.tell_all(&stores.each_ref(), &[&client]);
+    (stores, control, client)
+}
+
 impl TestStore {
     /// A store on an empty disk.
     pub async fn start(identity: u64) -> Self {
--- a/crates/store/tests/cluster/turns.rs
+++ b/crates/store/tests/cluster/turns.rs
@@ -1,6 +1,6 @@
 //! Retained turns.
 
-use crate::harness::{AMPLE, Control, SHORT, TestStore, run, turn};
+use crate::harness::{AMPLE, Control, SHORT, TestStore, run, three_stores, turn};
 use opalrun_store_client::{StoreClient, TurnError};
 
 #[test]
@@ -20,11 +20,7 @@
 #[test]
 fn a_turn_outlives_a_lost_store_and_restarts() {
     run(async {
-        let [one, two, three] =
-            [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
-        let control = Control::new(&[&one, &two, &three]);
-        let client = StoreClient::new(11, "zone-1");
-        control.tell_all(&[&one, &two, &three], &[&client]);
+        let ([one, two, three], control, client) = three_stores().await;
         drop(one);
         client.put_turn(&turn("t1"), AMPLE).await.unwrap();
         let (two, three) = (two.restart().await, three.restart().await);
@@ -37,11 +33,7 @@
 #[test]
 fn one_store_alone_does_not_say_that_a_turn_is_absent() {
     run(async {
-        let [one, two, three] =
-            [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
-        let control = Control::new(&[&one, &two, &three]);
-        let client = StoreClient::new(11, "zone-1");
-        control.tell_all(&[&one, &two, &three], &[&client]);
+        let ([_one, two, three], _control, client) = three_stores().await;
         drop(two);
         drop(three);
         assert_eq!(client.get_turn("t1", SHORT).await, Err(TurnError::Unavailable));
