--- a/crates/control/src/host/links/tests.rs
+++ b/crates/control/src/host/links/tests.rs
@@ -17,11 +17,14 @@
         let attempt = || async {
             attempts.set(attempts.get() + 1);
             match attempts.get() {
-                1 => pending().await,
+                1 => {
+                    // Told while the attempt is under way: told before, it might be given up before it began.
+                    retry.notify_one();
+                    pending().await
+                }
                 _ => Ok::<_, io::Error>("connected"),
             }
         };
-        retry.notify_one();
         assert_eq!(connect_persistently(attempt, &retry, || true).await, Some("connected"));
         assert_eq!((attempts.get(), begun.elapsed()), (2, Duration::ZERO), "no pause between");
     });
