--- /dev/null
+++ b/crates/gatekeeper/examples/lease_cost.rs
@@ -0,0 +1,49 @@
+//! What the leases of many programs cost a proxy: memory for each program, and time for each event of a turn.
+//!
+//! `cargo run --profile tier -p opalrun-gatekeeper --example lease_cost -- 72000`
+
+use opalrun_gatekeeper::lease::{Action, Leases, Terms, TurnId};
+use std::time::{Duration, Instant};
+
+const USUAL_PROGRAMS: usize = 72_000;
+const EVENTS_OF_A_TURN: u64 = 77;
+const UNITS_OF_AN_EVENT: u64 = 3;
+const MOST_OF_A_TURN: u64 = EVENTS_OF_A_TURN * UNITS_OF_AN_EVENT;
+const BUDGET: u64 = 130 * MOST_OF_A_TURN;
+
+/// Bytes that this process has in memory.
+fn resident_bytes() -> u64 {
+    let status = std::fs::read_to_string("/proc/self/status").expect("Linux");
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:")).expect("a size");
+    let kilobytes: u64 = line.trim().trim_end_matches(" kB").parse().expect("a number");
+    kilobytes << 10
+}
+
+/// Begins a turn of a program and grants what it asks for.
+fn begin(leases: &mut Leases, program: &str, now: Duration) -> TurnId {
+    let turn = leases.begin(program, Terms { budget: BUDGET, most: MOST_OF_A_TURN }, now);
+    for action in leases.take_actions() {
+        if let Action::Raise { program, .. } = action {
+            leases.granted(&program, 0, now);
+        }
+    }
+    leases.take_actions();
+    turn
+}
+
+fn main() {
+    let programs = std::env::args().nth(1).and_then(|text| text.parse().ok()).unwrap_or(USUAL_PROGRAMS);
+    let names: Vec<String> = (0..programs).map(|number| format!("{number:016x}")).collect();
+    let now = Duration::from_secs(1);
+    let mut leases = Leases::new(1);
+    let before = resident_bytes();
+    let turns: Vec<TurnId> = names.iter().map(|name| begin(&mut leases, name, now)).collect();
+    let bytes = resident_bytes().saturating_sub(before);
+    let begun = Instant::now();
+    for turn in &turns {
+        (0..EVENTS_OF_A_TURN).for_each(|_| leases.event(*turn, UNITS_OF_AN_EVENT, now));
+    }
+    let for_an_event = begun.elapsed() / (programs as u32 * EVENTS_OF_A_TURN as u32);
+    println!("{programs} programs with a turn each: {bytes} bytes, {} each", bytes / programs as u64);
+    println!("an event: {for_an_event:?}");
+}
