--- a/crates/control/src/process/operations.rs
+++ b/crates/control/src/process/operations.rs
@@ -5,13 +5,13 @@
     calls::{ControlAnswer, ControlCall},
     configuration_shard::{ConfigurationCommand, ConfigurationOutcome},
     host::ProposeError,
-    sessions::SessionCommand,
+    sessions::{SessionCommand, is_ready},
     shards::SHARDS,
     store_map::{RetireState, StoreCommand, StoreOutcome},
 };
 use opalrun_configuration::Configuration;
 use opalrun_wire::{
-    feed::{CONFIGURATION_SHARD, Worker, WorkerState, shard_of_service},
+    feed::{CONFIGURATION_SHARD, Worker, shard_of_service},
     frame::{decode, encode},
 };
 use sha2::{Digest, Sha256};
@@ -142,7 +142,7 @@
             self.note_renewal(shard, &worker.id);
             return Ok(None);
         }
-        let (id, stays) = (worker.id.clone(), worker.state == WorkerState::Ready);
+        let (id, stays) = (worker.id.clone(), is_ready(&worker));
         let command = SessionCommand::Put(worker);
         let (index, _) = self.submit(shard, encode(&command).to_vec()).await?;
         self.note_renewal(shard, &id);
