--- a/crates/gatekeeper/src/proxy/figures.rs
+++ b/crates/gatekeeper/src/proxy/figures.rs
@@ -54,6 +54,11 @@
     pub fn scrape(&self, scrape: &mut Scrape) {
         let figures = &self.figures;
         scrape.counters("requests", "Requests answered, by outcome", &figures.requests);
+        scrape.counters(
+            "unserved_requests",
+            "Requests that ended without a whole answer, by kind of route and reason",
+            &self.unserved.counters,
+        );
         scrape.counter("retries", "Tries at another worker than a request's first", &figures.retries);
         scrape.counter("turns_kept", "Turns that the stores have kept", &figures.turns_kept);
         self.leases.figures().scrape(scrape);
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -10,6 +10,8 @@
     request::{self, ForwardedRequest},
     stream::Stream,
     terms::{NOT_EXECUTED, Terms},
+    turn::Turn,
+    unserved::{ClientWatch, Reason},
     upstream::Exchange,
 };
 use hyper::{Request, StatusCode, body::Incoming, header, http::response::Parts};
@@ -60,13 +62,21 @@
 impl Proxy {
     async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Answer {
         let answer = match self.admit(request).await {
-            Ok(request) => self.try_workers(request).await,
+            Ok(request) => self.run_request(request).await,
             Err(answer) => answer,
         };
         self.figures.answered(answer.status());
         answer
     }
 
+    /// Makes a request ready that is a turn of a program, and has a worker answer it.
+    async fn run_request(self: &Rc<Self>, mut request: ForwardedRequest) -> Answer {
+        match self.begin_turn(&mut request).await {
+            Ok(()) => self.try_workers(request).await,
+            Err(answer) => answer,
+        }
+    }
+
     /// Finds the route, and reads the request whole.
     async fn admit(&self, request: Request<Incoming>) -> Result<ForwardedRequest, Answer> {
         let arrived = Instant::now();
@@ -84,17 +94,17 @@
         remove_connection_headers(&mut head.headers);
         let uri = head.uri.path_and_query().cloned().map(Into::into);
         let service = route.choose_service(fastrand::f64()).to_owned();
-        let (turn, body) = self.begin_turn(&route, &service, &terms, whole.bytes).await?;
         Ok(ForwardedRequest {
             method: head.method,
             uri: uri.ok_or_else(|| answer::plain(StatusCode::BAD_REQUEST))?,
             headers: head.headers,
-            body,
+            body: whole.bytes,
             terms,
             service,
             route,
+            arrived,
             until,
-            turn,
+            turn: Turn::default(),
             taken: whole.taken,
         })
     }
@@ -113,10 +123,11 @@
         let request = Rc::new(request);
         let mut attempts = Attempts::new(request.route.is_repeatable(), request.route.max_attempts);
         let mut tried: Vec<WorkerId> = Vec::new();
+        let watch = ClientWatch::new(self, &request);
         loop {
             let chosen = match self.choose(&request, &tried) {
                 Ok(chosen) => chosen,
-                Err(_) => return give_up(&request, &attempts),
+                Err(problem) => return watch.unserved(&attempts, problem.into(), give_up(&request, &attempts)),
             };
             if !tried.is_empty() {
                 self.figures.retried();
@@ -124,16 +135,18 @@
             tried.push(chosen.id.clone());
             let more = attempts.may_try_more();
             match self.try_at(&request, &chosen, more).await {
-                Tried::Answer(answer) => return answer,
-                Tried::Stream(stream) => return stream.relay(attempts, tried),
+                Tried::Answer(answer) => return watch.served(answer),
+                Tried::Stream(stream) => return watch.served(stream.relay(attempts, tried)),
                 Tried::WorkerFailed(answer) => {
                     if attempts.ended(Outcome::WorkerFailed, request.time_left()) != Next::TryAnother {
-                        return answer;
+                        return watch.unserved(&attempts, Reason::WorkerFailed, answer);
                     }
                 }
                 Tried::Ended(outcome) => {
-                    if attempts.ended(outcome, request.time_left()) != Next::TryAnother {
-                        return give_up(&request, &attempts);
+                    let time_left = request.time_left();
+                    if attempts.ended(outcome, time_left) != Next::TryAnother {
+                        let reason = Reason::of_outcome(outcome, time_left);
+                        return watch.unserved(&attempts, reason, give_up(&request, &attempts));
                     }
                 }
             }
--- a/crates/gatekeeper/src/proxy/mod.rs
+++ b/crates/gatekeeper/src/proxy/mod.rs
@@ -15,6 +15,7 @@
 mod stream;
 pub mod terms;
 mod turn;
+mod unserved;
 mod upstream;
 
 pub use run::{ProxyError, run, serve};
--- a/crates/gatekeeper/src/proxy/request.rs
+++ b/crates/gatekeeper/src/proxy/request.rs
@@ -28,6 +28,8 @@
     pub route: Arc<Route>,
     /// The service that is to answer it.
     pub service: String,
+    /// When it came.
+    pub arrived: Instant,
     /// When it is to have been answered.
     pub until: Instant,
     /// What it is as a turn of a program.
--- a/crates/gatekeeper/src/proxy/state.rs
+++ b/crates/gatekeeper/src/proxy/state.rs
@@ -7,6 +7,7 @@
         balance::{Balancer, WorkerId},
         body::BodyMemory,
         figures::ProxyFigures,
+        unserved::Unserved,
     },
     turns::Turns,
 };
@@ -69,6 +70,8 @@
     pub(super) turns: Turns<Rc<StoreClient>>,
     /// What is counted for scrapers.
     pub(super) figures: ProxyFigures,
+    /// Tells operators of requests that got no whole answer.
+    pub(super) unserved: Unserved,
     store_client: Rc<StoreClient>,
     store_epoch: Cell<u64>,
 }
@@ -98,6 +101,7 @@
             leases: ProgramLeases::new(store_client.clone(), fastrand::u64(..)),
             turns: Turns::new(store_client.clone(), TURN_CACHE_BYTES),
             figures: ProxyFigures::default(),
+            unserved: Unserved::default(),
             store_client,
             store_epoch: Cell::new(0),
         })
--- a/crates/gatekeeper/src/proxy/stream.rs
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -9,6 +9,7 @@
     handler::{Tried, is_event_stream, pass_on},
     request::ForwardedRequest,
     turn::NotKept,
+    unserved::Reason,
     upstream::{BrokenOff, Exchange},
 };
 use bytes::Bytes;
@@ -19,7 +20,7 @@
     sync::mpsc,
     time::{Instant, timeout_at},
 };
-use tracing::{info, warn};
+use tracing::info;
 
 /// Events on their way to a client that does not read them yet.
 const EVENTS_AHEAD: usize = 16;
@@ -155,7 +156,7 @@
         loop {
             while let Some(event) = self.reader.next_event() {
                 if !self.pass_event(event, &events).await {
-                    return;
+                    return self.note_unserved(Reason::ClientLeft, &attempts);
                 }
             }
             let until = self.patience(&attempts);
@@ -166,12 +167,12 @@
             };
             match came {
                 Came::Bytes => {}
-                Came::End => return self.end(&events).await,
-                Came::ClientGone => return,
+                Came::End => return self.end(&events, &attempts).await,
+                Came::ClientGone => return self.note_unserved(Reason::ClientLeft, &attempts),
                 Came::Broken(cause) => {
                     self.leave_worker();
                     if !self.take_up_elsewhere(cause, &mut attempts, &mut tried).await {
-                        return;
+                        return self.note_unserved(self.reason(), &attempts);
                     }
                 }
             }
@@ -191,14 +192,13 @@
     }
 
     /// The worker's answer is whole.
-    async fn end(mut self: Box<Self>, events: &mpsc::Sender<Piece>) {
+    async fn end(mut self: Box<Self>, events: &mpsc::Sender<Piece>, attempts: &Attempts) {
         let rest: Bytes = self.reader.take_rest();
         if let Some(exchange) = self.exchange.take() {
             exchange.finish();
         }
         if self.keep_turn().await.is_err() {
-            warn!("a turn could not be kept: its answer is cut");
-            return;
+            return self.note_unserved(Reason::NotKept, attempts);
         }
         if !rest.is_empty() && events.send(Piece::Data(rest)).await.is_err() {
             return;
@@ -206,6 +206,15 @@
         let _ = events.send(Piece::End).await;
     }
 
+    fn note_unserved(&self, reason: Reason, attempts: &Attempts) {
+        self.proxy.note_unserved(&self.request, reason, attempts.tries());
+    }
+
+    /// Why a stream that can't be taken up elsewhere is cut.
+    fn reason(&self) -> Reason {
+        Reason::of_outcome(Outcome::MayHaveRun, self.request.time_left())
+    }
+
     /// Reads what comes next, until `until`.
     async fn read_on(&mut self, until: Instant) -> Came {
         let Some(exchange) = &mut self.exchange else { return Came::Broken(Cause::Closed) };
--- a/crates/gatekeeper/src/proxy/terms.rs
+++ b/crates/gatekeeper/src/proxy/terms.rs
@@ -26,6 +26,10 @@
 pub const SERVER_SIGNATURE: HeaderName = HeaderName::from_static("server-signature");
 /// The program that a request belongs to.
 pub const PROGRAM: HeaderName = HeaderName::from_static("program");
+/// The line of turns that a request belongs to.
+pub const SESSION: HeaderName = HeaderName::from_static("session");
+/// Milliseconds until the request's program should have ended.
+pub const FINISH_MS: HeaderName = HeaderName::from_static("finish-ms");
 /// Tokens that the turns of a program may emit together.
 pub const BUDGET: HeaderName = HeaderName::from_static("budget");
 /// Tokens of the prompt, and the most that may come out.
--- a/crates/gatekeeper/src/proxy/turn.rs
+++ b/crates/gatekeeper/src/proxy/turn.rs
@@ -6,13 +6,14 @@
         Proxy,
         answer::{self, Answer},
         event_stream::Event,
-        terms::Terms,
+        request::ForwardedRequest,
+        unserved::Reason,
     },
     turns::{Chain, ChainError},
 };
 use bytes::Bytes;
 use hyper::StatusCode;
-use opalrun_configuration::{Route, RouteType};
+use opalrun_configuration::RouteType;
 use opalrun_store_client::StoreClient;
 use opalrun_wire::store;
 use std::{cell::RefCell, rc::Rc, time::Duration};
@@ -67,27 +68,26 @@
 }
 
 impl Proxy {
-    /// Has a turn's share set aside and reads what was said before it. Returns the turn, and the body for the worker.
+    /// Has a turn's share set aside and puts what was said before it in front of its body.
     ///
     /// # Errors
     /// The answer to a turn that can't be run.
-    pub(super) async fn begin_turn(
-        &self,
-        route: &Route,
-        service: &str,
-        terms: &Terms,
-        input: Bytes,
-    ) -> Result<(Turn, Bytes), Answer> {
+    pub(super) async fn begin_turn(&self, request: &mut ForwardedRequest) -> Result<(), Answer> {
+        let route = &request.route;
         if route.route_type != RouteType::Streaming {
-            return Ok((Turn::default(), input));
+            return Ok(());
         }
-        let (chain, lease) = tokio::join!(self.chain(route, terms), self.lease(terms));
+        let (chain, lease) = tokio::join!(self.chain(request), self.lease(request));
         let (chain, lease) = (chain?, lease?);
-        let event_units = self.chunk_tokens(service);
+        let event_units = self.chunk_tokens(&request.service);
         if !route.retained {
-            return Ok((Turn { lease, event_units, retained: None }, input));
+            request.turn = Turn { lease, event_units, retained: None };
+            return Ok(());
+        }
+        let input = request.body.clone();
+        if !chain.bytes.is_empty() {
+            request.body = chain.body(&input).into();
         }
-        let body = if chain.bytes.is_empty() { input.clone() } else { chain.body(&input).into() };
         let retained = Retained {
             ancestors: chain.ancestors,
             input,
@@ -95,25 +95,32 @@
             retention: route.retention,
             previous_worker: chain.worker,
         };
-        Ok((Turn { lease, event_units, retained: Some(retained) }, body))
+        request.turn = Turn { lease, event_units, retained: Some(retained) };
+        Ok(())
     }
 
-    async fn chain(&self, route: &Route, terms: &Terms) -> Result<Chain, Answer> {
-        let Some(previous) = terms.previous.as_deref().filter(|_| route.retained) else {
+    async fn chain(&self, request: &ForwardedRequest) -> Result<Chain, Answer> {
+        let Some(previous) = request.terms.previous.as_deref().filter(|_| request.route.retained) else {
             return Ok(Chain::default());
         };
         self.turns.chain(previous).await.map_err(|problem| match problem {
             ChainError::Unknown => answer::explained(StatusCode::NOT_FOUND, &problem.to_string()),
-            ChainError::Unavailable => answer::refuse(STORES_PAUSE),
+            ChainError::Unavailable => {
+                self.note_unserved(request, Reason::TurnsUnavailable, 0);
+                answer::refuse(STORES_PAUSE)
+            }
         })
     }
 
-    async fn lease(&self, terms: &Terms) -> Result<Option<TurnLease<Rc<StoreClient>>>, Answer> {
-        let Some(program) = &terms.program else { return Ok(None) };
+    async fn lease(&self, request: &ForwardedRequest) -> Result<Option<TurnLease<Rc<StoreClient>>>, Answer> {
+        let Some(program) = &request.terms.program else { return Ok(None) };
         let lease = self.leases.begin(&program.program, program.terms).await;
         lease.map(Some).map_err(|problem| match problem {
             LeaseError::BudgetSpent => answer::explained(StatusCode::PAYMENT_REQUIRED, &problem.to_string()),
-            LeaseError::Unavailable => answer::refuse(STORES_PAUSE),
+            LeaseError::Unavailable => {
+                self.note_unserved(request, Reason::CountUnavailable, 0);
+                answer::refuse(STORES_PAUSE)
+            }
         })
     }
 
