--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -56,6 +56,9 @@
 const MOST_SUSPECTS_OF_ALL: usize = 3;
 /// What a worker without a free place is set back by, in prompt tokens.
 const TOKENS_WITHOUT_PLACE: f64 = 100_000.0;
+/// What a worker to which no free connection is kept is set back by, in requests: among workers that are as full as each
+/// other, one that can be sent to at once is taken. Less than one request, so that no worker is crowded for it.
+const REQUESTS_OF_A_CONNECTION: f64 = 0.5;
 /// What a worker in another zone is set back by, as a share of its places.
 const OTHER_ZONE_LOAD: f64 = 0.1;
 /// What a worker that is still slow from its start is set back by, as a share of its places.
@@ -72,8 +75,11 @@
 /// Share of its places from which on a worker counts as busy, and may take longer than usual.
 const BUSY_SHARE: f64 = 0.25;
 
+/// Tells whether a free connection to a worker is kept.
+pub type IsConnected<'a> = &'a dyn Fn(&WorkerId) -> bool;
+
 /// What the choice of a worker goes by.
-#[derive(Debug, Clone, Default)]
+#[derive(Clone, Default)]
 pub struct Choice<'a> {
     /// The parts of the prompt, in order.
     pub parts: &'a [PromptPart],
@@ -87,6 +93,8 @@
     pub under_way: bool,
     /// The request may run more than once.
     pub repeatable: bool,
+    /// Where free connections are kept; `None`: this is not known.
+    pub is_connected: Option<IsConnected<'a>>,
 }
 
 /// Why there is no worker for a request.
@@ -245,6 +253,7 @@
             let failures = (worker.health.recent_failures(now) - usual_failures).max(0.0);
             let score = self.score(now, worker, choice, rank, is_previous)
                 + self.setback(failures, choice)
+                + self.connecting(id, worker, choice)
                 + fastrand::f64() * 1e-3;
             if best.as_ref().is_none_or(|(least, ..)| score < *least) {
                 best = Some((score, *id, *worker));
@@ -333,6 +342,16 @@
         failures * each * weight
     }
 
+    /// What a connection that would have to be opened sets a worker back by. At a language model the time for it is
+    /// short beside that for reading a prompt.
+    fn connecting(&self, id: &WorkerId, worker: &WorkerEntry, choice: &Choice<'_>) -> f64 {
+        let connected = choice.is_connected.is_none_or(|is_connected| is_connected(id));
+        if connected || self.memory_tokens > 0 {
+            return 0.0;
+        }
+        REQUESTS_OF_A_CONNECTION / f64::from(worker.capacity.max(1))
+    }
+
     /// Whether a worker's queue is too long for a request of this rank.
     fn is_full(&self, now: Duration, worker: &WorkerEntry, choice: &Choice<'_>) -> bool {
         let under_way = choice.under_way || worker.prefixes.knows_last(choice.parts);
--- a/crates/gatekeeper/src/proxy/balance/tests.rs
+++ b/crates/gatekeeper/src/proxy/balance/tests.rs
@@ -74,6 +74,19 @@
     assert_eq!(later.len(), 2);
 }
 
+#[test]
+fn among_equals_a_worker_with_a_free_connection_is_taken_but_never_a_fuller_one() {
+    let mut balancer = balancer(4, 4, 0);
+    let connected = WorkerId::from("w2");
+    let is_connected = |id: &WorkerId| *id == connected;
+    let choice = Choice { is_connected: Some(&is_connected), ..Choice::default() };
+    let chosen = (0..32).filter_map(|_| balancer.choose(at(0), &choice).ok()).collect_ids();
+    assert_eq!(chosen, BTreeSet::from([connected.clone()]));
+    balancer.sent(at(0), &connected, &[]);
+    let chosen = (0..64).filter_map(|_| balancer.choose(at(0), &choice).ok()).collect_ids();
+    assert!(!chosen.contains(&connected) && chosen.len() == 3);
+}
+
 trait CollectIds {
     fn collect_ids(self) -> BTreeSet<WorkerId>;
 }
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -155,6 +155,7 @@
 
     /// Chooses a worker for a request.
     pub fn choose(&self, request: &ForwardedRequest, tried: &[WorkerId]) -> Result<Chosen, NoWorker> {
+        let is_connected = |worker: &WorkerId| self.pools.has_idle(worker);
         let choice = Choice {
             parts: &request.terms.parts,
             tried,
@@ -162,6 +163,7 @@
             previous_worker: request.turn.previous_worker(),
             under_way: request.terms.previous.is_some(),
             repeatable: request.route.is_repeatable(),
+            is_connected: Some(&is_connected),
         };
         let now = self.now();
         self.balance(&request.service, |balancer| balancer.choose(now, &choice))
--- a/crates/transport/src/pool/mod.rs
+++ b/crates/transport/src/pool/mod.rs
@@ -318,6 +318,11 @@
         self.state.borrow().open()
     }
 
+    /// Whether a free connection to `worker` is kept that may be used now.
+    pub fn has_idle(&self, worker: &str) -> bool {
+        self.state.borrow().has_idle(self.clock.now(), worker)
+    }
+
     /// What stands where, as JSON.
     pub fn report(&self) -> String {
         report::json(self.open(), &self.state.borrow().views(self.clock.now()))
--- a/crates/transport/src/pool/state/idle.rs
+++ b/crates/transport/src/pool/state/idle.rs
@@ -3,6 +3,13 @@
 use super::*;
 
 impl PoolState {
+    /// Whether a connection to a worker is idle and may be used.
+    pub fn has_idle(&self, now: Time, worker: &str) -> bool {
+        let Some(pool) = self.pools.get(worker) else { return false };
+        let keep = pool.keep(self.limits.keep);
+        pool.suspect.is_none() && pool.idle.last().is_some_and(|idle| now - idle.since < keep)
+    }
+
     /// Closes the idle connections to one worker.
     pub fn close_idle(&mut self, worker: &str, commands: &mut Vec<Command>) {
         self.close_where(worker, commands, |_, _| Some(CloseReason::Unwanted));
