--- a/crates/gatekeeper/src/proxy/balance/health.rs
+++ b/crates/gatekeeper/src/proxy/balance/health.rs
@@ -94,6 +94,12 @@
         self.set_failures(now, self.own_failures(now) + 1.0);
     }
 
+    /// An answer takes unusually long: others are told, but as it may still come, this pauses nobody.
+    pub fn overdue(&mut self, now: Duration) {
+        self.untold += 1;
+        self.may_have_failed(now);
+    }
+
     /// It may have failed, but may as well have been busy: this pauses nobody.
     pub fn may_have_failed(&mut self, now: Duration) {
         self.set_failures(now, self.own_failures(now) + 1.0);
--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -436,6 +436,13 @@
         }
     }
 
+    /// An answer has not begun after the longest time that is usual. It may still come, so this pauses nobody.
+    pub fn overdue(&mut self, now: Duration, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.health.overdue(now);
+        }
+    }
+
     /// Nothing came in all the time that the request had.
     pub fn was_silent(&mut self, now: Duration, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
--- a/crates/gatekeeper/src/proxy/balance/pace.rs
+++ b/crates/gatekeeper/src/proxy/balance/pace.rs
@@ -18,9 +18,10 @@
 }
 
 impl Pace {
-    /// An answer began after so long, or had not begun by then.
+    /// An answer began after so long, or had not begun by then. One that took unusually long counts like the longest
+    /// usual one, so that a few workers that hang do not make hanging usual; where all take longer it soon is.
     pub fn add(&mut self, took: Duration) {
-        let took = took.as_secs_f64();
+        let took = self.longest_usual().map_or(took, |longest| took.min(longest)).as_secs_f64();
         self.times = self.times.saturating_add(1);
         // The first times count alike.
         let share = NEWEST_SHARE.max(1.0 / f64::from(self.times));
@@ -34,3 +35,6 @@
         (self.times >= LEAST_TIMES).then(|| Duration::from_secs_f64(longest))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -20,8 +20,8 @@
     body::ResponseBody,
     server::{Client, Handler},
 };
-use std::{rc::Rc, sync::Arc, time::Duration};
-use tokio::time::Instant;
+use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
+use tokio::time::{Instant, timeout_at};
 
 /// Time to come back after while no configuration is known.
 const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(300);
@@ -127,7 +127,9 @@
         loop {
             let chosen = match self.choose(&request, &tried) {
                 Ok(chosen) => chosen,
-                Err(problem) => return watch.unserved(&attempts, problem.into(), give_up(&request, &attempts)),
+                Err(problem) => {
+                    return watch.unserved(&attempts, problem.into(), give_up(&request, &attempts));
+                }
             };
             if !tried.is_empty() {
                 self.figures.retried();
@@ -172,18 +174,49 @@
     /// Sends the request to one worker. `more`: another one could be tried after it.
     async fn try_at(self: &Rc<Self>, request: &Rc<ForwardedRequest>, chosen: &Chosen, more: bool) -> Tried {
         let until = self.patience(request, chosen, more);
+        let overdue_at = self.overdue_at(request, chosen).filter(|at| *at < until);
         let last_event_id = request.terms.last_event_id;
-        let exchange = match self.exchange(request, chosen, until, last_event_id).await {
+        let exchange = self.exchange(request, chosen, until, last_event_id);
+        let exchange = match self.note_if_overdue(request, chosen, overdue_at, exchange).await {
             Ok(exchange) => exchange,
             Err(outcome) => return Tried::Ended(outcome),
         };
         if request.route.route_type == RouteType::Streaming && is_event_stream(&exchange.parts) {
-            return Stream::begin(self, request, &chosen.id, exchange, until).await;
+            let overdue_at = overdue_at.filter(|at| Instant::now() < *at);
+            let stream = Stream::begin(self, request, &chosen.id, exchange, until);
+            return self.note_if_overdue(request, chosen, overdue_at, stream).await;
         }
         exchange.visit.begun(exchange.load_report());
         self.plain_answer(request, exchange).await
     }
 
+    /// When an answer of this worker to the request is later than is usual and than the operator wants; `None`: what is
+    /// usual is not known.
+    fn overdue_at(&self, request: &ForwardedRequest, chosen: &Chosen) -> Option<Instant> {
+        let now = self.now();
+        let usual = self.balance(&request.service, |b| b.usual_time(now, &chosen.id))?;
+        Some(Instant::now() + usual.max(request.route.target_latency))
+    }
+
+    /// Waits for the beginning of an answer. When it is overdue, that counts against the worker at once, long before the
+    /// request is given up: whoever chooses a worker meanwhile, here and at other gatekeepers, should know of it.
+    async fn note_if_overdue<T>(
+        &self,
+        request: &ForwardedRequest,
+        chosen: &Chosen,
+        overdue_at: Option<Instant>,
+        beginning: impl Future<Output = T>,
+    ) -> T {
+        let Some(overdue_at) = overdue_at else { return beginning.await };
+        let mut beginning = pin!(beginning);
+        if let Ok(begun) = timeout_at(overdue_at, beginning.as_mut()).await {
+            return begun;
+        }
+        let now = self.now();
+        self.balance(&request.service, |b| b.overdue(now, &chosen.id));
+        beginning.await
+    }
+
     /// Until when to wait for an answer of this worker to begin.
     fn patience(&self, request: &ForwardedRequest, chosen: &Chosen, more: bool) -> Instant {
         if !request.route.is_repeatable() || !more {
--- a/crates/gatekeeper/tests/proxy/silence.rs
+++ b/crates/gatekeeper/tests/proxy/silence.rs
@@ -4,7 +4,7 @@
     Act, CONFIGURATION, FakeWorker, Gatekeeper, LAST_CHUNK, Message, Reader, answer, event, events, request,
     run, stream_head,
 };
-use std::rc::Rc;
+use std::{rc::Rc, time::Duration};
 use tokio::{io::AsyncWriteExt, sync::Notify};
 
 /// Sends a request to a gatekeeper whose only worker is `silent`, and lets time run once it is there and `other` has
@@ -73,3 +73,41 @@
         assert_eq!(good.count(), 0);
     });
 }
+
+#[test]
+fn an_answer_that_is_overdue_counts_against_its_worker_long_before_it_is_given_up() {
+    run(async {
+        const USUAL: usize = 16;
+        let mut acts = vec![answer("200 OK", "", "served"); USUAL];
+        acts.push(Act::Silence);
+        let hangs = FakeWorker::start("w1", acts).await;
+        let other = FakeWorker::start("w2", vec![Act::Silence]).await;
+        let gatekeeper = Gatekeeper::with(&[&hangs]).await;
+        for number in 0..USUAL {
+            let text = request("POST", "/unsafe/a", &format!("usual-{number}"), "", "");
+            assert_eq!(gatekeeper.call(&text).await.expect("an answer").status(), 200);
+        }
+        let mut waits = gatekeeper.connect().await;
+        waits.write_all(request("POST", "/unsafe/a", "waits", "", "").as_bytes()).await.expect("it reads");
+        while hangs.count() <= USUAL {
+            hangs.came.notified().await;
+        }
+        gatekeeper.list(&[&hangs, &other]);
+        tokio::time::pause();
+        tokio::time::advance(Duration::from_secs(1)).await;
+        tokio::time::resume();
+        // The other worker soon has as many requests as the one that hangs, and is still the better choice.
+        let mut sockets = Vec::new();
+        for number in 0..2 {
+            let mut socket = gatekeeper.connect().await;
+            let text = request("POST", "/unsafe/a", &format!("next-{number}"), "", "");
+            socket.write_all(text.as_bytes()).await.expect("it reads");
+            sockets.push(socket);
+            tokio::select! {
+                () = other.came.notified() => {}
+                () = hangs.came.notified() => {}
+            }
+        }
+        assert_eq!((hangs.count(), other.count()), (USUAL + 1, 2));
+    });
+}
