--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -1,13 +1,15 @@
 //! Chooses the worker for a request, from what the feed, answers and failures have shown.
 //!
 //! A worker of a language-model service is scored by the prompt tokens that stand before the request's first token
-//! there: what of its own prompt is not cached, and the prompts of others that are still being read. A new subject
-//! has one home by rendezvous hashing, the same at every gatekeeper, so that its shared part is not read everywhere. A
+//! there: what of its own prompt is not cached, and the prompts of others that are still being read. Rendezvous hashing
+//! gives prompts homes that every gatekeeper finds again, also after a restart: with few gatekeepers a subject has one, so
+//! that its shared part is not read everywhere; with many each session has one, as what is popular is kept everywhere. A
 //! worker of any other service is scored by how full it is.
 
 mod health;
 mod load;
 mod pace;
+mod popularity;
 mod prefix;
 mod subset;
 #[cfg(test)]
@@ -19,6 +21,7 @@
 
 use crate::proxy::balance::{
     pace::Pace,
+    popularity::Popularity,
     subset::{Subset, rendezvous},
     worker::WorkerEntry,
 };
@@ -144,6 +147,10 @@
     subset: Subset,
     /// There are so many gatekeepers that each has a subset of its own.
     has_subset: bool,
+    /// Workers that take requests.
+    ready: usize,
+    /// How often subjects were asked for.
+    popularity: Popularity,
 }
 
 impl Balancer {
@@ -157,6 +164,8 @@
             pace: Pace::default(),
             subset: Subset { gatekeeper, gatekeepers: 1 },
             has_subset: false,
+            ready: 0,
+            popularity: Popularity::default(),
         }
     }
 
@@ -171,6 +180,7 @@
     fn draw_subset(&mut self) {
         let ready = self.workers.iter().filter(|(_, worker)| worker.is_ready());
         let ready: Vec<(WorkerId, bool)> = ready.map(|(id, worker)| (id.clone(), worker.local)).collect();
+        self.ready = ready.len();
         self.has_subset = self.subset.is_part_of(ready.len());
         let subset = self.subset.choose(&ready);
         self.workers.iter_mut().for_each(|(id, worker)| worker.in_subset = subset.contains(id));
@@ -276,22 +286,24 @@
         if healthy.len() * 2 >= ready().count() { healthy } else { ready().collect() }
     }
 
-    /// The first workers in the order of a prompt's subject, by place.
+    /// The first workers in the order of a prompt's subject or session, by place.
     fn ranks<'a>(
         &self,
         candidates: &[(&'a WorkerId, &WorkerEntry)],
         parts: &[PromptPart],
     ) -> FnvHashMap<&'a WorkerId, usize> {
-        // The last part is the request's own: the first one is what many requests share.
-        let Some(subject) = parts.first().filter(|_| self.memory_tokens > 0) else {
+        // The last part is the session's own, the first one is what many requests share: one home of that would be
+        // crowded where each gatekeeper sees little of its load.
+        let homed = if self.has_subset { parts.last() } else { parts.first() };
+        let Some(key) = homed.filter(|_| self.memory_tokens > 0).map(|part| part.id) else {
             return FnvHashMap::default();
         };
-        // The same order everywhere would crowd a subject's home where each gatekeeper sees little of its load.
-        let key = if self.has_subset { subject.id ^ self.subset.gatekeeper } else { subject.id };
-        let mut order: Vec<(bool, u64, &'a WorkerId)> =
-            candidates.iter().map(|(id, worker)| (worker.local, rendezvous(key, id), *id)).collect();
+        let mut order: Vec<((bool, bool, u64), &'a WorkerId)> = candidates
+            .iter()
+            .map(|(id, worker)| ((worker.in_subset, worker.local, rendezvous(key, id)), *id))
+            .collect();
         order.sort_unstable_by(|a, b| b.cmp(a));
-        order.into_iter().take(RANKS).enumerate().map(|(rank, (_, _, id))| (id, rank)).collect()
+        order.into_iter().take(RANKS).enumerate().map(|(rank, (_, id))| (id, rank)).collect()
     }
 
     fn score(
@@ -305,7 +317,7 @@
         if self.memory_tokens == 0 {
             return plain_score(now, worker);
         }
-        let mut cached = worker.prefixes.cached_tokens(choice.parts);
+        let mut cached = worker.prefixes.cached_tokens(choice.parts).max(self.kept_for_others(now, choice));
         if !self.has_subset && rank == 0 && cached == 0 && choice.parts.len() > 1 {
             // Another gatekeeper has probably sent the subject there.
             cached = choice.parts.first().map_or(0, |part| part.tokens) / 2;
@@ -328,6 +340,17 @@
         unread + running + waiting + full + place
     }
 
+    /// Tokens at the beginning of a prompt that any worker has probably kept, as others have sent them there.
+    fn kept_for_others(&self, now: Duration, choice: &Choice<'_>) -> u32 {
+        let [shared, _, ..] = choice.parts else { return 0 };
+        if !self.has_subset {
+            return 0;
+        }
+        let gatekeepers = self.subset.gatekeepers;
+        let chance = self.popularity.chance_of_being_kept(now, shared.id, gatekeepers, self.ready);
+        (f64::from(shared.tokens) * chance) as u32
+    }
+
     /// What a worker is set back by that is not among those this gatekeeper prefers.
     fn tokens_outside(&self, worker: &WorkerEntry) -> f64 {
         let outside = if worker.in_subset || !self.has_subset { 0.0 } else { TOKENS_OUTSIDE };
@@ -367,6 +390,9 @@
     /// A request is on its way to a worker.
     pub fn sent(&mut self, now: Duration, id: &WorkerId, parts: &[PromptPart]) -> Place {
         let memory = self.memory_tokens;
+        if let Some(subject) = parts.first().filter(|_| self.has_subset) {
+            self.popularity.note(now, subject.id);
+        }
         let mut prompt_tokens = 0;
         if let Some(worker) = self.workers.get_mut(id) {
             worker.in_flight += 1;
--- a/crates/gatekeeper/src/proxy/balance/tests.rs
+++ b/crates/gatekeeper/src/proxy/balance/tests.rs
@@ -302,6 +302,43 @@
     assert!(busy.len() > 40, "the others serve, too: {}", busy.len());
 }
 
+#[test]
+fn a_session_goes_on_at_its_worker_through_gatekeepers_that_know_nothing_of_it() {
+    let workers: Vec<_> = (0..60).map(|n| worker(&format!("w{n}"), "here", 24)).collect();
+    let gatekeeper = |number| subset_balancer(number, 70, &workers);
+    let session = |n: u64| parts(&[(7, 2500), (1000 + n, 500)]);
+    let mut same = 0;
+    for n in 0..32 {
+        let homes: BTreeSet<_> = (0..4)
+            .filter_map(|_| {
+                let mut restarted = gatekeeper(1);
+                // What it has served before tells it nothing of this session.
+                for other in 0..3 * n {
+                    let parts = session(5000 + other);
+                    let chosen =
+                        restarted.choose(at(n), &Choice { parts: &parts, ..Choice::default() }).ok()?;
+                    let mut place = restarted.sent(at(n), &chosen.id, &parts);
+                    restarted.begun(at(n), &mut place, None);
+                    restarted.ended(&place);
+                }
+                let parts = session(n);
+                restarted.choose(at(n), &Choice { parts: &parts, ..Choice::default() }).ok()
+            })
+            .map(|chosen| chosen.id)
+            .collect();
+        same += usize::from(homes.len() == 1);
+    }
+    assert_eq!(same, 32);
+    let homes: BTreeSet<_> = (0..32)
+        .filter_map(|n| {
+            let parts = session(n);
+            gatekeeper(1).choose(at(0), &Choice { parts: &parts, ..Choice::default() }).ok()
+        })
+        .map(|chosen| chosen.id)
+        .collect();
+    assert!(homes.len() > 5, "one subject's sessions are spread: {homes:?}");
+}
+
 #[test]
 fn a_worker_that_fails_part_of_its_requests_gets_few_until_it_answers_again() {
     let mut balancer = balancer(6, 32, ENGINE_MEMORY);
