--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -11,6 +11,7 @@
 mod pace;
 mod popularity;
 mod prefix;
+mod score;
 mod subset;
 #[cfg(test)]
 mod tests;
@@ -19,12 +20,7 @@
 pub use load::LoadReport;
 pub use prefix::PromptPart;
 
-use crate::proxy::balance::{
-    pace::Pace,
-    popularity::Popularity,
-    subset::{Subset, rendezvous},
-    worker::WorkerEntry,
-};
+use crate::proxy::balance::{pace::Pace, popularity::Popularity, subset::Subset, worker::WorkerEntry};
 use fnv::FnvHashMap;
 use opalrun_wire::feed;
 use std::sync::Arc;
@@ -33,39 +29,8 @@
 /// Names one incarnation of a worker.
 pub type WorkerId = Arc<str>;
 
-/// Prompt tokens that one running request costs another.
-const TOKENS_OF_A_RUNNING_REQUEST: f64 = 250.0;
-/// Prompt tokens that one waiting request of another gatekeeper stands for.
-const TOKENS_OF_A_WAITING_REQUEST: f64 = 1000.0;
-/// Prompt tokens by which each place in a subject's order of workers counts less.
-const TOKENS_OF_A_RANK: f64 = 60.0;
-/// How much more a shared part counts that a worker would have to read: it takes time from others there, too.
-const SHARED_PART_WEIGHT: f64 = 1.2;
-/// Share of a turn's prompt that the worker of the turn before it has probably kept.
-const SHARE_OF_A_CONTINUED_PROMPT: f64 = 0.8;
-/// Places in that order that are told apart.
-const RANKS: usize = 6;
-/// What a worker outside this gatekeeper's subset is set back by, in prompt tokens.
-const TOKENS_OUTSIDE: f64 = 2000.0;
-/// What a worker in another zone is set back by, in prompt tokens: bytes between zones have their price.
-const TOKENS_OF_ANOTHER_ZONE: f64 = 500.0;
-/// What each failure of late sets a worker back by, in prompt tokens.
-const TOKENS_OF_A_FAILURE: f64 = 3000.0;
-/// The same at other services, as a share of its places.
-const LOAD_OF_A_FAILURE: f64 = 0.4;
-/// How much more a failure counts for a request that can't be repeated.
-const UNREPEATABLE_WEIGHT: f64 = 2.0;
 /// One in so many workers may be suspected by what others report.
 const MOST_SUSPECTS_OF_ALL: usize = 3;
-/// What a worker without a free place is set back by, in prompt tokens.
-const TOKENS_WITHOUT_PLACE: f64 = 100_000.0;
-/// What a worker to which no free connection is kept is set back by, in requests: among workers that are as full as each
-/// other, one that can be sent to at once is taken. Less than one request, so that no worker is crowded for it.
-const REQUESTS_OF_A_CONNECTION: f64 = 0.5;
-/// What a worker in another zone is set back by, as a share of its places.
-const OTHER_ZONE_LOAD: f64 = 0.1;
-/// What a worker that is still slow from its start is set back by, as a share of its places.
-const COLD_LOAD: f64 = 0.5;
 /// Requests beyond a worker's places, as a share of them, that the most urgent requests may still bring about.
 const WAITING_SHARE: f64 = 1.0;
 /// The same at language models, whose requests take their places for longer.
@@ -249,8 +214,7 @@
         if candidates.is_empty() {
             return Err(NoWorker::Absent);
         }
-        let ranks = self.ranks(&candidates, choice.parts);
-        let usual_failures = usual_failures(now, &candidates);
+        let context = self.scoring_context(now, &candidates, choice);
         let mut best: Option<(f64, &WorkerId, &WorkerEntry)> = None;
         let mut turned_away = false;
         for (id, worker) in &candidates {
@@ -258,13 +222,7 @@
                 turned_away = true;
                 continue;
             }
-            let rank = ranks.get(*id).copied().unwrap_or(RANKS);
-            let is_previous = choice.previous_worker == Some(&***id);
-            let failures = (worker.health.recent_failures(now) - usual_failures).max(0.0);
-            let score = self.score(now, worker, choice, rank, is_previous)
-                + self.setback(failures, choice)
-                + self.connecting(id, worker, choice)
-                + fastrand::f64() * 1e-3;
+            let score = self.full_score(now, (id, worker), choice, &context);
             if best.as_ref().is_none_or(|(least, ..)| score < *least) {
                 best = Some((score, *id, *worker));
             }
@@ -286,95 +244,6 @@
         if healthy.len() * 2 >= ready().count() { healthy } else { ready().collect() }
     }
 
-    /// The first workers in the order of a prompt's subject or session, by place.
-    fn ranks<'a>(
-        &self,
-        candidates: &[(&'a WorkerId, &WorkerEntry)],
-        parts: &[PromptPart],
-    ) -> FnvHashMap<&'a WorkerId, usize> {
-        // The last part is the session's own, the first one is what many requests share: one home of that would be
-        // crowded where each gatekeeper sees little of its load.
-        let homed = if self.has_subset { parts.last() } else { parts.first() };
-        let Some(key) = homed.filter(|_| self.memory_tokens > 0).map(|part| part.id) else {
-            return FnvHashMap::default();
-        };
-        let mut order: Vec<((bool, bool, u64), &'a WorkerId)> = candidates
-            .iter()
-            .map(|(id, worker)| ((worker.in_subset, worker.local, rendezvous(key, id)), *id))
-            .collect();
-        order.sort_unstable_by(|a, b| b.cmp(a));
-        order.into_iter().take(RANKS).enumerate().map(|(rank, (_, id))| (id, rank)).collect()
-    }
-
-    fn score(
-        &self,
-        now: Duration,
-        worker: &WorkerEntry,
-        choice: &Choice<'_>,
-        rank: usize,
-        is_previous: bool,
-    ) -> f64 {
-        if self.memory_tokens == 0 {
-            return plain_score(now, worker);
-        }
-        let mut cached = worker.prefixes.cached_tokens(choice.parts).max(self.kept_for_others(now, choice));
-        if !self.has_subset && rank == 0 && cached == 0 && choice.parts.len() > 1 {
-            // Another gatekeeper has probably sent the subject there.
-            cached = choice.parts.first().map_or(0, |part| part.tokens) / 2;
-        }
-        let all: u32 = choice.parts.iter().map(|part| part.tokens).sum();
-        if is_previous {
-            cached = cached.max((f64::from(all) * SHARE_OF_A_CONTINUED_PROMPT) as u32);
-        }
-        let own = choice.parts.last().map_or(0, |part| part.tokens);
-        let own_unread = own.min(all.saturating_sub(cached));
-        let shared_unread = all.saturating_sub(own).saturating_sub(cached);
-        let unread = f64::from(own_unread)
-            + f64::from(shared_unread) * SHARED_PART_WEIGHT
-            + f64::from(worker.tokens_unread);
-        let load = worker.load(now);
-        let running = load.total() * TOKENS_OF_A_RUNNING_REQUEST;
-        let waiting = load.others_waiting * TOKENS_OF_A_WAITING_REQUEST;
-        let full = if load.total() >= f64::from(worker.capacity) { TOKENS_WITHOUT_PLACE } else { 0.0 };
-        let place = rank as f64 * TOKENS_OF_A_RANK + self.tokens_outside(worker);
-        unread + running + waiting + full + place
-    }
-
-    /// Tokens at the beginning of a prompt that any worker has probably kept, as others have sent them there.
-    fn kept_for_others(&self, now: Duration, choice: &Choice<'_>) -> u32 {
-        let [shared, _, ..] = choice.parts else { return 0 };
-        if !self.has_subset {
-            return 0;
-        }
-        let gatekeepers = self.subset.gatekeepers;
-        let chance = self.popularity.chance_of_being_kept(now, shared.id, gatekeepers, self.ready);
-        (f64::from(shared.tokens) * chance) as u32
-    }
-
-    /// What a worker is set back by that is not among those this gatekeeper prefers.
-    fn tokens_outside(&self, worker: &WorkerEntry) -> f64 {
-        let outside = if worker.in_subset || !self.has_subset { 0.0 } else { TOKENS_OUTSIDE };
-        let far = if worker.local { 0.0 } else { TOKENS_OF_ANOTHER_ZONE };
-        outside + far
-    }
-
-    /// What failures beyond the usual set a worker back by.
-    fn setback(&self, failures: f64, choice: &Choice<'_>) -> f64 {
-        let each = if self.memory_tokens == 0 { LOAD_OF_A_FAILURE } else { TOKENS_OF_A_FAILURE };
-        let weight = if choice.repeatable { 1.0 } else { UNREPEATABLE_WEIGHT };
-        failures * each * weight
-    }
-
-    /// What a connection that would have to be opened sets a worker back by. At a language model the time for it is
-    /// short beside that for reading a prompt.
-    fn connecting(&self, id: &WorkerId, worker: &WorkerEntry, choice: &Choice<'_>) -> f64 {
-        let connected = choice.is_connected.is_none_or(|is_connected| is_connected(id));
-        if connected || self.memory_tokens > 0 {
-            return 0.0;
-        }
-        REQUESTS_OF_A_CONNECTION / f64::from(worker.capacity.max(1))
-    }
-
     /// Whether a worker's queue is too long for a request of this rank.
     fn is_full(&self, now: Duration, worker: &WorkerEntry, choice: &Choice<'_>) -> bool {
         let under_way = choice.under_way || worker.prefixes.knows_last(choice.parts);
@@ -499,22 +368,3 @@
         self.workers.get(id).map_or(0, |worker| worker.in_flight)
     }
 }
-
-/// Failures of late at the average worker: where all fail alike, the fault is hardly theirs.
-fn usual_failures(now: Duration, candidates: &[(&WorkerId, &WorkerEntry)]) -> f64 {
-    let all: f64 = candidates.iter().map(|(_, worker)| worker.health.recent_failures(now)).sum();
-    all / candidates.len().max(1) as f64
-}
-
-/// How full a worker is, with what counts against it.
-fn plain_score(now: Duration, worker: &WorkerEntry) -> f64 {
-    let places = f64::from(worker.capacity.max(1));
-    let mut score = worker.load(now).total() / places;
-    if !worker.local {
-        score += OTHER_ZONE_LOAD;
-    }
-    if worker.is_cold(now) {
-        score += COLD_LOAD;
-    }
-    score
-}
