--- a/crates/gatekeeper/src/proxy/balance/mod.rs
+++ b/crates/gatekeeper/src/proxy/balance/mod.rs
@@ -1,14 +1,17 @@
 //! Chooses the worker for a request, from what the feed, answers and failures have shown.
 //!
 //! A worker of a language-model service is scored by the prompt tokens that stand before the request's first token
-//! there: what of its own prompt is not cached, and the prompts of others that are still being read. A new subject
-//! has one home by rendezvous hashing, the same at every gatekeeper, so that its shared part is not read everywhere. A
+//! there: what of its own prompt is not cached, and the prompts of others that are still being read. Rendezvous hashing
+//! gives prompts homes that every gatekeeper finds again, also after a restart: with few gatekeepers a subject has one, so
+//! that its shared part is not read everywhere; with many each session has one, as what is popular is kept everywhere. A
 //! worker of any other service is scored by how full it is.
 
 mod health;
 mod load;
 mod pace;
+mod popularity;
 mod prefix;
+mod score;
 mod subset;
 #[cfg(test)]
 mod tests;
@@ -17,11 +20,7 @@
 pub use load::LoadReport;
 pub use prefix::PromptPart;
 
-use crate::proxy::balance::{
-    pace::Pace,
-    subset::{Subset, rendezvous},
-    worker::WorkerEntry,
-};
+use crate::proxy::balance::{pace::Pace, popularity::Popularity, subset::Subset, worker::WorkerEntry};
 use fnv::FnvHashMap;
 use opalrun_wire::feed;
 use std::sync::Arc;
@@ -30,36 +29,8 @@
 /// Names one incarnation of a worker.
 pub type WorkerId = Arc<str>;
 
-/// Prompt tokens that one running request costs another.
-const TOKENS_OF_A_RUNNING_REQUEST: f64 = 250.0;
-/// Prompt tokens that one waiting request of another gatekeeper stands for.
-const TOKENS_OF_A_WAITING_REQUEST: f64 = 1000.0;
-/// Prompt tokens by which each place in a subject's order of workers counts less.
-const TOKENS_OF_A_RANK: f64 = 60.0;
-/// How much more a shared part counts that a worker would have to read: it takes time from others there, too.
-const SHARED_PART_WEIGHT: f64 = 1.2;
-/// Share of a turn's prompt that the worker of the turn before it has probably kept.
-const SHARE_OF_A_CONTINUED_PROMPT: f64 = 0.8;
-/// Places in that order that are told apart.
-const RANKS: usize = 6;
-/// What a worker outside this gatekeeper's subset is set back by, in prompt tokens.
-const TOKENS_OUTSIDE: f64 = 2000.0;
-/// What a worker in another zone is set back by, in prompt tokens: bytes between zones have their price.
-const TOKENS_OF_ANOTHER_ZONE: f64 = 500.0;
-/// What each failure of late sets a worker back by, in prompt tokens.
-const TOKENS_OF_A_FAILURE: f64 = 3000.0;
-/// The same at other services, as a share of its places.
-const LOAD_OF_A_FAILURE: f64 = 0.4;
-/// How much more a failure counts for a request that can't be repeated.
-const UNREPEATABLE_WEIGHT: f64 = 2.0;
 /// One in so many workers may be suspected by what others report.
 const MOST_SUSPECTS_OF_ALL: usize = 3;
-/// What a worker without a free place is set back by, in prompt tokens.
-const TOKENS_WITHOUT_PLACE: f64 = 100_000.0;
-/// What a worker in another zone is set back by, as a share of its places.
-const OTHER_ZONE_LOAD: f64 = 0.1;
-/// What a worker that is still slow from its start is set back by, as a share of its places.
-const COLD_LOAD: f64 = 0.5;
 /// Requests beyond a worker's places, as a share of them, that the most urgent requests may still bring about.
 const WAITING_SHARE: f64 = 1.0;
 /// The same at language models, whose requests take their places for longer.
@@ -72,8 +43,11 @@
 /// Share of its places from which on a worker counts as busy, and may take longer than usual.
 const BUSY_SHARE: f64 = 0.25;
 
+/// Tells whether a free connection to a worker is kept.
+pub type IsConnected<'a> = &'a dyn Fn(&WorkerId) -> bool;
+
 /// What the choice of a worker goes by.
-#[derive(Debug, Clone, Default)]
+#[derive(Clone, Default)]
 pub struct Choice<'a> {
     /// The parts of the prompt, in order.
     pub parts: &'a [PromptPart],
@@ -87,6 +61,8 @@
     pub under_way: bool,
     /// The request may run more than once.
     pub repeatable: bool,
+    /// Where free connections are kept; `None`: this is not known.
+    pub is_connected: Option<IsConnected<'a>>,
 }
 
 /// Why there is no worker for a request.
@@ -136,6 +112,10 @@
     subset: Subset,
     /// There are so many gatekeepers that each has a subset of its own.
     has_subset: bool,
+    /// Workers that take requests.
+    ready: usize,
+    /// How often subjects were asked for.
+    popularity: Popularity,
 }
 
 impl Balancer {
@@ -149,6 +129,8 @@
             pace: Pace::default(),
             subset: Subset { gatekeeper, gatekeepers: 1 },
             has_subset: false,
+            ready: 0,
+            popularity: Popularity::default(),
         }
     }
 
@@ -163,6 +145,7 @@
     fn draw_subset(&mut self) {
         let ready = self.workers.iter().filter(|(_, worker)| worker.is_ready());
         let ready: Vec<(WorkerId, bool)> = ready.map(|(id, worker)| (id.clone(), worker.local)).collect();
+        self.ready = ready.len();
         self.has_subset = self.subset.is_part_of(ready.len());
         let subset = self.subset.choose(&ready);
         self.workers.iter_mut().for_each(|(id, worker)| worker.in_subset = subset.contains(id));
@@ -231,8 +214,7 @@
         if candidates.is_empty() {
             return Err(NoWorker::Absent);
         }
-        let ranks = self.ranks(&candidates, choice.parts);
-        let usual_failures = usual_failures(now, &candidates);
+        let context = self.scoring_context(now, &candidates, choice);
         let mut best: Option<(f64, &WorkerId, &WorkerEntry)> = None;
         let mut turned_away = false;
         for (id, worker) in &candidates {
@@ -240,12 +222,7 @@
                 turned_away = true;
                 continue;
             }
-            let rank = ranks.get(*id).copied().unwrap_or(RANKS);
-            let is_previous = choice.previous_worker == Some(&***id);
-            let failures = (worker.health.recent_failures(now) - usual_failures).max(0.0);
-            let score = self.score(now, worker, choice, rank, is_previous)
-                + self.setback(failures, choice)
-                + fastrand::f64() * 1e-3;
+            let score = self.full_score(now, (id, worker), choice, &context);
             if best.as_ref().is_none_or(|(least, ..)| score < *least) {
                 best = Some((score, *id, *worker));
             }
@@ -267,72 +244,6 @@
         if healthy.len() * 2 >= ready().count() { healthy } else { ready().collect() }
     }
 
-    /// The first workers in the order of a prompt's subject, by place.
-    fn ranks<'a>(
-        &self,
-        candidates: &[(&'a WorkerId, &WorkerEntry)],
-        parts: &[PromptPart],
-    ) -> FnvHashMap<&'a WorkerId, usize> {
-        // The last part is the request's own: the first one is what many requests share.
-        let Some(subject) = parts.first().filter(|_| self.memory_tokens > 0) else {
-            return FnvHashMap::default();
-        };
-        // The same order everywhere would crowd a subject's home where each gatekeeper sees little of its load.
-        let key = if self.has_subset { subject.id ^ self.subset.gatekeeper } else { subject.id };
-        let mut order: Vec<(bool, u64, &'a WorkerId)> =
-            candidates.iter().map(|(id, worker)| (worker.local, rendezvous(key, id), *id)).collect();
-        order.sort_unstable_by(|a, b| b.cmp(a));
-        order.into_iter().take(RANKS).enumerate().map(|(rank, (_, _, id))| (id, rank)).collect()
-    }
-
-    fn score(
-        &self,
-        now: Duration,
-        worker: &WorkerEntry,
-        choice: &Choice<'_>,
-        rank: usize,
-        is_previous: bool,
-    ) -> f64 {
-        if self.memory_tokens == 0 {
-            return plain_score(now, worker);
-        }
-        let mut cached = worker.prefixes.cached_tokens(choice.parts);
-        if !self.has_subset && rank == 0 && cached == 0 && choice.parts.len() > 1 {
-            // Another gatekeeper has probably sent the subject there.
-            cached = choice.parts.first().map_or(0, |part| part.tokens) / 2;
-        }
-        let all: u32 = choice.parts.iter().map(|part| part.tokens).sum();
-        if is_previous {
-            cached = cached.max((f64::from(all) * SHARE_OF_A_CONTINUED_PROMPT) as u32);
-        }
-        let own = choice.parts.last().map_or(0, |part| part.tokens);
-        let own_unread = own.min(all.saturating_sub(cached));
-        let shared_unread = all.saturating_sub(own).saturating_sub(cached);
-        let unread = f64::from(own_unread)
-            + f64::from(shared_unread) * SHARED_PART_WEIGHT
-            + f64::from(worker.tokens_unread);
-        let load = worker.load(now);
-        let running = load.total() * TOKENS_OF_A_RUNNING_REQUEST;
-        let waiting = load.others_waiting * TOKENS_OF_A_WAITING_REQUEST;
-        let full = if load.total() >= f64::from(worker.capacity) { TOKENS_WITHOUT_PLACE } else { 0.0 };
-        let place = rank as f64 * TOKENS_OF_A_RANK + self.tokens_outside(worker);
-        unread + running + waiting + full + place
-    }
-
-    /// What a worker is set back by that is not among those this gatekeeper prefers.
-    fn tokens_outside(&self, worker: &WorkerEntry) -> f64 {
-        let outside = if worker.in_subset || !self.has_subset { 0.0 } else { TOKENS_OUTSIDE };
-        let far = if worker.local { 0.0 } else { TOKENS_OF_ANOTHER_ZONE };
-        outside + far
-    }
-
-    /// What failures beyond the usual set a worker back by.
-    fn setback(&self, failures: f64, choice: &Choice<'_>) -> f64 {
-        let each = if self.memory_tokens == 0 { LOAD_OF_A_FAILURE } else { TOKENS_OF_A_FAILURE };
-        let weight = if choice.repeatable { 1.0 } else { UNREPEATABLE_WEIGHT };
-        failures * each * weight
-    }
-
     /// Whether a worker's queue is too long for a request of this rank.
     fn is_full(&self, now: Duration, worker: &WorkerEntry, choice: &Choice<'_>) -> bool {
         let under_way = choice.under_way || worker.prefixes.knows_last(choice.parts);
@@ -348,6 +259,9 @@
     /// A request is on its way to a worker.
     pub fn sent(&mut self, now: Duration, id: &WorkerId, parts: &[PromptPart]) -> Place {
         let memory = self.memory_tokens;
+        if let Some(subject) = parts.first().filter(|_| self.has_subset) {
+            self.popularity.note(now, subject.id);
+        }
         let mut prompt_tokens = 0;
         if let Some(worker) = self.workers.get_mut(id) {
             worker.in_flight += 1;
@@ -417,6 +331,13 @@
         }
     }
 
+    /// An answer has not begun after the longest time that is usual. It may still come, so this pauses nobody.
+    pub fn overdue(&mut self, now: Duration, id: &str) {
+        if let Some(worker) = self.workers.get_mut(id) {
+            worker.health.overdue(now);
+        }
+    }
+
     /// Nothing came in all the time that the request had.
     pub fn was_silent(&mut self, now: Duration, id: &str) {
         if let Some(worker) = self.workers.get_mut(id) {
@@ -447,22 +368,3 @@
         self.workers.get(id).map_or(0, |worker| worker.in_flight)
     }
 }
-
-/// Failures of late at the average worker: where all fail alike, the fault is hardly theirs.
-fn usual_failures(now: Duration, candidates: &[(&WorkerId, &WorkerEntry)]) -> f64 {
-    let all: f64 = candidates.iter().map(|(_, worker)| worker.health.recent_failures(now)).sum();
-    all / candidates.len().max(1) as f64
-}
-
-/// How full a worker is, with what counts against it.
-fn plain_score(now: Duration, worker: &WorkerEntry) -> f64 {
-    let places = f64::from(worker.capacity.max(1));
-    let mut score = worker.load(now).total() / places;
-    if !worker.local {
-        score += OTHER_ZONE_LOAD;
-    }
-    if worker.is_cold(now) {
-        score += COLD_LOAD;
-    }
-    score
-}
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -10,6 +10,8 @@
     request::{self, ForwardedRequest},
     stream::Stream,
     terms::{NOT_EXECUTED, Terms},
+    turn::Turn,
+    unserved::{ClientWatch, Reason},
     upstream::Exchange,
 };
 use hyper::{Request, StatusCode, body::Incoming, header, http::response::Parts};
@@ -18,8 +20,8 @@
     body::ResponseBody,
     server::{Client, Handler},
 };
-use std::{rc::Rc, sync::Arc, time::Duration};
-use tokio::time::Instant;
+use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
+use tokio::time::{Instant, timeout_at};
 
 /// Time to come back after while no configuration is known.
 const UNCONFIGURED_PAUSE: Duration = Duration::from_millis(300);
@@ -60,13 +62,21 @@
 impl Proxy {
     async fn serve(self: Rc<Self>, request: Request<Incoming>) -> Answer {
         let answer = match self.admit(request).await {
-            Ok(request) => self.try_workers(request).await,
+            Ok(request) => self.run_request(request).await,
             Err(answer) => answer,
         };
         self.figures.answered(answer.status());
         answer
     }
 
+    /// Makes a request ready that is a turn of a program, and has a worker answer it.
+    async fn run_request(self: &Rc<Self>, mut request: ForwardedRequest) -> Answer {
+        match self.begin_turn(&mut request).await {
+            Ok(()) => self.try_workers(request).await,
+            Err(answer) => answer,
+        }
+    }
+
     /// Finds the route, and reads the request whole.
     async fn admit(&self, request: Request<Incoming>) -> Result<ForwardedRequest, Answer> {
         let arrived = Instant::now();
@@ -84,17 +94,17 @@
         remove_connection_headers(&mut head.headers);
         let uri = head.uri.path_and_query().cloned().map(Into::into);
         let service = route.choose_service(fastrand::f64()).to_owned();
-        let (turn, body) = self.begin_turn(&route, &service, &terms, whole.bytes).await?;
         Ok(ForwardedRequest {
             method: head.method,
             uri: uri.ok_or_else(|| answer::plain(StatusCode::BAD_REQUEST))?,
             headers: head.headers,
-            body,
+            body: whole.bytes,
             terms,
             service,
             route,
+            arrived,
             until,
-            turn,
+            turn: Turn::default(),
             taken: whole.taken,
         })
     }
@@ -113,10 +123,13 @@
         let request = Rc::new(request);
         let mut attempts = Attempts::new(request.route.is_repeatable(), request.route.max_attempts);
         let mut tried: Vec<WorkerId> = Vec::new();
+        let watch = ClientWatch::new(self, &request);
         loop {
             let chosen = match self.choose(&request, &tried) {
                 Ok(chosen) => chosen,
-                Err(_) => return give_up(&request, &attempts),
+                Err(problem) => {
+                    return watch.unserved(&attempts, problem.into(), give_up(&request, &attempts));
+                }
             };
             if !tried.is_empty() {
                 self.figures.retried();
@@ -124,16 +137,18 @@
             tried.push(chosen.id.clone());
             let more = attempts.may_try_more();
             match self.try_at(&request, &chosen, more).await {
-                Tried::Answer(answer) => return answer,
-                Tried::Stream(stream) => return stream.relay(attempts, tried),
+                Tried::Answer(answer) => return watch.served(answer),
+                Tried::Stream(stream) => return watch.served(stream.relay(attempts, tried)),
                 Tried::WorkerFailed(answer) => {
                     if attempts.ended(Outcome::WorkerFailed, request.time_left()) != Next::TryAnother {
-                        return answer;
+                        return watch.unserved(&attempts, Reason::WorkerFailed, answer);
                     }
                 }
                 Tried::Ended(outcome) => {
-                    if attempts.ended(outcome, request.time_left()) != Next::TryAnother {
-                        return give_up(&request, &attempts);
+                    let time_left = request.time_left();
+                    if attempts.ended(outcome, time_left) != Next::TryAnother {
+                        let reason = Reason::of_outcome(outcome, time_left);
+                        return watch.unserved(&attempts, reason, give_up(&request, &attempts));
                     }
                 }
             }
@@ -142,6 +157,7 @@
 
     /// Chooses a worker for a request.
     pub fn choose(&self, request: &ForwardedRequest, tried: &[WorkerId]) -> Result<Chosen, NoWorker> {
+        let is_connected = |worker: &WorkerId| self.pools.has_idle(worker);
         let choice = Choice {
             parts: &request.terms.parts,
             tried,
@@ -149,6 +165,7 @@
             previous_worker: request.turn.previous_worker(),
             under_way: request.terms.previous.is_some(),
             repeatable: request.route.is_repeatable(),
+            is_connected: Some(&is_connected),
         };
         let now = self.now();
         self.balance(&request.service, |balancer| balancer.choose(now, &choice))
@@ -157,18 +174,49 @@
     /// Sends the request to one worker. `more`: another one could be tried after it.
     async fn try_at(self: &Rc<Self>, request: &Rc<ForwardedRequest>, chosen: &Chosen, more: bool) -> Tried {
         let until = self.patience(request, chosen, more);
+        let overdue_at = self.overdue_at(request, chosen).filter(|at| *at < until);
         let last_event_id = request.terms.last_event_id;
-        let exchange = match self.exchange(request, chosen, until, last_event_id).await {
+        let exchange = self.exchange(request, chosen, until, last_event_id);
+        let exchange = match self.note_if_overdue(request, chosen, overdue_at, exchange).await {
             Ok(exchange) => exchange,
             Err(outcome) => return Tried::Ended(outcome),
         };
         if request.route.route_type == RouteType::Streaming && is_event_stream(&exchange.parts) {
-            return Stream::begin(self, request, &chosen.id, exchange, until).await;
+            let overdue_at = overdue_at.filter(|at| Instant::now() < *at);
+            let stream = Stream::begin(self, request, &chosen.id, exchange, until);
+            return self.note_if_overdue(request, chosen, overdue_at, stream).await;
         }
         exchange.visit.begun(exchange.load_report());
         self.plain_answer(request, exchange).await
     }
 
+    /// When an answer of this worker to the request is later than is usual and than the operator wants; `None`: what is
+    /// usual is not known.
+    fn overdue_at(&self, request: &ForwardedRequest, chosen: &Chosen) -> Option<Instant> {
+        let now = self.now();
+        let usual = self.balance(&request.service, |b| b.usual_time(now, &chosen.id))?;
+        Some(Instant::now() + usual.max(request.route.target_latency))
+    }
+
+    /// Waits for the beginning of an answer. When it is overdue, that counts against the worker at once, long before the
+    /// request is given up: whoever chooses a worker meanwhile, here and at other gatekeepers, should know of it.
+    async fn note_if_overdue<T>(
+        &self,
+        request: &ForwardedRequest,
+        chosen: &Chosen,
+        overdue_at: Option<Instant>,
+        beginning: impl Future<Output = T>,
+    ) -> T {
+        let Some(overdue_at) = overdue_at else { return beginning.await };
+        let mut beginning = pin!(beginning);
+        if let Ok(begun) = timeout_at(overdue_at, beginning.as_mut()).await {
+            return begun;
+        }
+        let now = self.now();
+        self.balance(&request.service, |b| b.overdue(now, &chosen.id));
+        beginning.await
+    }
+
     /// Until when to wait for an answer of this worker to begin.
     fn patience(&self, request: &ForwardedRequest, chosen: &Chosen, more: bool) -> Instant {
         if !request.route.is_repeatable() || !more {
