Tests of the store process, the full disk and an upgrade's folder no longer depend on time

Cause, store process: the stand-in took a free port and asked for the one below it at fixed addresses, which another process may have; requests met the fixed 300 ms that a store waits for its map; the stand-in said once that it was fresh, so a store that was late by 700 ms subscribed again, and the test took it for the second store. Now the addresses are those of the process, the ports those of the test, the stand-in serves every subscription and stays fresh, and tokio's clock stands still while a request waits. Cause, full disk: with an acknowledgement before the sync it waited for ever; its wait has a limit now. Cause, upgrade: a process that has handed over leaves 100 ms after its last client, and the test asked it later. A client that waits for its answer keeps the process now.

--- a/crates/gateway/tests/recovery.rs
+++ b/crates/gateway/tests/recovery.rs
@@ -8,6 +8,7 @@
     net::TcpListener,
     path::{Path, PathBuf},
     process::{Command, Output},
+    sync::Arc,
     time::Instant,
 };
 
@@ -281,12 +282,21 @@
     let old = setup.start_on(&listener, &place.folder);
     assert_eq!(spend(&old, "before"), 4);
     until(&old, synced);
+    // A process that has handed over leaves a moment after its last client, so one is kept waiting for its answer.
+    let gate = Arc::new(Gate::default());
+    place.worker.now(Does::Waits(gate.clone()));
+    let mut client = old.client();
+    client.send(&Ask::submit("waits"));
+    while place.worker.request().1.header("x-txn") != "waits" {}
+    place.worker.now(Does::Serves("here"));
     let mut new = setup.start_on(&listener, &place.folder);
     assert_eq!(until(&new, synced)["trusted"]["from"], json!("the process before"));
     assert_eq!(report(&old)["journal"]["holds"], json!(false));
     kill(&mut new);
     until(&old, synced);
     assert_eq!(spend(&old, "again"), 0, "what it had granted before went to the heir, who is gone");
+    gate.open();
+    assert_eq!(client.answer().expect("an answer").status(), 200);
 }
 
 #[test]
--- a/crates/store/tests/disk.rs
+++ b/crates/store/tests/disk.rs
@@ -7,10 +7,12 @@
     feed::{Partition, Replica, STORE_PARTITIONS, StoreMap},
     store::{CountEntry, StoreReply, StoreRequest, Turn},
 };
-use std::{rc::Rc, sync::Arc};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 const LIMITS: StoreLimits = StoreLimits { memory_bytes: 1 << 30, disk_bytes: 1 << 30 };
 const WRITES: u64 = 12;
+/// A test that waits for longer waits in vain, and fails.
+const AMPLE: Duration = Duration::from_secs(60);
 
 fn directory(disk: &MemoryDisk) -> Result<DataDirectory, opalrun_storage::StorageError> {
     DataDirectory::open_on(Arc::new(disk.clone()), "/data")
@@ -47,7 +49,9 @@
 
 fn run(test: impl Future<Output = ()>) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
-    tokio::task::LocalSet::new().block_on(&runtime, test);
+    tokio::task::LocalSet::new().block_on(&runtime, async {
+        tokio::time::timeout(AMPLE, test).await.expect("the test ends");
+    });
 }
 
 /// Ends a store and waits until its log is closed.
--- a/crates/store/tests/process.rs
+++ b/crates/store/tests/process.rs
@@ -1,6 +1,6 @@
 //! The role over loopback: a store process, and a stand-in of control that serves the change feed.
 
-use opalrun_net::{Connection, FrameReader, FrameWriter, Listener, RpcClient};
+use opalrun_net::{Connection, FrameWriter, Listener, RpcClient};
 use opalrun_settings::Settings;
 use opalrun_wire::{
     feed::{
@@ -9,79 +9,232 @@
     },
     store::{StoreReply, StoreRequest, Turn},
 };
-use std::{net::SocketAddr, path::Path, rc::Rc, time::Duration};
+use std::{
+    cell::{Cell, RefCell},
+    collections::BTreeSet,
+    net::{Ipv4Addr, SocketAddr},
+    path::Path,
+    rc::Rc,
+    sync::{
+        atomic::{AtomicU16, Ordering},
+        mpsc,
+    },
+    time::Duration,
+};
 use tempfile::TempDir;
-use tokio::task::JoinHandle;
+use tokio::{
+    sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    task::JoinHandle,
+};
 
 const AMPLE: Duration = Duration::from_secs(20);
-/// The stand-in of control; its feed has the port next to that of the store, as on all machines.
-const CONTROL_IP: &str = "127.0.0.1";
+/// How often stores hear that what they know is fresh.
+const FRESH_PERIOD: Duration = Duration::from_millis(100);
+/// The ports of the first test's machines, below those that the system gives out by itself.
+const FIRST_PORT: u16 = 7200;
+/// Ports of a machine: of its process, and of the feed.
+const PORTS: u16 = 2;
+/// Bits of a loopback address that tell the machines of one process apart.
+const MACHINE_BITS: u32 = 2;
+
+/// The machines of one test. The addresses are those of this process alone, and the ports those of the test, so that no
+/// other process or test can have taken them.
+struct Network {
+    peer_port: u16,
+}
+
+/// A machine of the network.
+#[derive(Clone, Copy)]
+enum Machine {
+    Control,
+    FirstStore,
+    SecondStore,
+}
 
-/// A control process as far as stores see it.
+impl Network {
+    fn new() -> Self {
+        static TESTS: AtomicU16 = AtomicU16::new(0);
+        Self { peer_port: FIRST_PORT + PORTS * TESTS.fetch_add(1, Ordering::Relaxed) }
+    }
+
+    fn feed_port(&self) -> u16 {
+        self.peer_port + 1
+    }
+
+    /// A machine's address: 127.0.0.0/8 has room for the identity of each process and a few machines.
+    fn ip(machine: Machine) -> Ipv4Addr {
+        let number = (std::process::id() << MACHINE_BITS) + 1 + machine as u32;
+        let [_, high, middle, low] = number.to_be_bytes();
+        Ipv4Addr::new(127, high, middle, low)
+    }
+}
+
+/// Stops tokio's clock for as long as it lives, so that no time-out runs out however late the machine gives the test a
+/// processor. After [`AMPLE`] the clock goes on by itself, and a test that waits in vain fails.
+struct StoppedClock {
+    _resume: mpsc::Sender<()>,
+}
+
+impl StoppedClock {
+    fn stop() -> Self {
+        tokio::time::pause();
+        let (resume, resumed) = mpsc::channel::<()>();
+        // A paused clock does not advance while a blocking task runs.
+        tokio::task::spawn_blocking(move || resumed.recv_timeout(AMPLE));
+        Self { _resume: resume }
+    }
+}
+
+impl Drop for StoppedClock {
+    fn drop(&mut self) {
+        tokio::time::resume();
+    }
+}
+
+/// A control process as far as stores see it: whoever subscribes gets the newest map, and hears that it is fresh.
 struct Control {
-    listener: Listener,
-    feed: Option<(FrameReader, FrameWriter)>,
-    offset: u64,
+    network: Network,
+    feed: Rc<Feed>,
+    subscriptions: UnboundedReceiver<Subscription>,
+    reports: UnboundedReceiver<CompletionReport>,
+}
+
+/// A store that subscribed.
+struct Subscription {
+    node: StoreNode,
+    bootstrap: bool,
+}
+
+/// Partitions that a store reported complete.
+struct CompletionReport {
+    store: u64,
+    epoch: u64,
+    partitions: Vec<u16>,
+}
+
+/// The change feed; shared by the test and the tasks of the connections.
+struct Feed {
+    map: RefCell<Option<StoreMap>>,
+    /// Offset of the newest map.
+    offset: Cell<u64>,
+    writers: RefCell<Vec<FrameWriter>>,
+    subscriptions: UnboundedSender<Subscription>,
+    reports: UnboundedSender<CompletionReport>,
+}
+
+impl Feed {
+    async fn serve(self: Rc<Self>, listener: Listener) {
+        while let Ok(connection) = listener.accept().await {
+            tokio::task::spawn_local(self.clone().serve_store(connection));
+        }
+    }
+
+    async fn serve_store(self: Rc<Self>, connection: Connection) {
+        let (mut reader, writer) = connection.split();
+        while let Ok(Some(request)) = reader.next().await {
+            match request {
+                FeedRequest::Subscribe { subscriber: Subscriber::Store { node, bootstrap }, positions } => {
+                    assert!(positions.iter().all(|position| position.shard == CONFIGURATION_SHARD));
+                    self.send_map(&writer);
+                    self.writers.borrow_mut().push(writer.clone());
+                    let _ = self.subscriptions.send(Subscription { node, bootstrap });
+                }
+                FeedRequest::ReplicasComplete { store, epoch, partitions } => {
+                    let _ = self.reports.send(CompletionReport { store, epoch, partitions });
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn send_map(&self, writer: &FrameWriter) {
+        if let Some(map) = self.map.borrow().clone() {
+            let changes = vec![Change::StoreMap(map)];
+            let update =
+                FeedUpdate::Snapshot { shard: CONFIGURATION_SHARD, offset: self.offset.get(), changes };
+            let _ = writer.send(&update);
+        }
+        let _ = writer.send(&FeedUpdate::Fresh { gatekeepers: 1 });
+    }
+
+    /// Tells the stores again and again that what they know is fresh.
+    async fn stay_fresh(self: Rc<Self>) {
+        loop {
+            for writer in self.writers.borrow().iter() {
+                let _ = writer.send(&FeedUpdate::Fresh { gatekeepers: 1 });
+            }
+            tokio::time::sleep(FRESH_PERIOD).await;
+        }
+    }
 }
 
 impl Control {
     async fn start() -> Self {
-        let address: SocketAddr = format!("{CONTROL_IP}:0").parse().unwrap();
-        Self { listener: Listener::bind(address).await.unwrap(), feed: None, offset: 0 }
+        let network = Network::new();
+        let address = SocketAddr::from((Network::ip(Machine::Control), network.feed_port()));
+        let (subscription_sender, subscriptions) = unbounded_channel();
+        let (report_sender, reports) = unbounded_channel();
+        let feed = Rc::new(Feed {
+            map: RefCell::default(),
+            offset: Cell::new(0),
+            writers: RefCell::default(),
+            subscriptions: subscription_sender,
+            reports: report_sender,
+        });
+        tokio::task::spawn_local(feed.clone().serve(Listener::bind(address).await.unwrap()));
+        tokio::task::spawn_local(feed.clone().stay_fresh());
+        Self { network, feed, subscriptions, reports }
     }
 
-    /// Settings of a store at another address of loopback with the same ports.
-    fn settings(&self, ip: &str, data_dir: &Path, bootstrap: bool) -> Settings {
-        let feed_port = self.listener.local_address().port();
+    /// Settings of a store at another address of the network with the same ports.
+    fn settings(&self, machine: Machine, data_dir: &Path, bootstrap: bool) -> Settings {
         let text = include_str!("process.toml")
-            .replace("STORE_IP", ip)
-            .replace("PEER_PORT", &(feed_port - 1).to_string())
-            .replace("LAST_PORT", &feed_port.to_string())
-            .replace("CONTROL_IP", CONTROL_IP)
+            .replace("STORE_IP", &Network::ip(machine).to_string())
+            .replace("PEER_PORT", &self.network.peer_port.to_string())
+            .replace("LAST_PORT", &self.network.feed_port().to_string())
+            .replace("CONTROL_IP", &Network::ip(Machine::Control).to_string())
             .replace("DATA_DIR", data_dir.to_str().unwrap())
             .replace("BOOTSTRAP", &bootstrap.to_string());
         Settings::parse(&text, Path::new("process.toml")).unwrap()
     }
 
-    /// Waits for a store to subscribe.
-    async fn subscribed(&mut self) -> (StoreNode, bool) {
-        let connection: Connection = self.listener.accept().await.unwrap();
-        self.feed = Some(connection.split());
+    /// Waits for a store to subscribe; one that lost its connection subscribes again.
+    async fn subscribed(&mut self) -> Subscription {
+        self.subscriptions.recv().await.unwrap()
+    }
+
+    /// Waits for another store than `known` to subscribe.
+    async fn subscribed_other(&mut self, known: &StoreNode) -> Subscription {
         loop {
-            if let FeedRequest::Subscribe { subscriber: Subscriber::Store { node, bootstrap }, positions } =
-                self.next().await
-            {
-                assert!(positions.iter().all(|position| position.shard == CONFIGURATION_SHARD));
-                return (node, bootstrap);
+            let subscription = self.subscribed().await;
+            if subscription.node.identity != known.identity {
+                return subscription;
             }
         }
     }
 
-    async fn next(&mut self) -> FeedRequest {
-        let (reader, _) = self.feed.as_mut().unwrap();
-        reader.next().await.unwrap().expect("the store stays")
+    /// Forgets the subscriptions that nobody has waited for.
+    fn forget_subscriptions(&mut self) {
+        while self.subscriptions.try_recv().is_ok() {}
     }
 
-    fn send_map(&mut self, map: &StoreMap) {
-        self.offset += 1;
-        let changes = vec![Change::StoreMap(map.clone())];
-        let update = FeedUpdate::Snapshot { shard: CONFIGURATION_SHARD, offset: self.offset, changes };
-        let (_, writer) = self.feed.as_ref().unwrap();
-        writer.send(&update).unwrap();
-        writer.send(&FeedUpdate::Fresh { gatekeepers: 1 }).unwrap();
+    /// Publishes a map to all stores, also to those that subscribe later.
+    fn publish(&self, map: StoreMap) {
+        self.feed.offset.set(self.feed.offset.get() + 1);
+        self.feed.map.replace(Some(map));
+        for writer in self.feed.writers.borrow().iter() {
+            self.feed.send_map(writer);
+        }
     }
 
     /// Waits until a store has reported so many partitions complete; returns the epochs.
     async fn reported_complete(&mut self, store: u64, count: usize) -> Vec<u64> {
-        let (mut complete, mut epochs) = (Vec::new(), Vec::new());
+        let (mut complete, mut epochs) = (BTreeSet::new(), Vec::new());
         while complete.len() < count {
-            if let FeedRequest::ReplicasComplete { store: from, epoch, partitions } = self.next().await {
-                assert_eq!(from, store);
-                epochs.push(epoch);
-                complete.extend(partitions);
-                complete.sort_unstable();
-                complete.dedup();
-            }
+            let report = self.reports.recv().await.unwrap();
+            assert_eq!(report.store, store);
+            epochs.push(report.epoch);
+            complete.extend(report.partitions);
         }
         epochs
     }
@@ -126,25 +279,24 @@
     run(async {
         let folders = [TempDir::new().unwrap(), TempDir::new().unwrap()];
         let mut control = Control::start().await;
-        start(control.settings("127.0.0.2", folders[0].path(), true));
-        let (first, bootstrap) = control.subscribed().await;
+        start(control.settings(Machine::FirstStore, folders[0].path(), true));
+        let Subscription { node: first, bootstrap } = control.subscribed().await;
         assert!(bootstrap);
         assert_eq!((first.node_name.as_str(), first.zone.as_str()), ("storage-1", "zone-1"));
-        control.send_map(&map(1, std::slice::from_ref(&first), &[(first.identity, true)]));
+        control.publish(map(1, std::slice::from_ref(&first), &[(first.identity, true)]));
         let put = StoreRequest::PutTurn { epoch: 1, turn: turn() };
+        // It may come before the map, for which it then waits.
+        let clock = StoppedClock::stop();
         assert_eq!(call(&first, put).await, StoreReply::Stored { is_complete: true });
+        drop(clock);
 
         // A second store comes, with an empty disk.
-        let first_feed = control.feed.take();
-        start(control.settings("127.0.0.3", folders[1].path(), false));
-        let (second, bootstrap) = control.subscribed().await;
+        start(control.settings(Machine::SecondStore, folders[1].path(), false));
+        let Subscription { node: second, bootstrap } = control.subscribed_other(&first).await;
         assert!(!bootstrap);
         let stores = [first.clone(), second.clone()];
         let replicas = [(first.identity, true), (second.identity, false)];
-        let second_feed = std::mem::replace(&mut control.feed, first_feed);
-        control.send_map(&map(2, &stores, &replicas));
-        control.feed = second_feed;
-        control.send_map(&map(2, &stores, &replicas));
+        control.publish(map(2, &stores, &replicas));
         let epochs = control.reported_complete(second.identity, usize::from(STORE_PARTITIONS)).await;
         assert!(epochs.iter().all(|epoch| *epoch == 2));
         let get = StoreRequest::GetTurn { epoch: 2, id: "t".to_owned() };
@@ -158,13 +310,14 @@
     run(async {
         let folder = TempDir::new().unwrap();
         let mut control = Control::start().await;
-        let first = start(control.settings("127.0.0.4", folder.path(), true));
-        let (node, _) = control.subscribed().await;
+        let first = start(control.settings(Machine::FirstStore, folder.path(), true));
+        let before = control.subscribed().await;
         first.abort();
         assert!(first.await.unwrap_err().is_cancelled());
-        start(control.settings("127.0.0.4", folder.path(), false));
-        let (again, bootstrap) = control.subscribed().await;
-        assert_eq!((again, bootstrap), (node, true));
+        control.forget_subscriptions();
+        start(control.settings(Machine::FirstStore, folder.path(), false));
+        let after = control.subscribed().await;
+        assert_eq!((after.node, after.bootstrap), (before.node, true));
     });
 }
 
@@ -173,16 +326,19 @@
     run(async {
         let folder = TempDir::new().unwrap();
         let mut control = Control::start().await;
-        start(control.settings("127.0.0.5", folder.path(), true));
-        let (node, _) = control.subscribed().await;
-        control.send_map(&map(1, std::slice::from_ref(&node), &[(node.identity, true)]));
+        start(control.settings(Machine::FirstStore, folder.path(), true));
+        let node = control.subscribed().await.node;
+        let map = |epoch| map(epoch, std::slice::from_ref(&node), &[(node.identity, true)]);
         let put = |epoch| StoreRequest::PutTurn { epoch, turn: turn() };
-        assert_eq!(call(&node, put(1)).await, StoreReply::Stored { is_complete: true });
-        assert_eq!(call(&node, put(2)).await, StoreReply::StaleEpoch { epoch: 1 }, "it comes too late");
-        let waiting = call(&node, put(2));
-        let send = async { control.send_map(&map(2, std::slice::from_ref(&node), &[(node.identity, true)])) };
-        let (reply, ()) = tokio::join!(waiting, send);
-        assert_eq!(reply, StoreReply::Stored { is_complete: true });
+        // While the clock stands still, a request waits for however long the map takes.
+        let clock = StoppedClock::stop();
+        for epoch in 1..=2 {
+            let waiting = call(&node, put(epoch));
+            let (reply, ()) = tokio::join!(waiting, async { control.publish(map(epoch)) });
+            assert_eq!(reply, StoreReply::Stored { is_complete: true });
+        }
+        drop(clock);
+        assert_eq!(call(&node, put(3)).await, StoreReply::StaleEpoch { epoch: 2 }, "the map never comes");
     });
 }
 
@@ -191,7 +347,7 @@
     run(async {
         let folder = TempDir::new().unwrap();
         let control = Control::start().await;
-        let mut settings = control.settings("127.0.0.6", folder.path(), true);
+        let mut settings = control.settings(Machine::FirstStore, folder.path(), true);
         settings.data_dir = None;
         let error = opalrun_store::run(settings).await.unwrap_err();
         assert!(error.to_string().contains("data_dir"), "{error}");
