--- a/crates/store/tests/disk.rs
+++ b/crates/store/tests/disk.rs
@@ -12,7 +12,7 @@
 const LIMITS: StoreLimits = StoreLimits { memory_bytes: 1 << 30, disk_bytes: 1 << 30 };
 const WRITES: u64 = 12;
 /// A test that waits for longer waits in vain, and fails.
-const AMPLE: Duration = Duration::from_secs(60);
+const AMPLE: Duration = Duration::from_mins(1);
 
 fn directory(disk: &MemoryDisk) -> Result<DataDirectory, opalrun_storage::StorageError> {
     DataDirectory::open_on(Arc::new(disk.clone()), "/data")
