--- a/crates/control-load/src/gatekeepers.rs
+++ b/crates/control-load/src/gatekeepers.rs
@@ -4,6 +4,7 @@
 use opalrun_wire::{
     feed::{Change, FeedRequest, FeedUpdate, Position, SESSION_SHARDS, Subscriber},
     frame::encode_frame,
+    ids::{FeedOffset, Generation, Shard},
 };
 use std::{
     cell::{Cell, OnceCell},
@@ -87,7 +88,7 @@
     };
     FeedOptions {
         subscriber,
-        shards: (0..=SESSION_SHARDS).collect(),
+        shards: (0..=SESSION_SHARDS).map(Shard).collect(),
         seeds: seeds.to_vec(),
         feed_port: seeds.first().map_or(0, SocketAddr::port),
         zone: zone.to_owned(),
@@ -102,7 +103,7 @@
     let client = FeedClient::start(options, move |event| {
         let generation = heard.take(event);
         let Some(generation) = generation else { return };
-        heard.generation.set(generation);
+        heard.generation.set(generation.0);
         changed.notify_one();
         let slot: Option<Rc<OnceCell<FeedClient>>> = own.upgrade();
         if let Some(client) = slot.as_ref().and_then(|slot| slot.get()) {
@@ -116,7 +117,7 @@
 
 impl Heard {
     /// Counts an event; the generation of the configuration that came with it.
-    fn take(&self, event: FeedUpdate) -> Option<u64> {
+    fn take(&self, event: FeedUpdate) -> Option<Generation> {
         let update = event;
         self.frames.set(self.frames.get() + 1);
         self.bytes.set(self.bytes.get() + encode_frame(&update).len() as u64);
@@ -133,6 +134,7 @@
 /// Bytes of a subscriber's heartbeat.
 #[must_use]
 pub fn heartbeat_bytes() -> usize {
-    let positions = (0..=SESSION_SHARDS).map(|shard| Position { shard, offset: 1 }).collect();
-    encode_frame(&FeedRequest::Heartbeat { positions, generation: 1 }).len()
+    let positions =
+        (0..=SESSION_SHARDS).map(|shard| Position { shard: Shard(shard), offset: FeedOffset(1) }).collect();
+    encode_frame(&FeedRequest::Heartbeat { positions, generation: Generation(1) }).len()
 }
--- a/crates/control/src/api/handler.rs
+++ b/crates/control/src/api/handler.rs
@@ -10,7 +10,7 @@
     store_map::RetireState,
     tier_view,
 };
-use opalrun_wire::ResultCode;
+use opalrun_wire::{ResultCode, ids::Generation};
 use std::rc::Rc;
 use viz::StatusCode;
 
@@ -59,7 +59,7 @@
 
 async fn put_configuration(
     process: &Rc<ControlProcess>,
-    if_match: Option<u64>,
+    if_match: Option<Generation>,
     body: &[u8],
 ) -> Result<ApiAnswer, Unavailable> {
     let Some(if_match) = if_match else {
--- a/crates/control/src/api/message.rs
+++ b/crates/control/src/api/message.rs
@@ -3,7 +3,7 @@
 use super::json::json_string;
 use bytes::Bytes;
 use http_body_util::Full;
-use opalrun_wire::ResultCode;
+use opalrun_wire::{ResultCode, ids::Generation};
 use tokio::sync::oneshot;
 use viz::{IntoResponse, Response, StatusCode, header::CONTENT_TYPE, header::HeaderValue};
 
@@ -25,7 +25,7 @@
     /// `PUT /opalrun/config`.
     PutConfiguration {
         /// The header `If-Match` as a number, if it is there and is one.
-        if_match: Option<u64>,
+        if_match: Option<Generation>,
         /// The JSON body.
         body: Bytes,
     },
--- a/crates/control/src/api/router.rs
+++ b/crates/control/src/api/router.rs
@@ -3,6 +3,7 @@
 use super::message::{ApiRequest, PendingRequest};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
+use opalrun_wire::ids::Generation;
 use std::time::Duration;
 use tokio::{
     sync::{mpsc, oneshot},
@@ -82,9 +83,9 @@
     move |request| handler(process.clone(), request)
 }
 
-fn if_match(request: &Request) -> Option<u64> {
+fn if_match(request: &Request) -> Option<Generation> {
     let value = request.headers().get("if-match")?.to_str().ok()?;
-    value.trim().trim_matches('"').parse().ok()
+    value.trim().trim_matches('"').parse().ok().map(Generation)
 }
 
 async fn read_body(request: &mut Request, max_bytes: usize) -> std::result::Result<Bytes, StatusCode> {
--- a/crates/control/src/calls.rs
+++ b/crates/control/src/calls.rs
@@ -1,7 +1,11 @@
 //! Requests between control processes, apart from the replication of their shards.
 #![expect(missing_docs, reason = "the derived resolvers have no docs; every item written here has")]
 
-use opalrun_wire::feed::{ControlNode, WorkerFailures};
+use opalrun_replication::LogIndex;
+use opalrun_wire::{
+    feed::{ControlNode, WorkerFailures},
+    ids::{Generation, NodeIdentity, Shard},
+};
 use rkyv::{Archive, Deserialize, Serialize};
 
 /// A request to another control process.
@@ -10,35 +14,35 @@
     /// To the owner of a shard: commit this command.
     Propose {
         /// The shard.
-        shard: u16,
+        shard: Shard,
         /// The encoded command.
         command: Vec<u8>,
     },
     /// To the owner of a shard: the commit index that a linearizable read has to wait for (Raft dissertation, 6.4).
     ReadIndex {
         /// The shard.
-        shard: u16,
+        shard: Shard,
     },
     /// Answered once the state holds the command of an index.
     AwaitApplied {
         /// The shard.
-        shard: u16,
+        shard: Shard,
         /// The index.
-        index: u64,
+        index: LogIndex,
         /// Milliseconds after which it is answered in any case.
         limit_ms: u64,
     },
     /// Answered once the gatekeepers that subscribe here have a configuration in force.
     AwaitGeneration {
         /// The generation.
-        generation: u64,
+        generation: Generation,
         /// Milliseconds after which it is answered in any case.
         limit_ms: u64,
     },
     /// To the owner of a shard of sessions: heartbeats of these workers arrived.
     RenewSessions {
         /// The shard.
-        shard: u16,
+        shard: Shard,
         /// The ids of the workers.
         ids: Vec<String>,
     },
@@ -50,7 +54,7 @@
     /// To the owner of shard 0: how many gatekeepers subscribe here.
     Gatekeepers {
         /// The identity of the process that counted.
-        from: u64,
+        from: NodeIdentity,
         /// How many.
         count: u32,
     },
@@ -64,7 +68,7 @@
     /// To the owner of a shard: who has a vote in its group, once the latest change of that is committed.
     Voters {
         /// The shard.
-        shard: u16,
+        shard: Shard,
     },
 }
 
@@ -72,7 +76,7 @@
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
 pub struct StoreContact {
     /// The identity of the store.
-    pub identity: u64,
+    pub identity: NodeIdentity,
     /// Milliseconds since it was heard from.
     pub age_ms: u64,
 }
@@ -92,7 +96,7 @@
     /// The name of its machine.
     pub node_name: String,
     /// The generation of the configuration in force there.
-    pub generation: u64,
+    pub generation: Generation,
 }
 
 /// The answer to a [`ControlCall`].
@@ -101,7 +105,7 @@
     /// The command is committed.
     Proposed {
         /// Its index.
-        index: u64,
+        index: LogIndex,
         /// The encoded outcome.
         outcome: Vec<u8>,
     },
@@ -110,7 +114,7 @@
     /// The process doesn't know, or can't do it now.
     Unavailable,
     /// The commit index that a linearizable read has to wait for.
-    Offset(u64),
+    Offset(LogIndex),
     /// Gatekeepers over the whole tier.
     Gatekeepers(u32),
     /// Workers that are suspected.
@@ -120,5 +124,5 @@
     /// The gatekeepers that subscribe there.
     Subscribers(Vec<SubscribedGatekeeper>),
     /// Identities of voters.
-    Voters(Vec<u64>),
+    Voters(Vec<NodeIdentity>),
 }
--- a/crates/control/src/configuration_shard/directory.rs
+++ b/crates/control/src/configuration_shard/directory.rs
@@ -1,7 +1,7 @@
 //! The directory of control processes.
 
 use crate::replaced_identities::ReplacedIdentities;
-use opalrun_wire::feed::ControlNode;
+use opalrun_wire::{feed::ControlNode, ids::NodeIdentity};
 use rkyv::{Archive, Deserialize, Serialize};
 
 /// The control processes that belong to the tier. Every group of replicas follows it.
@@ -22,7 +22,7 @@
         let same_machine = |known: &ControlNode| {
             known.node_name == node.node_name || known.control_address == node.control_address
         };
-        let replaced: Vec<u64> =
+        let replaced: Vec<NodeIdentity> =
             self.nodes.iter().filter(|known| same_machine(known)).map(|known| known.identity).collect();
         for identity in replaced.into_iter().filter(|identity| *identity != node.identity) {
             self.replaced_identities.remember(identity);
@@ -34,7 +34,7 @@
     }
 
     /// Drops a process; returns whether anything changed.
-    pub fn drop_node(&mut self, identity: u64) -> bool {
+    pub fn drop_node(&mut self, identity: NodeIdentity) -> bool {
         let before = self.nodes.len();
         self.nodes.retain(|known| known.identity != identity);
         self.nodes.len() != before
@@ -48,7 +48,7 @@
 
     /// A process by its identity.
     #[must_use]
-    pub fn node(&self, identity: u64) -> Option<&ControlNode> {
+    pub fn node(&self, identity: NodeIdentity) -> Option<&ControlNode> {
         self.nodes.iter().find(|node| node.identity == identity)
     }
 }
--- a/crates/control/src/configuration_shard/mod.rs
+++ b/crates/control/src/configuration_shard/mod.rs
@@ -6,9 +6,12 @@
 mod tests;
 
 pub use directory::Directory;
+use opalrun_wire::{
+    feed::{Change, ControlNode},
+    ids::{Generation, NodeIdentity},
+};
 
 use crate::store_map::{StoreCommand, StoreOutcome, StoreTable};
-use opalrun_wire::feed::{Change, ControlNode};
 use rkyv::{Archive, Deserialize, Serialize};
 use std::collections::VecDeque;
 
@@ -21,9 +24,9 @@
     /// A change of the configuration, decided as a compare-and-set on the current generation.
     PutConfiguration {
         /// The generation that it builds on; 0 for the first.
-        if_match: u64,
+        if_match: Generation,
         /// Its own generation.
-        generation: u64,
+        generation: Generation,
         /// The operator's body, already checked.
         body: Vec<u8>,
         /// The hash of the body.
@@ -37,7 +40,7 @@
     /// A control process is no member any more, if enough others are left.
     DropControl {
         /// Its identity.
-        identity: u64,
+        identity: NodeIdentity,
         /// The fewest members that have to be left.
         fewest: u16,
     },
@@ -55,12 +58,12 @@
     /// Another generation is current than the one that the change builds on.
     Conflict {
         /// The current generation.
-        current: u64,
+        current: Generation,
     },
     /// The change's generation is not above the current one.
     NotAbove {
         /// The current generation.
-        current: u64,
+        current: Generation,
     },
     /// The directory was brought up to date.
     Directory,
@@ -72,7 +75,7 @@
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
 pub struct StoredConfiguration {
     /// Its generation.
-    pub generation: u64,
+    pub generation: Generation,
     /// The operator's body as it was sent.
     pub body: Vec<u8>,
 }
@@ -80,7 +83,7 @@
 /// A configuration that was accepted.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
 struct AcceptedConfiguration {
-    generation: u64,
+    generation: Generation,
     /// The hash of the operator's body.
     sha256: [u8; 32],
 }
@@ -136,13 +139,13 @@
 
     /// The generation in force; 0 before the first.
     #[must_use]
-    pub fn generation(&self) -> u64 {
-        self.configuration.as_ref().map_or(0, |configuration| configuration.generation)
+    pub fn generation(&self) -> Generation {
+        self.configuration.as_ref().map_or(Generation(0), |configuration| configuration.generation)
     }
 
     /// Whether exactly this configuration was accepted before.
     #[must_use]
-    pub fn was_accepted(&self, generation: u64, sha256: &[u8; 32]) -> bool {
+    pub fn was_accepted(&self, generation: Generation, sha256: &[u8; 32]) -> bool {
         let wanted = AcceptedConfiguration { generation, sha256: *sha256 };
         self.accepted.iter().rev().any(|accepted| *accepted == wanted)
     }
@@ -161,8 +164,8 @@
 
     fn put_configuration(
         &mut self,
-        if_match: u64,
-        generation: u64,
+        if_match: Generation,
+        generation: Generation,
         body: Vec<u8>,
         sha256: [u8; 32],
     ) -> (ConfigurationOutcome, Vec<Change>) {
@@ -183,7 +186,7 @@
         (ConfigurationOutcome::Accepted, vec![change])
     }
 
-    fn remember(&mut self, generation: u64, sha256: [u8; 32]) {
+    fn remember(&mut self, generation: Generation, sha256: [u8; 32]) {
         if self.accepted.len() == MAX_REMEMBERED_CONFIGURATIONS {
             self.accepted.pop_front();
         }
--- a/crates/control/src/configuration_shard/tests.rs
+++ b/crates/control/src/configuration_shard/tests.rs
@@ -1,7 +1,10 @@
 //! Shard 0 through orders of events.
 
 use super::{ConfigurationCommand, ConfigurationOutcome, ConfigurationShard};
-use opalrun_wire::feed::{Change, ControlNode};
+use opalrun_wire::{
+    feed::{Change, ControlNode},
+    ids::{Generation, NodeIdentity},
+};
 
 fn put(shard: &mut ConfigurationShard, if_match: u64, generation: u64, body: &str) -> ConfigurationOutcome {
     let mut sha256 = [0; 32];
@@ -9,8 +12,8 @@
         sha256[place % 32] ^= byte;
     }
     let command = ConfigurationCommand::PutConfiguration {
-        if_match,
-        generation,
+        if_match: Generation(if_match),
+        generation: Generation(generation),
         body: body.as_bytes().to_vec(),
         sha256,
     };
@@ -19,7 +22,7 @@
 
 fn node(identity: u64, name: &str) -> ControlNode {
     ControlNode {
-        identity,
+        identity: NodeIdentity(identity),
         node_name: name.to_owned(),
         peer_address: format!("10.0.0.{identity}:7000"),
         control_address: format!("{name}:8000"),
@@ -32,7 +35,7 @@
 }
 
 fn identities(shard: &ConfigurationShard) -> Vec<u64> {
-    shard.directory().nodes().iter().map(|node| node.identity).collect()
+    shard.directory().nodes().iter().map(|node| node.identity.0).collect()
 }
 
 #[test]
@@ -40,8 +43,8 @@
     let mut shard = ConfigurationShard::default();
     assert_eq!(put(&mut shard, 0, 3, "first"), ConfigurationOutcome::Accepted);
     assert_eq!(put(&mut shard, 3, 5, "winner"), ConfigurationOutcome::Accepted);
-    assert_eq!(put(&mut shard, 3, 5, "loser"), ConfigurationOutcome::Conflict { current: 5 });
-    assert_eq!(put(&mut shard, 3, 6, "loser"), ConfigurationOutcome::Conflict { current: 5 });
+    assert_eq!(put(&mut shard, 3, 5, "loser"), ConfigurationOutcome::Conflict { current: Generation(5) });
+    assert_eq!(put(&mut shard, 3, 6, "loser"), ConfigurationOutcome::Conflict { current: Generation(5) });
     assert_eq!(shard.configuration().map(|held| held.body.clone()), Some(b"winner".to_vec()));
 }
 
@@ -52,23 +55,23 @@
     assert_eq!(put(&mut shard, 0, 3, "first"), ConfigurationOutcome::AlreadyAccepted);
     put(&mut shard, 3, 5, "second");
     assert_eq!(put(&mut shard, 0, 3, "first"), ConfigurationOutcome::AlreadyAccepted);
-    assert_eq!(shard.generation(), 5);
+    assert_eq!(shard.generation(), Generation(5));
 }
 
 #[test]
 fn a_generation_has_to_rise() {
     let mut shard = ConfigurationShard::default();
-    assert_eq!(put(&mut shard, 0, 0, "zero"), ConfigurationOutcome::NotAbove { current: 0 });
+    assert_eq!(put(&mut shard, 0, 0, "zero"), ConfigurationOutcome::NotAbove { current: Generation(0) });
     put(&mut shard, 0, 3, "first");
-    assert_eq!(put(&mut shard, 3, 3, "same"), ConfigurationOutcome::NotAbove { current: 3 });
-    assert_eq!(put(&mut shard, 3, 2, "lower"), ConfigurationOutcome::NotAbove { current: 3 });
-    assert_eq!(shard.generation(), 3);
+    assert_eq!(put(&mut shard, 3, 3, "same"), ConfigurationOutcome::NotAbove { current: Generation(3) });
+    assert_eq!(put(&mut shard, 3, 2, "lower"), ConfigurationOutcome::NotAbove { current: Generation(3) });
+    assert_eq!(shard.generation(), Generation(3));
 }
 
 #[test]
 fn a_first_change_on_a_version_that_is_not_there_is_a_conflict() {
     let mut shard = ConfigurationShard::default();
-    assert_eq!(put(&mut shard, 4, 5, "late"), ConfigurationOutcome::Conflict { current: 0 });
+    assert_eq!(put(&mut shard, 4, 5, "late"), ConfigurationOutcome::Conflict { current: Generation(0) });
     assert!(shard.configuration().is_none());
 }
 
@@ -76,12 +79,12 @@
 fn subscribers_learn_of_a_configuration_once() {
     let mut shard = ConfigurationShard::default();
     let command = ConfigurationCommand::PutConfiguration {
-        if_match: 0,
-        generation: 1,
+        if_match: Generation(0),
+        generation: Generation(1),
         body: b"body".to_vec(),
         sha256: [1; 32],
     };
-    let expected = Change::Configuration { generation: 1, body: b"body".to_vec() };
+    let expected = Change::Configuration { generation: Generation(1), body: b"body".to_vec() };
     let first = shard.apply(command.clone()).1;
     let second = shard.apply(command).1;
     assert!(first.contains(&expected) && second.is_empty());
@@ -114,7 +117,7 @@
     let mut shard = ConfigurationShard::default();
     admit(&mut shard, node(1, "core-1"));
     admit(&mut shard, node(2, "core-2"));
-    shard.apply(ConfigurationCommand::DropControl { identity: 2, fewest: 0 });
+    shard.apply(ConfigurationCommand::DropControl { identity: NodeIdentity(2), fewest: 0 });
     assert_eq!(identities(&shard), [1]);
     admit(&mut shard, node(2, "core-2"));
     assert_eq!(identities(&shard), [1, 2]);
@@ -126,9 +129,9 @@
     for identity in 1..=4 {
         admit(&mut shard, node(identity, &format!("core-{identity}")));
     }
-    shard.apply(ConfigurationCommand::DropControl { identity: 2, fewest: 3 });
+    shard.apply(ConfigurationCommand::DropControl { identity: NodeIdentity(2), fewest: 3 });
     assert_eq!(identities(&shard), [1, 3, 4]);
-    shard.apply(ConfigurationCommand::DropControl { identity: 3, fewest: 3 });
+    shard.apply(ConfigurationCommand::DropControl { identity: NodeIdentity(3), fewest: 3 });
     assert_eq!(identities(&shard), [1, 3, 4]);
 }
 
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -1,9 +1,10 @@
 //! Errors that keep a control process from starting, or end it.
 
+use crate::host::HostFailure;
 use opalrun_net::NetError;
 use opalrun_wire::ResultCode;
 use snafu::Snafu;
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, sync::Arc};
 
 /// Why a control process can't start, or has to end.
 #[derive(Debug, Snafu)]
@@ -36,9 +37,9 @@
         source: crate::host::HostError,
     },
     /// The disk has failed while the process ran.
-    #[snafu(display("the disk: {why}"))]
+    #[snafu(display("the disk: {source}"))]
     Disk {
-        /// The error of the operation that failed, as text.
-        why: String,
+        /// The operation that failed.
+        source: Arc<HostFailure>,
     },
 }
--- a/crates/control/src/feed/connection.rs
+++ b/crates/control/src/feed/connection.rs
@@ -4,11 +4,14 @@
 use crate::{
     configuration_shard::{ConfigurationCommand, ConfigurationOutcome},
     process::{ControlProcess, Unavailable},
-    shards::SHARDS,
+    shards,
     store_map::{StoreCommand, StoreOutcome},
 };
 use opalrun_net::{Connection, FrameReader, FrameWriter, NetError};
-use opalrun_wire::feed::{FeedRequest, FeedUpdate, Position, StoreNode, Subscriber};
+use opalrun_wire::{
+    feed::{FeedRequest, FeedUpdate, Position, StoreNode, Subscriber},
+    ids::{FeedOffset, NodeIdentity, Shard},
+};
 use std::{cell::Cell, collections::BTreeMap, rc::Rc, time::Duration};
 use tokio::time::{MissedTickBehavior, interval, sleep, timeout};
 
@@ -60,7 +63,7 @@
     id: ConnectionId,
     subscriber: Subscriber,
     /// The offset that it has of each shard that it subscribes to; `None`: nothing yet.
-    offsets: BTreeMap<u16, Option<u64>>,
+    offsets: BTreeMap<Shard, Option<FeedOffset>>,
     sent_suspects: SentSuspects,
     /// At the last look its state was fresh, and it was notified of that.
     was_fresh: bool,
@@ -84,9 +87,9 @@
         subscriber: Subscriber,
         positions: &[Position],
     ) -> Self {
-        let known = positions.iter().filter(|position| position.shard < SHARDS);
+        let known = positions.iter().filter(|position| shards::exists(position.shard));
         let offsets = known
-            .map(|position| (position.shard, (position.offset > 0).then_some(position.offset)))
+            .map(|position| (position.shard, (position.offset > FeedOffset(0)).then_some(position.offset)))
             .collect();
         Self {
             process,
@@ -240,7 +243,7 @@
 }
 
 /// Answers a store's shutdown request: whether its replicas are moved away before.
-async fn answer_shutdown_request(process: Rc<ControlProcess>, store: u64, writer: FrameWriter) {
+async fn answer_shutdown_request(process: Rc<ControlProcess>, store: NodeIdentity, writer: FrameWriter) {
     let command = ConfigurationCommand::Store(StoreCommand::RequestShutdown { identity: store });
     let outcome = process.client().commit_configuration(&command).await;
     let is_moving = outcome == Ok(ConfigurationOutcome::Store(StoreOutcome::Done));
--- a/crates/control/src/feed/subscribers.rs
+++ b/crates/control/src/feed/subscribers.rs
@@ -1,6 +1,7 @@
 //! Who subscribes to the feed at this control process, and how far each is. Sans I/O.
 
-use crate::calls::SubscribedGatekeeper;
+use crate::calls::{StoreContact, SubscribedGatekeeper};
+use opalrun_wire::ids::{Generation, NodeIdentity};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     time::Duration,
@@ -22,14 +23,14 @@
 struct GatekeeperSubscription {
     node_name: String,
     /// The generation of the configuration in force there.
-    generation: u64,
+    generation: Generation,
     last_contact: Duration,
 }
 
 /// A store that subscribes.
 #[derive(Debug)]
 struct StoreSubscription {
-    identity: u64,
+    identity: NodeIdentity,
     last_contact: Duration,
 }
 
@@ -62,17 +63,17 @@
 
     /// A gatekeeper subscribes.
     pub fn add_gatekeeper(&mut self, connection: ConnectionId, node_name: String, now: Duration) {
-        let subscription = GatekeeperSubscription { node_name, generation: 0, last_contact: now };
+        let subscription = GatekeeperSubscription { node_name, generation: Generation(0), last_contact: now };
         self.gatekeepers.insert(connection, subscription);
     }
 
     /// A store subscribes.
-    pub fn add_store(&mut self, connection: ConnectionId, identity: u64, now: Duration) {
+    pub fn add_store(&mut self, connection: ConnectionId, identity: NodeIdentity, now: Duration) {
         self.stores.insert(connection, StoreSubscription { identity, last_contact: now });
     }
 
     /// A subscriber has sent a heartbeat; `generation` is the configuration in force there.
-    pub fn record_heartbeat(&mut self, connection: ConnectionId, generation: u64, now: Duration) {
+    pub fn record_heartbeat(&mut self, connection: ConnectionId, generation: Generation, now: Duration) {
         if let Some(store) = self.stores.get_mut(&connection) {
             store.last_contact = now;
         }
@@ -99,7 +100,7 @@
 
     /// Whether all gatekeepers that are counted have at least this generation in force.
     #[must_use]
-    pub fn all_have(&self, generation: u64, now: Duration) -> bool {
+    pub fn all_have(&self, generation: Generation, now: Duration) -> bool {
         self.active_gatekeepers(now).all(|gatekeeper| gatekeeper.generation >= generation)
     }
 
@@ -123,16 +124,20 @@
         names.len() as u32
     }
 
-    /// The identities of the stores that are counted, each with the time since its last contact.
+    /// The stores that are counted, each with the time since its last contact.
     #[must_use]
-    pub fn store_contacts(&self, now: Duration) -> Vec<(u64, Duration)> {
-        let mut ages: BTreeMap<u64, Duration> = BTreeMap::new();
+    pub fn store_contacts(&self, now: Duration) -> Vec<StoreContact> {
+        let mut ages: BTreeMap<NodeIdentity, Duration> = BTreeMap::new();
         for store in self.stores.values().filter(|store| is_active(store.last_contact, now)) {
             let age = now.saturating_sub(store.last_contact);
             let youngest = ages.entry(store.identity).or_insert(age);
             *youngest = age.min(*youngest);
         }
-        ages.into_iter().collect()
+        let contact = |(identity, age): (NodeIdentity, Duration)| StoreContact {
+            identity,
+            age_ms: age.as_millis() as u64,
+        };
+        ages.into_iter().map(contact).collect()
     }
 
     fn active_gatekeepers(&self, now: Duration) -> impl Iterator<Item = &GatekeeperSubscription> {
--- a/crates/control/src/host/driver.rs
+++ b/crates/control/src/host/driver.rs
@@ -1,14 +1,16 @@
 //! The tasks that drive the groups: each input wakes the driver, which does at once what all groups ask for.
 
 use super::{
-    Host,
+    Host, HostFailure,
     disk::JobResult,
     groups::{UnreadableSnapshot, VoteCount},
+    members::node_identity,
     peer_frame::GroupMessage,
 };
 use opalrun_replication::timing;
 use std::{
     rc::{Rc, Weak},
+    sync::Arc,
     time::Duration,
 };
 use tokio::{
@@ -67,7 +69,7 @@
             JobResult::Synced { journal_bytes } => host.synced(journal_bytes),
             JobResult::Failed { error } => {
                 tracing::error!(%error, "the disk has failed");
-                host.failed.send_replace(Some(error.to_string()));
+                host.failed.send_replace(Some(Arc::new(HostFailure::Write { source: error })));
             }
         }
     }
@@ -91,8 +93,8 @@
     pub(super) fn receive(&self, messages: Vec<GroupMessage>) {
         let now = self.now();
         for message in messages {
-            if message.message.to == self.node.identity {
-                self.contacts.borrow_mut().record(message.message.from);
+            if node_identity(message.message.to) == self.node.identity {
+                self.contacts.borrow_mut().record(node_identity(message.message.from));
             }
             self.groups.borrow_mut().receive(now, message);
         }
@@ -106,8 +108,8 @@
             self.journal.borrow_mut().queue_write(*shard, write);
         }
         if let Some(UnreadableSnapshot { shard, error }) = work.unreadable_snapshot {
-            tracing::error!(shard, %error, "a snapshot of another process can't be read");
-            self.failed.send_replace(Some(error.to_string()));
+            tracing::error!(shard = shard.0, %error, "a snapshot of another process can't be read");
+            self.failed.send_replace(Some(Arc::new(HostFailure::Snapshot { source: error })));
         }
         for (identity, messages) in work.messages {
             self.links.send_messages(identity, messages);
--- a/crates/control/src/host/error.rs
+++ b/crates/control/src/host/error.rs
@@ -1,8 +1,13 @@
 //! The errors of the replicated host.
 
 use opalrun_net::NetError;
+use opalrun_replication::LogIndex;
 use opalrun_storage::StorageError;
-use opalrun_wire::{ResultCode, frame::FrameError};
+use opalrun_wire::{
+    ResultCode,
+    frame::FrameError,
+    ids::{NodeIdentity, Shard},
+};
 use snafu::Snafu;
 use std::{fmt, io};
 
@@ -28,9 +33,9 @@
     #[snafu(display("{}: shard {shard} lacks entry {index}", ResultCode::DISK_CORRUPT))]
     Gap {
         /// The shard.
-        shard: u16,
+        shard: Shard,
         /// The first entry that is missing.
-        index: u64,
+        index: LogIndex,
     },
     /// An address in the settings can't be parsed.
     #[snafu(display("{}: {address:?} is no address", ResultCode::SETTINGS_INVALID))]
@@ -52,12 +57,29 @@
     },
 }
 
+/// Why a host that ran can't go on: only opening what is on disk again can help.
+#[derive(Debug, Snafu)]
+pub enum HostFailure {
+    /// A write to the disk has failed.
+    #[snafu(display("{source}"))]
+    Write {
+        /// Why.
+        source: StorageError,
+    },
+    /// A snapshot that another process sent was committed and can't be decoded.
+    #[snafu(display("{source}"))]
+    Snapshot {
+        /// Why.
+        source: FrameError,
+    },
+}
+
 /// Why a proposal or a read was not carried out.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProposeError {
     /// This process does not own the shard, or lost it before the command was committed: it never will be. Names the
     /// owner, if known.
-    NotOwner(Option<u64>),
+    NotOwner(Option<NodeIdentity>),
     /// No majority answers.
     NoQuorum,
     /// It took too long. What was proposed may be applied all the same.
--- a/crates/control/src/host/frame_handler.rs
+++ b/crates/control/src/host/frame_handler.rs
@@ -2,7 +2,7 @@
 
 use super::{Host, peer_frame::PeerFrame};
 use opalrun_net::FrameWriter;
-use opalrun_wire::feed::ControlNode;
+use opalrun_wire::{feed::ControlNode, ids::NodeIdentity};
 use std::rc::Rc;
 
 impl Host {
@@ -38,7 +38,7 @@
         }
     }
 
-    fn answer_call(self: &Rc<Self>, to: u64, number: u64, bytes: Vec<u8>, writer: FrameWriter) {
+    fn answer_call(self: &Rc<Self>, to: NodeIdentity, number: u64, bytes: Vec<u8>, writer: FrameWriter) {
         let host = Rc::clone(self);
         tokio::task::spawn_local(async move {
             let bytes = if to == host.node.identity { host.answer(bytes).await } else { None };
--- a/crates/control/src/host/golden_tests.rs
+++ b/crates/control/src/host/golden_tests.rs
@@ -7,23 +7,25 @@
     Host, HostOptions, StateMachine,
     identity::Identity,
     journal::{Content, Journal, Record, Step, records_of, steps_of},
+    members::member_id,
     peer_frame::{GroupMessage, PeerFrame},
     stored_state,
 };
 use crate::{
     configuration_shard::ConfigurationCommand,
     sessions::{ExpiredSession, SessionCommand},
-    shards::{SHARDS, ShardMachine, Shards},
+    shards::{SHARDS, ShardMachine, Shards, all_shards},
     store_map::{Spread, StoreCommand},
 };
 use opalrun_replication::{
-    AppendOutcome, Entry, HardState, Member, Membership, Message, MessageBody, Payload, Snapshot,
-    SnapshotMetadata, Term, Write,
+    AppendOutcome, Entry, HardState, LogIndex, Member, MemberId, Membership, Message, MessageBody, Payload,
+    Snapshot, SnapshotMetadata, Term, Write,
 };
 use opalrun_storage::{DataDirectory, VersionedContent, VersionedFile};
 use opalrun_wire::{
     feed::{ControlNode, StoreNode, StoreState, Worker, WorkerState},
     frame::{decode, encode},
+    ids::{Generation, NodeIdentity, Shard},
 };
 use std::{fs, path::Path, rc::Rc, time::Duration};
 use tokio::{task::LocalSet, time::timeout};
@@ -44,7 +46,7 @@
 
 fn node() -> ControlNode {
     ControlNode {
-        identity: 11,
+        identity: NodeIdentity(11),
         node_name: "core-1".to_owned(),
         peer_address: "10.0.0.1:7380".to_owned(),
         control_address: "10.0.0.1:8144".to_owned(),
@@ -55,32 +57,41 @@
 fn membership() -> Membership {
     let member =
         |identity, is_voter| Member { identity, address: format!("10.0.0.{identity}:7380"), is_voter };
-    Membership::new(vec![member(1, true), member(2, true), member(3, false)])
+    Membership::new(vec![member(MemberId(1), true), member(MemberId(2), true), member(MemberId(3), false)])
 }
 
 fn header() -> SnapshotMetadata {
-    SnapshotMetadata { last_included_index: 40, last_included_term: Term(6), membership: membership() }
+    SnapshotMetadata {
+        last_included_index: LogIndex(40),
+        last_included_term: Term(6),
+        membership: membership(),
+    }
 }
 
 fn entries() -> Vec<Rc<Entry>> {
     let payloads =
         [Payload::Empty, Payload::Command(b"a command".to_vec()), Payload::MembershipChange(membership())];
     let numbered = (41..).zip(payloads);
-    numbered.map(|(index, payload)| Rc::new(Entry { index, term: Term(7), payload })).collect()
+    numbered
+        .map(|(index, payload)| Rc::new(Entry { index: LogIndex(index), term: Term(7), payload }))
+        .collect()
 }
 
 #[test]
 fn records_of_the_journal() {
     let check = |name: &str, content: Content| {
-        golden_file::check(&format!("journal_record/{name}"), &Record { shard: 2, content });
+        golden_file::check(&format!("journal_record/{name}"), &Record { shard: Shard(2), content });
     };
     check("hard_state", Content::HardState(HardState { term: Term(7), voted_for: None }));
-    check("hard_state_with_vote", Content::HardState(HardState { term: Term(7), voted_for: Some(11) }));
+    check(
+        "hard_state_with_vote",
+        Content::HardState(HardState { term: Term(7), voted_for: Some(MemberId(11)) }),
+    );
     let names = ["entry_empty", "entry_command", "entry_members"];
     for (name, entry) in names.into_iter().zip(entries()) {
         check(name, Content::Entry(entry));
     }
-    check("installing", Content::Installing(40));
+    check("installing", Content::Installing(LogIndex(40)));
 }
 
 #[test]
@@ -90,15 +101,24 @@
 
 #[test]
 fn the_content_of_the_identity_file() {
-    golden_file::check("identity/first_member", &Identity { identity: 11, genesis: membership() });
-    golden_file::check("identity/later_member", &Identity { identity: 12, genesis: Membership::default() });
+    golden_file::check(
+        "identity/first_member",
+        &Identity { identity: NodeIdentity(11), genesis: membership() },
+    );
+    golden_file::check(
+        "identity/later_member",
+        &Identity { identity: NodeIdentity(12), genesis: Membership::default() },
+    );
 }
 
 #[test]
 fn frames_between_control_processes() {
     golden_file::check("peer_frame/hello", &PeerFrame::Handshake(node()));
     golden_file::check("peer_frame/join", &PeerFrame::Join(node()));
-    golden_file::check("peer_frame/call", &PeerFrame::Call { to: 11, number: 5, bytes: b"call".to_vec() });
+    golden_file::check(
+        "peer_frame/call",
+        &PeerFrame::Call { to: NodeIdentity(11), number: 5, bytes: b"call".to_vec() },
+    );
     golden_file::check(
         "peer_frame/answer",
         &PeerFrame::Answer { number: 5, bytes: Some(b"answer".to_vec()) },
@@ -112,39 +132,43 @@
     let check = |name: &str, body: MessageBody| {
         let message = |shard| GroupMessage {
             shard,
-            message: Message { from: 11, to: 12, term: Term(7), body: body.clone() },
+            message: Message { from: MemberId(11), to: MemberId(12), term: Term(7), body: body.clone() },
         };
-        let frame = PeerFrame::Replication(vec![message(0), message(3)]);
+        let frame = PeerFrame::Replication(vec![message(Shard(0)), message(Shard(3))]);
         golden_file::check(&format!("peer_frame/replication_{name}"), &frame);
     };
-    check("pre_vote", MessageBody::RequestPreVote { last_log_index: 40, last_log_term: Term(6) });
+    check("pre_vote", MessageBody::RequestPreVote { last_log_index: LogIndex(40), last_log_term: Term(6) });
     check("pre_vote_answer", MessageBody::RequestPreVoteResponse { is_granted: true });
     check(
         "vote",
         MessageBody::RequestVote {
-            last_log_index: 40,
+            last_log_index: LogIndex(40),
             last_log_term: Term(6),
             is_leadership_transfer: false,
         },
     );
     check(
         "vote_after_transfer",
-        MessageBody::RequestVote { last_log_index: 40, last_log_term: Term(6), is_leadership_transfer: true },
+        MessageBody::RequestVote {
+            last_log_index: LogIndex(40),
+            last_log_term: Term(6),
+            is_leadership_transfer: true,
+        },
     );
     check("vote_answer", MessageBody::RequestVoteResponse { is_granted: true });
     let append = |entries| MessageBody::AppendEntries {
-        previous_log_index: 40,
+        previous_log_index: LogIndex(40),
         previous_log_term: Term(6),
         entries,
-        leader_commit: 39,
+        leader_commit: LogIndex(39),
         round: 9,
         acknowledged_round: 8,
     };
     check("append", append(entries()));
     check("append_heartbeat", append(Vec::new()));
-    let accepted = AppendOutcome::Accepted { match_index: 43 };
+    let accepted = AppendOutcome::Accepted { match_index: LogIndex(43) };
     check("append_answer_accepted", MessageBody::AppendEntriesResponse { round: 9, outcome: accepted });
-    let rejected = AppendOutcome::Rejected { previous_log_index: 40, hint_index: 30 };
+    let rejected = AppendOutcome::Rejected { previous_log_index: LogIndex(40), hint_index: LogIndex(30) };
     check("append_answer_rejected", MessageBody::AppendEntriesResponse { round: 9, outcome: rejected });
     let chunk = MessageBody::InstallSnapshot {
         metadata: header(),
@@ -158,7 +182,11 @@
     check("snapshot_chunk", chunk);
     check(
         "snapshot_answer",
-        MessageBody::InstallSnapshotResponse { last_included_index: 40, received_bytes: 407, round: 9 },
+        MessageBody::InstallSnapshotResponse {
+            last_included_index: LogIndex(40),
+            received_bytes: 407,
+            round: 9,
+        },
     );
     check("timeout_now", MessageBody::TimeoutNow);
 }
@@ -166,12 +194,17 @@
 fn put_configuration(generation: u64) -> ConfigurationCommand {
     let body = format!("{{\"generation\":{generation}}}").into_bytes();
     let if_match = generation - 1;
-    ConfigurationCommand::PutConfiguration { if_match, generation, body, sha256: [generation as u8; 32] }
+    ConfigurationCommand::PutConfiguration {
+        if_match: Generation(if_match),
+        generation: Generation(generation),
+        body,
+        sha256: [generation as u8; 32],
+    }
 }
 
 fn store_join(identity: u64) -> ConfigurationCommand {
     let node = StoreNode {
-        identity,
+        identity: NodeIdentity(identity),
         node_name: format!("state-{identity}"),
         address: format!("10.9.0.{identity}:7380"),
         zone: format!("zone-{identity}"),
@@ -222,8 +255,9 @@
 
 fn log(shard: u16) -> Vec<Rc<Entry>> {
     let numbered = (1..).zip(commands(shard));
-    let entry =
-        |(index, command)| Rc::new(Entry { index, term: Term(TERM), payload: Payload::Command(command) });
+    let entry = |(index, command)| {
+        Rc::new(Entry { index: LogIndex(index), term: Term(TERM), payload: Payload::Command(command) })
+    };
     numbered.map(entry).collect()
 }
 
@@ -232,7 +266,7 @@
     let shards = Shards::new();
     for entry in log(shard).iter().take(count) {
         if let Payload::Command(command) = &entry.payload {
-            shards.apply(shard, entry.index, command);
+            shards.apply(Shard(shard), entry.index, command);
         }
     }
     shards
@@ -240,17 +274,17 @@
 
 fn snapshot_of(shard: u16, genesis: &Membership) -> Snapshot {
     let header = SnapshotMetadata {
-        last_included_index: ENTRIES_IN_SNAPSHOT as u64,
+        last_included_index: LogIndex(ENTRIES_IN_SNAPSHOT as u64),
         last_included_term: Term(TERM),
         membership: genesis.clone(),
     };
-    Snapshot { metadata: header, state: state_after(shard, ENTRIES_IN_SNAPSHOT).snapshot(shard) }
+    Snapshot { metadata: header, state: state_after(shard, ENTRIES_IN_SNAPSHOT).snapshot(Shard(shard)) }
 }
 
 fn options(data_directory: &Path, peer_address: String) -> HostOptions {
     HostOptions {
         node: ControlNode {
-            identity: 0,
+            identity: NodeIdentity(0),
             peer_address,
             control_address: CONTROL_ADDRESS.to_owned(),
             ..node()
@@ -271,12 +305,12 @@
     let identity = Identity::load_or_create(&directory, &options).expect("an identity is stored");
     let (mut journal, _) =
         Journal::open(&directory, usize::from(SHARDS), &identity.genesis).expect("the journal can be opened");
-    let hard_state = HardState { term: Term(TERM), voted_for: Some(identity.identity) };
+    let hard_state = HardState { term: Term(TERM), voted_for: Some(member_id(identity.identity)) };
     let mut records = Vec::new();
     let mut snapshots = Vec::new();
     for shard in (0..SHARDS).filter(|shard| *shard != INSTALLED_SHARD) {
-        snapshots.push((shard, encode(&snapshot_of(shard, &identity.genesis)).to_vec()));
-        records.extend(records_of(shard, Some(hard_state), &log(shard)[ENTRIES_IN_SNAPSHOT..]));
+        snapshots.push((Shard(shard), encode(&snapshot_of(shard, &identity.genesis)).to_vec()));
+        records.extend(records_of(Shard(shard), Some(hard_state), &log(shard)[ENTRIES_IN_SNAPSHOT..]));
     }
     let installed = Write {
         sequence: 1,
@@ -284,7 +318,7 @@
         snapshot: Some(Rc::new(snapshot_of(INSTALLED_SHARD, &identity.genesis))),
         entries: log(INSTALLED_SHARD)[ENTRIES_IN_SNAPSHOT..].to_vec(),
     };
-    let steps = [vec![Step::Checkpoint { snapshots, records }], steps_of(INSTALLED_SHARD, &installed)];
+    let steps = [vec![Step::Checkpoint { snapshots, records }], steps_of(Shard(INSTALLED_SHARD), &installed)];
     journal.carry_out(&steps.concat()).expect("everything is written");
 }
 
@@ -310,10 +344,13 @@
     let found = stored_state::read(&directory, SHARDS).expect("it can be read").expect("it holds a state");
     let genesis = Identity::load(&directory).expect("it can be read").expect("it is there").genesis;
     assert_eq!(found.first_members, 1);
-    assert_eq!(found.identity, genesis.members[0].identity);
+    assert_eq!(member_id(found.identity), genesis.members[0].identity);
     for (shard, restored) in (0..).zip(found.shards) {
         let expected = snapshot_of(shard, &genesis);
-        assert_eq!(restored.log.hard_state, HardState { term: Term(TERM), voted_for: Some(found.identity) });
+        assert_eq!(
+            restored.log.hard_state,
+            HardState { term: Term(TERM), voted_for: Some(member_id(found.identity)) }
+        );
         assert_eq!(restored.log.base, expected.metadata, "shard {shard}");
         assert_eq!(restored.snapshot, Some(expected.state), "shard {shard}");
         let entries: Vec<Rc<Entry>> = restored.log.entries.into_iter().map(Rc::new).collect();
@@ -359,16 +396,18 @@
     let test = async {
         let shards = Shards::new();
         let machine = |shard| Box::new(ShardMachine::new(shards.clone(), shard)) as Box<dyn StateMachine>;
-        let machines = (0..SHARDS).map(machine).collect();
+        let machines = all_shards().map(machine).collect();
         let host = Host::start(options(folder.path(), peer_address), machines).await.expect("it starts");
         for shard in 0..SHARDS {
             let last = log(shard).len() as u64;
-            timeout(START_LIMIT, shards.wait_for(shard, last)).await.expect("the log is applied");
+            timeout(START_LIMIT, shards.wait_for(Shard(shard), LogIndex(last)))
+                .await
+                .expect("the log is applied");
         }
         for shard in 0..SHARDS {
             let expected = state_after(shard, usize::MAX);
-            assert_eq!(shards.snapshot(shard), expected.snapshot(shard), "shard {shard}");
-            assert!(host.term(shard) > TERM, "shard {shard}");
+            assert_eq!(shards.snapshot(Shard(shard)), expected.snapshot(Shard(shard)), "shard {shard}");
+            assert!(host.term(Shard(shard)) > Term(TERM), "shard {shard}");
         }
     };
     runtime.block_on(LocalSet::new().run_until(test));
--- a/crates/control/src/host/group.rs
+++ b/crates/control/src/host/group.rs
@@ -1,7 +1,7 @@
 //! One replicated group in this process: its replica, its state machine and the callers that wait for it.
 
-use super::{Committed, ProposeError, StateMachine};
-use opalrun_replication::{Entry, LogPosition, Payload, ReadIndexResult, Replica, Snapshot, Term};
+use super::{Committed, ProposeError, StateMachine, members::node_identity};
+use opalrun_replication::{Entry, LogIndex, LogPosition, Payload, ReadIndexResult, Replica, Snapshot, Term};
 use opalrun_wire::frame::FrameError;
 use std::collections::{BTreeMap, HashMap};
 use tokio::sync::oneshot;
@@ -21,11 +21,11 @@
     pub replica: Replica,
     state_machine: Box<dyn StateMachine>,
     /// The last entry applied to the state machine.
-    pub applied: u64,
+    pub applied: LogIndex,
     /// The last entry covered by the snapshot on disk, or by one that is being written.
-    pub snapshot_index: u64,
+    pub snapshot_index: LogIndex,
     /// Proposals in flight, by index.
-    proposals: BTreeMap<u64, PendingProposal>,
+    proposals: BTreeMap<LogIndex, PendingProposal>,
     /// Reads in flight, by the number of the request.
     reads: HashMap<u64, oneshot::Sender<bool>>,
 }
@@ -83,7 +83,7 @@
         let result = if proposal.term == entry.term {
             Ok(Committed { index: entry.index, reply })
         } else {
-            Err(ProposeError::NotOwner(self.replica.leader()))
+            Err(ProposeError::NotOwner(self.replica.leader().map(node_identity)))
         };
         // A caller that timed out has dropped its receiver.
         let _ = proposal.result.send(result);
@@ -124,7 +124,9 @@
 
 fn as_propose_error(error: opalrun_replication::ProposeError) -> ProposeError {
     match error {
-        opalrun_replication::ProposeError::NotLeader { leader } => ProposeError::NotOwner(leader),
+        opalrun_replication::ProposeError::NotLeader { leader } => {
+            ProposeError::NotOwner(leader.map(node_identity))
+        }
         opalrun_replication::ProposeError::Busy => ProposeError::NoQuorum,
     }
 }
--- a/crates/control/src/host/groups.rs
+++ b/crates/control/src/host/groups.rs
@@ -1,12 +1,17 @@
 //! The replicated groups of this process, one for each shard. No I/O: what they ask for is gathered in [`GroupWork`].
 
-use super::{group::Group, journal, peer_frame::GroupMessage};
+use super::{
+    group::Group,
+    journal,
+    members::{member_id, node_identity},
+    peer_frame::GroupMessage,
+};
 use opalrun_replication::{Member, Membership, Ready, Snapshot, Write};
-use opalrun_wire::frame::{FrameError, encode};
-use std::{
-    collections::{BTreeMap, HashMap},
-    ops::Range,
+use opalrun_wire::{
+    frame::{FrameError, encode},
+    ids::{NodeIdentity, Shard},
 };
+use std::collections::{BTreeMap, HashMap};
 
 /// A checkpoint is due once a group has applied this many entries since its last snapshot.
 const CHECKPOINT_ENTRIES: u64 = 4096;
@@ -19,9 +24,9 @@
 #[derive(Default)]
 pub(super) struct GroupWork {
     /// Writes for the journal, each with its shard, in order.
-    pub writes: Vec<(u16, Write)>,
+    pub writes: Vec<(Shard, Write)>,
     /// Messages to other processes, by their identity.
-    pub messages: BTreeMap<u64, Vec<GroupMessage>>,
+    pub messages: BTreeMap<NodeIdentity, Vec<GroupMessage>>,
     /// The state of a shard has changed.
     pub has_applied: bool,
     /// The state in a snapshot of another process can't be decoded.
@@ -30,14 +35,14 @@
 
 /// A snapshot of another process whose state can't be decoded.
 pub(super) struct UnreadableSnapshot {
-    pub shard: u16,
+    pub shard: Shard,
     pub error: FrameError,
 }
 
 /// Snapshots of the groups, and the records that are needed beside them: together they replace the journal.
 pub(super) struct Checkpoint {
     /// Encoded snapshots of the shards that have changed since the last one.
-    pub snapshots: Vec<(u16, Vec<u8>)>,
+    pub snapshots: Vec<(Shard, Vec<u8>)>,
     pub records: Vec<Vec<u8>>,
 }
 
@@ -63,13 +68,13 @@
     }
 
     /// The group of a shard.
-    pub fn of_shard(&mut self, shard: u16) -> &mut Group {
-        &mut self.groups[usize::from(shard)]
+    pub fn of_shard(&mut self, shard: Shard) -> &mut Group {
+        &mut self.groups[shard.position()]
     }
 
     /// The numbers of all shards.
-    pub fn shards(&self) -> Range<u16> {
-        0..self.groups.len() as u16
+    pub fn shards(&self) -> impl Iterator<Item = Shard> + use<> {
+        (0..self.groups.len() as u16).map(Shard)
     }
 
     /// Advances the clock of all groups to `now`, in milliseconds of the steady clock.
@@ -81,7 +86,7 @@
 
     /// Hands a message to its group; one for an unknown shard is dropped.
     pub fn receive(&mut self, now: u64, GroupMessage { shard, message }: GroupMessage) {
-        if let Some(group) = self.groups.get_mut(usize::from(shard)) {
+        if let Some(group) = self.groups.get_mut(shard.position()) {
             group.replica.step(now, message);
         }
     }
@@ -89,7 +94,7 @@
     /// Applies what is committed and gathers what all groups ask for.
     pub fn take_work(&mut self) -> GroupWork {
         let mut work = GroupWork::default();
-        for (shard, group) in (0..).zip(&mut self.groups) {
+        for (shard, group) in (0..).map(Shard).zip(&mut self.groups) {
             loop {
                 let ready = group.replica.ready();
                 let is_snapshot_needed = ready.is_snapshot_needed;
@@ -105,7 +110,7 @@
     }
 
     /// The write with this sequence, and all before it, are synced.
-    pub fn persisted(&mut self, shard: u16, sequence: u64) {
+    pub fn persisted(&mut self, shard: Shard, sequence: u64) {
         self.of_shard(shard).replica.on_persisted(sequence);
     }
 
@@ -117,7 +122,7 @@
     /// Takes snapshots of the groups that have changed since their last one.
     pub fn checkpoint(&mut self) -> Checkpoint {
         let mut checkpoint = Checkpoint { snapshots: Vec::new(), records: Vec::new() };
-        for (shard, group) in (0..).zip(&mut self.groups) {
+        for (shard, group) in (0..).map(Shard).zip(&mut self.groups) {
             if group.applied > group.snapshot_index {
                 let snapshot =
                     Snapshot { metadata: group.replica.applied_snapshot_metadata(), state: group.state() };
@@ -146,17 +151,17 @@
     }
 
     /// Addresses of the members of all groups, by identity.
-    pub fn member_addresses(&self) -> HashMap<u64, String> {
+    pub fn member_addresses(&self) -> HashMap<NodeIdentity, String> {
         let memberships = self.groups.iter().map(|group| group.replica.membership());
         let members = memberships.flat_map(|membership| &membership.members);
-        members.map(|member| (member.identity, member.address.clone())).collect()
+        members.map(|member| (node_identity(member.identity), member.address.clone())).collect()
     }
 
     /// How many votes a process has in the groups.
-    pub fn votes_of(&self, identity: u64) -> VoteCount {
+    pub fn votes_of(&self, identity: NodeIdentity) -> VoteCount {
         let memberships = || self.groups.iter().map(|group| group.replica.membership());
         VoteCount {
-            own: memberships().filter(|membership| membership.is_voter(identity)).count(),
+            own: memberships().filter(|membership| membership.is_voter(member_id(identity))).count(),
             voters: memberships().map(Membership::voter_count).max().unwrap_or(0),
             groups: self.groups.len(),
         }
@@ -179,10 +184,10 @@
 }
 
 /// Carries out what needs no I/O, and adds the rest to the work.
-fn take_ready(shard: u16, group: &mut Group, ready: Ready, work: &mut GroupWork) {
+fn take_ready(shard: Shard, group: &mut Group, ready: Ready, work: &mut GroupWork) {
     work.writes.extend(ready.writes.into_iter().map(|write| (shard, write)));
     for message in ready.messages {
-        work.messages.entry(message.to).or_default().push(GroupMessage { shard, message });
+        work.messages.entry(node_identity(message.to)).or_default().push(GroupMessage { shard, message });
     }
     if let Some(snapshot) = ready.snapshot_to_install {
         if let Err(error) = group.install(&snapshot) {
--- a/crates/control/src/host/identity.rs
+++ b/crates/control/src/host/identity.rs
@@ -1,11 +1,12 @@
 //! The identity of this process, stored on its disk.
 
-use super::{HostError, HostOptions, addresses::peer_address, error};
+use super::{HostError, HostOptions, addresses::peer_address, error, members::member_id};
 use opalrun_replication::{Member, Membership};
 use opalrun_storage::{DataDirectory, VersionedFile};
 use opalrun_wire::{
     feed::stable_hash,
     frame::{decode, encode},
+    ids::NodeIdentity,
 };
 use rkyv::{Archive, Deserialize, Serialize};
 use snafu::ResultExt;
@@ -19,7 +20,7 @@
 /// The identity of this process, and the members that its groups began with.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
 pub(super) struct Identity {
-    pub identity: u64,
+    pub identity: NodeIdentity,
     /// Empty in a process that joined later.
     pub genesis: Membership,
 }
@@ -46,7 +47,7 @@
         let created = if is_first_member {
             Self { identity: genesis_identity(&options.node.control_address), genesis: genesis(options)? }
         } else {
-            Self { identity: random_number(), genesis: Membership::default() }
+            Self { identity: NodeIdentity(random_number()), genesis: Membership::default() }
         };
         let file = VersionedFile::new(directory, FILE_NAME, FORMAT);
         file.write(&encode(&created)).context(error::StorageSnafu)?;
@@ -54,15 +55,15 @@
     }
 }
 
-fn genesis_identity(control_address: &str) -> u64 {
-    stable_hash(format!("genesis:{control_address}").as_bytes())
+fn genesis_identity(control_address: &str) -> NodeIdentity {
+    NodeIdentity(stable_hash(format!("genesis:{control_address}").as_bytes()))
 }
 
 fn genesis(options: &HostOptions) -> Result<Membership, HostError> {
     let mut members = Vec::new();
     for seed in &options.seeds {
         let address = peer_address(seed, options.peer_port)?.to_string();
-        members.push(Member { identity: genesis_identity(seed), address, is_voter: true });
+        members.push(Member { identity: member_id(genesis_identity(seed)), address, is_voter: true });
     }
     Ok(Membership::new(members))
 }
--- a/crates/control/src/host/journal.rs
+++ b/crates/control/src/host/journal.rs
@@ -8,10 +8,13 @@
 
 use super::{HostError, error};
 use opalrun_replication::{
-    Entry, HardState, Membership, RestoredState, Snapshot, SnapshotMetadata, Term, Write,
+    Entry, HardState, LogIndex, Membership, RestoredState, Snapshot, SnapshotMetadata, Term, Write,
 };
 use opalrun_storage::{DataDirectory, RecordLog, RecordLogOptions, StorageError, VersionedFile};
-use opalrun_wire::frame::{decode, encode};
+use opalrun_wire::{
+    frame::{decode, encode},
+    ids::Shard,
+};
 use rkyv::{Archive, Deserialize, Serialize};
 use snafu::ResultExt;
 use std::{collections::BTreeMap, rc::Rc};
@@ -24,7 +27,7 @@
 /// A record of the journal.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
 pub(super) struct Record {
-    pub shard: u16,
+    pub shard: Shard,
     pub content: Content,
 }
 
@@ -36,7 +39,7 @@
     /// An entry; it replaces the entry of its index and all after it.
     Entry(Rc<Entry>),
     /// A snapshot as of this entry replaces all entries, once its file is there.
-    Installing(u64),
+    Installing(LogIndex),
 }
 
 /// A shard as it was found on disk.
@@ -53,13 +56,13 @@
     /// Records to append.
     Append(Vec<Vec<u8>>),
     /// A snapshot from another process, with the record that announces it.
-    Install { shard: u16, installing: Vec<u8>, snapshot: Vec<u8> },
+    Install { shard: Shard, installing: Vec<u8>, snapshot: Vec<u8> },
     /// Snapshots of this process's state, and the records that are still needed beside them: they replace the journal.
-    Checkpoint { snapshots: Vec<(u16, Vec<u8>)>, records: Vec<Vec<u8>> },
+    Checkpoint { snapshots: Vec<(Shard, Vec<u8>)>, records: Vec<Vec<u8>> },
 }
 
 /// The steps for what a replica asks to be written.
-pub(super) fn steps_of(shard: u16, write: &Write) -> Vec<Step> {
+pub(super) fn steps_of(shard: Shard, write: &Write) -> Vec<Step> {
     let mut steps = Vec::new();
     if let Some(snapshot) = &write.snapshot {
         let installing = encode_record(shard, Content::Installing(snapshot.metadata.last_included_index));
@@ -70,13 +73,13 @@
 }
 
 /// Records of a term and vote and of entries.
-pub(super) fn records_of(shard: u16, hard_state: Option<HardState>, entries: &[Rc<Entry>]) -> Vec<Vec<u8>> {
+pub(super) fn records_of(shard: Shard, hard_state: Option<HardState>, entries: &[Rc<Entry>]) -> Vec<Vec<u8>> {
     let hard_state = hard_state.map(|hard_state| encode_record(shard, Content::HardState(hard_state)));
     let entries = entries.iter().map(|entry| encode_record(shard, Content::Entry(entry.clone())));
     hard_state.into_iter().chain(entries).collect()
 }
 
-fn encode_record(shard: u16, content: Content) -> Vec<u8> {
+fn encode_record(shard: Shard, content: Content) -> Vec<u8> {
     encode(&Record { shard, content }).to_vec()
 }
 
@@ -104,7 +107,7 @@
         let log = RecordLog::open(directory, JOURNAL_NAME, RecordLogOptions::default(), |_, bytes| {
             match decode::<Record>(bytes) {
                 Ok(record) => {
-                    if let Some(reader) = readers.get_mut(usize::from(record.shard)) {
+                    if let Some(reader) = readers.get_mut(record.shard.position()) {
                         reader.replay(record.content);
                     }
                 }
@@ -119,7 +122,7 @@
         let needs_checkpoint = readers.iter().any(|reader| reader.has_pending_install);
         let mut restored = Vec::new();
         for (shard, reader) in readers.into_iter().enumerate() {
-            restored.push(reader.finish(shard as u16, genesis)?);
+            restored.push(reader.finish(Shard(shard as u16), genesis)?);
         }
         if needs_checkpoint {
             journal.rewrite(&restored).context(error::StorageSnafu)?;
@@ -135,12 +138,12 @@
                 Step::Install { shard, installing, snapshot } => {
                     self.log.append(installing);
                     self.log.sync()?;
-                    self.snapshots[usize::from(*shard)].write(snapshot)?;
+                    self.snapshots[shard.position()].write(snapshot)?;
                 }
                 Step::Checkpoint { snapshots, records } => {
                     self.log.sync()?;
                     for (shard, snapshot) in snapshots {
-                        self.snapshots[usize::from(*shard)].write(snapshot)?;
+                        self.snapshots[shard.position()].write(snapshot)?;
                     }
                     self.replace(records)?;
                 }
@@ -174,7 +177,7 @@
         let mut records = Vec::new();
         for (shard, restored) in shards.iter().enumerate() {
             let entries: Vec<_> = restored.log.entries.iter().cloned().map(Rc::new).collect();
-            records.extend(records_of(shard as u16, Some(restored.log.hard_state), &entries));
+            records.extend(records_of(Shard(shard as u16), Some(restored.log.hard_state), &entries));
         }
         self.replace(&records)
     }
@@ -193,7 +196,7 @@
 struct ShardReader {
     snapshot: Option<Snapshot>,
     hard_state: HardState,
-    entries: BTreeMap<u64, Rc<Entry>>,
+    entries: BTreeMap<LogIndex, Rc<Entry>>,
     has_pending_install: bool,
 }
 
@@ -207,8 +210,8 @@
         }
     }
 
-    fn snapshot_index(&self) -> u64 {
-        self.snapshot.as_ref().map_or(0, |snapshot| snapshot.metadata.last_included_index)
+    fn snapshot_index(&self) -> LogIndex {
+        self.snapshot.as_ref().map_or(LogIndex(0), |snapshot| snapshot.metadata.last_included_index)
     }
 
     fn replay(&mut self, content: Content) {
@@ -223,12 +226,12 @@
         }
     }
 
-    fn finish(self, shard: u16, genesis: &Membership) -> Result<RestoredShard, HostError> {
+    fn finish(self, shard: Shard, genesis: &Membership) -> Result<RestoredShard, HostError> {
         let (base, state) = match self.snapshot {
             Some(snapshot) => (snapshot.metadata, Some(snapshot.state)),
             None => (
                 SnapshotMetadata {
-                    last_included_index: 0,
+                    last_included_index: LogIndex(0),
                     last_included_term: Term(0),
                     membership: genesis.clone(),
                 },
--- a/crates/control/src/host/journal_tests.rs
+++ b/crates/control/src/host/journal_tests.rs
@@ -1,9 +1,11 @@
 //! The journal under losses of power at every operation.
 
 use super::journal::{Journal, RestoredShard, Step, records_of, steps_of};
-use opalrun_replication::{Entry, HardState, Membership, Payload, Snapshot, SnapshotMetadata, Term, Write};
+use opalrun_replication::{
+    Entry, HardState, LogIndex, MemberId, Membership, Payload, Snapshot, SnapshotMetadata, Term, Write,
+};
 use opalrun_storage::{DataDirectory, MemoryDisk, PowerLoss, StorageError};
-use opalrun_wire::frame::encode;
+use opalrun_wire::{frame::encode, ids::Shard};
 use std::{rc::Rc, sync::Arc};
 
 const SHARDS: usize = 2;
@@ -20,7 +22,7 @@
     fn of(restored: &RestoredShard) -> Self {
         Self {
             hard_state: restored.log.hard_state,
-            snapshot: restored.state.clone().map(|state| (restored.log.base.last_included_index, state)),
+            snapshot: restored.state.clone().map(|state| (restored.log.base.last_included_index.0, state)),
             entries: restored.log.entries.clone(),
         }
     }
@@ -42,7 +44,7 @@
 
 fn header(index: u64) -> SnapshotMetadata {
     SnapshotMetadata {
-        last_included_index: index,
+        last_included_index: LogIndex(index),
         last_included_term: Term(1),
         membership: Membership::default(),
     }
@@ -54,7 +56,7 @@
     let mut write = Write { sequence: 1, hard_state: None, snapshot: None, entries: Vec::new() };
     if random.u8(0..3) == 0 {
         after.hard_state =
-            HardState { term: after.hard_state.term.next(), voted_for: Some(random.u64(0..3)) };
+            HardState { term: after.hard_state.term.next(), voted_for: Some(MemberId(random.u64(0..3))) };
         write.hard_state = Some(after.hard_state);
     }
     if random.u8(0..6) == 0 {
@@ -72,12 +74,12 @@
     for _ in 0..random.usize(0..4) {
         add_entry(&mut after, &mut write, random);
     }
-    (steps_of(shard, &write), after)
+    (steps_of(Shard(shard), &write), after)
 }
 
 fn add_entry(after: &mut Model, write: &mut Write, random: &mut fastrand::Rng) {
     let payload = Payload::Command(vec![random.u8(..); random.usize(0..300)]);
-    let entry = Entry { index: after.last() + 1, term: Term(random.u64(..)), payload };
+    let entry = Entry { index: LogIndex(after.last() + 1), term: Term(random.u64(..)), payload };
     after.entries.push(entry.clone());
     write.entries.push(Rc::new(entry));
 }
@@ -92,10 +94,11 @@
             let state = vec![random.u8(..); 100];
             model.entries.drain(..(index - model.base()) as usize);
             model.snapshot = Some((index, state.clone()));
-            snapshots.push((shard as u16, encode(&Snapshot { metadata: header(index), state }).to_vec()));
+            snapshots
+                .push((Shard(shard as u16), encode(&Snapshot { metadata: header(index), state }).to_vec()));
         }
         let entries: Vec<_> = model.entries.iter().cloned().map(Rc::new).collect();
-        records.extend(records_of(shard as u16, Some(model.hard_state), &entries));
+        records.extend(records_of(Shard(shard as u16), Some(model.hard_state), &entries));
     }
     (vec![Step::Checkpoint { snapshots, records }], after)
 }
@@ -112,13 +115,14 @@
         model.entries.get(position as usize).cloned()
     };
     for entry in &found.entries {
-        let is_known =
-            at(before, entry.index).as_ref() == Some(entry) || at(after, entry.index).as_ref() == Some(entry);
+        let is_known = at(before, entry.index.0).as_ref() == Some(entry)
+            || at(after, entry.index.0).as_ref() == Some(entry);
         assert!(is_known, "{what}: entry {} is of nowhere", entry.index);
     }
-    let is_kept =
-        |entry: &Entry| at(found, entry.index).as_ref() == Some(entry) || entry.index <= found.base();
-    let stays = |entry: &&Entry| at(after, entry.index).as_ref() == Some(*entry);
+    let is_kept = |entry: &Entry| {
+        at(found, entry.index.0).as_ref() == Some(entry) || entry.index <= LogIndex(found.base())
+    };
+    let stays = |entry: &&Entry| at(after, entry.index.0).as_ref() == Some(*entry);
     assert!(before.entries.iter().filter(stays).all(is_kept), "{what}: an acknowledged entry is lost");
 }
 
--- a/crates/control/src/host/journal_writer.rs
+++ b/crates/control/src/host/journal_writer.rs
@@ -6,6 +6,7 @@
     journal::{self, Step},
 };
 use opalrun_replication::Write;
+use opalrun_wire::ids::Shard;
 use std::collections::BTreeMap;
 
 /// A checkpoint is due once the journal has grown by this many bytes since the last one.
@@ -28,14 +29,14 @@
 struct Job {
     steps: Vec<Step>,
     /// The sequence of the newest write of each shard.
-    writes: BTreeMap<u16, u64>,
+    writes: BTreeMap<Shard, u64>,
     has_checkpoint: bool,
 }
 
 /// What a job has made durable.
 pub(super) struct SyncedJob {
     /// The sequence of the newest write of each shard.
-    pub writes: BTreeMap<u16, u64>,
+    pub writes: BTreeMap<Shard, u64>,
     pub has_checkpoint: bool,
 }
 
@@ -50,7 +51,7 @@
     }
 
     /// Queues a write of a group.
-    pub fn queue_write(&mut self, shard: u16, write: &Write) {
+    pub fn queue_write(&mut self, shard: Shard, write: &Write) {
         self.queued.steps.extend(journal::steps_of(shard, write));
         self.queued.writes.insert(shard, write.sequence);
     }
--- a/crates/control/src/host/links.rs
+++ b/crates/control/src/host/links.rs
@@ -5,8 +5,11 @@
     peer_contacts::PeerContacts,
     peer_frame::{GroupMessage, PeerFrame},
 };
-use opalrun_net::{Connection, FrameReader, FrameWriter, Listener, connect};
-use opalrun_wire::feed::ControlNode;
+use opalrun_net::{
+    Connection, FrameReader, FrameWriter, Listener, NetError, connect,
+    reachability::{PeerCount, Reachability},
+};
+use opalrun_wire::{feed::ControlNode, ids::NodeIdentity};
 use std::{
     cell::RefCell,
     collections::{HashMap, HashSet},
@@ -16,9 +19,11 @@
 };
 use tokio::{
     sync::{Notify, watch},
-    time::sleep,
+    time::{Instant, sleep},
 };
 
+/// Another control process, as the log names it.
+pub(super) const CONTROL_PEER: &str = "control";
 /// How long a connection may take to come up.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Backoff after the first failed connect; it doubles with each further one.
@@ -41,9 +46,9 @@
     node: ControlNode,
     by_address: RefCell<HashMap<SocketAddr, Rc<Link>>>,
     /// Addresses of the processes that have a link, by identity.
-    routes: RefCell<HashMap<u64, SocketAddr>>,
+    routes: RefCell<HashMap<NodeIdentity, SocketAddr>>,
     /// Addresses of processes that have connected here, by identity; they need not be members.
-    connected_peers: RefCell<HashMap<u64, SocketAddr>>,
+    connected_peers: RefCell<HashMap<NodeIdentity, SocketAddr>>,
     /// Addresses of the seeds while this process is no member.
     seeds: RefCell<Vec<SocketAddr>>,
 }
@@ -53,6 +58,8 @@
     address: SocketAddr,
     /// `None` while there is no connection.
     writer: RefCell<Option<FrameWriter>>,
+    /// Whether the process there can be reached; shared with the link's task.
+    reachability: Rc<RefCell<Reachability>>,
     /// Notified when the process there has been heard, so that connecting is attempted at once.
     retry: Rc<Notify>,
 }
@@ -77,7 +84,7 @@
     }
 
     /// Sends messages of replicas; they are lost if there is no connection.
-    pub fn send_messages(&self, identity: u64, messages: Vec<GroupMessage>) {
+    pub fn send_messages(&self, identity: NodeIdentity, messages: Vec<GroupMessage>) {
         let Some(writer) = self.writer(identity) else {
             return;
         };
@@ -95,7 +102,7 @@
     }
 
     /// Sends a call; false where there is no connection.
-    pub fn send_call(&self, identity: u64, number: u64, bytes: Vec<u8>) -> bool {
+    pub fn send_call(&self, identity: NodeIdentity, number: u64, bytes: Vec<u8>) -> bool {
         let call = PeerFrame::Call { to: identity, number, bytes };
         self.writer(identity).is_some_and(|writer| writer.send(&call).is_ok())
     }
@@ -111,13 +118,18 @@
     }
 
     /// Identities of the processes that have a link.
-    pub fn identities(&self) -> Vec<u64> {
+    pub fn identities(&self) -> Vec<NodeIdentity> {
         self.routes.borrow().keys().copied().collect()
     }
 
+    /// Processes that can't be reached, and attempts that failed at those that have a link.
+    pub fn peer_count(&self) -> PeerCount {
+        self.by_address.borrow().values().map(|link| link.reachability.borrow().count()).sum()
+    }
+
     /// Records the address of a process that has connected here, so that it can be answered before it is a member.
     /// Returns whether the address is a new one.
-    pub fn record_peer(&self, identity: u64, address: SocketAddr) -> bool {
+    pub fn record_peer(&self, identity: NodeIdentity, address: SocketAddr) -> bool {
         self.connected_peers.borrow_mut().insert(identity, address) != Some(address)
     }
 
@@ -131,7 +143,7 @@
         }
     }
 
-    fn writer(&self, identity: u64) -> Option<FrameWriter> {
+    fn writer(&self, identity: NodeIdentity) -> Option<FrameWriter> {
         let address = *self.routes.borrow().get(&identity)?;
         self.by_address.borrow().get(&address)?.writer.borrow().clone()
     }
@@ -140,7 +152,7 @@
     fn update_routes(
         &self,
         contacts: &PeerContacts,
-        members: &HashMap<u64, String>,
+        members: &HashMap<NodeIdentity, String>,
         seeds: &[SocketAddr],
     ) -> HashSet<SocketAddr> {
         let mut connected_peers = self.connected_peers.borrow_mut();
@@ -159,7 +171,7 @@
 }
 
 /// Keeps links to the addresses of these members, of processes that have connected here recently, and of the seeds.
-pub(super) fn update(host: &Rc<Host>, members: &HashMap<u64, String>, seeds: &[SocketAddr]) {
+pub(super) fn update(host: &Rc<Host>, members: &HashMap<NodeIdentity, String>, seeds: &[SocketAddr]) {
     let addresses = host.links.update_routes(&host.contacts.borrow(), members, seeds);
     let mut links = host.links.by_address.borrow_mut();
     links.retain(|address, _| addresses.contains(address));
@@ -169,23 +181,46 @@
 }
 
 fn spawn_link(host: &Rc<Host>, address: SocketAddr) -> Rc<Link> {
-    let link = Rc::new(Link { address, writer: RefCell::default(), retry: Rc::default() });
+    let link = Rc::new(Link {
+        address,
+        writer: RefCell::default(),
+        reachability: Rc::new(RefCell::new(Reachability::new(CONTROL_PEER))),
+        retry: Rc::default(),
+    });
     tokio::task::spawn_local(maintain_link(Rc::downgrade(host), Rc::downgrade(&link), address));
     link
 }
 
 /// Connects again and again until the link is dropped.
 async fn maintain_link(host: Weak<Host>, link: Weak<Link>, address: SocketAddr) {
-    let Some(retry) = link.upgrade().map(|link| link.retry.clone()) else { return };
+    let Some((retry, reachability)) =
+        link.upgrade().map(|link| (link.retry.clone(), link.reachability.clone()))
+    else {
+        return;
+    };
     let is_wanted = || link.strong_count() > 0 && host.strong_count() > 0;
     while let Some(connection) =
-        connect_persistently(|| connect(address, CONNECT_TIMEOUT), &retry, is_wanted).await
+        connect_persistently(|| attempt_to_connect(address, &reachability), &retry, is_wanted).await
     {
         use_connection(&host, &link, connection).await;
         sleep(MIN_CONNECT_BACKOFF).await;
     }
 }
 
+/// Attempts to connect once, and records whether the process there could be reached.
+async fn attempt_to_connect(
+    address: SocketAddr,
+    reachability: &RefCell<Reachability>,
+) -> Result<Connection, NetError> {
+    let began = Instant::now();
+    let outcome = connect(address, CONNECT_TIMEOUT).await;
+    match &outcome {
+        Ok(_) => reachability.borrow_mut().log_reached(address),
+        Err(error) => reachability.borrow_mut().log_failure(address, began, error),
+    }
+    outcome
+}
+
 /// Attempts to connect, with growing backoff, until it succeeds or is not wanted any more. When `retry` is notified, the
 /// current attempt or backoff is abandoned for a new attempt.
 pub(super) async fn connect_persistently<C, E, F: Future<Output = Result<C, E>>>(
--- a/crates/control/src/host/mod.rs
+++ b/crates/control/src/host/mod.rs
@@ -26,6 +26,7 @@
 mod journal_tests;
 mod journal_writer;
 mod links;
+pub(crate) mod members;
 mod options;
 mod peer_contacts;
 mod peer_frame;
@@ -35,7 +36,7 @@
 #[cfg(test)]
 mod tests;
 
-pub use error::{CallError, HostError, ProposeError};
+pub use error::{CallError, HostError, HostFailure, ProposeError};
 pub use options::HostOptions;
 pub use state_machine::StateMachine;
 
@@ -48,10 +49,14 @@
 use journal::{Journal, RestoredShard};
 use journal_writer::JournalWriter;
 use links::Links;
-use opalrun_net::Listener;
-use opalrun_replication::{Member, Options, Replica};
+use members::{member_id, node_identity};
+use opalrun_net::{Listener, reachability::PeerCount};
+use opalrun_replication::{LogIndex, Member, Options, Replica, Term};
 use opalrun_storage::DataDirectory;
-use opalrun_wire::feed::ControlNode;
+use opalrun_wire::{
+    feed::{CONFIGURATION_SHARD, ControlNode},
+    ids::{NodeIdentity, Shard},
+};
 use peer_contacts::PeerContacts;
 use pending_calls::PendingCalls;
 use snafu::ResultExt;
@@ -61,6 +66,7 @@
     net::SocketAddr,
     pin::Pin,
     rc::Rc,
+    sync::Arc,
     time::{Duration, Instant},
 };
 use tokio::{
@@ -79,7 +85,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Committed {
     /// Its index in the shard's log.
-    pub index: u64,
+    pub index: LogIndex,
     /// The reply of the state machine.
     pub reply: Vec<u8>,
 }
@@ -93,7 +99,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct ShardStatus {
     /// The identity of the owner, if known.
-    owner: Option<u64>,
+    owner: Option<NodeIdentity>,
     is_fresh: bool,
 }
 
@@ -114,8 +120,8 @@
     alive: watch::Sender<()>,
     /// Counts the changes that [`Self::applied_changed`] notifies of.
     applied: watch::Sender<u64>,
-    /// Why the disk has failed, once it has.
-    failed: watch::Sender<Option<String>>,
+    /// Why this host can't go on, once it can't.
+    failed: watch::Sender<Option<Arc<HostFailure>>>,
     /// The status of each shard as of the last look.
     shard_statuses: RefCell<Vec<ShardStatus>>,
     /// The members that all groups should have.
@@ -179,7 +185,7 @@
 
     /// This process's identity: stored on its disk, another one after the loss of the disk.
     #[must_use]
-    pub fn identity(&self) -> u64 {
+    pub fn identity(&self) -> NodeIdentity {
         self.node.identity
     }
 
@@ -188,7 +194,7 @@
     /// # Errors
     /// [`ProposeError::NotOwner`]: it is not and will not be applied. [`ProposeError::NoQuorum`]: too much is in flight
     /// already. [`ProposeError::TimedOut`]: it may be applied, now or later.
-    pub async fn propose(&self, shard: u16, command: Vec<u8>) -> Result<Committed, ProposeError> {
+    pub async fn propose(&self, shard: Shard, command: Vec<u8>) -> Result<Committed, ProposeError> {
         let result = self.with_group(shard, |group| group.propose(command))?;
         self.work.notify_one();
         match timeout(OPERATION_TIMEOUT, result).await {
@@ -202,7 +208,7 @@
     ///
     /// # Errors
     /// [`ProposeError::NotOwner`], or [`ProposeError::NoQuorum`] where no majority answers in time.
-    pub async fn read_index(&self, shard: u16) -> Result<(), ProposeError> {
+    pub async fn read_index(&self, shard: Shard) -> Result<(), ProposeError> {
         let request = self.next_read_request.replace(self.next_read_request.get() + 1);
         let confirmed = self.with_group(shard, |group| group.read(request))?;
         self.work.notify_one();
@@ -215,20 +221,20 @@
 
     /// The identity of the shard's owner, if known.
     #[must_use]
-    pub fn owner(&self, shard: u16) -> Option<u64> {
-        self.with_group(shard, |group| group.replica.leader())
+    pub fn owner(&self, shard: Shard) -> Option<NodeIdentity> {
+        self.with_group(shard, |group| group.replica.leader().map(node_identity))
     }
 
     /// Whether this process owns the shard, as far as it knows.
     #[must_use]
-    pub fn is_owner(&self, shard: u16) -> bool {
+    pub fn is_owner(&self, shard: Shard) -> bool {
         self.with_group(shard, |group| group.replica.is_leader())
     }
 
     /// Whether this process has heard the owner within half a second, was heard by it within a second, and has applied
     /// what the owner had committed; the owner itself: whether it has heard a majority.
     #[must_use]
-    pub fn is_fresh(&self, shard: u16) -> bool {
+    pub fn is_fresh(&self, shard: Shard) -> bool {
         let now = self.now();
         self.suspensions.get().is_running(now)
             && self.with_group(shard, |group| freshness::is_fresh(&group.replica, now))
@@ -236,7 +242,7 @@
 
     /// The last entry of the shard that is applied here.
     #[must_use]
-    pub fn applied(&self, shard: u16) -> u64 {
+    pub fn applied(&self, shard: Shard) -> LogIndex {
         self.with_group(shard, |group| group.applied)
     }
 
@@ -251,7 +257,12 @@
     /// # Errors
     /// [`CallError::Unreachable`]: there is no link. [`CallError::TimedOut`]: no answer came in time or the link broke;
     /// the call may have been carried out.
-    pub async fn call(&self, identity: u64, bytes: Vec<u8>, limit: Duration) -> Result<Vec<u8>, CallError> {
+    pub async fn call(
+        &self,
+        identity: NodeIdentity,
+        bytes: Vec<u8>,
+        limit: Duration,
+    ) -> Result<Vec<u8>, CallError> {
         if identity == self.node.identity {
             return self.answer(bytes).await.ok_or(CallError::Unreachable);
         }
@@ -275,7 +286,7 @@
     /// Sets the members that all groups should have; each group that this process leads moves towards them.
     pub fn set_desired_members(self: &Rc<Self>, nodes: Vec<ControlNode>) {
         let as_member = |node: &ControlNode| Member {
-            identity: node.identity,
+            identity: member_id(node.identity),
             address: node.peer_address.clone(),
             is_voter: true,
         };
@@ -292,8 +303,9 @@
 
     /// The voters of a shard that this process owns, if the latest change of them is committed.
     #[must_use]
-    pub fn committed_voters(&self, shard: u16) -> Option<Vec<u64>> {
-        self.with_group(shard, |group| group.replica.committed_voters())
+    pub fn committed_voters(&self, shard: Shard) -> Option<Vec<NodeIdentity>> {
+        let voters = self.with_group(shard, |group| group.replica.committed_voters())?;
+        Some(voters.into_iter().map(node_identity).collect())
     }
 
     /// Bytes of the journal of all groups.
@@ -304,35 +316,45 @@
 
     /// The newest term of a shard that is known here.
     #[must_use]
-    pub fn term(&self, shard: u16) -> u64 {
-        self.with_group(shard, |group| group.replica.term().0)
+    pub fn term(&self, shard: Shard) -> Term {
+        self.with_group(shard, |group| group.replica.term())
     }
 
     /// A shard's members, as this process's log says.
     #[must_use]
-    pub fn members(&self, shard: u16) -> Vec<Member> {
+    pub fn members(&self, shard: Shard) -> Vec<Member> {
         self.with_group(shard, |group| group.replica.membership().members.clone())
     }
 
     /// The identities of a shard's voters, as this process's log says.
     #[must_use]
-    pub fn voters(&self, shard: u16) -> Vec<u64> {
+    pub fn voters(&self, shard: Shard) -> Vec<NodeIdentity> {
         self.with_group(shard, |group| {
             let members = &group.replica.membership().members;
-            members.iter().filter(|member| member.is_voter).map(|member| member.identity).collect()
+            members
+                .iter()
+                .filter(|member| member.is_voter)
+                .map(|member| node_identity(member.identity))
+                .collect()
         })
     }
 
     /// Identities of the processes that this one keeps links to: members as of its log, and those that have connected
     /// here recently.
     #[must_use]
-    pub fn linked_peers(&self) -> Vec<u64> {
+    pub fn linked_peers(&self) -> Vec<NodeIdentity> {
         self.links.identities()
     }
 
+    /// Other control processes that can't be reached, and attempts to connect to them that failed.
+    #[must_use]
+    pub fn peer_count(&self) -> PeerCount {
+        self.links.peer_count()
+    }
+
     /// The time since this process last heard another one; before the first time, since its own start.
     #[must_use]
-    pub fn since_last_contact(&self, identity: u64) -> Duration {
+    pub fn since_last_contact(&self, identity: NodeIdentity) -> Duration {
         if identity == self.node.identity {
             return Duration::ZERO;
         }
@@ -352,11 +374,18 @@
         }
     }
 
-    /// Waits until the disk fails in a way that only a restart can mend, and returns why.
-    pub async fn disk_failure(&self) -> String {
+    /// Waits until the host fails in a way that only a restart can mend, and returns why.
+    pub async fn failure(&self) -> Arc<HostFailure> {
         let mut failed = self.failed.subscribe();
-        let why = failed.wait_for(Option::is_some).await.ok().and_then(|why| why.clone());
-        why.unwrap_or_default()
+        loop {
+            if let Some(failure) = failed.borrow_and_update().clone() {
+                return failure;
+            }
+            if failed.changed().await.is_err() {
+                // The sender is a field of this host, which is borrowed here.
+                std::future::pending::<()>().await;
+            }
+        }
     }
 
     /// Milliseconds of the steady clock since the start.
@@ -380,7 +409,7 @@
         is_changed
     }
 
-    fn with_group<T>(&self, shard: u16, action: impl FnOnce(&mut Group) -> T) -> T {
+    fn with_group<T>(&self, shard: Shard, action: impl FnOnce(&mut Group) -> T) -> T {
         action(self.groups.borrow_mut().of_shard(shard))
     }
 
@@ -397,7 +426,9 @@
 
     /// Whether this process is a member of the first shard's group, as far as it knows.
     fn is_member(&self) -> bool {
-        self.with_group(0, |group| group.replica.membership().get(self.node.identity).is_some())
+        self.with_group(CONFIGURATION_SHARD, |group| {
+            group.replica.membership().get(member_id(self.node.identity)).is_some()
+        })
     }
 
     /// Keeps links to all members, to those that are to become members, and to the seeds while this process is none.
@@ -423,7 +454,7 @@
 /// # Errors
 /// Where the state in the snapshot can't be decoded.
 fn restore_group(
-    identity: u64,
+    identity: NodeIdentity,
     hosts_lost: usize,
     restored: RestoredShard,
     mut state_machine: Box<dyn StateMachine>,
@@ -431,6 +462,6 @@
     if let Some(state) = restored.state {
         state_machine.restore(&state).context(error::UnreadableSnafu { what: "a snapshot" })?;
     }
-    let options = Options { identity, hosts_lost, seed: identity::random_number() };
+    let options = Options { identity: member_id(identity), hosts_lost, seed: identity::random_number() };
     Ok(Group::new(Replica::new(options, restored.log, 0), state_machine))
 }
--- a/crates/control/src/host/peer_contacts.rs
+++ b/crates/control/src/host/peer_contacts.rs
@@ -1,5 +1,6 @@
 //! When other processes were last heard.
 
+use opalrun_wire::ids::NodeIdentity;
 use std::{
     collections::HashMap,
     time::{Duration, Instant},
@@ -8,7 +9,7 @@
 /// When other processes were last heard, by identity.
 pub(super) struct PeerContacts {
     started: Instant,
-    last_contact: HashMap<u64, Instant>,
+    last_contact: HashMap<NodeIdentity, Instant>,
 }
 
 impl PeerContacts {
@@ -18,12 +19,12 @@
     }
 
     /// A process was heard just now.
-    pub fn record(&mut self, identity: u64) {
+    pub fn record(&mut self, identity: NodeIdentity) {
         self.last_contact.insert(identity, Instant::now());
     }
 
     /// The time since a process was last heard; before the first time, since the start of this process.
-    pub fn since_last(&self, identity: u64) -> Duration {
+    pub fn since_last(&self, identity: NodeIdentity) -> Duration {
         self.last_contact.get(&identity).unwrap_or(&self.started).elapsed()
     }
 }
--- a/crates/control/src/host/peer_frame.rs
+++ b/crates/control/src/host/peer_frame.rs
@@ -1,7 +1,10 @@
 //! The frames that control processes send over the links between them.
 
 use opalrun_replication::{Message, MessageBody};
-use opalrun_wire::feed::ControlNode;
+use opalrun_wire::{
+    feed::ControlNode,
+    ids::{NodeIdentity, Shard},
+};
 use rkyv::{Archive, Deserialize, Serialize};
 
 /// A frame on a link between two control processes.
@@ -16,7 +19,7 @@
     /// A call of the other process.
     Call {
         /// The identity of the process that is meant.
-        to: u64,
+        to: NodeIdentity,
         /// The number that the answer repeats.
         number: u64,
         /// The encoded call.
@@ -34,7 +37,7 @@
 /// A message between two replicas of a group.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq)]
 pub(super) struct GroupMessage {
-    pub shard: u16,
+    pub shard: Shard,
     pub message: Message,
 }
 
--- a/crates/control/src/host/stored_state.rs
+++ b/crates/control/src/host/stored_state.rs
@@ -7,10 +7,11 @@
 };
 use opalrun_replication::{RestoredState, SnapshotMetadata};
 use opalrun_storage::DataDirectory;
+use opalrun_wire::ids::NodeIdentity;
 
 /// A process's identity and its groups as they were found on disk.
 pub(crate) struct StoredState {
-    pub identity: u64,
+    pub identity: NodeIdentity,
     /// Number of the members that the groups began with; 0 in a process that joined later.
     pub first_members: usize,
     pub journal_bytes: u64,
--- a/crates/control/src/host/tests.rs
+++ b/crates/control/src/host/tests.rs
@@ -1,7 +1,14 @@
 //! Whole hosts over loopback, each at an address of its own.
 
-use super::{Host, HostError, HostOptions, ProposeError, StateMachine, peer_frame::PeerFrame};
-use opalrun_wire::{feed::ControlNode, frame::FrameError};
+use super::{
+    Host, HostError, HostOptions, ProposeError, StateMachine, members::member_id, peer_frame::PeerFrame,
+};
+use opalrun_replication::LogIndex;
+use opalrun_wire::{
+    feed::ControlNode,
+    frame::FrameError,
+    ids::{NodeIdentity, Shard},
+};
 use std::{
     cell::RefCell,
     future::{Future, poll_fn},
@@ -23,7 +30,7 @@
 struct Commands(Rc<RefCell<Vec<Vec<u8>>>>);
 
 impl StateMachine for Commands {
-    fn apply(&mut self, _index: u64, command: &[u8]) -> Vec<u8> {
+    fn apply(&mut self, _index: LogIndex, command: &[u8]) -> Vec<u8> {
         self.0.borrow_mut().push(command.to_vec());
         self.0.borrow().len().to_string().into_bytes()
     }
@@ -77,7 +84,7 @@
     async fn start(&self, machine: u8, bootstrap: bool) -> Running {
         const CONTROL_PORT: u16 = 8144;
         let node = ControlNode {
-            identity: 0,
+            identity: NodeIdentity(0),
             node_name: format!("core-{machine}"),
             peer_address: self.address(machine, PEER_PORT),
             control_address: self.address(machine, CONTROL_PORT),
@@ -133,7 +140,7 @@
 }
 
 fn owner(running: &[Running], shard: u16) -> Option<usize> {
-    running.iter().position(|one| one.host.is_owner(shard) && one.host.is_fresh(shard))
+    running.iter().position(|one| one.host.is_owner(Shard(shard)) && one.host.is_fresh(Shard(shard)))
 }
 
 /// Proposes to whoever owns the shard until it is decided.
@@ -141,7 +148,7 @@
     for _ in 0..100 {
         eventually(running, "an owner", || owner(running, shard).is_some()).await;
         let owner = owner(running, shard).unwrap();
-        match running[owner].host.propose(shard, command.to_vec()).await {
+        match running[owner].host.propose(Shard(shard), command.to_vec()).await {
             Ok(committed) => return committed.reply,
             Err(ProposeError::TimedOut) => panic!("a healthy group decides in time"),
             Err(_) => {}
@@ -168,19 +175,19 @@
                 .await;
         }
         let leader = owner(&running, 0).unwrap();
-        running[leader].host.read_index(0).await.unwrap();
+        running[leader].host.read_index(Shard(0)).await.unwrap();
         let follower = &running[(leader + 1) % 3].host;
         let identity = running[leader].host.identity();
-        assert_eq!(follower.read_index(0).await, Err(ProposeError::NotOwner(Some(identity))));
+        assert_eq!(follower.read_index(Shard(0)).await, Err(ProposeError::NotOwner(Some(identity))));
         assert_eq!(
-            follower.propose(0, Vec::new()).await.unwrap_err(),
+            follower.propose(Shard(0), Vec::new()).await.unwrap_err(),
             ProposeError::NotOwner(Some(identity))
         );
         running[leader]
             .host
             .set_call_handler(|bytes| Box::pin(async move { [bytes, b"!".to_vec()].concat() }));
         assert_eq!(follower.call(identity, b"hello".to_vec(), LIMIT).await.unwrap(), b"hello!");
-        assert!(follower.call(12345, Vec::new(), LIMIT).await.is_err());
+        assert!(follower.call(NodeIdentity(12345), Vec::new(), LIMIT).await.is_err());
     });
 }
 
@@ -250,10 +257,10 @@
             (0..SHARDS).all(|shard| {
                 let owner = owner(&running, shard);
                 owner.is_some_and(|owner| {
-                    running[owner].host.with_group(shard, |group| {
+                    running[owner].host.with_group(Shard(shard), |group| {
                         let members = group.replica.membership();
-                        members.is_voter(new_identity)
-                            && members.get(old_identity).is_none()
+                        members.is_voter(member_id(new_identity))
+                            && members.get(member_id(old_identity)).is_none()
                             && group.replica.commit_index() == group.replica.last_index()
                     })
                 })
@@ -276,7 +283,7 @@
         }
         let old = owner(&running, 0).unwrap();
         running[old].host.transfer_leadership().await;
-        assert!((0..SHARDS).all(|shard| !running[old].host.is_owner(shard)));
+        assert!((0..SHARDS).all(|shard| !running[old].host.is_owner(Shard(shard))));
         eventually(&running, "another owner", || owner(&running, 0).is_some_and(|new| new != old)).await;
         propose(&running, 0, b"after").await;
     });
@@ -298,8 +305,9 @@
             propose(&running, 0, b"small").await;
         }
         let is_compacted = || {
-            owner(&running, 0)
-                .is_some_and(|owner| running[owner].host.with_group(0, |group| group.snapshot_index > 0))
+            owner(&running, 0).is_some_and(|owner| {
+                running[owner].host.with_group(Shard(0), |group| group.snapshot_index > LogIndex(0))
+            })
         };
         eventually(&running, "a checkpoint", is_compacted).await;
         running.push(tier.start(lost as u8, false).await);
@@ -326,7 +334,8 @@
         let address = running[0].host.node.peer_address.parse().expect("an address");
         let connection = opalrun_net::connect(address, LIMIT).await.expect("it listens");
         let (mut reader, writer) = connection.split();
-        for (number, to, expected) in [(7, identity + 1, None), (8, identity, Some(vec![5]))] {
+        for (number, to, expected) in [(7, NodeIdentity(identity.0 + 1), None), (8, identity, Some(vec![5]))]
+        {
             writer.send(&PeerFrame::Call { to, number, bytes: vec![5] }).expect("it is sent");
             let answer = loop {
                 let frame = reader.next().await.expect("it goes on").expect("it does not end");
--- a/crates/control/src/inspect.rs
+++ b/crates/control/src/inspect.rs
@@ -5,14 +5,19 @@
     configuration_shard::ConfigurationShard,
     host::{
         HostError,
+        members::node_identity,
         stored_state::{self, StoredShard, StoredState},
     },
     shards::{SHARDS, Shards},
 };
 use facet::Facet;
-use opalrun_replication::{Entry, Payload, SnapshotMetadata, Term};
+use opalrun_replication::{Entry, LogIndex, LogPosition, Payload, SnapshotMetadata, Term};
 use opalrun_storage::DataDirectory;
-use opalrun_wire::{ResultCode, feed::CONFIGURATION_SHARD};
+use opalrun_wire::{
+    ResultCode,
+    feed::CONFIGURATION_SHARD,
+    ids::{Epoch, Generation, NodeIdentity, Shard},
+};
 use snafu::Snafu;
 use std::path::PathBuf;
 
@@ -20,17 +25,17 @@
 #[derive(Facet, Debug, Clone, PartialEq, Eq)]
 pub struct ControlState {
     /// Its identity.
-    pub identity: u64,
+    pub identity: NodeIdentity,
     /// Number of the members that its groups began with; 0 in a process that joined later.
     pub first_members: u64,
     /// Bytes of the journal of all groups.
     pub journal_bytes: u64,
     /// The generation of the configuration in the snapshot; 0 for none.
-    pub snapshot_generation: u64,
+    pub snapshot_generation: Generation,
     /// The generation after all entries, which need not be committed; 0 for none.
-    pub log_generation: u64,
+    pub log_generation: Generation,
     /// The epoch of the store map after all entries.
-    pub store_epoch: u64,
+    pub store_epoch: Epoch,
     /// The groups.
     pub shards: Vec<ShardState>,
 }
@@ -39,15 +44,15 @@
 #[derive(Facet, Debug, Clone, PartialEq, Eq)]
 pub struct ShardState {
     /// The shard's number; 0 holds the configuration, the others sessions.
-    pub shard: u16,
+    pub shard: Shard,
     /// The newest term known.
-    pub term: u64,
+    pub term: Term,
     /// Whom the process voted for in that term.
-    pub vote: Option<u64>,
+    pub vote: Option<NodeIdentity>,
     /// The last entry that the snapshot covers; 0 without one.
-    pub snapshot_index: u64,
+    pub snapshot_index: LogIndex,
     /// That entry's term.
-    pub snapshot_term: u64,
+    pub snapshot_term: Term,
     /// Bytes of the snapshot.
     pub snapshot_bytes: u64,
     /// Entries in the journal after the snapshot.
@@ -55,9 +60,9 @@
     /// About how many bytes they take.
     pub entry_bytes: u64,
     /// The last entry.
-    pub last_index: u64,
+    pub last_index: LogIndex,
     /// Its term.
-    pub last_term: u64,
+    pub last_term: Term,
     /// Sessions of workers after all entries.
     pub workers: u64,
     /// The newest members, committed or not.
@@ -68,7 +73,7 @@
 #[derive(Facet, Debug, Clone, PartialEq, Eq)]
 pub struct MemberState {
     /// Its identity.
-    pub identity: u64,
+    pub identity: NodeIdentity,
     /// Where the others reach it.
     pub address: String,
     /// Whether it votes.
@@ -98,9 +103,9 @@
     ))]
     FallingTerm {
         /// The shard.
-        shard: u16,
+        shard: Shard,
         /// The index of the entry.
-        index: u64,
+        index: LogIndex,
     },
     /// An entry has a newer term than the newest one known.
     #[snafu(display(
@@ -110,7 +115,7 @@
     ))]
     UnknownTerm {
         /// The shard.
-        shard: u16,
+        shard: Shard,
         /// The newest term of an entry.
         term: Term,
         /// The newest term known.
@@ -124,7 +129,7 @@
     ))]
     UnreadableSnapshot {
         /// The shard.
-        shard: u16,
+        shard: Shard,
     },
     /// A command in the log can't be decoded.
     #[snafu(display(
@@ -134,9 +139,9 @@
     ))]
     UnreadableCommand {
         /// The shard.
-        shard: u16,
+        shard: Shard,
         /// The index of the entry.
-        index: u64,
+        index: LogIndex,
     },
 }
 
@@ -166,13 +171,13 @@
 fn describe(found: &StoredState) -> Inspection {
     let mut problems = Vec::new();
     let shards = Shards::new();
-    for (number, shard) in (0..).zip(&found.shards) {
-        check_order(number, shard, &mut problems);
-        restore(&shards, number, shard, &mut problems);
+    for (shard, stored) in (0..).map(Shard).zip(&found.shards) {
+        check_order(shard, stored, &mut problems);
+        restore(&shards, shard, stored, &mut problems);
     }
     let snapshot_generation = shards.with_configuration(ConfigurationShard::generation);
-    for (number, shard) in (0..).zip(&found.shards) {
-        replay(&shards, number, &shard.log.entries, &mut problems);
+    for (shard, stored) in (0..).map(Shard).zip(&found.shards) {
+        replay(&shards, shard, &stored.log.entries, &mut problems);
     }
     let (log_generation, store_epoch) =
         shards.with_configuration(|shard| (shard.generation(), shard.stores().map().epoch));
@@ -183,39 +188,40 @@
         snapshot_generation,
         log_generation,
         store_epoch,
-        shards: (0..).zip(&found.shards).map(|(number, shard)| shard_state(&shards, number, shard)).collect(),
+        shards: (0..)
+            .map(Shard)
+            .zip(&found.shards)
+            .map(|(shard, stored)| shard_state(&shards, shard, stored))
+            .collect(),
     };
     Inspection { state: Some(state), problems }
 }
 
-fn shard_state(shards: &Shards, number: u16, found: &StoredShard) -> ShardState {
+fn shard_state(shards: &Shards, shard: Shard, found: &StoredShard) -> ShardState {
     let log = &found.log;
     let none = SnapshotMetadata::default();
     let snapshot = found.snapshot_header().unwrap_or(&none);
-    let (last_index, last_term) = last_entry(found);
+    let last = last_entry(found);
     ShardState {
-        shard: number,
-        term: log.hard_state.term.0,
-        vote: log.hard_state.voted_for,
+        shard,
+        term: log.hard_state.term,
+        vote: log.hard_state.voted_for.map(node_identity),
         snapshot_index: snapshot.last_included_index,
-        snapshot_term: snapshot.last_included_term.0,
+        snapshot_term: snapshot.last_included_term,
         snapshot_bytes: found.snapshot.as_ref().map_or(0, Vec::len) as u64,
         entries: log.entries.len() as u64,
         entry_bytes: log.entries.iter().map(Entry::size).sum::<usize>() as u64,
-        last_index,
-        last_term,
-        workers: shards.with_sessions(number, |sessions| sessions.workers().len()).unwrap_or(0) as u64,
+        last_index: last.index,
+        last_term: last.term,
+        workers: shards.with_sessions(shard, |sessions| sessions.workers().len()).unwrap_or(0) as u64,
         members: newest_members(found),
     }
 }
 
-fn last_entry(found: &StoredShard) -> (u64, u64) {
+fn last_entry(found: &StoredShard) -> LogPosition {
     let base = &found.log.base;
-    found
-        .log
-        .entries
-        .last()
-        .map_or((base.last_included_index, base.last_included_term.0), |entry| (entry.index, entry.term.0))
+    let at_base = LogPosition { index: base.last_included_index, term: base.last_included_term };
+    found.log.entries.last().map_or(at_base, Entry::position)
 }
 
 fn newest_members(found: &StoredShard) -> Vec<MemberState> {
@@ -225,7 +231,7 @@
     });
     let members = &in_log.unwrap_or(&found.log.base.membership).members;
     let describe = |member: &opalrun_replication::Member| MemberState {
-        identity: member.identity,
+        identity: node_identity(member.identity),
         address: member.address.clone(),
         voter: member.is_voter,
     };
@@ -233,39 +239,39 @@
 }
 
 /// Terms never fall along a log, and none is above the newest term known.
-fn check_order(number: u16, found: &StoredShard, problems: &mut Vec<Problem>) {
+fn check_order(shard: Shard, found: &StoredShard, problems: &mut Vec<Problem>) {
     let mut term = found.log.base.last_included_term;
     for entry in &found.log.entries {
         if entry.term < term {
-            problems.push(Problem::FallingTerm { shard: number, index: entry.index });
+            problems.push(Problem::FallingTerm { shard, index: entry.index });
         }
         term = term.max(entry.term);
     }
     let known = found.log.hard_state.term;
     // A snapshot from another process may be newer than the last term written: its term is taken over at the start.
     if !found.log.entries.is_empty() && term > known {
-        problems.push(Problem::UnknownTerm { shard: number, term, known });
+        problems.push(Problem::UnknownTerm { shard, term, known });
     }
 }
 
-fn restore(shards: &Shards, number: u16, found: &StoredShard, problems: &mut Vec<Problem>) {
+fn restore(shards: &Shards, shard: Shard, found: &StoredShard, problems: &mut Vec<Problem>) {
     let Some(snapshot) = &found.snapshot else { return };
-    if shards.restore(number, snapshot).is_err() {
-        problems.push(Problem::UnreadableSnapshot { shard: number });
+    if shards.restore(shard, snapshot).is_err() {
+        problems.push(Problem::UnreadableSnapshot { shard });
     }
 }
 
 /// Applies the entries. A command that can't be read has no outcome.
-fn replay(shards: &Shards, number: u16, entries: &[Entry], problems: &mut Vec<Problem>) {
+fn replay(shards: &Shards, shard: Shard, entries: &[Entry], problems: &mut Vec<Problem>) {
     for entry in entries {
         if let Payload::Command(command) = &entry.payload
-            && shards.apply(number, entry.index, command).is_empty()
+            && shards.apply(shard, entry.index, command).is_empty()
         {
-            problems.push(Problem::UnreadableCommand { shard: number, index: entry.index });
+            problems.push(Problem::UnreadableCommand { shard, index: entry.index });
         }
     }
 }
 
-fn shard_name(shard: u16) -> String {
+fn shard_name(shard: Shard) -> String {
     if shard == CONFIGURATION_SHARD { "shard 0 (configuration)".to_owned() } else { format!("shard {shard}") }
 }
--- a/crates/control/src/process/call_handler.rs
+++ b/crates/control/src/process/call_handler.rs
@@ -12,9 +12,12 @@
 };
 use crate::{
     calls::{ControlAnswer, ControlCall},
-    shards::SHARDS,
+    shards,
+};
+use opalrun_wire::{
+    frame::{decode, encode},
+    ids::Shard,
 };
-use opalrun_wire::frame::{decode, encode};
 use std::{rc::Rc, time::Duration};
 
 /// Answers calls.
@@ -44,7 +47,7 @@
             ControlCall::Propose { shard, .. }
             | ControlCall::ReadIndex { shard }
             | ControlCall::Voters { shard }
-                if shard >= SHARDS =>
+                if !shards::exists(shard) =>
             {
                 ControlAnswer::Unavailable
             }
@@ -52,7 +55,7 @@
             ControlCall::ReadIndex { shard } => self.answer_read_index(shard).await,
             ControlCall::Voters { shard } => self.answer_voters(shard),
             ControlCall::AwaitApplied { shard, index, limit_ms } => {
-                if shard < SHARDS {
+                if shards::exists(shard) {
                     self.client.wait_until_applied(shard, index, Duration::from_millis(limit_ms)).await;
                 }
                 ControlAnswer::Done
@@ -84,7 +87,7 @@
         }
     }
 
-    async fn answer_proposal(&self, shard: u16, command: Vec<u8>) -> ControlAnswer {
+    async fn answer_proposal(&self, shard: Shard, command: Vec<u8>) -> ControlAnswer {
         if self.client.require_ownership(shard).is_err() {
             return ControlAnswer::NotOwner;
         }
@@ -97,14 +100,14 @@
         }
     }
 
-    async fn answer_read_index(&self, shard: u16) -> ControlAnswer {
+    async fn answer_read_index(&self, shard: Shard) -> ControlAnswer {
         match self.client.read_index_here(shard).await {
             Ok(offset) => ControlAnswer::Offset(offset),
             Err(_) => ControlAnswer::Unavailable,
         }
     }
 
-    fn answer_voters(&self, shard: u16) -> ControlAnswer {
+    fn answer_voters(&self, shard: Shard) -> ControlAnswer {
         match self.client.host().committed_voters(shard) {
             Some(voters) => ControlAnswer::Voters(voters),
             None => ControlAnswer::NotOwner,
--- a/crates/control/src/process/client.rs
+++ b/crates/control/src/process/client.rs
@@ -4,11 +4,13 @@
     calls::{ControlAnswer, ControlCall},
     configuration_shard::{ConfigurationCommand, ConfigurationOutcome},
     host::{Committed, Host, ProposeError},
-    shards::Shards,
+    shards::{Shards, log_index},
 };
+use opalrun_replication::LogIndex;
 use opalrun_wire::{
     feed::{CONFIGURATION_SHARD, ControlNode},
     frame::{decode, encode},
+    ids::{NodeIdentity, Shard},
 };
 use std::{future::Future, rc::Rc, time::Duration};
 use tokio::{
@@ -36,7 +38,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct CommittedCommand {
     /// Its index in the log of the shard.
-    pub(crate) index: u64,
+    pub(crate) index: LogIndex,
     /// Its encoded outcome.
     pub(crate) outcome: Vec<u8>,
 }
@@ -56,7 +58,7 @@
     /// This process itself.
     ThisProcess,
     /// The control process of this identity.
-    Peer(u64),
+    Peer(NodeIdentity),
 }
 
 /// Access to the replicated shards, at whichever control process their owners are.
@@ -81,7 +83,7 @@
     }
 
     /// The identity of this process.
-    pub(super) fn identity(&self) -> u64 {
+    pub(super) fn identity(&self) -> NodeIdentity {
         self.host.identity()
     }
 
@@ -91,14 +93,14 @@
     }
 
     /// The identities of the other control processes that are members.
-    pub(super) fn peers(&self) -> Vec<u64> {
+    pub(super) fn peers(&self) -> Vec<NodeIdentity> {
         let own = self.identity();
         let identities = self.members().into_iter().map(|node| node.identity);
         identities.filter(|identity| *identity != own).collect()
     }
 
     /// The owner of a shard; `None` where none is known.
-    pub(super) fn owner(&self, shard: u16) -> Option<ShardOwner> {
+    pub(super) fn owner(&self, shard: Shard) -> Option<ShardOwner> {
         let owner = self.host.owner(shard)?;
         Some(if owner == self.identity() { ShardOwner::ThisProcess } else { ShardOwner::Peer(owner) })
     }
@@ -107,19 +109,19 @@
     ///
     /// # Errors
     /// [`NotOwner`] where it does not.
-    pub(super) fn require_ownership(&self, shard: u16) -> Result<(), NotOwner> {
+    pub(super) fn require_ownership(&self, shard: Shard) -> Result<(), NotOwner> {
         if self.host.is_owner(shard) { Ok(()) } else { Err(NotOwner) }
     }
 
     /// Whether this process owns a shard and is in contact with its quorum.
-    pub(super) fn is_confirmed_owner(&self, shard: u16) -> bool {
+    pub(super) fn is_confirmed_owner(&self, shard: Shard) -> bool {
         self.host.is_owner(shard) && self.host.is_fresh(shard)
     }
 
     /// Calls another control process; `None` where it does not answer in time.
     pub(super) async fn call(
         &self,
-        identity: u64,
+        identity: NodeIdentity,
         call: &ControlCall,
         limit: Duration,
     ) -> Option<ControlAnswer> {
@@ -152,14 +154,18 @@
     ///
     /// # Errors
     /// Where that was not possible in time. The command may still be committed later.
-    pub(crate) async fn commit(&self, shard: u16, command: Vec<u8>) -> Result<CommittedCommand, Unavailable> {
+    pub(crate) async fn commit(
+        &self,
+        shard: Shard,
+        command: Vec<u8>,
+    ) -> Result<CommittedCommand, Unavailable> {
         let deadline = Instant::now() + OPERATION_TIMEOUT;
         timeout_at(deadline, self.commit_until(shard, command, deadline)).await.unwrap_or(Err(Unavailable))
     }
 
     async fn commit_until(
         &self,
-        shard: u16,
+        shard: Shard,
         command: Vec<u8>,
         deadline: Instant,
     ) -> Result<CommittedCommand, Unavailable> {
@@ -172,7 +178,7 @@
         }
     }
 
-    async fn propose_to_owner(&self, shard: u16, command: &[u8], deadline: Instant) -> ProposalResult {
+    async fn propose_to_owner(&self, shard: Shard, command: &[u8], deadline: Instant) -> ProposalResult {
         if self.host.is_owner(shard) {
             return self.propose_here(shard, command.to_vec()).await;
         }
@@ -190,7 +196,7 @@
     }
 
     /// Proposes a command to a shard that this process owns.
-    pub(super) async fn propose_here(&self, shard: u16, command: Vec<u8>) -> ProposalResult {
+    pub(super) async fn propose_here(&self, shard: Shard, command: Vec<u8>) -> ProposalResult {
         match self.host.propose(shard, command).await {
             Ok(Committed { index, reply }) => {
                 ProposalResult::Committed(CommittedCommand { index, outcome: reply })
@@ -216,12 +222,12 @@
     ///
     /// # Errors
     /// Where no majority confirms that in time.
-    pub(super) async fn synchronize(&self, shard: u16) -> Result<(), Unavailable> {
+    pub(super) async fn synchronize(&self, shard: Shard) -> Result<(), Unavailable> {
         let deadline = Instant::now() + OPERATION_TIMEOUT;
         timeout_at(deadline, self.synchronize_until(shard, deadline)).await.unwrap_or(Err(Unavailable))
     }
 
-    async fn synchronize_until(&self, shard: u16, deadline: Instant) -> Result<(), Unavailable> {
+    async fn synchronize_until(&self, shard: Shard, deadline: Instant) -> Result<(), Unavailable> {
         loop {
             let limit = deadline.saturating_duration_since(Instant::now());
             match self.read_index(shard, limit).await {
@@ -235,7 +241,7 @@
     }
 
     /// The offset that a read of a shard must have seen, as the owner of the shard confirms it.
-    async fn read_index(&self, shard: u16, limit: Duration) -> Option<u64> {
+    async fn read_index(&self, shard: Shard, limit: Duration) -> Option<LogIndex> {
         match self.owner(shard)? {
             ShardOwner::ThisProcess => self.read_index_here(shard).await.ok(),
             ShardOwner::Peer(owner) => match self.call(owner, &ControlCall::ReadIndex { shard }, limit).await
@@ -250,13 +256,13 @@
     ///
     /// # Errors
     /// Where no majority confirms that this process still owns the shard.
-    pub(super) async fn read_index_here(&self, shard: u16) -> Result<u64, Unavailable> {
+    pub(super) async fn read_index_here(&self, shard: Shard) -> Result<LogIndex, Unavailable> {
         self.host.read_index(shard).await.map_err(|_| Unavailable)?;
-        Ok(self.shards.offset(shard))
+        Ok(log_index(self.shards.offset(shard)))
     }
 
     /// Waits until this process has applied a shard up to `index`, but not longer than `limit`.
-    pub(super) async fn wait_until_applied(&self, shard: u16, index: u64, limit: Duration) {
+    pub(super) async fn wait_until_applied(&self, shard: Shard, index: LogIndex, limit: Duration) {
         let _ = timeout(limit, self.shards.wait_for(shard, index)).await;
     }
 }
--- a/crates/control/src/process/configuration.rs
+++ b/crates/control/src/process/configuration.rs
@@ -11,7 +11,7 @@
     feed::subscribers::Subscribers,
 };
 use opalrun_configuration::{Configuration, Problem};
-use opalrun_wire::feed::CONFIGURATION_SHARD;
+use opalrun_wire::{feed::CONFIGURATION_SHARD, ids::Generation};
 use sha2::{Digest, Sha256};
 use std::{cell::RefCell, rc::Rc, time::Duration};
 use tokio::time::timeout;
@@ -27,14 +27,14 @@
     /// Another generation is current.
     Conflict {
         /// The current generation.
-        current: u64,
+        current: Generation,
     },
     /// Its generation is not above the current one.
     NotAbove {
         /// Its generation.
-        generation: u64,
+        generation: Generation,
         /// The current generation.
-        current: u64,
+        current: Generation,
     },
     /// It is invalid.
     Invalid {
@@ -66,7 +66,7 @@
     /// Where it is not clear in time whether it is in force.
     pub(crate) async fn put(
         self: &Rc<Self>,
-        if_match: u64,
+        if_match: Generation,
         body: Vec<u8>,
     ) -> Result<ConfigurationAnswer, Unavailable> {
         let deadline = AnswerDeadline::of_new_call();
@@ -75,15 +75,20 @@
             Err(problems) => return Ok(ConfigurationAnswer::Invalid { problems }),
         };
         let sha256: [u8; 32] = Sha256::digest(&body).into();
-        let command = ConfigurationCommand::PutConfiguration { if_match, generation, body, sha256 };
+        let command = ConfigurationCommand::PutConfiguration {
+            if_match,
+            generation: Generation(generation),
+            body,
+            sha256,
+        };
         match self.client.commit_configuration(&command).await? {
             ConfigurationOutcome::Accepted | ConfigurationOutcome::AlreadyAccepted => {
-                self.await_in_force(generation, deadline).await;
+                self.await_in_force(Generation(generation), deadline).await;
                 Ok(ConfigurationAnswer::Accepted)
             }
             ConfigurationOutcome::Conflict { current } => Ok(ConfigurationAnswer::Conflict { current }),
             ConfigurationOutcome::NotAbove { current } => {
-                Ok(ConfigurationAnswer::NotAbove { generation, current })
+                Ok(ConfigurationAnswer::NotAbove { generation: Generation(generation), current })
             }
             ConfigurationOutcome::Directory | ConfigurationOutcome::Store(_) => Err(Unavailable),
         }
@@ -103,7 +108,7 @@
     }
 
     /// Waits a while until the gatekeepers of all control processes have a configuration in force.
-    async fn await_in_force(self: &Rc<Self>, generation: u64, deadline: AnswerDeadline) {
+    async fn await_in_force(self: &Rc<Self>, generation: Generation, deadline: AnswerDeadline) {
         let limit = deadline.time_left(IN_FORCE_LIMIT);
         let limit_ms = limit.as_millis() as u64;
         let call = ControlCall::AwaitGeneration { generation, limit_ms };
@@ -116,7 +121,7 @@
     }
 
     /// Waits until the gatekeepers that subscribe here have a configuration in force, but not longer than `limit`.
-    pub(super) async fn wait_until_in_force_here(&self, generation: u64, limit: Duration) {
+    pub(super) async fn wait_until_in_force_here(&self, generation: Generation, limit: Duration) {
         let mut changed = self.subscribers.borrow().changed();
         let wait = async {
             while !self.subscribers.borrow().all_have(generation, self.clock.now()) {
--- a/crates/control/src/process/gatekeeper_count.rs
+++ b/crates/control/src/process/gatekeeper_count.rs
@@ -9,7 +9,7 @@
     calls::{ControlAnswer, ControlCall},
     feed::subscribers::Subscribers,
 };
-use opalrun_wire::feed::CONFIGURATION_SHARD;
+use opalrun_wire::{feed::CONFIGURATION_SHARD, ids::NodeIdentity};
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
@@ -33,7 +33,7 @@
     subscribers: Rc<RefCell<Subscribers>>,
     clock: SteadyClock,
     /// By the identity of the control process that counted; used while this process owns shard 0.
-    counts: RefCell<HashMap<u64, ProcessCount>>,
+    counts: RefCell<HashMap<NodeIdentity, ProcessCount>>,
     total: Cell<u32>,
 }
 
@@ -56,7 +56,7 @@
     ///
     /// # Errors
     /// [`NotOwner`] where this process does not own shard 0.
-    pub(super) fn record(&self, counted_by: u64, gatekeepers: u32) -> Result<u32, NotOwner> {
+    pub(super) fn record(&self, counted_by: NodeIdentity, gatekeepers: u32) -> Result<u32, NotOwner> {
         self.client.require_ownership(CONFIGURATION_SHARD)?;
         let now = self.clock.now();
         let mut counts = self.counts.borrow_mut();
--- a/crates/control/src/process/heartbeat_target/tests.rs
+++ b/crates/control/src/process/heartbeat_target/tests.rs
@@ -7,7 +7,7 @@
 
 fn nodes(count: u64) -> Vec<ControlNode> {
     let node = |identity: u64| ControlNode {
-        identity,
+        identity: NodeIdentity(identity),
         node_name: format!("core-{identity}"),
         peer_address: format!("10.0.0.{identity}:7380"),
         control_address: format!("10.0.0.{identity}:8144"),
@@ -16,9 +16,9 @@
     (1..=count).map(node).collect()
 }
 
-fn targets(nodes: &[ControlNode], silent: &[u64]) -> HashMap<u64, u64> {
+fn targets(nodes: &[ControlNode], silent: &[u64]) -> HashMap<u64, NodeIdentity> {
     let since_last_contact =
-        |identity: u64| if silent.contains(&identity) { TARGET_TIMEOUT } else { Duration::ZERO };
+        |identity: NodeIdentity| if silent.contains(&identity.0) { TARGET_TIMEOUT } else { Duration::ZERO };
     let of = |worker: u64| {
         heartbeat_target(&format!("i-{worker:08x}"), nodes, since_last_contact)
             .map(|node| (worker, node.identity))
@@ -41,8 +41,11 @@
     let nodes = nodes(5);
     let (before, after) = (targets(&nodes, &[]), targets(&nodes, &[2]));
     for (worker, target) in &before {
-        assert_ne!(after[worker], 2, "it is silent");
-        assert!(*target == 2 || after[worker] == *target, "worker {worker} had no reason to move");
+        assert_ne!(after[worker], NodeIdentity(2), "it is silent");
+        assert!(
+            *target == NodeIdentity(2) || after[worker] == *target,
+            "worker {worker} had no reason to move"
+        );
     }
 }
 
--- a/crates/control/src/process/member_failure_detector.rs
+++ b/crates/control/src/process/member_failure_detector.rs
@@ -4,7 +4,7 @@
 //! An owner must not judge members by its own absence: when it has just become the owner, was out of contact with the
 //! quorum or did not run for a while, each member gets the full time-out anew.
 
-use opalrun_wire::feed::ControlNode;
+use opalrun_wire::{feed::ControlNode, ids::NodeIdentity};
 use std::{collections::HashMap, time::Duration};
 
 #[cfg(test)]
@@ -19,7 +19,7 @@
 #[derive(Debug)]
 pub struct MemberFailureDetector {
     min_members: usize,
-    first_seen: HashMap<u64, Duration>,
+    first_seen: HashMap<NodeIdentity, Duration>,
     last_evaluation: Option<Duration>,
 }
 
@@ -46,10 +46,10 @@
     pub fn evaluate(
         &mut self,
         members: &[ControlNode],
-        own_identity: u64,
-        since_last_contact: impl Fn(u64) -> Duration,
+        own_identity: NodeIdentity,
+        since_last_contact: impl Fn(NodeIdentity) -> Duration,
         now: Duration,
-    ) -> Option<u64> {
+    ) -> Option<NodeIdentity> {
         self.observe(members, now);
         if members.len() <= self.min_members {
             return None;
@@ -79,7 +79,12 @@
     }
 
     /// The time since the last contact with a member, counted at most from when this owner first saw it.
-    fn observed_since_contact(&self, identity: u64, since_last_contact: Duration, now: Duration) -> Duration {
+    fn observed_since_contact(
+        &self,
+        identity: NodeIdentity,
+        since_last_contact: Duration,
+        now: Duration,
+    ) -> Duration {
         let observed_for =
             self.first_seen.get(&identity).map_or(Duration::ZERO, |at| now.saturating_sub(*at));
         since_last_contact.min(observed_for)
--- a/crates/control/src/process/member_failure_detector/tests.rs
+++ b/crates/control/src/process/member_failure_detector/tests.rs
@@ -1,7 +1,7 @@
 //! What the owner of shard 0 concludes of members from the passing of time.
 
 use super::MemberFailureDetector;
-use opalrun_wire::feed::ControlNode;
+use opalrun_wire::{feed::ControlNode, ids::NodeIdentity};
 use std::time::Duration;
 
 fn millis(millis: u64) -> Duration {
@@ -11,7 +11,7 @@
 fn members(count: u64) -> Vec<ControlNode> {
     (1..=count)
         .map(|identity| ControlNode {
-            identity,
+            identity: NodeIdentity(identity),
             node_name: format!("core-{identity}"),
             peer_address: String::new(),
             control_address: String::new(),
@@ -26,17 +26,18 @@
     members: &[ControlNode],
     from: u64,
     to: u64,
-) -> Option<(u64, u64)> {
-    let since_last_contact = |identity| if identity == 4 { Duration::MAX } else { Duration::ZERO };
-    (from..to)
-        .step_by(250)
-        .find_map(|at| Some((at, detector.evaluate(members, 1, since_last_contact, millis(at))?)))
+) -> Option<(u64, NodeIdentity)> {
+    let since_last_contact =
+        |identity| if identity == NodeIdentity(4) { Duration::MAX } else { Duration::ZERO };
+    (from..to).step_by(250).find_map(|at| {
+        Some((at, detector.evaluate(members, NodeIdentity(1), since_last_contact, millis(at))?))
+    })
 }
 
 #[test]
 fn a_failed_member_is_dropped_if_enough_are_left() {
     let mut detector = MemberFailureDetector::new(3);
-    assert_eq!(first_drop_while_silent(&mut detector, &members(4), 0, 10_000), Some((1750, 4)));
+    assert_eq!(first_drop_while_silent(&mut detector, &members(4), 0, 10_000), Some((1750, NodeIdentity(4))));
     let mut detector = MemberFailureDetector::new(4);
     assert_eq!(first_drop_while_silent(&mut detector, &members(4), 0, 10_000), None);
 }
--- a/crates/control/src/process/membership.rs
+++ b/crates/control/src/process/membership.rs
@@ -14,11 +14,12 @@
 use crate::{
     calls::{ControlAnswer, ControlCall},
     configuration_shard::ConfigurationCommand,
-    shards::SHARDS,
+    shards::all_shards,
 };
 use opalrun_wire::{
     feed::{CONFIGURATION_SHARD, ControlNode},
     frame::encode,
+    ids::Shard,
 };
 use std::{
     cell::{Cell, RefCell},
@@ -162,7 +163,7 @@
             sleep(DROP_RETRY_DELAY).await;
         }
         tracing::info!("dropped from the membership, waiting until all groups go on without this process");
-        for shard in 0..SHARDS {
+        for shard in all_shards() {
             while self.has_vote(shard).await {
                 sleep(VOTERS_POLL_INTERVAL).await;
             }
@@ -190,7 +191,7 @@
     }
 
     /// Whether a group still counts this process; also where no process can report it.
-    async fn has_vote(&self, shard: u16) -> bool {
+    async fn has_vote(&self, shard: Shard) -> bool {
         let identity = self.client.identity();
         for peer in self.client.peers() {
             let answer = self.client.call(peer, &ControlCall::Voters { shard }, VOTERS_TIMEOUT).await;
--- a/crates/control/src/process/mod.rs
+++ b/crates/control/src/process/mod.rs
@@ -40,7 +40,7 @@
 use crate::{
     feed::subscribers::Subscribers,
     host::Host,
-    shards::{SHARDS, Shards},
+    shards::{Shards, all_shards},
 };
 use call_handler::CallHandler;
 use client::ControlClient;
@@ -264,7 +264,7 @@
     /// Whether what this process knows of every shard is fresh.
     #[must_use]
     pub fn is_fresh(&self) -> bool {
-        !self.is_stopping.get() && (0..SHARDS).all(|shard| self.host().is_fresh(shard))
+        !self.is_stopping.get() && all_shards().all(|shard| self.host().is_fresh(shard))
     }
 
     /// Whether the process is about to end.
--- a/crates/control/src/process/owner_tasks.rs
+++ b/crates/control/src/process/owner_tasks.rs
@@ -5,7 +5,7 @@
     client::ControlClient, clock::SteadyClock, membership::ControlMembership, quorum_contact::QuorumContact,
     store_liveness::StoreLiveness, worker_sessions::WorkerSessions,
 };
-use crate::{configuration_shard::ConfigurationCommand, shards::SHARDS};
+use crate::{configuration_shard::ConfigurationCommand, shards::session_shards};
 use opalrun_wire::{feed::CONFIGURATION_SHARD, frame::encode};
 use std::{rc::Rc, time::Duration};
 use tokio::time::{MissedTickBehavior, interval};
@@ -36,7 +36,7 @@
             ticks.tick().await;
             self.quorum_contact.record();
             self.evaluate_configuration_shard();
-            for shard in 1..SHARDS {
+            for shard in session_shards() {
                 self.worker_sessions.expire(shard);
             }
         }
--- a/crates/control/src/process/quorum_contact.rs
+++ b/crates/control/src/process/quorum_contact.rs
@@ -2,6 +2,7 @@
 
 use super::clock::SteadyClock;
 use crate::{host::Host, shards::SHARDS};
+use opalrun_wire::ids::Shard;
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 /// The last contact with the quorum of each shard. The background tasks record it, calls of workers ask for it; both run on
@@ -22,7 +23,7 @@
     /// Records the shards that are in contact with their quorum now.
     pub(super) fn record(&self) {
         let now = self.clock.now();
-        for (shard, at) in (0..).zip(self.last_contact.borrow_mut().iter_mut()) {
+        for (shard, at) in (0..).map(Shard).zip(self.last_contact.borrow_mut().iter_mut()) {
             if self.host.is_fresh(shard) {
                 *at = Some(now);
             }
@@ -30,11 +31,11 @@
     }
 
     /// Whether a shard was in contact with its quorum within the last `span`.
-    pub(super) fn is_recent(&self, shard: u16, span: Duration) -> bool {
+    pub(super) fn is_recent(&self, shard: Shard, span: Duration) -> bool {
         if self.host.is_fresh(shard) {
             return true;
         }
-        let at = self.last_contact.borrow()[usize::from(shard)];
+        let at = self.last_contact.borrow()[shard.position()];
         at.is_some_and(|at| self.clock.now().saturating_sub(at) <= span)
     }
 }
--- a/crates/control/src/process/store_failure_detector.rs
+++ b/crates/control/src/process/store_failure_detector.rs
@@ -4,7 +4,7 @@
 //! As with members, an owner does not judge stores by its own absence.
 
 use crate::store_map::{Liveness, Spread, StoreCommand, StoreTable};
-use opalrun_wire::feed::StoreState;
+use opalrun_wire::{feed::StoreState, ids::NodeIdentity};
 use std::{collections::HashMap, time::Duration};
 
 #[cfg(test)]
@@ -36,15 +36,15 @@
 /// When each store was first seen and last heard from, as this owner observed it.
 #[derive(Debug, Default)]
 pub struct StoreFailureDetector {
-    first_seen: HashMap<u64, Duration>,
-    last_heard: HashMap<u64, Duration>,
+    first_seen: HashMap<NodeIdentity, Duration>,
+    last_heard: HashMap<NodeIdentity, Duration>,
     last_joined: Option<Duration>,
     last_evaluation: Option<Duration>,
 }
 
 impl StoreFailureDetector {
     /// A store was heard from at that moment.
-    pub fn record_contact(&mut self, identity: u64, at: Duration) {
+    pub fn record_contact(&mut self, identity: NodeIdentity, at: Duration) {
         let latest = self.last_heard.entry(identity).or_insert(at);
         *latest = at.max(*latest);
     }
--- a/crates/control/src/process/store_failure_detector/tests.rs
+++ b/crates/control/src/process/store_failure_detector/tests.rs
@@ -2,7 +2,10 @@
 
 use super::{StoreFailureDetector, StoreLayout};
 use crate::store_map::{Liveness, Spread, StoreCommand, StoreTable};
-use opalrun_wire::feed::{StoreNode, StoreState};
+use opalrun_wire::{
+    feed::{StoreNode, StoreState},
+    ids::NodeIdentity,
+};
 use std::time::Duration;
 
 const REPLICAS: u16 = 3;
@@ -21,7 +24,7 @@
 
 fn join(table: &mut StoreTable, identity: u64) {
     let node = StoreNode {
-        identity,
+        identity: NodeIdentity(identity),
         node_name: format!("store-{identity}"),
         address: format!("10.0.0.{identity}:7000"),
         zone: "zone".to_owned(),
@@ -42,7 +45,7 @@
     let mut all = Vec::new();
     for at in (from..to).step_by(250) {
         for identity in heard {
-            detector.record_contact(*identity, millis(at));
+            detector.record_contact(NodeIdentity(*identity), millis(at));
         }
         for command in detector.evaluate(table, &layout(), millis(at)) {
             table.apply(&command);
@@ -92,7 +95,7 @@
 fn a_store_that_fails_becomes_unavailable_then_dead_and_is_live_when_it_is_back() {
     let (mut detector, mut table) = three_stores();
     let recorded = evaluate_over(&mut detector, &mut table, &[1, 2], 2000, 14_000);
-    let of = |liveness| StoreCommand::SetLiveness { identity: 3, liveness };
+    let of = |liveness| StoreCommand::SetLiveness { identity: NodeIdentity(3), liveness };
     assert_eq!(
         recorded.iter().map(|(_, command)| command.clone()).collect::<Vec<_>>(),
         [of(Liveness::Unavailable), of(Liveness::Dead)]
@@ -110,7 +113,7 @@
 #[test]
 fn a_store_that_a_former_owner_found_unavailable_is_live_once_it_is_heard_from() {
     let (_, mut table) = three_stores();
-    table.apply(&StoreCommand::SetLiveness { identity: 3, liveness: Liveness::Unavailable });
+    table.apply(&StoreCommand::SetLiveness { identity: NodeIdentity(3), liveness: Liveness::Unavailable });
     let mut detector = StoreFailureDetector::default();
     assert!(evaluate_over(&mut detector, &mut table, &[1, 2], 0, 5000).is_empty());
     assert_eq!(evaluate_over(&mut detector, &mut table, &[1, 2, 3], 5000, 6000).len(), 1);
@@ -121,7 +124,7 @@
     let (mut detector, mut table) = three_stores();
     join(&mut table, 4);
     let established = evaluate_over(&mut detector, &mut table, &[1, 2, 3, 4], 2000, 7000);
-    assert_eq!(established, [(5000, StoreCommand::MarkEstablished { identity: 4 })]);
+    assert_eq!(established, [(5000, StoreCommand::MarkEstablished { identity: NodeIdentity(4) })]);
 }
 
 #[test]
@@ -134,6 +137,6 @@
         .map()
         .partitions
         .iter()
-        .all(|partition| partition.replicas.iter().any(|replica| replica.store == 4));
+        .all(|partition| partition.replicas.iter().any(|replica| replica.store == NodeIdentity(4)));
     assert!(holds);
 }
--- a/crates/control/src/process/store_liveness.rs
+++ b/crates/control/src/process/store_liveness.rs
@@ -70,11 +70,7 @@
 
     /// The stores that were heard from here.
     fn contacts_here(&self) -> Vec<StoreContact> {
-        let contacts = self.subscribers.borrow().store_contacts(self.clock.now());
-        contacts
-            .into_iter()
-            .map(|(identity, age)| StoreContact { identity, age_ms: age.as_millis() as u64 })
-            .collect()
+        self.subscribers.borrow().store_contacts(self.clock.now())
     }
 
     /// The commands that follow from the time that has passed. For the owner of shard 0.
--- a/crates/control/src/process/subscriber_reports.rs
+++ b/crates/control/src/process/subscriber_reports.rs
@@ -5,6 +5,7 @@
     calls::{ControlAnswer, ControlCall, SubscribedGatekeeper},
     feed::subscribers::Subscribers,
 };
+use opalrun_wire::ids::NodeIdentity;
 use std::{cell::RefCell, rc::Rc, time::Duration};
 use tokio::task::JoinSet;
 
@@ -15,7 +16,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct SubscriberReport {
     /// The identity of the control process.
-    pub from: u64,
+    pub from: NodeIdentity,
     /// The gatekeepers.
     pub gatekeepers: Vec<SubscribedGatekeeper>,
 }
--- a/crates/control/src/process/worker_sessions.rs
+++ b/crates/control/src/process/worker_sessions.rs
@@ -10,11 +10,13 @@
 use crate::{
     calls::{ControlAnswer, ControlCall},
     sessions::{ExpiredSession, SessionCommand, heartbeat_monitor::HeartbeatMonitor, is_ready},
-    shards::SHARDS,
+    shards::{all_shards, session_shards},
 };
+use opalrun_replication::LogIndex;
 use opalrun_wire::{
     feed::{Worker, shard_of_service},
     frame::encode,
+    ids::Shard,
 };
 use std::{
     cell::RefCell,
@@ -37,7 +39,7 @@
     quorum_contact: Rc<QuorumContact>,
     clock: SteadyClock,
     /// Workers that were heard from here and of which the owner is still to be notified, by shard.
-    pending_renewals: RefCell<BTreeMap<u16, BTreeSet<String>>>,
+    pending_renewals: RefCell<BTreeMap<Shard, BTreeSet<String>>>,
     /// By shard, when its workers were heard from; used while this process owns the shard.
     heartbeat_monitors: RefCell<Vec<HeartbeatMonitor>>,
 }
@@ -50,7 +52,7 @@
         clock: SteadyClock,
         heartbeat: Duration,
     ) -> Rc<Self> {
-        let heartbeat_monitors = (0..SHARDS).map(|_| HeartbeatMonitor::new(heartbeat)).collect();
+        let heartbeat_monitors = all_shards().map(|_| HeartbeatMonitor::new(heartbeat)).collect();
         Rc::new(Self {
             client,
             quorum_contact,
@@ -83,7 +85,7 @@
         Ok(if stays { self.other_heartbeat_target(&id) } else { None })
     }
 
-    fn renew_unchanged(&self, shard: u16, id: &str) -> Result<(), Unavailable> {
+    fn renew_unchanged(&self, shard: Shard, id: &str) -> Result<(), Unavailable> {
         if !self.quorum_contact.is_recent(shard, MAX_CONTACT_GAP) {
             return Err(Unavailable);
         }
@@ -120,18 +122,18 @@
     }
 
     /// The shards that know a worker, or all of them where none is known to do.
-    fn shards_to_remove_from(&self, id: &str) -> Vec<u16> {
-        let knows_worker = |shard: &u16| {
+    fn shards_to_remove_from(&self, id: &str) -> Vec<Shard> {
+        let knows_worker = |shard: &Shard| {
             let shards = self.client.shards();
             shards.with_sessions(*shard, |sessions| sessions.workers().contains_key(id)) == Some(true)
         };
-        let known: Vec<u16> = (1..SHARDS).filter(knows_worker).collect();
-        if known.is_empty() { (1..SHARDS).collect() } else { known }
+        let known: Vec<Shard> = session_shards().filter(knows_worker).collect();
+        if known.is_empty() { session_shards().collect() } else { known }
     }
 
-    fn record_renewal(&self, shard: u16, id: &str) {
+    fn record_renewal(&self, shard: Shard, id: &str) {
         if self.client.is_confirmed_owner(shard) {
-            self.heartbeat_monitors.borrow_mut()[usize::from(shard)].record_heartbeat(id, self.clock.now());
+            self.heartbeat_monitors.borrow_mut()[shard.position()].record_heartbeat(id, self.clock.now());
             return;
         }
         self.pending_renewals.borrow_mut().entry(shard).or_default().insert(id.to_owned());
@@ -143,12 +145,12 @@
     /// [`NotOwner`] where it does not own the shard.
     pub(super) fn renew<'a>(
         &self,
-        shard: u16,
+        shard: Shard,
         ids: impl IntoIterator<Item = &'a String>,
     ) -> Result<(), NotOwner> {
         self.client.require_ownership(shard)?;
         let now = self.clock.now();
-        if let Some(monitor) = self.heartbeat_monitors.borrow_mut().get_mut(usize::from(shard)) {
+        if let Some(monitor) = self.heartbeat_monitors.borrow_mut().get_mut(shard.position()) {
             for id in ids {
                 monitor.record_heartbeat(id, now);
             }
@@ -167,7 +169,7 @@
     }
 
     /// Returns whether the owner of the shard has acknowledged.
-    async fn renew_at_owner(&self, shard: u16, ids: &BTreeSet<String>) -> bool {
+    async fn renew_at_owner(&self, shard: Shard, ids: &BTreeSet<String>) -> bool {
         match self.client.owner(shard) {
             Some(ShardOwner::ThisProcess) => self.renew(shard, ids).is_ok(),
             Some(ShardOwner::Peer(owner)) => {
@@ -179,7 +181,7 @@
     }
 
     /// Ends the sessions of workers that were not heard from for too long, in a shard that this process owns.
-    pub(super) fn expire(&self, shard: u16) {
+    pub(super) fn expire(&self, shard: Shard) {
         let Some(command) = self.expiry_command(shard) else { return };
         let client = Rc::clone(&self.client);
         tokio::task::spawn_local(async move {
@@ -187,9 +189,9 @@
         });
     }
 
-    fn expiry_command(&self, shard: u16) -> Option<SessionCommand> {
+    fn expiry_command(&self, shard: Shard) -> Option<SessionCommand> {
         let mut heartbeat_monitors = self.heartbeat_monitors.borrow_mut();
-        let monitor = heartbeat_monitors.get_mut(usize::from(shard))?;
+        let monitor = heartbeat_monitors.get_mut(shard.position())?;
         if !self.client.is_confirmed_owner(shard) {
             monitor.reset();
             return None;
@@ -206,13 +208,13 @@
         if workers.is_empty() {
             return None;
         }
-        tracing::info!(shard, count = workers.len(), "sessions expired");
+        tracing::info!(shard = shard.0, count = workers.len(), "sessions expired");
         Some(SessionCommand::Expire { workers })
     }
 }
 
 /// Gives the other control processes, and so the gatekeepers that subscribe there, the time to apply a change.
-async fn propagate(client: &Rc<ControlClient>, shard: u16, index: u64, deadline: AnswerDeadline) {
+async fn propagate(client: &Rc<ControlClient>, shard: Shard, index: LogIndex, deadline: AnswerDeadline) {
     let limit = deadline.time_left(PROPAGATION_LIMIT);
     let limit_ms = limit.as_millis() as u64;
     let call = ControlCall::AwaitApplied { shard, index, limit_ms };
--- a/crates/control/src/replaced_identities.rs
+++ b/crates/control/src/replaced_identities.rs
@@ -1,6 +1,7 @@
 //! Identities of machines that lost their disk (data loss), so that a late join request of one is not taken for its
 //! successor's.
 
+use opalrun_wire::ids::NodeIdentity;
 use rkyv::{Archive, Deserialize, Serialize};
 use std::collections::VecDeque;
 
@@ -12,7 +13,7 @@
 /// An identity whose place another one of the same machine has taken.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
 struct ReplacedIdentity {
-    identity: u64,
+    identity: NodeIdentity,
     /// Join requests of it since it was replaced.
     join_requests: u32,
 }
@@ -29,7 +30,7 @@
 
 impl ReplacedIdentities {
     /// An identity was replaced by another one of the same machine.
-    pub fn remember(&mut self, identity: u64) {
+    pub fn remember(&mut self, identity: NodeIdentity) {
         if self.replaced.len() == MAX_REMEMBERED_IDENTITIES {
             self.replaced.pop_front();
         }
@@ -37,7 +38,7 @@
     }
 
     /// Counts a join request. Returns whether it is to be rejected, as of an identity whose disk is gone.
-    pub fn rejects_join(&mut self, identity: u64) -> bool {
+    pub fn rejects_join(&mut self, identity: NodeIdentity) -> bool {
         let Some(index) = self.replaced.iter().position(|replaced| replaced.identity == identity) else {
             return false;
         };
--- a/crates/control/src/run.rs
+++ b/crates/control/src/run.rs
@@ -7,12 +7,12 @@
     host::{Host, HostOptions, StateMachine},
     metrics,
     process::{ControlProcess, ProcessOptions, store_failure_detector::StoreLayout},
-    shards::{SHARDS, ShardMachine, Shards},
+    shards::{ShardMachine, Shards, all_shards},
     store_map::Spread,
 };
 use opalrun_net::{Listener, signals};
 use opalrun_settings::Settings;
-use opalrun_wire::feed::ControlNode;
+use opalrun_wire::{feed::ControlNode, ids::NodeIdentity};
 use snafu::{OptionExt, ResultExt};
 use std::{collections::BTreeSet, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
@@ -37,7 +37,7 @@
     tokio::select! {
         () = signals::terminated() => {}
         // What is on disk is read again at the next start.
-        why = control.process().host().disk_failure() => return Err(ControlError::Disk { why }),
+        source = control.process().host().failure() => return Err(ControlError::Disk { source }),
     }
     control.end().await;
     Ok(())
@@ -65,7 +65,7 @@
         let process = start_process(settings, api_address).await?;
         let scraped = Rc::clone(&process);
         opalrun_metrics::start(settings.metrics, move |scrape| metrics::scrape(&scraped, scrape));
-        tracing::info!(identity = process.host().identity(), "the control process serves");
+        tracing::info!(identity = process.host().identity().0, "the control process serves");
         let mut tasks = JoinSet::new();
         process.start_background_tasks(&mut tasks);
         tasks.spawn_local(feed::serve(Rc::clone(&process), feed_listener));
@@ -141,7 +141,7 @@
 
 fn control_node(settings: &Settings, api_address: SocketAddr) -> ControlNode {
     ControlNode {
-        identity: 0,
+        identity: NodeIdentity(0),
         node_name: settings.node_name.clone(),
         peer_address: SocketAddr::new(settings.ip, settings.ports.peer()).to_string(),
         control_address: api_address.to_string(),
@@ -163,5 +163,5 @@
 
 fn machines(shards: &Shards) -> Vec<Box<dyn StateMachine>> {
     let machine = |shard| Box::new(ShardMachine::new(shards.clone(), shard)) as Box<dyn StateMachine>;
-    (0..SHARDS).map(machine).collect()
+    all_shards().map(machine).collect()
 }
--- a/crates/control/src/shards/mod.rs
+++ b/crates/control/src/shards/mod.rs
@@ -10,9 +10,11 @@
     host::StateMachine,
     sessions::{SessionCommand, SessionShard},
 };
+use opalrun_replication::LogIndex;
 use opalrun_wire::{
     feed::{CONFIGURATION_SHARD, Change, FeedUpdate, SESSION_SHARDS},
     frame::{FrameError, decode, encode},
+    ids::{FeedOffset, Shard},
 };
 use rkyv::{Archive, Deserialize, Serialize};
 use std::{cell::RefCell, collections::VecDeque, rc::Rc};
@@ -24,6 +26,34 @@
 /// Number of all shards.
 pub const SHARDS: u16 = SESSION_SHARDS + 1;
 
+/// All shards, in the order of their numbers.
+pub fn all_shards() -> impl Iterator<Item = Shard> {
+    (0..SHARDS).map(Shard)
+}
+
+/// Whether there is a shard of this number.
+#[must_use]
+pub fn exists(shard: Shard) -> bool {
+    shard.0 < SHARDS
+}
+
+/// The shards that hold sessions.
+pub fn session_shards() -> impl Iterator<Item = Shard> {
+    all_shards().filter(|shard| *shard != CONFIGURATION_SHARD)
+}
+
+/// The offset in a shard's changes that an entry of its log stands for.
+#[must_use]
+pub fn feed_offset(index: LogIndex) -> FeedOffset {
+    FeedOffset(index.0)
+}
+
+/// The entry of a shard's log that an offset in its changes stands for.
+#[must_use]
+pub fn log_index(offset: FeedOffset) -> LogIndex {
+    LogIndex(offset.0)
+}
+
 /// One shard's state.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone)]
 enum ShardState {
@@ -51,56 +81,56 @@
 #[derive(Archive, Serialize, Deserialize, Debug, Clone)]
 struct ShardSnapshot {
     /// The index of the last command applied.
-    offset: u64,
+    offset: FeedOffset,
     state: ShardState,
 }
 
 /// One shard: its state and its latest changes.
 #[derive(Debug)]
-struct Shard {
-    offset: u64,
+struct ShardReplica {
+    offset: FeedOffset,
     state: ShardState,
     /// The changes of recent commands, the oldest first; commands without a change are left out.
     recent: VecDeque<CommandChanges>,
     /// All changes after this offset are among the recent ones.
-    recent_from: u64,
+    recent_from: FeedOffset,
 }
 
 /// The changes that one command made.
 #[derive(Debug)]
 struct CommandChanges {
-    /// The index of the command.
-    index: u64,
+    /// The offset after the command.
+    offset: FeedOffset,
     changes: Vec<Change>,
 }
 
-impl Shard {
-    fn new(number: u16) -> Self {
+impl ShardReplica {
+    fn new(number: Shard) -> Self {
         let state = if number == CONFIGURATION_SHARD {
             ShardState::Configuration(Box::default())
         } else {
             ShardState::Sessions(SessionShard::default())
         };
-        Self { offset: 0, state, recent: VecDeque::new(), recent_from: 0 }
+        Self { offset: FeedOffset(0), state, recent: VecDeque::new(), recent_from: FeedOffset(0) }
     }
 
     /// Applies a command and returns the encoded outcome; empty for a command that can't be decoded.
-    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+    fn apply(&mut self, index: LogIndex, command: &[u8]) -> Vec<u8> {
         let (reply, changes) = self.state.apply(command).unwrap_or_default();
-        self.offset = index;
-        self.record_changes(index, changes);
+        self.offset = feed_offset(index);
+        self.record_changes(changes);
         reply
     }
 
-    fn record_changes(&mut self, index: u64, changes: Vec<Change>) {
+    fn record_changes(&mut self, changes: Vec<Change>) {
         if !changes.is_empty() {
             self.drop_superseded(&changes);
-            self.recent.push_back(CommandChanges { index, changes });
+            self.recent.push_back(CommandChanges { offset: self.offset, changes });
         }
         if self.recent.len() > MAX_RECENT_COMMANDS
             && let Some(dropped) = self.recent.pop_front()
         {
-            self.recent_from = dropped.index;
+            self.recent_from = dropped.offset;
         }
     }
 
@@ -113,12 +143,12 @@
 
     /// The update for a subscriber that knows this offset: the changes after it, or a snapshot where it knows nothing or
     /// too little. `None` where there is nothing to send.
-    fn update_since(&self, known: Option<u64>) -> Option<FeedUpdateBody> {
+    fn update_since(&self, known: Option<FeedOffset>) -> Option<FeedUpdateBody> {
         let Some(known) = known.filter(|known| *known >= self.recent_from) else {
             let is_ahead = known.is_some_and(|known| known > self.offset);
             return (!is_ahead).then(|| self.snapshot_update());
         };
-        let newer = self.recent.iter().filter(|command| command.index > known);
+        let newer = self.recent.iter().filter(|command| command.offset > known);
         let changes: Vec<Change> = newer.flat_map(|command| command.changes.iter().cloned()).collect();
         (!changes.is_empty()).then_some(FeedUpdateBody { is_snapshot: false, offset: self.offset, changes })
     }
@@ -146,7 +176,7 @@
 struct FeedUpdateBody {
     /// The changes make the complete state; otherwise they follow what the subscriber knows.
     is_snapshot: bool,
-    offset: u64,
+    offset: FeedOffset,
     changes: Vec<Change>,
 }
 
@@ -154,7 +184,7 @@
 /// one thread do. No borrow lasts across an await.
 #[derive(Clone)]
 pub struct Shards {
-    shards: Rc<Vec<RefCell<Shard>>>,
+    shards: Rc<Vec<RefCell<ShardReplica>>>,
     changed: Rc<watch::Sender<u64>>,
 }
 
@@ -168,13 +198,13 @@
     /// Empty shards.
     #[must_use]
     pub fn new() -> Self {
-        let shards = (0..SHARDS).map(|number| RefCell::new(Shard::new(number))).collect();
+        let shards = all_shards().map(|number| RefCell::new(ShardReplica::new(number))).collect();
         Self { shards: Rc::new(shards), changed: Rc::new(watch::Sender::new(0)) }
     }
 
     /// Applies a committed command of a shard and returns the encoded outcome; empty for a command that can't be decoded.
     #[expect(clippy::must_use_candidate, reason = "a replay needs the changes only")]
-    pub fn apply(&self, shard: u16, index: u64, command: &[u8]) -> Vec<u8> {
+    pub fn apply(&self, shard: Shard, index: LogIndex, command: &[u8]) -> Vec<u8> {
         let reply = self.shard(shard).borrow_mut().apply(index, command);
         self.changed.send_modify(|count| *count += 1);
         reply
@@ -182,7 +212,7 @@
 
     /// A shard's state as bytes.
     #[must_use]
-    pub fn snapshot(&self, shard: u16) -> Vec<u8> {
+    pub fn snapshot(&self, shard: Shard) -> Vec<u8> {
         let shard = self.shard(shard).borrow();
         encode(&ShardSnapshot { offset: shard.offset, state: shard.state.clone() }).to_vec()
     }
@@ -191,7 +221,7 @@
     ///
     /// # Errors
     /// Where the bytes are no snapshot of this kind of shard.
-    pub fn restore(&self, shard: u16, bytes: &[u8]) -> Result<(), FrameError> {
+    pub fn restore(&self, shard: Shard, bytes: &[u8]) -> Result<(), FrameError> {
         let snapshot: ShardSnapshot = decode(bytes)?;
         let is_configuration = matches!(snapshot.state, ShardState::Configuration(_));
         if is_configuration != (shard == CONFIGURATION_SHARD) {
@@ -220,14 +250,14 @@
 
     /// The index of the last command applied to a shard's state.
     #[must_use]
-    pub fn offset(&self, shard: u16) -> u64 {
+    pub fn offset(&self, shard: Shard) -> FeedOffset {
         self.shard(shard).borrow().offset
     }
 
     /// Waits until the command of an index is applied to a shard's state.
-    pub async fn wait_for(&self, shard: u16, index: u64) {
+    pub async fn wait_for(&self, shard: Shard, index: LogIndex) {
         let mut changed = self.changed();
-        while self.offset(shard) < index {
+        while self.offset(shard) < feed_offset(index) {
             if changed.changed().await.is_err() {
                 return;
             }
@@ -236,7 +266,7 @@
 
     /// The update for a subscriber that knows an offset of a shard; `None` where there is nothing to send.
     #[must_use]
-    pub fn update_since(&self, shard: u16, known: Option<u64>) -> Option<FeedUpdate> {
+    pub fn update_since(&self, shard: Shard, known: Option<FeedOffset>) -> Option<FeedUpdate> {
         let update = self.shard(shard).borrow().update_since(known)?;
         let FeedUpdateBody { is_snapshot, offset, changes } = update;
         Some(if is_snapshot {
@@ -258,35 +288,35 @@
     }
 
     /// Reads the state of a shard of sessions; `None` for another shard.
-    pub fn with_sessions<R>(&self, shard: u16, read: impl FnOnce(&SessionShard) -> R) -> Option<R> {
-        let shard = self.shards.get(usize::from(shard))?.borrow();
+    pub fn with_sessions<R>(&self, shard: Shard, read: impl FnOnce(&SessionShard) -> R) -> Option<R> {
+        let shard = self.shards.get(shard.position())?.borrow();
         match &shard.state {
             ShardState::Sessions(sessions) => Some(read(sessions)),
             ShardState::Configuration(_) => None,
         }
     }
 
-    fn shard(&self, number: u16) -> &RefCell<Shard> {
-        &self.shards[usize::from(number)]
+    fn shard(&self, number: Shard) -> &RefCell<ShardReplica> {
+        &self.shards[number.position()]
     }
 }
 
 /// One shard as the replicated host runs it.
 pub struct ShardMachine {
     shards: Shards,
-    shard: u16,
+    shard: Shard,
 }
 
 impl ShardMachine {
     /// The machine of one of the shards.
     #[must_use]
-    pub fn new(shards: Shards, shard: u16) -> Self {
+    pub fn new(shards: Shards, shard: Shard) -> Self {
         Self { shards, shard }
     }
 }
 
 impl StateMachine for ShardMachine {
-    fn apply(&mut self, index: u64, command: &[u8]) -> Vec<u8> {
+    fn apply(&mut self, index: LogIndex, command: &[u8]) -> Vec<u8> {
         self.shards.apply(self.shard, index, command)
     }
 
--- a/crates/control/src/shards/recent_changes_tests.rs
+++ b/crates/control/src/shards/recent_changes_tests.rs
@@ -1,22 +1,30 @@
 //! Which recent changes are kept for subscribers.
 
-use super::{Shard, Shards};
+use super::{Shard, ShardReplica, Shards};
 use crate::{configuration_shard::ConfigurationCommand, sessions::SessionCommand};
+use opalrun_replication::LogIndex;
 use opalrun_wire::{
     feed::{CONFIGURATION_SHARD, Change, ControlNode, FeedUpdate, Worker, WorkerState},
     frame::encode,
+    ids::{FeedOffset, Generation, NodeIdentity},
 };
 
 fn configuration(generation: u64) -> Vec<u8> {
     let body = format!("configuration {generation}").into_bytes();
     let sha256 = [generation as u8; 32];
     let if_match = generation - 1;
-    encode(&ConfigurationCommand::PutConfiguration { if_match, generation, body, sha256 }).to_vec()
+    encode(&ConfigurationCommand::PutConfiguration {
+        if_match: Generation(if_match),
+        generation: Generation(generation),
+        body,
+        sha256,
+    })
+    .to_vec()
 }
 
 fn control_node(identity: u64) -> Vec<u8> {
     let node = ControlNode {
-        identity,
+        identity: NodeIdentity(identity),
         node_name: format!("core-{identity}"),
         peer_address: format!("10.0.0.{identity}:7380"),
         control_address: format!("10.0.0.{identity}:8144"),
@@ -45,14 +53,14 @@
         Change::Configuration { generation, .. } => Some(*generation),
         _ => None,
     };
-    changes.iter().filter_map(generation).collect()
+    changes.iter().filter_map(generation).map(|generation| generation.0).collect()
 }
 
 #[test]
 fn only_the_newest_configuration_is_kept_among_the_recent_changes() {
-    let mut shard = Shard::new(CONFIGURATION_SHARD);
+    let mut shard = ShardReplica::new(CONFIGURATION_SHARD);
     for generation in 1..=100 {
-        shard.apply(generation, &configuration(generation));
+        shard.apply(LogIndex(generation), &configuration(generation));
     }
     let kept: Vec<Change> = shard.recent.iter().flat_map(|command| command.changes.clone()).collect();
     assert_eq!(generations(&kept), [100]);
@@ -61,27 +69,27 @@
 #[test]
 fn a_subscriber_behind_gets_the_newest_configuration_and_every_other_change_it_lacks() {
     let shards = Shards::new();
-    shards.apply(CONFIGURATION_SHARD, 1, &configuration(1));
-    shards.apply(CONFIGURATION_SHARD, 2, &control_node(1));
-    shards.apply(CONFIGURATION_SHARD, 3, &configuration(2));
-    shards.apply(CONFIGURATION_SHARD, 4, &configuration(3));
+    shards.apply(CONFIGURATION_SHARD, LogIndex(1), &configuration(1));
+    shards.apply(CONFIGURATION_SHARD, LogIndex(2), &control_node(1));
+    shards.apply(CONFIGURATION_SHARD, LogIndex(3), &configuration(2));
+    shards.apply(CONFIGURATION_SHARD, LogIndex(4), &configuration(3));
     for known in 1..=3 {
-        let update = shards.update_since(CONFIGURATION_SHARD, Some(known));
+        let update = shards.update_since(CONFIGURATION_SHARD, Some(FeedOffset(known)));
         let Some(FeedUpdate::Changes { offset, changes, .. }) = update else { panic!("{update:?}") };
-        assert_eq!((offset, generations(&changes)), (4, vec![3]), "from {known}");
+        assert_eq!((offset, generations(&changes)), (FeedOffset(4), vec![3]), "from {known}");
         let has_nodes = changes.iter().any(|change| matches!(change, Change::ControlNodes(_)));
         assert_eq!(has_nodes, known < 2, "from {known}");
     }
-    assert_eq!(shards.update_since(CONFIGURATION_SHARD, Some(4)), None);
+    assert_eq!(shards.update_since(CONFIGURATION_SHARD, Some(FeedOffset(4))), None);
 }
 
 #[test]
 fn changes_of_workers_are_all_kept() {
     let shards = Shards::new();
     for index in 1..=3 {
-        shards.apply(1, index, &worker(&format!("i-{index}")));
+        shards.apply(Shard(1), LogIndex(index), &worker(&format!("i-{index}")));
     }
-    let update = shards.update_since(1, Some(1));
+    let update = shards.update_since(Shard(1), Some(FeedOffset(1)));
     let Some(FeedUpdate::Changes { offset, changes, .. }) = update else { panic!("{update:?}") };
-    assert_eq!((offset, changes.len()), (3, 2));
+    assert_eq!((offset, changes.len()), (FeedOffset(3), 2));
 }
--- a/crates/control/src/shards/tests.rs
+++ b/crates/control/src/shards/tests.rs
@@ -6,20 +6,22 @@
     sessions::{ExpiredSession, SessionCommand},
     store_map::{Spread, StoreCommand, StoreOutcome},
 };
+use opalrun_replication::LogIndex;
 use opalrun_wire::{
     feed::{
         CONFIGURATION_SHARD, Change, ControlNode, FeedUpdate, StoreNode, StoreState, Worker, WorkerState,
     },
     frame::{decode, encode},
+    ids::{Epoch, FeedOffset, Generation, NodeIdentity, Shard},
 };
 use std::collections::BTreeMap;
 
-const SESSIONS: u16 = 1;
+const SESSIONS: Shard = Shard(1);
 
 /// What a subscriber has made of the feed.
 #[derive(Debug, Default, Clone, PartialEq)]
 struct View {
-    offset: Option<u64>,
+    offset: Option<FeedOffset>,
     workers: BTreeMap<String, Worker>,
     configuration: Option<(u64, Vec<u8>)>,
     nodes: Vec<ControlNode>,
@@ -27,7 +29,7 @@
 }
 
 impl View {
-    fn follow(&mut self, shards: &Shards, shard: u16) {
+    fn follow(&mut self, shards: &Shards, shard: Shard) {
         match shards.update_since(shard, self.offset) {
             Some(FeedUpdate::Snapshot { offset, changes, .. }) => {
                 assert!(self.offset.is_none_or(|held| held <= offset), "the feed goes back");
@@ -56,14 +58,14 @@
     fn take(&mut self, change: Change) {
         match change {
             Change::Configuration { generation, body } => {
-                let newer = self.configuration.as_ref().is_none_or(|(held, _)| *held < generation);
+                let newer = self.configuration.as_ref().is_none_or(|(held, _)| *held < generation.0);
                 assert!(newer, "an older configuration");
-                self.configuration = Some((generation, body));
+                self.configuration = Some((generation.0, body));
             }
             Change::ControlNodes(nodes) => self.nodes = nodes,
             Change::StoreMap(map) => {
-                assert!(map.epoch > self.map_epoch, "an older map");
-                self.map_epoch = map.epoch;
+                assert!(map.epoch > Epoch(self.map_epoch), "an older map");
+                self.map_epoch = map.epoch.0;
             }
             Change::Worker(worker) => {
                 self.workers.insert(worker.id.clone(), worker);
@@ -106,17 +108,20 @@
     let command = match kind % 5 {
         0 => ConfigurationCommand::AdmitControl {
             node: ControlNode {
-                identity: u64::from(two % 8),
+                identity: NodeIdentity(u64::from(two % 8)),
                 node_name: name.clone(),
                 peer_address: String::new(),
                 control_address: name,
                 zone: String::new(),
             },
         },
-        1 => ConfigurationCommand::DropControl { identity: u64::from(two % 8), fewest: u16::from(one % 3) },
+        1 => ConfigurationCommand::DropControl {
+            identity: NodeIdentity(u64::from(two % 8)),
+            fewest: u16::from(one % 3),
+        },
         2 => ConfigurationCommand::Store(StoreCommand::Join {
             node: StoreNode {
-                identity: u64::from(two % 8),
+                identity: NodeIdentity(u64::from(two % 8)),
                 node_name: name.clone(),
                 address: name,
                 zone: String::new(),
@@ -128,8 +133,8 @@
             spread: Spread::over_machines(),
         }),
         _ => ConfigurationCommand::PutConfiguration {
-            if_match: u64::from(one),
-            generation: u64::from(two),
+            if_match: Generation(u64::from(one)),
+            generation: Generation(u64::from(two)),
             body: vec![one, two],
             sha256: [two; 32],
         },
@@ -137,18 +142,18 @@
     encode(&command).to_vec()
 }
 
-fn follow_random_orders(shard: u16, command: fn(u8, u8, u8) -> Vec<u8>) {
+fn follow_random_orders(shard: Shard, command: fn(u8, u8, u8) -> Vec<u8>) {
     bolero::check!().with_type::<Vec<(u8, u8, u8, u8)>>().for_each(|events| {
         let (leader, follower) = (Shards::new(), Shards::new());
         let mut subscribers = [View::default(), View::default()];
         for (index, (event, kind, one, two)) in events.iter().enumerate() {
             let index = index as u64 + 1;
             let bytes = command(*kind, *one, *two);
-            let reply = leader.apply(shard, index, &bytes);
+            let reply = leader.apply(shard, LogIndex(index), &bytes);
             if event % 4 == 0 {
                 follower.restore(shard, &leader.snapshot(shard)).expect("it is a snapshot");
             } else {
-                assert_eq!(follower.apply(shard, index, &bytes), reply, "replicas differ");
+                assert_eq!(follower.apply(shard, LogIndex(index), &bytes), reply, "replicas differ");
             }
             // The first subscriber goes between the replicas, the second follows one of them now and then.
             subscribers[0].follow(if event % 2 == 0 { &leader } else { &follower }, shard);
@@ -182,7 +187,7 @@
     let shards = Shards::new();
     let mut view = View::default();
     for index in 1..=2000 {
-        shards.apply(SESSIONS, index, &encode(&SessionCommand::Put(worker(1, 0, index as u8))));
+        shards.apply(SESSIONS, LogIndex(index), &encode(&SessionCommand::Put(worker(1, 0, index as u8))));
         if index == 1 {
             view.follow(&shards, SESSIONS);
         }
@@ -195,15 +200,15 @@
 #[test]
 fn a_subscriber_that_is_ahead_is_sent_nothing() {
     let shards = Shards::new();
-    shards.apply(SESSIONS, 5, &session_command(2, 1, 1));
-    assert_eq!(shards.update_since(SESSIONS, Some(9)), None);
+    shards.apply(SESSIONS, LogIndex(5), &session_command(2, 1, 1));
+    assert_eq!(shards.update_since(SESSIONS, Some(FeedOffset(9))), None);
 }
 
 #[test]
 fn commands_and_snapshots_that_can_t_be_read_change_nothing() {
     let shards = Shards::new();
-    shards.apply(SESSIONS, 1, &session_command(2, 1, 1));
-    assert!(shards.apply(SESSIONS, 2, b"no command").is_empty());
+    shards.apply(SESSIONS, LogIndex(1), &session_command(2, 1, 1));
+    assert!(shards.apply(SESSIONS, LogIndex(2), b"no command").is_empty());
     assert!(shards.restore(SESSIONS, b"no snapshot").is_err());
     assert!(shards.restore(CONFIGURATION_SHARD, &shards.snapshot(SESSIONS)).is_err());
     assert_eq!(shards.with_sessions(SESSIONS, |sessions| sessions.workers().len()), Some(1));
--- a/crates/control/src/store_map/durability_tests.rs
+++ b/crates/control/src/store_map/durability_tests.rs
@@ -5,7 +5,10 @@
 //! Disks are lost as long as no more slots than tolerated have neither a complete replica nor a source.
 
 use super::{Liveness, Spread, StoreCommand, StoreTable};
-use opalrun_wire::feed::{Partition, StoreNode, StoreState};
+use opalrun_wire::{
+    feed::{PartitionReplicas, StoreNode, StoreState},
+    ids::{Epoch, NodeIdentity, Partition},
+};
 use std::collections::{BTreeMap, BTreeSet};
 
 /// The partition that is looked at.
@@ -51,13 +54,13 @@
         world
     }
 
-    fn partition(&self) -> Partition {
+    fn partition(&self) -> PartitionReplicas {
         self.table.map().partitions[usize::from(NUMBER)].clone()
     }
 
     fn join(&mut self, identity: u64, name: &str) {
         let node = StoreNode {
-            identity,
+            identity: NodeIdentity(identity),
             node_name: name.to_owned(),
             address: format!("address of {name}"),
             zone: format!("zone-{}", identity % 4),
@@ -69,7 +72,7 @@
     fn any_store(&mut self) -> (u64, String) {
         let number = self.random.usize(0..self.table.stores().len());
         let node = &self.table.stores()[number].node;
-        (node.identity, node.node_name.clone())
+        (node.identity.0, node.node_name.clone())
     }
 
     fn chosen(&mut self, from: &[u64], count: usize) -> Vec<u64> {
@@ -88,11 +91,11 @@
             13 => self.add_store(),
             14 => {
                 let (identity, _) = self.any_store();
-                self.table.apply(&StoreCommand::MarkEstablished { identity });
+                self.table.apply(&StoreCommand::MarkEstablished { identity: NodeIdentity(identity) });
             }
             15 => {
                 let (identity, _) = self.any_store();
-                self.table.apply(&StoreCommand::RequestShutdown { identity });
+                self.table.apply(&StoreCommand::RequestShutdown { identity: NodeIdentity(identity) });
             }
             16 => {
                 let (_, node_name) = self.any_store();
@@ -102,7 +105,7 @@
                 let (identity, _) = self.any_store();
                 let liveness = [Liveness::Live, Liveness::Live, Liveness::Unavailable, Liveness::Dead];
                 let liveness = liveness[self.random.usize(0..liveness.len())];
-                self.table.apply(&StoreCommand::SetLiveness { identity, liveness });
+                self.table.apply(&StoreCommand::SetLiveness { identity: NodeIdentity(identity), liveness });
             }
         }
         self.forget_what_no_store_keeps();
@@ -128,11 +131,11 @@
             .replicas
             .iter()
             .filter(|replica| !replica.is_complete)
-            .map(|replica| replica.store)
+            .map(|replica| replica.store.0)
             .collect();
         let Some(store) = self.chosen(&copying, 1).first().copied() else { return };
         let mut readable = complete_stores(&partition);
-        readable.extend(&partition.sources);
+        readable.extend(partition.sources.iter().map(|source| source.0));
         let needed = partition.replicas.len() + 1 - partition.quorum();
         if readable.len() < needed {
             return;
@@ -142,7 +145,7 @@
             read.extend(self.stored.get(&source).into_iter().flatten());
         }
         let changed_epoch = self.table.partitions[usize::from(NUMBER)].changed_epoch;
-        self.catch_ups.insert(store, CatchUp { read, changed_epoch });
+        self.catch_ups.insert(store, CatchUp { read, changed_epoch: changed_epoch.0 });
     }
 
     fn end_catch_up(&mut self) {
@@ -150,12 +153,16 @@
         let Some(store) = self.chosen(&in_flight, 1).first().copied() else { return };
         let Some(catch_up) = self.catch_ups.remove(&store) else { return };
         // A store begins anew with each change of the replicas, and reports the epoch of that change.
-        if catch_up.changed_epoch != self.table.partitions[usize::from(NUMBER)].changed_epoch {
+        if Epoch(catch_up.changed_epoch) != self.table.partitions[usize::from(NUMBER)].changed_epoch {
             return;
         }
         self.stored.entry(store).or_default().extend(catch_up.read);
         let epoch = catch_up.changed_epoch;
-        self.table.apply(&StoreCommand::ReplicasComplete { store, epoch, partitions: vec![NUMBER] });
+        self.table.apply(&StoreCommand::ReplicasComplete {
+            store: NodeIdentity(store),
+            epoch: Epoch(epoch),
+            partitions: vec![Partition(NUMBER)],
+        });
     }
 
     fn lose_disk(&mut self) {
@@ -176,10 +183,10 @@
         let replicas = entry.partition.replicas.iter().enumerate();
         let is_lost = |slot: usize, store: u64, is_complete: bool| {
             let source = entry.displaced.iter().find(|displaced| displaced.is_of_slot(slot));
-            let has_source = source.is_some_and(|source| source.store != identity);
+            let has_source = source.is_some_and(|source| source.store != NodeIdentity(identity));
             !has_source && (!is_complete || store == identity)
         };
-        replicas.filter(|(slot, replica)| is_lost(*slot, replica.store, replica.is_complete)).count()
+        replicas.filter(|(slot, replica)| is_lost(*slot, replica.store.0, replica.is_complete)).count()
     }
 
     fn add_store(&mut self) {
@@ -193,8 +200,8 @@
     fn forget_what_no_store_keeps(&mut self) {
         let partition = self.partition();
         let is_referenced = |store: &u64| {
-            partition.sources.contains(store)
-                || partition.replicas.iter().any(|replica| replica.store == *store)
+            partition.sources.contains(&NodeIdentity(*store))
+                || partition.replicas.iter().any(|replica| replica.store == NodeIdentity(*store))
         };
         self.stored.retain(|store, _| is_referenced(store));
         self.catch_ups.retain(|store, _| is_referenced(store));
@@ -219,8 +226,8 @@
     }
 }
 
-fn complete_stores(partition: &Partition) -> Vec<u64> {
-    partition.replicas.iter().filter(|replica| replica.is_complete).map(|replica| replica.store).collect()
+fn complete_stores(partition: &PartitionReplicas) -> Vec<u64> {
+    partition.replicas.iter().filter(|replica| replica.is_complete).map(|replica| replica.store.0).collect()
 }
 
 fn play(seeds: u64, stores: u64, lost_at_once: usize) {
--- a/crates/control/src/store_map/mod.rs
+++ b/crates/control/src/store_map/mod.rs
@@ -16,7 +16,10 @@
 pub use spread::Spread;
 
 use crate::replaced_identities::ReplacedIdentities;
-use opalrun_wire::feed::{Partition, Replica, STORE_PARTITIONS, StoreMap, StoreNode, StoreState};
+use opalrun_wire::{
+    feed::{PartitionReplicas, Replica, STORE_PARTITIONS, StoreMap, StoreNode, StoreState},
+    ids::{Epoch, NodeIdentity, Partition},
+};
 use rkyv::{Archive, Deserialize, Serialize};
 
 /// Whether a store is reached, as the shard's owner decides by the time since it was last heard.
@@ -49,7 +52,7 @@
     /// Its slot among the replicas. It is a source until the replica in that slot is complete again.
     slot: u16,
     /// The identity of its store.
-    store: u64,
+    store: NodeIdentity,
 }
 
 impl DisplacedReplica {
@@ -62,9 +65,9 @@
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq, Default)]
 pub struct PartitionEntry {
     /// What is published.
-    pub partition: Partition,
+    pub partition: PartitionReplicas,
     /// The epoch in which its set of replicas last changed. A catch-up that began earlier may lack writes.
-    pub changed_epoch: u64,
+    pub changed_epoch: Epoch,
     /// The sources that a replica which is not complete may read from.
     displaced: Vec<DisplacedReplica>,
 }
@@ -87,23 +90,23 @@
     /// A store has been a member for long enough.
     MarkEstablished {
         /// The store's identity.
-        identity: u64,
+        identity: NodeIdentity,
     },
     /// The liveness of a store has changed.
     SetLiveness {
         /// The store's identity.
-        identity: u64,
+        identity: NodeIdentity,
         /// The new liveness.
         liveness: Liveness,
     },
     /// A store has caught up with partitions.
     ReplicasComplete {
         /// The store's identity.
-        store: u64,
+        store: NodeIdentity,
         /// The epoch of the map under which it caught up.
-        epoch: u64,
+        epoch: Epoch,
         /// The partitions.
-        partitions: Vec<u16>,
+        partitions: Vec<Partition>,
     },
     /// The operator retires a machine: its replicas are to be moved away.
     Retire {
@@ -113,7 +116,7 @@
     /// A store is to shut down and asks whether its replicas are moved away before.
     RequestShutdown {
         /// The store's identity.
-        identity: u64,
+        identity: NodeIdentity,
     },
 }
 
@@ -193,7 +196,7 @@
 
     /// A store by its identity.
     #[must_use]
-    pub fn store(&self, identity: u64) -> Option<&StoreEntry> {
+    pub fn store(&self, identity: NodeIdentity) -> Option<&StoreEntry> {
         self.stores.iter().find(|entry| entry.node.identity == identity)
     }
 
@@ -267,32 +270,33 @@
         let spread = self.effective_spread();
         self.partitions = (0..STORE_PARTITIONS)
             .map(|number| {
-                let chosen = placement::choose(number, &candidates, usize::from(replicas), &spread);
+                let chosen =
+                    placement::choose(Partition(number), &candidates, usize::from(replicas), &spread);
                 let replicas = chosen.into_iter().map(|store| Replica { store, is_complete: true }).collect();
-                let partition = Partition { replicas, sources: Vec::new() };
-                PartitionEntry { partition, changed_epoch: 1, displaced: Vec::new() }
+                let partition = PartitionReplicas { replicas, sources: Vec::new() };
+                PartitionEntry { partition, changed_epoch: Epoch(1), displaced: Vec::new() }
             })
             .collect();
         StoreOutcome::Done
     }
 
-    fn mark_established(&mut self, identity: u64) -> StoreOutcome {
+    fn mark_established(&mut self, identity: NodeIdentity) -> StoreOutcome {
         if let Some(entry) = self.stores.iter_mut().find(|entry| entry.node.identity == identity) {
             entry.is_established = true;
         }
         StoreOutcome::Done
     }
 
-    fn set_liveness(&mut self, identity: u64, liveness: Liveness) -> StoreOutcome {
+    fn set_liveness(&mut self, identity: NodeIdentity, liveness: Liveness) -> StoreOutcome {
         if let Some(entry) = self.stores.iter_mut().find(|entry| entry.node.identity == identity) {
             entry.liveness = liveness;
         }
         StoreOutcome::Done
     }
 
-    fn mark_complete(&mut self, store: u64, epoch: u64, partitions: &[u16]) -> StoreOutcome {
+    fn mark_complete(&mut self, store: NodeIdentity, epoch: Epoch, partitions: &[Partition]) -> StoreOutcome {
         for number in partitions {
-            let Some(entry) = self.partitions.get_mut(usize::from(*number)) else { continue };
+            let Some(entry) = self.partitions.get_mut(number.position()) else { continue };
             if epoch < entry.changed_epoch {
                 continue;
             }
@@ -336,7 +340,7 @@
         StoreOutcome::Done
     }
 
-    fn request_shutdown(&mut self, identity: u64) -> StoreOutcome {
+    fn request_shutdown(&mut self, identity: NodeIdentity) -> StoreOutcome {
         if !self.is_formed() || !self.has_successor_of(identity) {
             return StoreOutcome::NoSuccessor;
         }
@@ -350,7 +354,7 @@
     }
 
     /// Whether as many stores as the tier should have are live without this one: another one has replaced it.
-    fn has_successor_of(&self, identity: u64) -> bool {
+    fn has_successor_of(&self, identity: NodeIdentity) -> bool {
         let live = self.stores.iter().filter(|entry| {
             let takes_part = entry.node.state == StoreState::Active && !entry.is_shutting_down;
             takes_part && entry.liveness == Liveness::Live && entry.node.identity != identity
@@ -372,7 +376,7 @@
     }
 
     /// Whether a partition refers to the store as a replica or a source.
-    fn is_referenced(&self, identity: u64) -> bool {
+    fn is_referenced(&self, identity: NodeIdentity) -> bool {
         self.partitions.iter().any(|entry| {
             entry.partition.replicas.iter().any(|replica| replica.store == identity)
                 || entry.partition.sources.contains(&identity)
@@ -381,7 +385,7 @@
 
     fn finish_retirements(&mut self) {
         let all_complete = self.partitions.iter().all(|entry| plan::all_complete(&entry.partition));
-        let done: Vec<u64> = self
+        let done: Vec<NodeIdentity> = self
             .stores
             .iter()
             .filter(|entry| entry.node.state == StoreState::Retiring)
@@ -397,7 +401,7 @@
 
     /// Drops dead stores that no partition refers to any more.
     fn forget_lost_stores(&mut self) {
-        let lost: Vec<u64> = self
+        let lost: Vec<NodeIdentity> = self
             .stores
             .iter()
             .filter(|entry| entry.liveness == Liveness::Dead && entry.node.state != StoreState::Retiring)
@@ -414,10 +418,10 @@
             .filter(|entry| self.is_referenced(entry.node.identity))
             .map(|entry| entry.node.clone())
             .collect();
-        let partitions: Vec<Partition> =
+        let partitions: Vec<PartitionReplicas> =
             self.partitions.iter().map(|entry| entry.partition.clone()).collect();
         if stores != self.published.stores || partitions != self.published.partitions {
-            let epoch = self.published.epoch + 1;
+            let epoch = self.published.epoch.next();
             self.published = StoreMap { epoch, stores, partitions };
         }
     }
--- a/crates/control/src/store_map/placement.rs
+++ b/crates/control/src/store_map/placement.rs
@@ -1,20 +1,28 @@
 //! Rendezvous hashing of partitions over stores.
 
 use super::Spread;
-use opalrun_wire::feed::{StoreNode, stable_hash};
+use opalrun_wire::{
+    feed::{StoreNode, stable_hash},
+    ids::{NodeIdentity, Partition},
+};
 
 /// The weight of a store for a partition. It depends on the machine's name, so that a machine that
 /// lost its disk gets its slots back.
-pub(super) fn weight(partition: u16, node_name: &str) -> u64 {
+pub(super) fn weight(partition: Partition, node_name: &str) -> u64 {
     let mut key = Vec::with_capacity(node_name.len() + 2);
-    key.extend_from_slice(&partition.to_le_bytes());
+    key.extend_from_slice(&partition.0.to_le_bytes());
     key.extend_from_slice(node_name.as_bytes());
     stable_hash(&key)
 }
 
 /// The identities of the stores that should have a partition: in a zone of its own each as far as there are so many, and
 /// never more in one failure domain than the spread allows, even if they are fewer than `count` then.
-pub(super) fn choose(partition: u16, candidates: &[&StoreNode], count: usize, spread: &Spread) -> Vec<u64> {
+pub(super) fn choose(
+    partition: Partition,
+    candidates: &[&StoreNode],
+    count: usize,
+    spread: &Spread,
+) -> Vec<NodeIdentity> {
     let mut ordered: Vec<&StoreNode> = candidates.to_vec();
     ordered.sort_by_key(|node| (std::cmp::Reverse(weight(partition, &node.node_name)), node.identity));
     let mut chosen: Vec<&StoreNode> = Vec::with_capacity(count);
--- a/crates/control/src/store_map/plan.rs
+++ b/crates/control/src/store_map/plan.rs
@@ -4,13 +4,16 @@
 //! one replica at a time, and only so many partitions at a time.
 
 use super::{DisplacedReplica, Liveness, PartitionEntry, StoreEntry, StoreTable, placement};
-use opalrun_wire::feed::{Partition, Replica, StoreNode, StoreState};
+use opalrun_wire::{
+    feed::{PartitionReplicas, Replica, StoreNode, StoreState},
+    ids::{Epoch, NodeIdentity, Partition},
+};
 
 /// Partitions that may move at a time where no replica is lost.
 const MAX_CONCURRENT_MOVES: usize = 8;
 
 /// Whether all replicas of a partition are complete.
-pub(super) fn all_complete(partition: &Partition) -> bool {
+pub(super) fn all_complete(partition: &PartitionReplicas) -> bool {
     partition.replicas.iter().all(|replica| replica.is_complete)
 }
 
@@ -21,13 +24,13 @@
     }
 
     /// Assigns a slot among the replicas to a store that has no data of the partition.
-    fn assign(&mut self, slot: usize, store: u64, epoch: u64) {
+    fn assign(&mut self, slot: usize, store: NodeIdentity, epoch: Epoch) {
         self.partition.replicas[slot] = Replica { store, is_complete: false };
         self.changed_epoch = epoch;
     }
 
     /// The slot that a source had among the replicas.
-    fn slot_of_source(&self, store: u64) -> Option<usize> {
+    fn slot_of_source(&self, store: NodeIdentity) -> Option<usize> {
         let displaced = self.displaced.iter().find(|displaced| displaced.store == store);
         displaced.map(|displaced| usize::from(displaced.slot))
     }
@@ -42,8 +45,13 @@
 impl StoreTable {
     /// Assigns the slots of a store that lost its disk to the new identity of its machine, unless the machine is retired.
     /// Its data is lost.
-    pub(super) fn substitute_replaced_store(&mut self, lost: u64, new: u64, state: StoreState) {
-        let next_epoch = self.published.epoch + 1;
+    pub(super) fn substitute_replaced_store(
+        &mut self,
+        lost: NodeIdentity,
+        new: NodeIdentity,
+        state: StoreState,
+    ) {
+        let next_epoch = self.published.epoch.next();
         for entry in &mut self.partitions {
             entry.displaced.retain(|displaced| displaced.store != lost);
             let Some(slot) = entry.partition.replicas.iter().position(|replica| replica.store == lost) else {
@@ -90,7 +98,7 @@
         })
     }
 
-    fn is_lost(&self, identity: u64, has_spare: bool) -> bool {
+    fn is_lost(&self, identity: NodeIdentity, has_spare: bool) -> bool {
         match self.store(identity) {
             None => true,
             Some(entry) => match entry.liveness {
@@ -113,7 +121,7 @@
 
     /// The best store without a replica of the partition for one of its slots, or for an additional slot. A source stays
     /// one: it may only return to its own slot, and not while too few other replicas are complete.
-    fn best_other(&self, number: usize, slot: Option<usize>, established_only: bool) -> Option<u64> {
+    fn best_other(&self, number: usize, slot: Option<usize>, established_only: bool) -> Option<NodeIdentity> {
         let entry = &self.partitions[number];
         let replicas = &entry.partition.replicas;
         let sources_needed = entry.complete_replicas_beside(slot) < entry.partition.quorum();
@@ -141,7 +149,7 @@
             .filter(|node| spread.allows(node, &other_nodes))
             .max_by_key(|node| {
                 let own_zone = !zones_in_use.contains(&node.zone.as_str());
-                (own_zone, placement::weight(number as u16, &node.node_name), node.identity)
+                (own_zone, placement::weight(Partition(number as u16), &node.node_name), node.identity)
             })
             .map(|node| node.identity)
     }
@@ -163,8 +171,8 @@
     /// A replica that was not complete leaves the source of its slot as it is. So a slot counts once: by its replica once
     /// that is complete, else by its source. Every acknowledged write is in a quorum of the slots at any time, and any
     /// `n - q + 1` of them include one that has it.
-    fn replace(&mut self, number: usize, slot: usize, new: u64) {
-        let next_epoch = self.published.epoch + 1;
+    fn replace(&mut self, number: usize, slot: usize, new: NodeIdentity) {
+        let next_epoch = self.published.epoch.next();
         let old = self.partitions[number].partition.replicas[slot];
         let old_may_return = old.is_complete && self.store(old.store).is_some();
         let entry = &mut self.partitions[number];
@@ -189,7 +197,7 @@
     }
 
     fn drop_sources(&mut self, number: usize) {
-        let known: Vec<u64> = self.stores.iter().map(|entry| entry.node.identity).collect();
+        let known: Vec<NodeIdentity> = self.stores.iter().map(|entry| entry.node.identity).collect();
         let entry = &mut self.partitions[number];
         entry.displaced.retain(|displaced| known.contains(&displaced.store));
         if all_complete(&entry.partition) {
@@ -226,7 +234,7 @@
             return false;
         }
         let Some(new) = self.best_other(number, None, true) else { return false };
-        let next_epoch = self.published.epoch + 1;
+        let next_epoch = self.published.epoch.next();
         let entry = &mut self.partitions[number];
         entry.changed_epoch = next_epoch;
         entry.partition.replicas.push(Replica { store: new, is_complete: false });
@@ -234,7 +242,7 @@
     }
 
     /// The slot of a replica on a store that is retiring or shutting down, and the store that replaces it.
-    fn retiring_move(&self, number: usize) -> Option<(usize, u64)> {
+    fn retiring_move(&self, number: usize) -> Option<(usize, NodeIdentity)> {
         let slot = self.partitions[number].partition.replicas.iter().position(|replica| {
             let goes = |entry: &StoreEntry| entry.node.state != StoreState::Active || entry.is_shutting_down;
             self.store(replica.store).is_some_and(goes)
@@ -243,14 +251,14 @@
     }
 
     /// The slot of a replica that should be on another store by its hash, and that store.
-    fn balancing_move(&self, number: usize) -> Option<(usize, u64)> {
+    fn balancing_move(&self, number: usize) -> Option<(usize, NodeIdentity)> {
         if self.stores.iter().any(|entry| entry.liveness == Liveness::Unavailable) {
             return None;
         }
         let candidates = self.candidates(true);
         let replicas_wanted = usize::from(self.replicas_wanted);
         let spread = self.effective_spread();
-        let wanted = placement::choose(number as u16, &candidates, replicas_wanted, &spread);
+        let wanted = placement::choose(Partition(number as u16), &candidates, replicas_wanted, &spread);
         if wanted.len() < replicas_wanted {
             return None;
         }
