--- a/crates/store-client/src/client.rs
+++ b/crates/store-client/src/client.rs
@@ -6,7 +6,8 @@
     operation::{Operations, Reverts},
     retention::KnownRetention,
 };
-use opalrun_wire::feed::StoreMap;
+use opalrun_net::reachability::PeerCount;
+use opalrun_wire::{feed::StoreMap, ids::Partition};
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -46,6 +47,12 @@
 }
 
 impl StoreClient {
+    /// Stores that can't be reached, and attempts to connect to them that failed.
+    #[must_use]
+    pub fn peer_count(&self) -> PeerCount {
+        self.connections.peer_count()
+    }
+
     /// A client that writes counts as `holder` (drawn at each start of the gatekeeper's proxy) and reads turns from
     /// stores in `zone` first.
     #[must_use]
@@ -98,7 +105,7 @@
     /// meanwhile; `None` at the deadline.
     pub(crate) async fn in_layout<T, F>(
         &self,
-        partition: u16,
+        partition: Partition,
         deadline: Instant,
         mut operation: F,
     ) -> Option<T>
--- a/crates/store-client/src/layout.rs
+++ b/crates/store-client/src/layout.rs
@@ -1,6 +1,9 @@
 //! The store map that operations use, and waiting for a newer one.
 
-use opalrun_wire::feed::{Partition, StoreMap};
+use opalrun_wire::{
+    feed::{PartitionReplicas, StoreMap},
+    ids::{Epoch, NodeIdentity, Partition},
+};
 use std::{
     cell::{Cell, RefCell},
     rc::Rc,
@@ -11,11 +14,11 @@
 #[derive(Debug, Clone)]
 pub struct Layout {
     /// The partition's number.
-    pub number: u16,
+    pub number: Partition,
     /// The epoch of the map.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// Its replicas.
-    pub partition: Partition,
+    pub partition: PartitionReplicas,
     /// A store has said that it knows a newer map.
     is_stale: Cell<bool>,
 }
@@ -51,7 +54,7 @@
     }
 
     /// The placement of a partition; waits for the first map.
-    pub async fn get(&self, number: u16) -> Layout {
+    pub async fn get(&self, number: Partition) -> Layout {
         loop {
             let changed = self.changed.notified();
             if let Some(layout) = self.current(number) {
@@ -85,13 +88,13 @@
     }
 
     /// Whether a store is in a zone.
-    pub fn is_in_zone(&self, store: u64, zone: &str) -> bool {
+    pub fn is_in_zone(&self, store: NodeIdentity, zone: &str) -> bool {
         self.map.borrow().stores.iter().any(|node| node.identity == store && node.zone == zone)
     }
 
-    fn current(&self, number: u16) -> Option<Layout> {
+    fn current(&self, number: Partition) -> Option<Layout> {
         let map = self.map.borrow();
-        let partition = map.partitions.get(usize::from(number))?.clone();
+        let partition = map.partitions.get(number.position())?.clone();
         Some(Layout { number, epoch: map.epoch, partition, is_stale: Cell::new(false) })
     }
 }
--- a/crates/store-client/src/lease_acquisition.rs
+++ b/crates/store-client/src/lease_acquisition.rs
@@ -38,7 +38,11 @@
 //! `tests/model_check.rs` explores small instances in every order of events.
 
 use crate::quorum::QuorumTracker;
-use opalrun_wire::{feed::Partition, store::CountEntry};
+use opalrun_wire::{
+    feed::PartitionReplicas,
+    ids::NodeIdentity,
+    store::{CountEntry, merge_count_entries},
+};
 
 /// A round of requests to all replicas.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -77,7 +81,7 @@
 impl LeaseAcquisition {
     /// Begins the first round.
     #[must_use]
-    pub fn new(holder: u64, partition: &Partition) -> Self {
+    pub fn new(holder: u64, partition: &PartitionReplicas) -> Self {
         let blank = QuorumTracker::new(partition);
         Self { holder, first: blank.clone(), second: None, blank, entries: Vec::new() }
     }
@@ -91,10 +95,14 @@
 
     /// A replica has replied to a request of a round: it has the entry on disk and knows these entries. `is_complete` is what it
     /// says of itself.
-    pub fn reply_received(&mut self, round: Round, store: u64, is_complete: bool, entries: &[CountEntry]) {
-        for entry in entries {
-            self.merge(*entry);
-        }
+    pub fn reply_received(
+        &mut self,
+        round: Round,
+        store: NodeIdentity,
+        is_complete: bool,
+        entries: &[CountEntry],
+    ) {
+        merge_count_entries(&mut self.entries, entries);
         match (round, &mut self.second) {
             (Round::First, _) => self.first.record(store, is_complete),
             (Round::Second, Some(second)) => second.record(store, is_complete),
@@ -119,12 +127,4 @@
         let others = self.entries.iter().filter(|entry| entry.holder != self.holder);
         others.fold(0, |sum, entry| sum.saturating_add(entry.taken))
     }
-
-    fn merge(&mut self, entry: CountEntry) {
-        match self.entries.iter_mut().find(|known| known.holder == entry.holder) {
-            Some(known) if known.sequence >= entry.sequence => {}
-            Some(known) => *known = entry,
-            None => self.entries.push(entry),
-        }
-    }
 }
--- a/crates/store-client/src/quorum.rs
+++ b/crates/store-client/src/quorum.rs
@@ -1,6 +1,6 @@
 //! Tracks which replicas have replied, and whether those that are complete make a quorum.
 
-use opalrun_wire::feed::Partition;
+use opalrun_wire::{feed::PartitionReplicas, ids::NodeIdentity};
 
 /// The replies of a partition's replicas to one request.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -11,7 +11,7 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct ReplicaStatus {
-    store: u64,
+    store: NodeIdentity,
     /// By the map, and by what the replica says of itself.
     is_complete: bool,
     has_replied: bool,
@@ -20,7 +20,7 @@
 impl QuorumTracker {
     /// No replies yet.
     #[must_use]
-    pub fn new(partition: &Partition) -> Self {
+    pub fn new(partition: &PartitionReplicas) -> Self {
         let replicas = partition
             .replicas
             .iter()
@@ -35,7 +35,7 @@
 
     /// Records the reply of a replica; `is_complete` is what it says of itself. Only a replica that is complete by both the map
     /// and its own reply counts.
-    pub fn record(&mut self, store: u64, is_complete: bool) {
+    pub fn record(&mut self, store: NodeIdentity, is_complete: bool) {
         if let Some(replica) = self.replicas.iter_mut().find(|replica| replica.store == store) {
             replica.has_replied = true;
             replica.is_complete &= is_complete;
--- a/crates/store-client/src/turns.rs
+++ b/crates/store-client/src/turns.rs
@@ -3,6 +3,7 @@
 use crate::{StoreClient, TurnError, layout::Layout, quorum::QuorumTracker};
 use opalrun_wire::{
     feed::partition_of,
+    ids::{NodeIdentity, Partition},
     store::{StoreReply, StoreRequest, Turn, keep_ms},
 };
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
@@ -25,9 +26,9 @@
 /// The stores to read from.
 struct ReadOrder {
     /// Asked first. Without replicas it is 0, which is no store's identity.
-    nearest: u64,
+    nearest: NodeIdentity,
     /// Asked when the nearest one has not replied in time, or lacks the turn.
-    others: Vec<u64>,
+    others: Vec<NodeIdentity>,
 }
 
 impl StoreClient {
@@ -132,7 +133,7 @@
     /// Extends the retention of the turns that a new one builds on, as far as they would expire before it.
     fn extend_chain(self: &Rc<Self>, turn: &Turn) {
         let wanted = self.started.elapsed() + Duration::from_millis(turn.retention_ms);
-        let mut by_partition: BTreeMap<u16, Vec<String>> = BTreeMap::new();
+        let mut by_partition: BTreeMap<Partition, Vec<String>> = BTreeMap::new();
         for id in self.known_retention.borrow().retained_too_short(&turn.ancestors, wanted) {
             by_partition.entry(partition_of(id)).or_default().push(id.clone());
         }
@@ -142,7 +143,7 @@
     }
 
     /// Extends the retention of turns of one partition, in the background.
-    fn extend(self: &Rc<Self>, partition: u16, ids: Vec<String>, retention_ms: u64) {
+    fn extend(self: &Rc<Self>, partition: Partition, ids: Vec<String>, retention_ms: u64) {
         let client = self.clone();
         self.spawn_write(async move {
             let deadline = Instant::now() + EXTENSION_TIMEOUT;
--- a/crates/store-client/tests/lease_acquisition.rs
+++ b/crates/store-client/tests/lease_acquisition.rs
@@ -3,7 +3,8 @@
 
 use opalrun_store_client::lease_acquisition::{LeaseAcquisition, Progress, Round};
 use opalrun_wire::{
-    feed::{Partition, Replica},
+    feed::{PartitionReplicas, Replica},
+    ids::NodeIdentity,
     store::CountEntry,
 };
 
@@ -13,13 +14,13 @@
 const BUDGET: u64 = HOLDERS as u64 - 1;
 const RUNS: u64 = 60_000;
 
-fn partition(complete: [bool; REPLICAS]) -> Partition {
+fn partition(complete: [bool; REPLICAS]) -> PartitionReplicas {
     let replicas = complete
         .iter()
         .enumerate()
-        .map(|(index, complete)| Replica { store: index as u64, is_complete: *complete })
+        .map(|(index, complete)| Replica { store: NodeIdentity(index as u64), is_complete: *complete })
         .collect();
-    Partition { replicas, sources: Vec::new() }
+    PartitionReplicas { replicas, sources: Vec::new() }
 }
 
 /// A message in flight.
@@ -124,7 +125,7 @@
         }
         holder.acquisition.reply_received(
             write.round,
-            write.replica as u64,
+            NodeIdentity(write.replica as u64),
             self.complete[write.replica],
             &entries,
         );
@@ -199,38 +200,48 @@
 #[test]
 fn a_quorum_alone_does_not_grant_in_one_round() {
     let mut acquisition = LeaseAcquisition::new(1, &partition([true; REPLICAS]));
-    acquisition.reply_received(Round::First, 0, true, &[]);
+    acquisition.reply_received(Round::First, NodeIdentity(0), true, &[]);
     assert_eq!(acquisition.progress(), Progress::Waiting);
-    acquisition.reply_received(Round::First, 1, true, &[]);
+    acquisition.reply_received(Round::First, NodeIdentity(1), true, &[]);
     assert_eq!(acquisition.progress(), Progress::AtQuorum);
     acquisition.start_second_round();
-    acquisition.reply_received(Round::Second, 1, true, &[CountEntry { holder: 2, sequence: 1, taken: 9 }]);
+    acquisition.reply_received(
+        Round::Second,
+        NodeIdentity(1),
+        true,
+        &[CountEntry { holder: 2, sequence: 1, taken: 9 }],
+    );
     assert_eq!(acquisition.progress(), Progress::Waiting);
-    acquisition.reply_received(Round::Second, 2, true, &[CountEntry { holder: 2, sequence: 2, taken: 4 }]);
+    acquisition.reply_received(
+        Round::Second,
+        NodeIdentity(2),
+        true,
+        &[CountEntry { holder: 2, sequence: 2, taken: 4 }],
+    );
     assert_eq!(acquisition.progress(), Progress::Done { others_taken: 4 });
 }
 
 #[test]
 fn all_complete_replicas_grant_in_one_round_also_late() {
     let mut acquisition = LeaseAcquisition::new(1, &partition([true; REPLICAS]));
-    (0..2).for_each(|store| acquisition.reply_received(Round::First, store, true, &[]));
+    (0..2).for_each(|store| acquisition.reply_received(Round::First, NodeIdentity(store), true, &[]));
     acquisition.start_second_round();
-    acquisition.reply_received(Round::First, 2, true, &[]);
+    acquisition.reply_received(Round::First, NodeIdentity(2), true, &[]);
     assert_eq!(acquisition.progress(), Progress::Done { others_taken: 0 });
 }
 
 #[test]
 fn an_incomplete_replica_counts_towards_no_quorum() {
     let mut acquisition = LeaseAcquisition::new(1, &partition([true, true, false]));
-    acquisition.reply_received(Round::First, 0, true, &[]);
-    acquisition.reply_received(Round::First, 2, true, &[]);
+    acquisition.reply_received(Round::First, NodeIdentity(0), true, &[]);
+    acquisition.reply_received(Round::First, NodeIdentity(2), true, &[]);
     assert_eq!(acquisition.progress(), Progress::Waiting);
     // It may say of itself that it is not complete, though the map says that it is.
-    acquisition.reply_received(Round::First, 1, false, &[]);
+    acquisition.reply_received(Round::First, NodeIdentity(1), false, &[]);
     assert_eq!(acquisition.progress(), Progress::Waiting);
 }
 
 #[test]
 fn no_replicas_grant_nothing() {
-    assert_eq!(LeaseAcquisition::new(1, &Partition::default()).progress(), Progress::Waiting);
+    assert_eq!(LeaseAcquisition::new(1, &PartitionReplicas::default()).progress(), Progress::Waiting);
 }
--- a/crates/store-client/tests/model_check.rs
+++ b/crates/store-client/tests/model_check.rs
@@ -6,7 +6,8 @@
 use opalrun_model_check::{Model, Outcome, explore};
 use opalrun_store_client::lease_acquisition::{LeaseAcquisition, Progress, Round};
 use opalrun_wire::{
-    feed::{Partition, Replica},
+    feed::{PartitionReplicas, Replica},
+    ids::NodeIdentity,
     store::CountEntry,
 };
 use std::{collections::BTreeSet, error::Error, fmt};
@@ -101,10 +102,15 @@
 struct Count(Sizes);
 
 impl Count {
-    fn partition(&self) -> Partition {
-        let replica =
-            |(store, complete): (usize, &bool)| Replica { store: store as u64, is_complete: *complete };
-        Partition { replicas: self.0.complete.iter().enumerate().map(replica).collect(), sources: Vec::new() }
+    fn partition(&self) -> PartitionReplicas {
+        let replica = |(store, complete): (usize, &bool)| Replica {
+            store: NodeIdentity(store as u64),
+            is_complete: *complete,
+        };
+        PartitionReplicas {
+            replicas: self.0.complete.iter().enumerate().map(replica).collect(),
+            sources: Vec::new(),
+        }
     }
 
     fn initial(&self) -> State {
@@ -182,12 +188,17 @@
         // Nobody writes an entry with sequence 0.
         let known = entries.iter().enumerate().filter(|(_, (sequence, _))| *sequence > 0);
         let entries: Vec<CountEntry> = known.map(entry).collect();
-        acquisition.reply_received(round, write.replica as u64, self.0.complete[write.replica], &entries);
+        acquisition.reply_received(
+            round,
+            NodeIdentity(write.replica as u64),
+            self.0.complete[write.replica],
+            &entries,
+        );
         if self.0.mistake == Some(Mistake::GrantOnWriteQuorum) && acquisition.progress() == Progress::AtQuorum
         {
             acquisition.start_second_round();
             (0..REPLICAS as u64)
-                .for_each(|store| acquisition.reply_received(Round::Second, store, true, &[]));
+                .for_each(|store| acquisition.reply_received(Round::Second, NodeIdentity(store), true, &[]));
         }
         let Progress::Done { others_taken } = acquisition.progress() else { return };
         let wanted = *wanted;
--- a/crates/store/src/draining.rs
+++ b/crates/store/src/draining.rs
@@ -7,7 +7,7 @@
 
 use crate::{StoreServer, state::is_placed_on};
 use opalrun_net::feed_client::FeedClient;
-use opalrun_wire::feed::StoreMap;
+use opalrun_wire::{feed::StoreMap, ids::NodeIdentity};
 use std::time::Duration;
 use tokio::{
     sync::watch,
@@ -55,7 +55,7 @@
         if self.request_decision(feed, server.identity()).await == Decision::EndNow {
             return;
         }
-        tracing::info!(store = server.identity(), "store is draining");
+        tracing::info!(store = server.identity().0, "store is draining");
         loop {
             let map_changed = server.map_changed();
             if server.state().map().is_some_and(|map| !names(map, server.identity())) {
@@ -67,7 +67,7 @@
         }
     }
 
-    async fn request_decision(&self, feed: &FeedClient, identity: u64) -> Decision {
+    async fn request_decision(&self, feed: &FeedClient, identity: NodeIdentity) -> Decision {
         let mut decisions = self.decision.subscribe();
         let deadline = Instant::now() + DECISION_TIMEOUT;
         while Instant::now() < deadline {
@@ -82,6 +82,6 @@
 }
 
 /// Whether any partition is placed on the store.
-fn names(map: &StoreMap, identity: u64) -> bool {
+fn names(map: &StoreMap, identity: NodeIdentity) -> bool {
     map.partitions.iter().any(|partition| is_placed_on(partition, identity))
 }
--- a/crates/store/src/identity.rs
+++ b/crates/store/src/identity.rs
@@ -3,6 +3,7 @@
 
 use crate::error::{IdentitySnafu, StorageSnafu, StoreError};
 use opalrun_storage::{DataDirectory, VersionedFile};
+use opalrun_wire::ids::NodeIdentity;
 use snafu::{OptionExt, ResultExt};
 
 /// Name of the versioned file in the data directory.
@@ -16,7 +17,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Identity {
     /// The random number that identifies the store; never 0.
-    pub number: u64,
+    pub number: NodeIdentity,
     /// Whether the store was started with `bootstrap` in its settings when the identity was drawn: at the first start of
     /// the whole system.
     pub bootstrap: bool,
@@ -43,7 +44,7 @@
         if let Some(known) = Self::load(directory)? {
             return Ok(known);
         }
-        let identity = Self { number: fastrand::u64(1..), bootstrap };
+        let identity = Self { number: NodeIdentity(fastrand::u64(1..)), bootstrap };
         let file = VersionedFile::new(directory, FILE_NAME, FORMAT);
         file.write(&identity.encode()).context(StorageSnafu)?;
         Ok(identity)
@@ -51,7 +52,7 @@
 
     fn encode(self) -> [u8; CONTENT_BYTES] {
         let mut content = [0; CONTENT_BYTES];
-        content[..8].copy_from_slice(&self.number.to_le_bytes());
+        content[..8].copy_from_slice(&self.number.0.to_le_bytes());
         content[8] = u8::from(self.bootstrap);
         content
     }
@@ -59,6 +60,6 @@
     fn decode(content: &[u8]) -> Option<Self> {
         let (number, rest) = content.split_first_chunk::<8>()?;
         let [bootstrap] = rest else { return None };
-        Some(Self { number: u64::from_le_bytes(*number), bootstrap: *bootstrap != 0 })
+        Some(Self { number: NodeIdentity(u64::from_le_bytes(*number)), bootstrap: *bootstrap != 0 })
     }
 }
--- a/crates/store/src/inspect.rs
+++ b/crates/store/src/inspect.rs
@@ -7,7 +7,10 @@
 };
 use facet::Facet;
 use opalrun_storage::DataDirectory;
-use opalrun_wire::ResultCode;
+use opalrun_wire::{
+    ResultCode,
+    ids::{Epoch, NodeIdentity, Partition},
+};
 use snafu::{OptionExt, Snafu};
 use std::path::PathBuf;
 
@@ -15,11 +18,11 @@
 #[derive(Facet, Debug, Clone, PartialEq, Eq)]
 pub struct StoreOnDisk {
     /// Its identity.
-    pub identity: u64,
+    pub identity: NodeIdentity,
     /// Whether its disk was empty at the first start of the whole system.
     pub bootstrap: bool,
     /// The highest epoch of the store map that it has learned.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// Size of the log in bytes.
     pub log_bytes: u64,
     /// The number of the log's oldest record.
@@ -36,7 +39,7 @@
 #[derive(Facet, Debug, Clone, PartialEq, Eq)]
 pub struct PartitionOnDisk {
     /// Its number.
-    pub partition: u16,
+    pub partition: Partition,
     /// Programs with a count.
     pub programs: u64,
     /// Turns.
@@ -86,7 +89,7 @@
 
 fn partition(number: u16, size: PartitionSize) -> PartitionOnDisk {
     PartitionOnDisk {
-        partition: number,
+        partition: Partition(number),
         programs: size.programs as u64,
         turns: size.turns as u64,
         bytes: size.bytes as u64,
--- a/crates/store/src/metrics.rs
+++ b/crates/store/src/metrics.rs
@@ -19,7 +19,7 @@
         status.synced as f64,
     );
     scrape.gauge("disk_full", "1 while the disk refuses writes", f64::from(u8::from(status.is_full)));
-    scrape.gauge("store_map_epoch", "Epoch of the store map", state.epoch() as f64);
+    scrape.gauge("store_map_epoch", "Epoch of the store map", state.epoch().0 as f64);
     scrape.gauge(
         "copies_needed",
         "Partitions that are yet to be copied",
--- a/crates/store/src/process.rs
+++ b/crates/store/src/process.rs
@@ -10,7 +10,7 @@
 };
 use opalrun_net::{
     Listener,
-    feed_client::{FeedClient, FeedOptions},
+    feed_client::{self, FeedClient, FeedOptions},
     serve_rpc, signals,
 };
 use opalrun_settings::{Limits, Settings};
@@ -41,13 +41,17 @@
     let identity = Identity::load_or_draw(&directory, settings.bootstrap)?;
     let server = StoreServer::open(&directory, identity.number, store_limits(&settings.limits))?;
     let listener = Listener::bind(settings.peer_address()).await.context(ListenSnafu)?;
-    tracing::info!(store = identity.number, address = %listener.local_address(), "store started");
-    let scraped = server.clone();
-    opalrun_metrics::start(settings.metrics, move |scrape| metrics::scrape(&scraped, scrape));
+    tracing::info!(store = identity.number.0, address = %listener.local_address(), "store started");
     let replicator = Replicator::new(server.clone());
     let completed = replicator.completed();
     let draining = Draining::default();
-    let feed = start_feed(&settings, identity, listener.local_address(), &server, &draining);
+    let feed = Rc::new(start_feed(&settings, identity, listener.local_address(), &server, &draining));
+    let (scraped, scraped_feed) = (server.clone(), feed.clone());
+    opalrun_metrics::start(settings.metrics, move |scrape| {
+        metrics::scrape(&scraped, scrape);
+        let control = scraped_feed.peer_count();
+        scrape.peers(feed_client::CONTROL, control.missing, control.failed_attempts);
+    });
     let drain_limit = settings.bounds.grace.mul_f64(DRAIN_SHARE);
     let ended = async {
         signals::terminated().await;
--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -9,6 +9,7 @@
 
 use opalrun_wire::{
     frame::{self, FrameError},
+    ids::Epoch,
     store::{CountEntry, Turn},
 };
 use rkyv::{Archive, Deserialize, Serialize, util::AlignedVec};
@@ -17,7 +18,7 @@
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
 pub enum Record {
     /// The store has learned this epoch of the store map and accepts no older map.
-    Epoch(u64),
+    Epoch(Epoch),
     /// A program's count: all entries.
     Program {
         /// The program.
--- a/crates/store/src/server.rs
+++ b/crates/store/src/server.rs
@@ -9,6 +9,7 @@
 use opalrun_wire::{
     feed::{STORE_PARTITIONS, StoreMap},
     frame::FrameError,
+    ids::{NodeIdentity, Partition},
     store::{StoreReply, StoreRequest},
 };
 use snafu::ResultExt;
@@ -41,7 +42,7 @@
 /// is a `RefCell`. A borrow ends within the method that takes it, or with the expression that calls [`Self::state`]; none
 /// lasts over an await.
 pub struct StoreServer {
-    identity: u64,
+    identity: NodeIdentity,
     state: RefCell<StoreState>,
     journal: Journal,
     started: Instant,
@@ -57,7 +58,7 @@
     /// [`StoreError::Storage`] or [`StoreError::Record`] where the log can't be read.
     pub fn open(
         directory: &DataDirectory,
-        identity: u64,
+        identity: NodeIdentity,
         limits: StoreLimits,
     ) -> Result<Rc<Self>, StoreError> {
         let (state, log) = replay_log(directory, identity, limits)?;
@@ -73,7 +74,7 @@
 
     /// The store's identity.
     #[must_use]
-    pub fn identity(&self) -> u64 {
+    pub fn identity(&self) -> NodeIdentity {
         self.identity
     }
 
@@ -133,7 +134,7 @@
         let mut state = self.state.borrow_mut();
         let first = self.expire_next.get();
         for partition in first..first + EXPIRY_STEP_PARTITIONS {
-            state.expire(partition, now);
+            state.expire(Partition(partition), now);
         }
         self.expire_next.set((first + EXPIRY_STEP_PARTITIONS) % STORE_PARTITIONS);
         let status = self.journal.status();
@@ -178,7 +179,7 @@
 /// [`StoreError::Storage`] where the log can't be read, [`StoreError::Record`] where one of its records can't.
 pub(crate) fn replay_log(
     directory: &DataDirectory,
-    identity: u64,
+    identity: NodeIdentity,
     limits: StoreLimits,
 ) -> Result<(StoreState, RecordLog), StoreError> {
     let mut state = StoreState::new(identity, limits);
--- a/crates/store/src/state/compaction.rs
+++ b/crates/store/src/state/compaction.rs
@@ -2,6 +2,7 @@
 
 use super::{Item, StoreState, partition::PartitionData, remaining_ms};
 use crate::record::Record;
+use opalrun_wire::ids::Epoch;
 use rkyv::util::AlignedVec;
 use std::time::Duration;
 
@@ -10,7 +11,7 @@
     #[must_use]
     pub fn oldest_record(&self) -> u64 {
         let items = self.partitions.iter().filter_map(PartitionData::oldest_record);
-        let epoch = (self.epoch > 0).then_some(self.epoch_record);
+        let epoch = (self.epoch > Epoch(0)).then_some(self.epoch_record);
         items.chain(epoch).min().unwrap_or(self.next_record)
     }
 
@@ -28,7 +29,7 @@
     }
 
     fn rewrite(&mut self, number: u64, now: Duration) {
-        if self.epoch > 0 && self.epoch_record == number {
+        if self.epoch > Epoch(0) && self.epoch_record == number {
             self.epoch_record = self.append(&Record::Epoch(self.epoch));
             return;
         }
--- a/crates/store/src/state/merge.rs
+++ b/crates/store/src/state/merge.rs
@@ -4,7 +4,7 @@
 use crate::record::Record;
 use opalrun_wire::{
     feed::partition_of,
-    store::{CountEntry, Turn},
+    store::{CountEntry, Turn, merge_count_entries},
 };
 use std::time::Duration;
 
@@ -23,12 +23,12 @@
     /// Merges entries into a program's count; the highest sequence of each holder wins. Returns the number of the record
     /// that holds the result.
     pub(super) fn merge_count(&mut self, program: &str, entries: &[CountEntry], now: Duration) -> u64 {
-        let partition = usize::from(partition_of(program));
+        let partition = partition_of(program).position();
         let expires = now + COUNT_RETENTION;
         let known = self.partitions[partition].program(program);
         let known_record = known.map(|(number, _)| number);
         let mut merged = known.map(|(_, count)| count.entries.clone()).unwrap_or_default();
-        let changed = merge_entries(&mut merged, entries);
+        let changed = merge_count_entries(&mut merged, entries);
         if let (false, Some(number)) = (changed, known_record) {
             self.partitions[partition].extend_program(program, expires);
             return number;
@@ -40,7 +40,7 @@
 
     /// Retains a turn for `keep_ms` milliseconds at least. Returns the number of the record that holds it.
     pub(super) fn retain_turn(&mut self, turn: Turn, keep_ms: u64, now: Duration) -> u64 {
-        let partition = usize::from(partition_of(&turn.id));
+        let partition = partition_of(&turn.id).position();
         let expires = now + Duration::from_millis(keep_ms);
         if let Some((number, _)) = self.partitions[partition].turn(&turn.id, now) {
             self.partitions[partition].extend_turn(&turn.id, expires);
@@ -51,17 +51,3 @@
         number
     }
 }
-
-/// Merges the entries with a higher sequence; returns whether there were any.
-fn merge_entries(merged: &mut Vec<CountEntry>, entries: &[CountEntry]) -> bool {
-    let mut changed = false;
-    for entry in entries {
-        match merged.iter_mut().find(|known| known.holder == entry.holder) {
-            Some(known) if known.sequence >= entry.sequence => continue,
-            Some(known) => *known = *entry,
-            None => merged.push(*entry),
-        }
-        changed = true;
-    }
-    changed
-}
--- a/crates/store/src/state/mod.rs
+++ b/crates/store/src/state/mod.rs
@@ -21,6 +21,7 @@
 use opalrun_wire::{
     feed::{STORE_PARTITIONS, StoreMap, partition_of},
     frame::FrameError,
+    ids::{Epoch, NodeIdentity, Partition},
     store::StoreReply,
 };
 pub use page::{PartitionPage, ProgramEntries, TransferredTurn};
@@ -66,10 +67,10 @@
 /// A store's state.
 #[derive(Debug)]
 pub struct StoreState {
-    identity: u64,
+    identity: NodeIdentity,
     limits: StoreLimits,
     /// The highest epoch ever learned; a map below it is ignored.
-    epoch: u64,
+    epoch: Epoch,
     /// The number of the record that holds it.
     epoch_record: u64,
     map: Option<Rc<StoreMap>>,
@@ -87,11 +88,11 @@
 impl StoreState {
     /// The state of a store with an empty log.
     #[must_use]
-    pub fn new(identity: u64, limits: StoreLimits) -> Self {
+    pub fn new(identity: NodeIdentity, limits: StoreLimits) -> Self {
         Self {
             identity,
             limits,
-            epoch: 0,
+            epoch: Epoch(0),
             epoch_record: 0,
             map: None,
             partition_epochs: vec![PartitionEpochs::default(); usize::from(STORE_PARTITIONS)],
@@ -116,11 +117,11 @@
                 self.epoch_record = number;
             }
             Record::Program { program, entries } => {
-                let data = &mut self.partitions[usize::from(partition_of(&program))];
+                let data = &mut self.partitions[partition_of(&program).position()];
                 data.put_program(number, &program, entries, now + COUNT_RETENTION);
             }
             Record::Turn { turn, keep_ms } => {
-                let data = &mut self.partitions[usize::from(partition_of(&turn.id))];
+                let data = &mut self.partitions[partition_of(&turn.id).position()];
                 data.put_turn(number, turn, now + Duration::from_millis(keep_ms));
             }
         }
@@ -134,7 +135,7 @@
 
     /// The highest epoch known.
     #[must_use]
-    pub fn epoch(&self) -> u64 {
+    pub fn epoch(&self) -> Epoch {
         self.epoch
     }
 
@@ -174,8 +175,8 @@
     }
 
     /// Drops what has expired at `now` in one of the partitions.
-    pub fn expire(&mut self, partition: u16, now: Duration) {
-        if let Some(data) = self.partitions.get_mut(usize::from(partition)) {
+    pub fn expire(&mut self, partition: Partition, now: Duration) {
+        if let Some(data) = self.partitions.get_mut(partition.position()) {
             data.expire(now);
         }
     }
--- a/crates/store/src/state/requests.rs
+++ b/crates/store/src/state/requests.rs
@@ -3,7 +3,8 @@
 use super::{Handled, Item, PAGE_BYTES, StoreState, remaining_ms};
 use opalrun_wire::{
     ResultCode,
-    feed::{Partition, partition_of},
+    feed::{PartitionReplicas, partition_of},
+    ids::{Epoch, NodeIdentity, Partition},
     store::{CountEntry, StoreReply, StoreRequest, Turn, keep_ms},
 };
 use std::time::Duration;
@@ -52,8 +53,8 @@
     /// Serves a request about a partition where its epoch is current; `serve` gets whether this replica is complete.
     fn serve_in_epoch(
         &mut self,
-        epoch: u64,
-        partition: u16,
+        epoch: Epoch,
+        partition: Partition,
         serve: impl FnOnce(&mut Self, bool) -> Handled,
     ) -> Handled {
         match self.check_epoch(epoch, partition) {
@@ -70,17 +71,17 @@
     }
 
     /// Checks the epoch of a request about a partition.
-    fn check_epoch(&self, epoch: u64, partition: u16) -> EpochCheck {
+    fn check_epoch(&self, epoch: Epoch, partition: Partition) -> EpochCheck {
         let Some(map) = &self.map else { return EpochCheck::Newer };
         if epoch > map.epoch {
             return EpochCheck::Newer;
         }
-        let Some(epochs) = self.partition_epochs.get(usize::from(partition)) else {
+        let Some(epochs) = self.partition_epochs.get(partition.position()) else {
             return EpochCheck::Stale;
         };
         let replica = map
             .partitions
-            .get(usize::from(partition))
+            .get(partition.position())
             .and_then(|partition| partition.replicas.iter().find(|replica| replica.store == self.identity));
         match replica {
             Some(replica) if epoch >= epochs.unchanged_since => {
@@ -92,12 +93,12 @@
 
     /// A page may be read from a complete replica, or a former one, that knows the requesting store's epoch or a newer
     /// one: from then on it accepts no write of an older epoch that the transfer could miss.
-    fn copy_partition(&mut self, epoch: u64, partition: u16, cursor: u64, now: Duration) -> Handled {
+    fn copy_partition(&mut self, epoch: Epoch, partition: Partition, cursor: u64, now: Duration) -> Handled {
         let Some(map) = &self.map else { return Handled::NewerEpoch };
         if epoch > map.epoch {
             return Handled::NewerEpoch;
         }
-        let Some(layout) = map.partitions.get(usize::from(partition)) else {
+        let Some(layout) = map.partitions.get(partition.position()) else {
             return Handled::Reply(self.stale_reply());
         };
         if !is_source(layout, self.identity) {
@@ -109,10 +110,10 @@
     }
 
     /// A page of a partition that begins at the record `cursor`.
-    fn page(&self, partition: u16, cursor: u64, now: Duration) -> StoreReply {
+    fn page(&self, partition: Partition, cursor: u64, now: Duration) -> StoreReply {
         let (mut counts, mut turns, mut next) = (Vec::new(), Vec::new(), None);
         let mut bytes = 0;
-        for (number, item) in self.partitions[usize::from(partition)].items_from(cursor) {
+        for (number, item) in self.partitions[partition.position()].items_from(cursor) {
             if bytes >= PAGE_BYTES {
                 next = Some(number);
                 break;
@@ -134,7 +135,7 @@
             return disk_full_reply;
         }
         let record = self.merge_count(program, &[entry], now);
-        let known = self.partitions[usize::from(partition_of(program))].program(program);
+        let known = self.partitions[partition_of(program).position()].program(program);
         let entries = known.map(|(_, count)| count.entries.clone()).unwrap_or_default();
         Handled::AfterSync { record, reply: StoreReply::Count { is_complete, entries } }
     }
@@ -151,7 +152,7 @@
     }
 
     fn get_turn(&self, is_complete: bool, id: &str, now: Duration) -> Handled {
-        let retained = self.partitions[usize::from(partition_of(id))].turn(id, now);
+        let retained = self.partitions[partition_of(id).position()].turn(id, now);
         let left_ms = retained.map_or(0, |(_, retained)| remaining_ms(retained.expires, now));
         let turn = retained.map(|(_, retained)| retained.turn.clone());
         Handled::AfterSync {
@@ -164,14 +165,14 @@
     fn extend_turns(
         &mut self,
         is_complete: bool,
-        partition: u16,
+        partition: Partition,
         ids: &[String],
         retention_ms: u64,
         now: Duration,
     ) -> Handled {
         let expires = now + Duration::from_millis(keep_ms(retention_ms));
         for id in ids {
-            self.partitions[usize::from(partition)].extend_turn(id, expires);
+            self.partitions[partition.position()].extend_turn(id, expires);
         }
         Handled::AfterSync { record: self.epoch_record, reply: StoreReply::Stored { is_complete } }
     }
@@ -184,7 +185,7 @@
 }
 
 /// Whether replicas of a partition may catch up from a store: a complete replica, or a former one.
-fn is_source(partition: &Partition, store: u64) -> bool {
+fn is_source(partition: &PartitionReplicas, store: NodeIdentity) -> bool {
     partition.sources.contains(&store)
         || partition.replicas.iter().any(|replica| replica.store == store && replica.is_complete)
 }
--- a/crates/store/src/state/store_map.rs
+++ b/crates/store/src/state/store_map.rs
@@ -2,25 +2,28 @@
 
 use super::{StoreState, partition::PartitionData};
 use crate::record::Record;
-use opalrun_wire::feed::{Partition, StoreMap};
+use opalrun_wire::{
+    feed::{PartitionReplicas, StoreMap},
+    ids::{Epoch, NodeIdentity, Partition},
+};
 use std::rc::Rc;
 
 /// Since which epochs a partition is placed as it is.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct PartitionEpochs {
     /// Since this epoch nothing about its placement has changed.
-    pub(super) unchanged_since: u64,
+    pub(super) unchanged_since: Epoch,
     /// Since this epoch its replicas are the same stores, complete or not.
-    replicas_since: u64,
+    replicas_since: Epoch,
 }
 
 /// A partition that this store has to catch up on, as its replica is not complete.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RequiredTransfer {
     /// The partition.
-    pub partition: u16,
+    pub partition: Partition,
     /// Since this epoch its replicas are the same stores: a transfer that began in an older one does not count.
-    pub replicas_since: u64,
+    pub replicas_since: Epoch,
 }
 
 impl StoreState {
@@ -45,7 +48,7 @@
     #[must_use]
     pub fn required_transfers(&self) -> Vec<RequiredTransfer> {
         let Some(map) = &self.map else { return Vec::new() };
-        let is_incomplete = |partition: &Partition| {
+        let is_incomplete = |partition: &PartitionReplicas| {
             partition.replicas.iter().any(|replica| replica.store == self.identity && !replica.is_complete)
         };
         map.partitions
@@ -53,14 +56,14 @@
             .zip(0_u16..)
             .filter(|(partition, _)| is_incomplete(partition))
             .map(|(_, number)| RequiredTransfer {
-                partition: number,
+                partition: Partition(number),
                 replicas_since: self.partition_epochs[usize::from(number)].replicas_since,
             })
             .collect()
     }
 
     fn update_partition_epochs(&mut self, map: &StoreMap) {
-        let previous = self.map.as_ref().filter(|previous| previous.epoch + 1 == map.epoch);
+        let previous = self.map.as_ref().filter(|previous| previous.epoch.next() == map.epoch);
         for (number, epochs) in self.partition_epochs.iter_mut().enumerate() {
             let old = previous.and_then(|map| map.partitions.get(number));
             let new = map.partitions.get(number);
@@ -91,10 +94,10 @@
 }
 
 /// Whether a store is a replica of a partition, or a source for its replicas.
-pub(crate) fn is_placed_on(partition: &Partition, store: u64) -> bool {
+pub(crate) fn is_placed_on(partition: &PartitionReplicas, store: NodeIdentity) -> bool {
     partition.sources.contains(&store) || partition.replicas.iter().any(|replica| replica.store == store)
 }
 
-fn replica_stores(partition: &Partition) -> Vec<u64> {
+fn replica_stores(partition: &PartitionReplicas) -> Vec<NodeIdentity> {
     partition.replicas.iter().map(|replica| replica.store).collect()
 }
--- a/crates/store/src/transfer/plan.rs
+++ b/crates/store/src/transfer/plan.rs
@@ -21,7 +21,7 @@
 //! gone, and the transfer may lack it). So a transfer counts only if it began in the epoch in which the replicas last
 //! changed, or later: here a transfer restarts with each change of the replicas, and control ignores reports from before.
 
-use opalrun_wire::feed::Partition;
+use opalrun_wire::{feed::PartitionReplicas, ids::NodeIdentity};
 
 /// The plan of one partition's transfer: which page to request next, and whether it is complete.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -30,12 +30,12 @@
     required_sources: usize,
     sources: Vec<Source>,
     /// The source that failed last: those after it are tried before it.
-    failed_last: Option<u64>,
+    failed_last: Option<NodeIdentity>,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Source {
-    store: u64,
+    store: NodeIdentity,
     cursor: u64,
     is_read: bool,
 }
@@ -44,7 +44,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct NextPage {
     /// The identity of the source.
-    pub store: u64,
+    pub store: NodeIdentity,
     /// Where the page begins: the lowest number of a log record of the source that it contains.
     pub cursor: u64,
 }
@@ -52,10 +52,10 @@
 impl TransferPlan {
     /// The plan by which the store `identity` catches up on a partition that is placed like this.
     #[must_use]
-    pub fn new(partition: &Partition, identity: u64) -> Self {
+    pub fn new(partition: &PartitionReplicas, identity: NodeIdentity) -> Self {
         let complete =
             partition.replicas.iter().filter(|replica| replica.is_complete).map(|replica| replica.store);
-        let mut stores: Vec<u64> =
+        let mut stores: Vec<NodeIdentity> =
             complete.chain(partition.sources.iter().copied()).filter(|store| *store != identity).collect();
         stores.sort_unstable();
         stores.dedup();
@@ -89,7 +89,7 @@
     }
 
     /// A page of a source was merged; its next one begins at `next`, if there is one.
-    pub fn page_received(&mut self, store: u64, next: Option<u64>) {
+    pub fn page_received(&mut self, store: NodeIdentity, next: Option<u64>) {
         if let Some(source) = self.sources.iter_mut().find(|source| source.store == store) {
             match next {
                 Some(cursor) => source.cursor = cursor,
@@ -99,12 +99,12 @@
     }
 
     /// A source did not reply: another one is requested from before it is retried.
-    pub fn page_failed(&mut self, store: u64) {
+    pub fn page_failed(&mut self, store: NodeIdentity) {
         self.failed_last = Some(store);
     }
 
     /// Applies a changed placement of the partition. Sources that were read stay read.
-    pub fn set_sources(&mut self, partition: &Partition, identity: u64) {
+    pub fn set_sources(&mut self, partition: &PartitionReplicas, identity: NodeIdentity) {
         let mut updated = Self::new(partition, identity);
         for known in &self.sources {
             match updated.sources.iter_mut().find(|source| source.store == known.store) {
--- a/crates/store/src/transfer/replicator.rs
+++ b/crates/store/src/transfer/replicator.rs
@@ -7,7 +7,8 @@
 };
 use opalrun_net::RpcClient;
 use opalrun_wire::{
-    feed::{Partition, StoreMap},
+    feed::{PartitionReplicas, StoreMap},
+    ids::{Epoch, Partition},
     store::{StoreReply, StoreRequest},
 };
 use std::{
@@ -31,27 +32,30 @@
 /// Backoff after a page that did not come, and while too few sources are left.
 const RETRY_BACKOFF: Duration = Duration::from_millis(50);
 
+/// A store that is read from, as the log names it.
+const SOURCE: &str = "source store";
+
 /// A partition that is complete here, to be reported to control.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct CompletedTransfer {
     /// The epoch of the store map in which the transfer began.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// The partition.
-    pub partition: u16,
+    pub partition: Partition,
 }
 
 /// The transfers to a store. It owns their tasks: dropping it ends them.
 pub struct Replicator {
     server: Rc<StoreServer>,
     sources: Rc<SourceClients>,
-    transfers: BTreeMap<u16, Transfer>,
+    transfers: BTreeMap<Partition, Transfer>,
     tasks: JoinSet<FinishedTask>,
     completed: watch::Sender<Vec<CompletedTransfer>>,
 }
 
 /// The transfer of one partition.
 struct Transfer {
-    replicas_since: u64,
+    replicas_since: Epoch,
     progress: Progress,
 }
 
@@ -60,14 +64,14 @@
     Queued,
     Running(AbortHandle),
     Completed {
-        epoch: u64,
+        epoch: Epoch,
     },
 }
 
 /// What the task of a transfer ends with.
 struct FinishedTask {
     required: RequiredTransfer,
-    epoch: u64,
+    epoch: Epoch,
 }
 
 impl Replicator {
@@ -186,7 +190,7 @@
 impl SourceClients {
     fn get(&self, address: SocketAddr) -> SourceClient {
         let mut clients = self.by_address.borrow_mut();
-        clients.entry(address).or_insert_with(|| RpcClient::new(address)).clone()
+        clients.entry(address).or_insert_with(|| RpcClient::new(SOURCE, address)).clone()
     }
 }
 
@@ -194,7 +198,7 @@
 struct TransferTask {
     server: Rc<StoreServer>,
     sources: Rc<SourceClients>,
-    partition: u16,
+    partition: Partition,
 }
 
 /// A page that was merged.
@@ -205,7 +209,7 @@
 
 impl TransferTask {
     /// Transfers the partition; returns the epoch in which that began.
-    async fn run(self) -> u64 {
+    async fn run(self) -> Epoch {
         let (map, layout) = self.layout();
         let mut plan = TransferPlan::new(&layout, self.server.identity());
         while !plan.is_complete() {
@@ -215,7 +219,7 @@
     }
 
     /// Requests the next page from the sources that the newest map names, and merges it.
-    async fn transfer_next_page(&self, plan: &mut TransferPlan, epoch: u64) {
+    async fn transfer_next_page(&self, plan: &mut TransferPlan, epoch: Epoch) {
         let (map, layout) = self.layout();
         plan.set_sources(&layout, self.server.identity());
         let Some(page) = plan.next_page() else {
@@ -231,14 +235,14 @@
         }
     }
 
-    fn layout(&self) -> (Rc<StoreMap>, Partition) {
+    fn layout(&self) -> (Rc<StoreMap>, PartitionReplicas) {
         let map = self.server.state().map().cloned().unwrap_or_default();
-        let layout = map.partitions.get(usize::from(self.partition)).cloned().unwrap_or_default();
+        let layout = map.partitions.get(self.partition.position()).cloned().unwrap_or_default();
         (map, layout)
     }
 
     /// Fetches a page and merges it; `None` where it did not come or could not be written.
-    async fn fetch(&self, map: &StoreMap, epoch: u64, page: NextPage) -> Option<MergedPage> {
+    async fn fetch(&self, map: &StoreMap, epoch: Epoch, page: NextPage) -> Option<MergedPage> {
         let source = map.stores.iter().find(|store| store.identity == page.store)?;
         let client = self.sources.get(source.address.parse().ok()?);
         let partition = self.partition;
--- a/crates/store/src/transfer/report.rs
+++ b/crates/store/src/transfer/report.rs
@@ -2,6 +2,7 @@
 
 use super::CompletedTransfer;
 use opalrun_net::feed_client::FeedClient;
+use opalrun_wire::ids::{Epoch, NodeIdentity, Partition};
 use std::{
     collections::{BTreeMap, HashMap, hash_map::Entry},
     time::Duration,
@@ -20,7 +21,7 @@
 pub async fn report_completed(
     feed: &FeedClient,
     mut completed: watch::Receiver<Vec<CompletedTransfer>>,
-    identity: u64,
+    identity: NodeIdentity,
 ) {
     let mut repeat = interval(REPORT_PERIOD);
     repeat.set_missed_tick_behavior(MissedTickBehavior::Delay);
@@ -43,9 +44,9 @@
     completed: &[CompletedTransfer],
     reported: &mut HashMap<CompletedTransfer, Instant>,
     now: Instant,
-) -> BTreeMap<u64, Vec<u16>> {
+) -> BTreeMap<Epoch, Vec<Partition>> {
     reported.retain(|_, reported_at| now.duration_since(*reported_at) < REPORT_PERIOD);
-    let mut due: BTreeMap<u64, Vec<u16>> = BTreeMap::new();
+    let mut due: BTreeMap<Epoch, Vec<Partition>> = BTreeMap::new();
     for transfer in completed {
         if let Entry::Vacant(unreported) = reported.entry(*transfer) {
             due.entry(transfer.epoch).or_default().push(transfer.partition);
--- a/crates/store/tests/cluster/counts.rs
+++ b/crates/store/tests/cluster/counts.rs
@@ -2,11 +2,16 @@
 
 use crate::harness::{AMPLE, Control, SHORT, TestStore, run, three_stores};
 use opalrun_store_client::{CountError, LeaseGrant, StoreClient};
+use opalrun_wire::ids::NodeIdentity;
 
 #[test]
 fn holders_see_what_others_have_taken() {
     run(async {
-        let stores = [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+        let stores = [
+            TestStore::start(NodeIdentity(1)).await,
+            TestStore::start(NodeIdentity(2)).await,
+            TestStore::start(NodeIdentity(3)).await,
+        ];
         let control = Control::new(&stores.each_ref());
         let (first, second) = (StoreClient::new(11, "zone-1"), StoreClient::new(12, "zone-2"));
         control.publish_to_all(&stores.each_ref(), &[&first, &second]);
@@ -43,8 +48,11 @@
 #[test]
 fn without_a_quorum_nothing_is_granted_and_the_entry_is_reverted() {
     run(async {
-        let [one, two, three] =
-            [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+        let [one, two, three] = [
+            TestStore::start(NodeIdentity(1)).await,
+            TestStore::start(NodeIdentity(2)).await,
+            TestStore::start(NodeIdentity(3)).await,
+        ];
         let control = Control::new(&[&one, &two, &three]);
         let (client, other) = (StoreClient::new(11, "zone-1"), StoreClient::new(12, "zone-1"));
         control.publish_to_all(&[&one, &two, &three], &[&client, &other]);
@@ -64,7 +72,11 @@
 #[test]
 fn an_acquisition_that_is_cancelled_is_reverted() {
     run(async {
-        let stores = [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+        let stores = [
+            TestStore::start(NodeIdentity(1)).await,
+            TestStore::start(NodeIdentity(2)).await,
+            TestStore::start(NodeIdentity(3)).await,
+        ];
         let control = Control::new(&stores.each_ref());
         let (client, other) = (StoreClient::new(11, "zone-1"), StoreClient::new(12, "zone-1"));
         control.publish_to_all(&stores.each_ref(), &[&client, &other]);
@@ -91,7 +103,11 @@
 #[test]
 fn without_a_map_operations_wait_for_it() {
     run(async {
-        let stores = [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+        let stores = [
+            TestStore::start(NodeIdentity(1)).await,
+            TestStore::start(NodeIdentity(2)).await,
+            TestStore::start(NodeIdentity(3)).await,
+        ];
         let control = Control::new(&stores.each_ref());
         let client = StoreClient::new(11, "zone-1");
         assert_eq!(client.acquire_lease("p", 0, 1, SHORT).await, Err(CountError::Unavailable));
--- a/crates/store/tests/cluster/harness.rs
+++ b/crates/store/tests/cluster/harness.rs
@@ -9,7 +9,8 @@
 };
 use opalrun_store_client::StoreClient;
 use opalrun_wire::{
-    feed::{Partition, Replica, STORE_PARTITIONS, StoreMap, StoreNode, StoreState},
+    feed::{PartitionReplicas, Replica, STORE_PARTITIONS, StoreMap, StoreNode, StoreState},
+    ids::{Epoch, NodeIdentity},
     store::Turn,
 };
 use std::{net::SocketAddr, rc::Rc, sync::Arc, thread::JoinHandle, time::Duration};
@@ -25,7 +26,7 @@
 
 /// A store with its folder, on a thread of its own. Dropping it ends its connections, as the end of its process would.
 pub struct TestStore {
-    pub identity: u64,
+    pub identity: NodeIdentity,
     pub address: SocketAddr,
     folder: Arc<TempDir>,
     maps: mpsc::UnboundedSender<StoreMap>,
@@ -35,7 +36,11 @@
 
 /// Three new stores that hold everything, the map that says so, and a gatekeeper's client that knows it.
 pub async fn three_stores() -> ([TestStore; 3], Control, Rc<StoreClient>) {
-    let stores = [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+    let stores = [
+        TestStore::start(NodeIdentity(1)).await,
+        TestStore::start(NodeIdentity(2)).await,
+        TestStore::start(NodeIdentity(3)).await,
+    ];
     let control = Control::new(&stores.each_ref());
     let client = StoreClient::new(11, "zone-1");
     control.publish_to_all(&stores.each_ref(), &[&client]);
@@ -44,11 +49,11 @@
 
 impl TestStore {
     /// A store on an empty disk.
-    pub async fn start(identity: u64) -> Self {
+    pub async fn start(identity: NodeIdentity) -> Self {
         Self::start_on(identity, Arc::new(TempDir::new().unwrap()), "127.0.0.1:0".parse().unwrap()).await
     }
 
-    async fn start_on(identity: u64, folder: Arc<TempDir>, address: SocketAddr) -> Self {
+    async fn start_on(identity: NodeIdentity, folder: Arc<TempDir>, address: SocketAddr) -> Self {
         let (maps, map_receiver) = mpsc::unbounded_channel();
         let (done_sender, done) = watch::channel(Vec::new());
         let (ready_sender, ready) = oneshot::channel();
@@ -84,7 +89,7 @@
     }
 
     /// Waits until it has copied all partitions in this epoch or a later one.
-    pub async fn copied(&self, epoch: u64) -> Vec<CompletedTransfer> {
+    pub async fn copied(&self, epoch: Epoch) -> Vec<CompletedTransfer> {
         let mut done = self.done.clone();
         let is_all = |done: &Vec<CompletedTransfer>| {
             done.len() == usize::from(STORE_PARTITIONS) && done.iter().all(|copy| copy.epoch >= epoch)
@@ -170,14 +175,14 @@
     }
 
     /// Changes all partitions, in a new epoch.
-    pub fn change(&mut self, change: impl Fn(&mut Partition)) {
-        self.map.epoch += 1;
-        self.map.partitions.resize_with(usize::from(STORE_PARTITIONS), Partition::default);
+    pub fn change(&mut self, change: impl Fn(&mut PartitionReplicas)) {
+        self.map.epoch = self.map.epoch.next();
+        self.map.partitions.resize_with(usize::from(STORE_PARTITIONS), PartitionReplicas::default);
         self.map.partitions.iter_mut().for_each(change);
     }
 
     /// Puts a store that is not whole in the place of another, which stays a source where it still has its disk.
-    pub fn replace(&mut self, old: u64, new: &TestStore, old_is_source: bool) {
+    pub fn replace(&mut self, old: NodeIdentity, new: &TestStore, old_is_source: bool) {
         self.add_store(new);
         let new = new.identity;
         self.change(|partition| {
@@ -194,7 +199,7 @@
     }
 
     /// Marks a store's replicas whole.
-    pub fn mark_complete(&mut self, store: u64) {
+    pub fn mark_complete(&mut self, store: NodeIdentity) {
         self.change(|partition| {
             partition
                 .replicas
--- a/crates/store/tests/cluster/partition_transfer.rs
+++ b/crates/store/tests/cluster/partition_transfer.rs
@@ -2,6 +2,7 @@
 
 use crate::harness::{AMPLE, Control, SHORT, TestStore, run, three_stores, turn};
 use opalrun_store_client::{CountError, LeaseGrant, StoreClient};
+use opalrun_wire::ids::NodeIdentity;
 
 const TURNS: usize = 40;
 
@@ -32,12 +33,12 @@
         write_all(&client).await;
 
         // When the third comes back without its disk and has caught up,
-        let three = TestStore::start(33).await;
-        control.replace(3, &three, false);
+        let three = TestStore::start(NodeIdentity(33)).await;
+        control.replace(NodeIdentity(3), &three, false);
         control.publish_to_all(&[&one, &two, &three], &[&client]);
         let done = three.copied(control.map.epoch).await;
         assert!(done.iter().all(|copy| copy.epoch == control.map.epoch));
-        control.mark_complete(33);
+        control.mark_complete(NodeIdentity(33));
         control.publish_to_all(&[&one, &two, &three], &[&client]);
 
         // then any other store may go.
@@ -52,8 +53,8 @@
         let ([one, two, three], mut control, client) = three_stores().await;
         write_all(&client).await;
         drop(three);
-        let three = TestStore::start(33).await;
-        control.replace(3, &three, false);
+        let three = TestStore::start(NodeIdentity(33)).await;
+        control.replace(NodeIdentity(3), &three, false);
         drop(two);
         control.publish_to_all(&[&one, &three], &[&client]);
         assert_eq!(client.acquire_lease("p", 0, 1, SHORT).await, Err(CountError::Unavailable));
@@ -66,12 +67,12 @@
     run(async {
         let ([one, two, three], mut control, client) = three_stores().await;
         write_all(&client).await;
-        let four = TestStore::start(4).await;
-        control.replace(1, &four, true);
+        let four = TestStore::start(NodeIdentity(4)).await;
+        control.replace(NodeIdentity(1), &four, true);
         drop(two);
         control.publish_to_all(&[&one, &three, &four], &[&client]);
         four.copied(control.map.epoch).await;
-        control.mark_complete(4);
+        control.mark_complete(NodeIdentity(4));
         control.publish_to_all(&[&one, &three, &four], &[&client]);
         drop(one);
         check_all(12, &control, &[&three, &four]).await;
@@ -83,19 +84,19 @@
     run(async {
         let ([one, two, three], mut control, client) = three_stores().await;
         write_all(&client).await;
-        let four = TestStore::start(4).await;
-        control.replace(1, &four, true);
+        let four = TestStore::start(NodeIdentity(4)).await;
+        control.replace(NodeIdentity(1), &four, true);
         control.publish_to_all(&[&one, &two, &three, &four], &[&client]);
         let first = four.copied(control.map.epoch).await;
         drop(three);
-        let three = TestStore::start(33).await;
-        control.replace(3, &three, false);
+        let three = TestStore::start(NodeIdentity(33)).await;
+        control.replace(NodeIdentity(3), &three, false);
         control.publish_to_all(&[&one, &two, &three, &four], &[&client]);
         let (second, third) = (four.copied(control.map.epoch).await, three.copied(control.map.epoch).await);
         assert!(first.iter().all(|copy| copy.epoch < control.map.epoch));
         assert!(second.iter().chain(&third).all(|copy| copy.epoch == control.map.epoch));
-        control.mark_complete(4);
-        control.mark_complete(33);
+        control.mark_complete(NodeIdentity(4));
+        control.mark_complete(NodeIdentity(33));
         control.publish_to_all(&[&two, &three, &four], &[]);
         drop(one);
         drop(two);
--- a/crates/store/tests/cluster/turns.rs
+++ b/crates/store/tests/cluster/turns.rs
@@ -2,11 +2,16 @@
 
 use crate::harness::{AMPLE, Control, SHORT, TestStore, run, three_stores, turn};
 use opalrun_store_client::{StoreClient, TurnError};
+use opalrun_wire::ids::NodeIdentity;
 
 #[test]
 fn a_turn_is_found_by_every_gatekeeper_and_an_unknown_one_is_absent() {
     run(async {
-        let stores = [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+        let stores = [
+            TestStore::start(NodeIdentity(1)).await,
+            TestStore::start(NodeIdentity(2)).await,
+            TestStore::start(NodeIdentity(3)).await,
+        ];
         let control = Control::new(&stores.each_ref());
         let (writer, reader) = (StoreClient::new(11, "zone-1"), StoreClient::new(12, "zone-9"));
         control.publish_to_all(&stores.each_ref(), &[&writer, &reader]);
--- a/crates/store/tests/cluster/unresponsive_replicas.rs
+++ b/crates/store/tests/cluster/unresponsive_replicas.rs
@@ -2,11 +2,14 @@
 
 use crate::harness::{AMPLE, Control, SHORT, TestStore, run, turn};
 use opalrun_store_client::{CountError, LeaseGrant, StoreClient, TurnError};
-use opalrun_wire::feed::{Replica, StoreNode, StoreState};
+use opalrun_wire::{
+    feed::{Replica, StoreNode, StoreState},
+    ids::NodeIdentity,
+};
 use std::net::TcpListener;
 
 /// Puts a replica that answers nothing in the place of a store.
-fn add_unresponsive_replica(control: &mut Control, identity: u64) -> TcpListener {
+fn add_unresponsive_replica(control: &mut Control, identity: NodeIdentity) -> TcpListener {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     control.map.stores.retain(|node| node.identity != identity);
     control.map.stores.push(StoreNode {
@@ -27,9 +30,9 @@
 #[test]
 fn one_unresponsive_replica_delays_nothing() {
     run(async {
-        let stores = [TestStore::start(1).await, TestStore::start(2).await];
+        let stores = [TestStore::start(NodeIdentity(1)).await, TestStore::start(NodeIdentity(2)).await];
         let mut control = Control::new(&stores.each_ref());
-        let _unresponsive = add_unresponsive_replica(&mut control, 3);
+        let _unresponsive = add_unresponsive_replica(&mut control, NodeIdentity(3));
         // The unresponsive one is the nearest.
         let (client, other) = (StoreClient::new(11, "zone-1"), StoreClient::new(12, "zone-1"));
         control.publish_to_all(&stores.each_ref(), &[&client, &other]);
@@ -47,10 +50,12 @@
 #[test]
 fn without_a_quorum_operations_end_at_their_time_limit() {
     run(async {
-        let stores = [TestStore::start(1).await];
+        let stores = [TestStore::start(NodeIdentity(1)).await];
         let mut control = Control::new(&stores.each_ref());
-        let _unresponsive =
-            [add_unresponsive_replica(&mut control, 2), add_unresponsive_replica(&mut control, 3)];
+        let _unresponsive = [
+            add_unresponsive_replica(&mut control, NodeIdentity(2)),
+            add_unresponsive_replica(&mut control, NodeIdentity(3)),
+        ];
         let client = StoreClient::new(11, "zone-1");
         control.publish_to_all(&stores.each_ref(), &[&client]);
         assert_eq!(client.acquire_lease("p", 0, 4, SHORT).await, Err(CountError::Unavailable));
@@ -62,11 +67,16 @@
 #[test]
 fn an_operation_continues_in_a_new_layout() {
     run(async {
-        let [one, two, three] =
-            [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+        let [one, two, three] = [
+            TestStore::start(NodeIdentity(1)).await,
+            TestStore::start(NodeIdentity(2)).await,
+            TestStore::start(NodeIdentity(3)).await,
+        ];
         let mut control = Control::new(&[&one]);
-        let _unresponsive =
-            [add_unresponsive_replica(&mut control, 8), add_unresponsive_replica(&mut control, 9)];
+        let _unresponsive = [
+            add_unresponsive_replica(&mut control, NodeIdentity(8)),
+            add_unresponsive_replica(&mut control, NodeIdentity(9)),
+        ];
         let client = StoreClient::new(11, "zone-1");
         control.publish_to_all(&[&one], &[&client]);
         let acquiring = client.clone();
@@ -77,7 +87,8 @@
         assert_eq!(client.get_turn("u", SHORT).await, Err(TurnError::Unavailable));
         control.add_store(&two);
         control.add_store(&three);
-        let replicas: Vec<Replica> = (1..=3).map(|store| Replica { store, is_complete: true }).collect();
+        let replicas: Vec<Replica> =
+            (1..=3).map(|store| Replica { store: NodeIdentity(store), is_complete: true }).collect();
         control.change(|partition| partition.replicas.clone_from(&replicas));
         control.publish_to_all(&[&one, &two, &three], &[&client]);
         assert_eq!(acquisition.await.unwrap(), Ok(LeaseGrant { others_taken: 0 }));
@@ -89,7 +100,11 @@
 #[test]
 fn a_client_whose_map_is_older_waits_for_a_newer_one() {
     run(async {
-        let stores = [TestStore::start(1).await, TestStore::start(2).await, TestStore::start(3).await];
+        let stores = [
+            TestStore::start(NodeIdentity(1)).await,
+            TestStore::start(NodeIdentity(2)).await,
+            TestStore::start(NodeIdentity(3)).await,
+        ];
         let mut control = Control::new(&stores.each_ref());
         let client = StoreClient::new(11, "zone-1");
         control.publish_to_all(&stores.each_ref(), &[&client]);
--- a/crates/store/tests/disk.rs
+++ b/crates/store/tests/disk.rs
@@ -4,7 +4,8 @@
 use opalrun_store::{Identity, StoreServer, state::StoreLimits};
 use opalrun_wire::{
     ResultCode,
-    feed::{Partition, Replica, STORE_PARTITIONS, StoreMap},
+    feed::{PartitionReplicas, Replica, STORE_PARTITIONS, StoreMap},
+    ids::{Epoch, NodeIdentity},
     store::{CountEntry, StoreReply, StoreRequest, Turn},
 };
 use std::{rc::Rc, sync::Arc, time::Duration};
@@ -19,10 +20,12 @@
 }
 
 fn map(identity: u64, epoch: u64) -> Rc<StoreMap> {
-    let partition =
-        Partition { replicas: vec![Replica { store: identity, is_complete: true }], sources: Vec::new() };
+    let partition = PartitionReplicas {
+        replicas: vec![Replica { store: NodeIdentity(identity), is_complete: true }],
+        sources: Vec::new(),
+    };
     Rc::new(StoreMap {
-        epoch,
+        epoch: Epoch(epoch),
         stores: Vec::new(),
         partitions: vec![partition; usize::from(STORE_PARTITIONS)],
     })
@@ -41,10 +44,10 @@
 
 fn write(number: u64) -> StoreRequest {
     if number.is_multiple_of(2) {
-        return StoreRequest::PutTurn { epoch: 1, turn: turn(number) };
+        return StoreRequest::PutTurn { epoch: Epoch(1), turn: turn(number) };
     }
     let entry = CountEntry { holder: number, sequence: 1, taken: number };
-    StoreRequest::WriteCount { epoch: 1, program: "p".to_owned(), entry }
+    StoreRequest::WriteCount { epoch: Epoch(1), program: "p".to_owned(), entry }
 }
 
 fn run(test: impl Future<Output = ()>) {
@@ -66,9 +69,9 @@
     let Ok(directory) = directory(disk) else { return (None, Vec::new()) };
     let Ok(identity) = Identity::load_or_draw(&directory, true) else { return (None, Vec::new()) };
     let Ok(server) = StoreServer::open(&directory, identity.number, LIMITS) else {
-        return (Some(identity.number), Vec::new());
+        return (Some(identity.number.0), Vec::new());
     };
-    server.set_map(map(identity.number, 1));
+    server.set_map(map(identity.number.0, 1));
     let mut acknowledged = Vec::new();
     for number in 0..WRITES {
         match server.serve(write(number)).await {
@@ -77,26 +80,27 @@
         }
     }
     close(server).await;
-    (Some(identity.number), acknowledged)
+    (Some(identity.number.0), acknowledged)
 }
 
 async fn check(disk: &MemoryDisk, identity: Option<u64>, acknowledged: &[u64]) {
     let directory = directory(disk).unwrap();
     let found = Identity::load_or_draw(&directory, false).unwrap();
     if let Some(identity) = identity {
-        assert_eq!(found, Identity { number: identity, bootstrap: true });
+        assert_eq!(found, Identity { number: NodeIdentity(identity), bootstrap: true });
     }
     let server = StoreServer::open(&directory, found.number, LIMITS).unwrap();
-    server.set_map(map(found.number, 1));
+    server.set_map(map(found.number.0, 1));
     let read = StoreRequest::WriteCount {
-        epoch: 1,
+        epoch: Epoch(1),
         program: "p".to_owned(),
         entry: CountEntry { holder: 1000, sequence: 1, taken: 0 },
     };
     let StoreReply::Count { entries, .. } = server.serve(read).await else { panic!() };
     for number in acknowledged {
         if number.is_multiple_of(2) {
-            let reply = server.serve(StoreRequest::GetTurn { epoch: 1, id: format!("t{number}") }).await;
+            let reply =
+                server.serve(StoreRequest::GetTurn { epoch: Epoch(1), id: format!("t{number}") }).await;
             assert!(matches!(reply, StoreReply::Turn { turn: Some(found), .. } if found == turn(*number)));
         } else {
             assert!(entries.iter().any(|entry| entry.holder == *number && entry.taken == *number));
@@ -133,7 +137,7 @@
     run(async {
         let disk = MemoryDisk::new();
         let directory = directory(&disk).unwrap();
-        let server = StoreServer::open(&directory, 1, LIMITS).unwrap();
+        let server = StoreServer::open(&directory, NodeIdentity(1), LIMITS).unwrap();
         server.set_map(map(1, 1));
         assert!(matches!(server.serve(write(0)).await, StoreReply::Stored { .. }));
         disk.set_capacity(Some(disk.used()));
@@ -143,7 +147,7 @@
         status.wait_for(|status| status.is_full).await.unwrap();
         let full = StoreReply::Failed { code: ResultCode::DISK_FULL.0 };
         assert_eq!(server.serve(write(2)).await, full);
-        let read = StoreRequest::GetTurn { epoch: 1, id: "t0".to_owned() };
+        let read = StoreRequest::GetTurn { epoch: Epoch(1), id: "t0".to_owned() };
         assert!(matches!(server.serve(read).await, StoreReply::Turn { turn: Some(_), .. }));
         disk.set_capacity(None);
         assert!(matches!(first.await.unwrap(), StoreReply::Count { .. }), "what was taken is written later");
@@ -156,22 +160,22 @@
     run(async {
         let disk = MemoryDisk::new();
         let directory = directory(&disk).unwrap();
-        let server = StoreServer::open(&directory, 1, LIMITS).unwrap();
+        let server = StoreServer::open(&directory, NodeIdentity(1), LIMITS).unwrap();
         server.set_map(map(1, 1));
         server.serve(write(0)).await;
         let program = "p".repeat(40_000);
         for sequence in 0..900 {
             let entry = CountEntry { holder: 1, sequence, taken: sequence };
-            server.serve(StoreRequest::WriteCount { epoch: 1, program: program.clone(), entry }).await;
+            server.serve(StoreRequest::WriteCount { epoch: Epoch(1), program: program.clone(), entry }).await;
             if sequence % 20 == 0 {
                 server.maintain();
             }
         }
         assert!(disk.used() < 20 << 20, "36 MB were written, {} bytes are left", disk.used());
         close(server).await;
-        let server = StoreServer::open(&directory, 1, LIMITS).unwrap();
+        let server = StoreServer::open(&directory, NodeIdentity(1), LIMITS).unwrap();
         server.set_map(map(1, 1));
-        let read = StoreRequest::GetTurn { epoch: 1, id: "t0".to_owned() };
+        let read = StoreRequest::GetTurn { epoch: Epoch(1), id: "t0".to_owned() };
         assert!(matches!(server.serve(read).await, StoreReply::Turn { turn: Some(_), .. }));
     });
 }
--- a/crates/store/tests/golden.rs
+++ b/crates/store/tests/golden.rs
@@ -11,14 +11,15 @@
     state::StoreLimits,
 };
 use opalrun_wire::{
-    feed::{Partition, Replica, STORE_PARTITIONS, StoreMap, partition_of},
+    feed::{PartitionReplicas, Replica, STORE_PARTITIONS, StoreMap, partition_of},
     frame::checksum,
+    ids::{Epoch, NodeIdentity},
     store::{CountEntry, StoreReply, StoreRequest, Turn},
 };
 use std::{fs, path::Path, rc::Rc};
 
 const LIMITS: StoreLimits = StoreLimits { memory_bytes: 1 << 30, disk_bytes: 1 << 30 };
-const IDENTITY: Identity = Identity { number: 0x0123_4567_89ab_cdef, bootstrap: true };
+const IDENTITY: Identity = Identity { number: NodeIdentity(0x0123_4567_89ab_cdef), bootstrap: true };
 const EPOCH: u64 = 3;
 
 fn full_turn() -> Turn {
@@ -51,8 +52,8 @@
 fn log_records_of_an_earlier_build_are_read_and_written_alike() {
     let program = |program: &str, entries| Record::Program { program: program.to_owned(), entries };
     let records = [
-        ("record_epoch.bin", Record::Epoch(0x0102_0304_0506_0708)),
-        ("record_epoch_zero.bin", Record::Epoch(0)),
+        ("record_epoch.bin", Record::Epoch(Epoch(0x0102_0304_0506_0708))),
+        ("record_epoch_zero.bin", Record::Epoch(Epoch(0))),
         ("record_program.bin", program("program-1", vec![entry(11, 1, 4), entry(u64::MAX, 2, u64::MAX)])),
         ("record_program_one_entry.bin", program("p", vec![entry(12, 7, 0)])),
         ("record_program_without_entries.bin", program("a program with a longer name", Vec::new())),
@@ -67,7 +68,7 @@
 
 /// The file of an identity by its layout: the header of a versioned file, the number, and the bootstrap flag.
 fn identity_file(identity: Identity) -> Vec<u8> {
-    let mut content = identity.number.to_le_bytes().to_vec();
+    let mut content = identity.number.0.to_le_bytes().to_vec();
     content.push(u8::from(identity.bootstrap));
     let mut file = b"OPALFILE".to_vec();
     file.extend_from_slice(&1_u32.to_le_bytes());
@@ -79,7 +80,7 @@
 
 #[test]
 fn identities_of_an_earlier_build_are_read_and_written_alike() {
-    let joined_later = Identity { number: 1, bootstrap: false };
+    let joined_later = Identity { number: NodeIdentity(1), bootstrap: false };
     for (name, identity) in
         [("identity_bootstrap.bin", IDENTITY), ("identity_joined_later.bin", joined_later)]
     {
@@ -105,9 +106,9 @@
 
 fn store_map() -> Rc<StoreMap> {
     let replicas = vec![Replica { store: IDENTITY.number, is_complete: true }];
-    let partition = Partition { replicas, sources: Vec::new() };
+    let partition = PartitionReplicas { replicas, sources: Vec::new() };
     let partitions = vec![partition; usize::from(STORE_PARTITIONS)];
-    Rc::new(StoreMap { epoch: EPOCH, stores: Vec::new(), partitions })
+    Rc::new(StoreMap { epoch: Epoch(EPOCH), stores: Vec::new(), partitions })
 }
 
 fn run(test: impl Future<Output = ()>) {
@@ -123,7 +124,7 @@
 }
 
 fn write_count(program: &str, entry: CountEntry) -> StoreRequest {
-    StoreRequest::WriteCount { epoch: EPOCH, program: program.to_owned(), entry }
+    StoreRequest::WriteCount { epoch: Epoch(EPOCH), program: program.to_owned(), entry }
 }
 
 /// Writes the data directory of a store: each record in a batch of its own.
@@ -136,11 +137,11 @@
     for request in [
         write_count("program-1", entry(11, 1, 4)),
         write_count("program-1", entry(12, 1, 9)),
-        StoreRequest::PutTurn { epoch: EPOCH, turn: first_turn() },
+        StoreRequest::PutTurn { epoch: Epoch(EPOCH), turn: first_turn() },
         write_count("program-2", entry(11, 2, 100)),
         // The entry is lowered.
         write_count("program-1", entry(11, 3, 2)),
-        StoreRequest::PutTurn { epoch: EPOCH, turn: full_turn() },
+        StoreRequest::PutTurn { epoch: Epoch(EPOCH), turn: full_turn() },
     ] {
         let reply = server.serve(request).await;
         assert!(matches!(reply, StoreReply::Count { .. } | StoreReply::Stored { .. }), "{reply:?}");
@@ -165,7 +166,7 @@
     StoreOnDisk {
         identity: IDENTITY.number,
         bootstrap: IDENTITY.bootstrap,
-        epoch: EPOCH,
+        epoch: Epoch(EPOCH),
         log_bytes: 0,
         first_record: 0,
         next_record: 7,
@@ -186,14 +187,14 @@
 /// A turn is retained for all of its time from the start of the store on.
 async fn check_turns(server: &StoreServer) {
     for (turn, keep_ms) in [(first_turn(), 10_002), (full_turn(), 130_000)] {
-        let request = StoreRequest::GetTurn { epoch: EPOCH, id: turn.id.clone() };
+        let request = StoreRequest::GetTurn { epoch: Epoch(EPOCH), id: turn.id.clone() };
         let StoreReply::Turn { is_complete, turn: found, left_ms } = server.serve(request).await else {
             panic!()
         };
         assert_eq!((is_complete, found), (true, Some(turn)));
         assert!((keep_ms - 5_000..=keep_ms).contains(&left_ms), "{left_ms} ms of {keep_ms}");
     }
-    let unknown = StoreRequest::GetTurn { epoch: EPOCH, id: "turn-2".to_owned() };
+    let unknown = StoreRequest::GetTurn { epoch: Epoch(EPOCH), id: "turn-2".to_owned() };
     let absent = StoreReply::Turn { is_complete: true, turn: None, left_ms: 0 };
     assert_eq!(server.serve(unknown).await, absent);
 }
@@ -214,8 +215,8 @@
         let identity = Identity::load_or_draw(&directory, false).unwrap();
         assert_eq!(identity, IDENTITY);
         let server = StoreServer::open(&directory, identity.number, LIMITS).unwrap();
-        assert_eq!(server.state().epoch(), EPOCH);
-        let older = Rc::new(StoreMap { epoch: EPOCH - 1, ..(*store_map()).clone() });
+        assert_eq!(server.state().epoch(), Epoch(EPOCH));
+        let older = Rc::new(StoreMap { epoch: Epoch(EPOCH - 1), ..(*store_map()).clone() });
         assert!(!server.set_map(older), "an epoch before the one learned");
         assert!(server.set_map(store_map()));
         assert!(!server.state().has_records(), "the epoch is known by the log");
--- a/crates/store/tests/metrics.rs
+++ b/crates/store/tests/metrics.rs
@@ -3,13 +3,14 @@
 use opalrun_metrics::Scrape;
 use opalrun_storage::DataDirectory;
 use opalrun_store::{StoreServer, metrics, state::StoreLimits};
+use opalrun_wire::ids::NodeIdentity;
 
 #[test]
 fn metrics_are_read_when_a_scraper_asks() {
     let folder = tempfile::tempdir().unwrap();
     let directory = DataDirectory::open(folder.path()).unwrap();
     let limits = StoreLimits { memory_bytes: 1 << 20, disk_bytes: 1 << 20 };
-    let server = StoreServer::open(&directory, 1, limits).unwrap();
+    let server = StoreServer::open(&directory, NodeIdentity(1), limits).unwrap();
     let mut scrape = Scrape::default();
     metrics::scrape(&server, &mut scrape);
     let text = scrape.text().unwrap();
--- a/crates/store/tests/model/holder.rs
+++ b/crates/store/tests/model/holder.rs
@@ -2,7 +2,8 @@
 
 use opalrun_store_client::lease_acquisition::LeaseAcquisition;
 use opalrun_wire::{
-    feed::{Partition, StoreMap},
+    feed::{PartitionReplicas, StoreMap},
+    ids::Epoch,
     store::CountEntry,
 };
 use std::rc::Rc;
@@ -17,9 +18,9 @@
 
 pub struct PendingAcquisition {
     pub operation: u64,
-    pub epoch: u64,
+    pub epoch: Epoch,
     pub entry: CountEntry,
-    pub partition: Partition,
+    pub partition: PartitionReplicas,
     pub acquisition: LeaseAcquisition,
     pub second_round_sent: bool,
 }
--- a/crates/store/tests/model/node.rs
+++ b/crates/store/tests/model/node.rs
@@ -6,6 +6,7 @@
 };
 use opalrun_wire::{
     feed::StoreMap,
+    ids::{Epoch, NodeIdentity, Partition},
     store::{StoreReply, StoreRequest},
 };
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
@@ -19,28 +20,28 @@
     /// An operation of a holder, and the round it belongs to.
     Operation { holder: usize, operation: u64, second_round: bool },
     /// The copy of a partition at a store that began in an epoch.
-    Copy { store: u64, partition: u16, epoch: u64 },
+    Copy { store: NodeIdentity, partition: Partition, epoch: Epoch },
 }
 
 pub struct Node {
-    pub identity: u64,
+    pub identity: NodeIdentity,
     pub state: StoreState,
-    pub copies: BTreeMap<u16, RunningTransfer>,
+    pub copies: BTreeMap<Partition, RunningTransfer>,
     disk: Vec<Vec<u8>>,
     unsynced: Vec<Vec<u8>>,
     waiting: Vec<(u64, Requester, StoreReply)>,
 }
 
 pub struct RunningTransfer {
-    pub epoch: u64,
-    pub replicas_since: u64,
+    pub epoch: Epoch,
+    pub replicas_since: Epoch,
     pub plan: TransferPlan,
     /// Its pages are synced up to the record after which it counts.
     pub last_record: u64,
 }
 
 impl Node {
-    pub fn new(identity: u64) -> Self {
+    pub fn new(identity: NodeIdentity) -> Self {
         Self {
             identity,
             state: StoreState::new(identity, LIMITS),
@@ -101,11 +102,11 @@
     }
 
     /// Begins copies that are needed of these partitions.
-    pub fn start_transfers(&mut self, partitions: &[u16]) {
+    pub fn start_transfers(&mut self, partitions: &[Partition]) {
         let Some(map) = self.state.map().cloned() else { return };
         for needed in self.state.required_transfers() {
             if partitions.contains(&needed.partition) {
-                let layout = &map.partitions[usize::from(needed.partition)];
+                let layout = &map.partitions[needed.partition.position()];
                 self.copies.entry(needed.partition).or_insert_with(|| RunningTransfer {
                     epoch: map.epoch,
                     replicas_since: needed.replicas_since,
@@ -117,7 +118,7 @@
     }
 
     /// Takes in a page of a copy.
-    pub fn take_page(&mut self, partition: u16, epoch: u64, source: u64, reply: StoreReply) {
+    pub fn take_page(&mut self, partition: Partition, epoch: Epoch, source: NodeIdentity, reply: StoreReply) {
         let StoreReply::Page { counts, turns, next, is_complete: true } = reply else { return };
         if self.copies.get(&partition).is_none_or(|copy| copy.epoch != epoch) {
             return;
@@ -131,14 +132,14 @@
     }
 
     /// The epoch of the oldest of the copies, once all of these partitions are copied and synced.
-    pub fn copied_in(&self, partitions: &[u16]) -> Option<u64> {
+    pub fn copied_in(&self, partitions: &[Partition]) -> Option<Epoch> {
         let synced = self.disk.len() as u64;
         let done = |copy: &&RunningTransfer| copy.plan.is_complete() && copy.last_record < synced;
-        let epochs: Vec<u64> = partitions
+        let epochs: Vec<Epoch> = partitions
             .iter()
             .filter_map(|partition| self.copies.get(partition).filter(done).map(|copy| copy.epoch))
             .collect();
-        (epochs.len() == partitions.len()).then(|| epochs.into_iter().min().unwrap_or(0))
+        (epochs.len() == partitions.len()).then(|| epochs.into_iter().min().unwrap_or_default())
     }
 
     /// Cleans the log as the store does, so that records move.
--- a/crates/store/tests/model/world.rs
+++ b/crates/store/tests/model/world.rs
@@ -10,7 +10,8 @@
     lease_acquisition::{LeaseAcquisition, Progress, Round},
 };
 use opalrun_wire::{
-    feed::{Partition, Replica, STORE_PARTITIONS, StoreMap, partition_of},
+    feed::{PartitionReplicas, Replica, STORE_PARTITIONS, StoreMap, partition_of},
+    ids::{Epoch, NodeIdentity, Partition},
     store::{CountEntry, StoreReply, StoreRequest, Turn},
 };
 use std::{collections::BTreeMap, rc::Rc};
@@ -28,13 +29,13 @@
     holders: Vec<Holder>,
     /// All maps so far; control has the last one.
     maps: Vec<Rc<StoreMap>>,
-    replicas_changed_in: u64,
+    replicas_changed_in: Epoch,
     /// The store that lost its disk and is not complete yet.
-    recovering: Option<u64>,
-    next_identity: u64,
+    recovering: Option<NodeIdentity>,
+    next_identity: NodeIdentity,
     next_operation: u64,
-    requests: Vec<(u64, Requester, StoreRequest)>,
-    replies: Vec<(u64, Requester, StoreReply)>,
+    requests: Vec<(NodeIdentity, Requester, StoreRequest)>,
+    replies: Vec<(NodeIdentity, Requester, StoreReply)>,
     writes: BTreeMap<u64, TurnOperation>,
     acknowledged: Vec<&'static str>,
     pub grants: u64,
@@ -51,11 +52,11 @@
 
 impl<C: Choices> World<C> {
     pub fn new(choices: C) -> Self {
-        let mut nodes: Vec<Node> = (1..=3).map(Node::new).collect();
+        let mut nodes: Vec<Node> = (1..=3).map(NodeIdentity).map(Node::new).collect();
         let replicas = nodes.iter().map(|node| Replica { store: node.identity, is_complete: true }).collect();
-        let partition = Partition { replicas, sources: Vec::new() };
+        let partition = PartitionReplicas { replicas, sources: Vec::new() };
         let partitions = vec![partition; usize::from(STORE_PARTITIONS)];
-        let map = Rc::new(StoreMap { epoch: 1, stores: Vec::new(), partitions });
+        let map = Rc::new(StoreMap { epoch: Epoch(1), stores: Vec::new(), partitions });
         let mut holders: Vec<Holder> = (0..HOLDERS as u64).map(|number| Holder::new(100 + number)).collect();
         for node in &mut nodes {
             node.set_map(&map);
@@ -68,9 +69,9 @@
             nodes,
             holders,
             maps: vec![map],
-            replicas_changed_in: 1,
+            replicas_changed_in: Epoch(1),
             recovering: None,
-            next_identity: 4,
+            next_identity: NodeIdentity(4),
             next_operation: 1,
             requests: Vec::new(),
             replies: Vec::new(),
@@ -108,9 +109,9 @@
         &self.maps[self.maps.len() - 1]
     }
 
-    fn publish(&mut self, change: impl Fn(&mut Partition)) {
+    fn publish(&mut self, change: impl Fn(&mut PartitionReplicas)) {
         let mut map = StoreMap::clone(self.map());
-        map.epoch += 1;
+        map.epoch = map.epoch.next();
         map.partitions.iter_mut().for_each(change);
         self.maps.push(Rc::new(map));
     }
@@ -162,7 +163,7 @@
         self.replies.extend(out.into_iter().map(|(requester, reply)| (from, requester, reply)));
     }
 
-    fn send_to_all(&mut self, partition: &Partition, requester: Requester, request: &StoreRequest) {
+    fn send_to_all(&mut self, partition: &PartitionReplicas, requester: Requester, request: &StoreRequest) {
         if self.requests.len() < MAX_MESSAGES {
             for replica in &partition.replicas {
                 self.requests.push((replica.store, requester, request.clone()));
@@ -182,7 +183,7 @@
         self.next_operation += 1;
         let wanted = state.leased + wanted_more;
         let entry = state.next_entry(wanted);
-        let partition = state.map.partitions[usize::from(partition_of(PROGRAM))].clone();
+        let partition = state.map.partitions[partition_of(PROGRAM).position()].clone();
         let epoch = state.map.epoch;
         state.pending = Some(PendingAcquisition {
             operation,
@@ -221,7 +222,7 @@
         holder: usize,
         operation: u64,
         second_round: bool,
-        from: u64,
+        from: NodeIdentity,
         is_complete: bool,
         entries: &[CountEntry],
     ) {
@@ -265,7 +266,7 @@
         self.next_operation += 1;
         let state = &mut self.holders[holder];
         let entry = state.next_entry(state.leased);
-        let partition = state.map.partitions[usize::from(partition_of(PROGRAM))].clone();
+        let partition = state.map.partitions[partition_of(PROGRAM).position()].clone();
         let request = write(state.map.epoch, entry);
         self.send_to_all(
             &partition,
@@ -282,7 +283,7 @@
         let map = self.holders[holder].map.clone();
         let operation = self.next_operation;
         self.next_operation += 1;
-        let partition = &map.partitions[usize::from(partition_of(id))];
+        let partition = &map.partitions[partition_of(id).position()];
         let request = if is_write {
             StoreRequest::PutTurn { epoch: map.epoch, turn: turn(id) }
         } else {
@@ -298,7 +299,7 @@
         );
     }
 
-    fn turn_replied(&mut self, operation: u64, from: u64, reply: &StoreReply) {
+    fn turn_replied(&mut self, operation: u64, from: NodeIdentity, reply: &StoreReply) {
         let Some(known) = self.writes.get_mut(&operation) else { return };
         match reply {
             StoreReply::Stored { is_complete } | StoreReply::Turn { turn: None, is_complete, .. } => {
@@ -453,12 +454,12 @@
         self.replace(old, new, true);
     }
 
-    fn new_identity(&mut self) -> u64 {
-        self.next_identity += 1;
+    fn new_identity(&mut self) -> NodeIdentity {
+        self.next_identity.0 += 1;
         self.next_identity
     }
 
-    fn replace(&mut self, old: u64, new: u64, old_is_source: bool) {
+    fn replace(&mut self, old: NodeIdentity, new: NodeIdentity, old_is_source: bool) {
         self.publish(|partition| {
             partition.sources.retain(|source| *source != old);
             for replica in &mut partition.replicas {
@@ -474,15 +475,15 @@
     }
 }
 
-fn used_partitions() -> Vec<u16> {
-    let mut partitions: Vec<u16> = TURN_IDS.iter().map(|id| partition_of(id)).collect();
+fn used_partitions() -> Vec<Partition> {
+    let mut partitions: Vec<Partition> = TURN_IDS.iter().map(|id| partition_of(id)).collect();
     partitions.push(partition_of(PROGRAM));
     partitions.sort_unstable();
     partitions.dedup();
     partitions
 }
 
-fn write(epoch: u64, entry: CountEntry) -> StoreRequest {
+fn write(epoch: Epoch, entry: CountEntry) -> StoreRequest {
     StoreRequest::WriteCount { epoch, program: PROGRAM.to_owned(), entry }
 }
 
--- a/crates/store/tests/process.rs
+++ b/crates/store/tests/process.rs
@@ -4,9 +4,10 @@
 use opalrun_settings::Settings;
 use opalrun_wire::{
     feed::{
-        CONFIGURATION_SHARD, Change, FeedRequest, FeedUpdate, Partition, Replica, STORE_PARTITIONS, StoreMap,
-        StoreNode, Subscriber,
+        CONFIGURATION_SHARD, Change, FeedRequest, FeedUpdate, PartitionReplicas, Replica, STORE_PARTITIONS,
+        StoreMap, StoreNode, Subscriber,
     },
+    ids::{Epoch, FeedOffset, NodeIdentity, Partition},
     store::{StoreReply, StoreRequest, Turn},
 };
 use std::{
@@ -107,9 +108,9 @@
 
 /// Partitions that a store reported complete.
 struct CompletionReport {
-    store: u64,
-    epoch: u64,
-    partitions: Vec<u16>,
+    store: NodeIdentity,
+    epoch: Epoch,
+    partitions: Vec<Partition>,
 }
 
 /// The change feed; shared by the test and the tasks of the connections.
@@ -150,8 +151,11 @@
     fn send_map(&self, writer: &FrameWriter) {
         if let Some(map) = self.map.borrow().clone() {
             let changes = vec![Change::StoreMap(map)];
-            let update =
-                FeedUpdate::Snapshot { shard: CONFIGURATION_SHARD, offset: self.offset.get(), changes };
+            let update = FeedUpdate::Snapshot {
+                shard: CONFIGURATION_SHARD,
+                offset: FeedOffset(self.offset.get()),
+                changes,
+            };
             let _ = writer.send(&update);
         }
         let _ = writer.send(&FeedUpdate::Fresh { gatekeepers: 1 });
@@ -228,7 +232,7 @@
     }
 
     /// Waits until a store has reported so many partitions complete; returns the epochs.
-    async fn reported_complete(&mut self, store: u64, count: usize) -> Vec<u64> {
+    async fn reported_complete(&mut self, store: NodeIdentity, count: usize) -> Vec<Epoch> {
         let (mut complete, mut epochs) = (BTreeSet::new(), Vec::new());
         while complete.len() < count {
             let report = self.reports.recv().await.unwrap();
@@ -240,11 +244,15 @@
     }
 }
 
-fn map(epoch: u64, stores: &[StoreNode], replicas: &[(u64, bool)]) -> StoreMap {
+fn map(epoch: u64, stores: &[StoreNode], replicas: &[(NodeIdentity, bool)]) -> StoreMap {
     let replicas =
         replicas.iter().map(|(store, complete)| Replica { store: *store, is_complete: *complete }).collect();
-    let partition = Partition { replicas, sources: Vec::new() };
-    StoreMap { epoch, stores: stores.to_vec(), partitions: vec![partition; usize::from(STORE_PARTITIONS)] }
+    let partition = PartitionReplicas { replicas, sources: Vec::new() };
+    StoreMap {
+        epoch: Epoch(epoch),
+        stores: stores.to_vec(),
+        partitions: vec![partition; usize::from(STORE_PARTITIONS)],
+    }
 }
 
 fn turn() -> Turn {
@@ -263,7 +271,8 @@
 }
 
 async fn call(store: &StoreNode, request: StoreRequest) -> StoreReply {
-    let client: Rc<RpcClient<StoreRequest, StoreReply>> = RpcClient::new(store.address.parse().unwrap());
+    let client: Rc<RpcClient<StoreRequest, StoreReply>> =
+        RpcClient::new("store", store.address.parse().unwrap());
     client.call(&request, AMPLE).await.unwrap()
 }
 
@@ -284,7 +293,7 @@
         assert!(bootstrap);
         assert_eq!((first.node_name.as_str(), first.zone.as_str()), ("storage-1", "zone-1"));
         control.publish(map(1, std::slice::from_ref(&first), &[(first.identity, true)]));
-        let put = StoreRequest::PutTurn { epoch: 1, turn: turn() };
+        let put = StoreRequest::PutTurn { epoch: Epoch(1), turn: turn() };
         // It may come before the map, for which it then waits.
         let clock = StoppedClock::stop();
         assert_eq!(call(&first, put).await, StoreReply::Stored { is_complete: true });
@@ -298,8 +307,8 @@
         let replicas = [(first.identity, true), (second.identity, false)];
         control.publish(map(2, &stores, &replicas));
         let epochs = control.reported_complete(second.identity, usize::from(STORE_PARTITIONS)).await;
-        assert!(epochs.iter().all(|epoch| *epoch == 2));
-        let get = StoreRequest::GetTurn { epoch: 2, id: "t".to_owned() };
+        assert!(epochs.iter().all(|epoch| *epoch == Epoch(2)));
+        let get = StoreRequest::GetTurn { epoch: Epoch(2), id: "t".to_owned() };
         let StoreReply::Turn { is_complete, turn: found, .. } = call(&second, get).await else { panic!() };
         assert_eq!((is_complete, found), (false, Some(turn())));
     });
@@ -333,12 +342,16 @@
         // While the clock stands still, a request waits for however long the map takes.
         let clock = StoppedClock::stop();
         for epoch in 1..=2 {
-            let waiting = call(&node, put(epoch));
+            let waiting = call(&node, put(Epoch(epoch)));
             let (reply, ()) = tokio::join!(waiting, async { control.publish(map(epoch)) });
             assert_eq!(reply, StoreReply::Stored { is_complete: true });
         }
         drop(clock);
-        assert_eq!(call(&node, put(3)).await, StoreReply::StaleEpoch { epoch: 2 }, "the map never comes");
+        assert_eq!(
+            call(&node, put(Epoch(3))).await,
+            StoreReply::StaleEpoch { epoch: Epoch(2) },
+            "the map never comes"
+        );
     });
 }
 
--- a/crates/store/tests/state.rs
+++ b/crates/store/tests/state.rs
@@ -3,7 +3,8 @@
 use opalrun_store::state::{COUNT_RETENTION, Handled, PAGE_BYTES, PartitionPage, StoreLimits, StoreState};
 use opalrun_wire::{
     ResultCode,
-    feed::{Partition, Replica, STORE_PARTITIONS, StoreMap, partition_of},
+    feed::{PartitionReplicas, Replica, STORE_PARTITIONS, StoreMap, partition_of},
+    ids::{Epoch, NodeIdentity, Partition},
     store::{CountEntry, StoreReply, StoreRequest, Turn, keep_ms},
 };
 use std::{rc::Rc, time::Duration};
@@ -13,13 +14,16 @@
 const SELF: u64 = 1;
 
 fn replica(store: u64, is_complete: bool) -> Replica {
-    Replica { store, is_complete }
+    Replica { store: NodeIdentity(store), is_complete }
 }
 
 fn map(epoch: u64, replicas: &[Replica], sources: &[u64]) -> Rc<StoreMap> {
-    let partition = Partition { replicas: replicas.to_vec(), sources: sources.to_vec() };
+    let partition = PartitionReplicas {
+        replicas: replicas.to_vec(),
+        sources: sources.iter().copied().map(NodeIdentity).collect(),
+    };
     Rc::new(StoreMap {
-        epoch,
+        epoch: Epoch(epoch),
         stores: Vec::new(),
         partitions: vec![partition; usize::from(STORE_PARTITIONS)],
     })
@@ -30,7 +34,7 @@
 }
 
 fn state() -> StoreState {
-    let mut state = StoreState::new(SELF, LIMITS);
+    let mut state = StoreState::new(NodeIdentity(SELF), LIMITS);
     state.set_map(complete_map(4));
     state
 }
@@ -47,15 +51,19 @@
 }
 
 fn put(epoch: u64, id: &str) -> StoreRequest {
-    StoreRequest::PutTurn { epoch, turn: turn(id, 10) }
+    StoreRequest::PutTurn { epoch: Epoch(epoch), turn: turn(id, 10) }
 }
 
 fn get(epoch: u64, id: &str) -> StoreRequest {
-    StoreRequest::GetTurn { epoch, id: id.to_owned() }
+    StoreRequest::GetTurn { epoch: Epoch(epoch), id: id.to_owned() }
 }
 
 fn count(epoch: u64, holder: u64, sequence: u64, taken: u64) -> StoreRequest {
-    StoreRequest::WriteCount { epoch, program: "p".to_owned(), entry: CountEntry { holder, sequence, taken } }
+    StoreRequest::WriteCount {
+        epoch: Epoch(epoch),
+        program: "p".to_owned(),
+        entry: CountEntry { holder, sequence, taken },
+    }
 }
 
 fn reply(handled: Handled) -> StoreReply {
@@ -67,7 +75,7 @@
 
 fn is_there(state: &mut StoreState, id: &str, now: Duration) -> bool {
     let epoch = state.epoch();
-    matches!(reply(state.handle(&get(epoch, id), now)), StoreReply::Turn { turn: Some(_), .. })
+    matches!(reply(state.handle(&get(epoch.0, id), now)), StoreReply::Turn { turn: Some(_), .. })
 }
 
 fn entries(handled: Handled) -> Vec<CountEntry> {
@@ -79,7 +87,7 @@
 
 /// The state after a restart at `now` with everything on disk.
 fn restarted(records: &[Vec<u8>], now: Duration) -> StoreState {
-    let mut state = StoreState::new(SELF, LIMITS);
+    let mut state = StoreState::new(NodeIdentity(SELF), LIMITS);
     for (number, record) in records.iter().enumerate() {
         state.replay(number as u64, record, now).unwrap();
     }
@@ -97,7 +105,7 @@
     assert!(state.set_map(complete_map(5)));
     assert!(matches!(reply(state.handle(&put(4, "t"), START)), StoreReply::Stored { is_complete: true }));
     assert!(state.set_map(map(6, &[replica(SELF, true), replica(2, true), replica(9, false)], &[3])));
-    assert_eq!(state.handle(&put(5, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: 6 }));
+    assert_eq!(state.handle(&put(5, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: Epoch(6) }));
     assert!(matches!(reply(state.handle(&put(6, "t"), START)), StoreReply::Stored { is_complete: true }));
     assert_eq!(state.handle(&put(7, "t"), START), Handled::NewerEpoch);
 }
@@ -106,7 +114,7 @@
 fn without_the_map_before_every_partition_counts_as_moved() {
     let mut state = state();
     state.set_map(complete_map(9));
-    assert_eq!(state.handle(&put(8, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: 9 }));
+    assert_eq!(state.handle(&put(8, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: Epoch(9) }));
 }
 
 #[test]
@@ -114,11 +122,11 @@
     let mut state = state();
     state.set_map(complete_map(5));
     let mut state = restarted(&records(&mut state), START);
-    assert_eq!(state.epoch(), 5);
+    assert_eq!(state.epoch(), Epoch(5));
     assert!(!state.set_map(complete_map(4)), "an older map does not count any more");
     assert_eq!(state.handle(&put(5, "t"), START), Handled::NewerEpoch);
     assert!(state.set_map(complete_map(5)));
-    assert_eq!(state.handle(&put(4, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: 5 }));
+    assert_eq!(state.handle(&put(4, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: Epoch(5) }));
 }
 
 #[test]
@@ -140,25 +148,25 @@
     state.handle(&put(4, "t"), START);
     state.set_map(map(5, &[replica(2, true), replica(3, true), replica(4, false)], &[SELF]));
     assert!(state.live_bytes() > 0, "a source keeps what it has");
-    assert_eq!(state.handle(&put(5, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: 5 }));
-    let copy = StoreRequest::CopyPartition { epoch: 5, partition: partition_of("t"), cursor: 0 };
+    assert_eq!(state.handle(&put(5, "t"), START), Handled::Reply(StoreReply::StaleEpoch { epoch: Epoch(5) }));
+    let copy = StoreRequest::CopyPartition { epoch: Epoch(5), partition: partition_of("t"), cursor: 0 };
     assert!(matches!(reply(state.handle(&copy, START)), StoreReply::Page { next: None, .. }));
     state.set_map(map(6, &[replica(2, true), replica(3, true), replica(4, true)], &[]));
     assert_eq!(state.live_bytes(), 0);
-    assert_eq!(state.handle(&copy, START), Handled::Reply(StoreReply::StaleEpoch { epoch: 6 }));
+    assert_eq!(state.handle(&copy, START), Handled::Reply(StoreReply::StaleEpoch { epoch: Epoch(6) }));
 }
 
 #[test]
 fn an_incomplete_replica_says_so_and_is_no_source() {
-    let mut state = StoreState::new(SELF, LIMITS);
+    let mut state = StoreState::new(NodeIdentity(SELF), LIMITS);
     state.set_map(map(2, &[replica(SELF, false), replica(2, true), replica(3, true)], &[]));
     assert_eq!(reply(state.handle(&put(2, "t"), START)), StoreReply::Stored { is_complete: false });
     assert!(matches!(
         reply(state.handle(&get(2, "u"), START)),
         StoreReply::Turn { is_complete: false, turn: None, .. }
     ));
-    let copy = StoreRequest::CopyPartition { epoch: 2, partition: 0, cursor: 0 };
-    assert_eq!(state.handle(&copy, START), Handled::Reply(StoreReply::StaleEpoch { epoch: 2 }));
+    let copy = StoreRequest::CopyPartition { epoch: Epoch(2), partition: Partition(0), cursor: 0 };
+    assert_eq!(state.handle(&copy, START), Handled::Reply(StoreReply::StaleEpoch { epoch: Epoch(2) }));
     assert_eq!(state.required_transfers().len(), usize::from(STORE_PARTITIONS));
 }
 
@@ -167,7 +175,7 @@
 fn a_page_is_read_only_where_the_requesters_epoch_is_known() {
     let mut state = state();
     state.handle(&put(4, "t"), START);
-    let copy = StoreRequest::CopyPartition { epoch: 5, partition: partition_of("t"), cursor: 0 };
+    let copy = StoreRequest::CopyPartition { epoch: Epoch(5), partition: partition_of("t"), cursor: 0 };
     assert_eq!(state.handle(&copy, START), Handled::NewerEpoch);
     state.set_map(map(5, &[replica(SELF, true), replica(2, true), replica(4, false)], &[]));
     assert!(matches!(reply(state.handle(&copy, START)), StoreReply::Page { .. }));
@@ -206,9 +214,9 @@
     let kept = Duration::from_millis(keep_ms(60_000));
     assert!(is_there(&mut state, "t", START + Duration::from_millis(keep_ms(60_000) - 1)));
     assert!(!is_there(&mut state, "t", START + kept));
-    (0..STORE_PARTITIONS).for_each(|partition| state.expire(partition, START + kept));
+    (0..STORE_PARTITIONS).for_each(|partition| state.expire(Partition(partition), START + kept));
     assert!(state.live_bytes() > 0, "the count is kept longer");
-    (0..STORE_PARTITIONS).for_each(|partition| state.expire(partition, START + COUNT_RETENTION));
+    (0..STORE_PARTITIONS).for_each(|partition| state.expire(Partition(partition), START + COUNT_RETENTION));
     assert_eq!(state.live_bytes(), 0);
     assert_eq!(state.oldest_record(), 0, "the epoch's record is needed");
 }
@@ -220,7 +228,7 @@
     let later = START + Duration::from_secs(100);
     let partition = partition_of("t");
     let ids = vec!["t".to_owned(), "unknown".to_owned()];
-    let extend = StoreRequest::ExtendTurns { epoch: 4, partition, ids, retention_ms: 60_000 };
+    let extend = StoreRequest::ExtendTurns { epoch: Epoch(4), partition, ids, retention_ms: 60_000 };
     assert_eq!(reply(state.handle(&extend, later)), StoreReply::Stored { is_complete: true });
     assert!(is_there(&mut state, "t", later + Duration::from_millis(keep_ms(60_000) - 1)));
 }
@@ -246,13 +254,13 @@
         .take(20)
         .collect();
     for id in &ids {
-        let request = StoreRequest::PutTurn { epoch: 4, turn: turn(id, PAGE_BYTES / 6) };
+        let request = StoreRequest::PutTurn { epoch: Epoch(4), turn: turn(id, PAGE_BYTES / 6) };
         state.handle(&request, START);
     }
     state.handle(&count(4, 7, 1, 50), START);
     let (mut found, mut counts, mut cursor, mut pages) = (Vec::new(), 0, Some(0), 0);
     while let Some(from) = cursor {
-        let copy = StoreRequest::CopyPartition { epoch: 4, partition, cursor: from };
+        let copy = StoreRequest::CopyPartition { epoch: Epoch(4), partition, cursor: from };
         let StoreReply::Page { counts: page_counts, turns, next, is_complete } =
             reply(state.handle(&copy, START))
         else {
@@ -277,12 +285,12 @@
     let mut source = state();
     source.handle(&put(4, "t"), START);
     source.handle(&count(4, 7, 3, 50), START);
-    let mut copy = StoreState::new(9, LIMITS);
+    let mut copy = StoreState::new(NodeIdentity(9), LIMITS);
     copy.set_map(map(4, &[replica(SELF, true), replica(2, true), replica(9, false)], &[]));
     copy.handle(&count(4, 7, 2, 80), START);
     copy.handle(&count(4, 8, 1, 1), START);
     for partition in [partition_of("t"), partition_of("p")] {
-        let request = StoreRequest::CopyPartition { epoch: 4, partition, cursor: 0 };
+        let request = StoreRequest::CopyPartition { epoch: Epoch(4), partition, cursor: 0 };
         let StoreReply::Page { counts, turns, .. } = reply(source.handle(&request, START)) else { panic!() };
         let record = copy.merge_page(PartitionPage::from_wire(counts, turns), START);
         assert_eq!(record, copy.next_record() - 1);
@@ -311,10 +319,10 @@
 
 #[test]
 fn a_full_store_rejects_writes_and_serves_reads() {
-    let mut state = StoreState::new(SELF, StoreLimits { memory_bytes: 1000, disk_bytes: 1000 });
+    let mut state = StoreState::new(NodeIdentity(SELF), StoreLimits { memory_bytes: 1000, disk_bytes: 1000 });
     state.set_map(complete_map(4));
     let full = Handled::Reply(StoreReply::Failed { code: ResultCode::DISK_FULL.0 });
-    let large = StoreRequest::PutTurn { epoch: 4, turn: turn("large", 1000) };
+    let large = StoreRequest::PutTurn { epoch: Epoch(4), turn: turn("large", 1000) };
     assert!(matches!(state.handle(&large, START), Handled::AfterSync { .. }));
     assert_eq!(state.handle(&put(4, "t"), START), full);
     assert!(matches!(state.handle(&count(4, 7, 1, 1), START), Handled::AfterSync { .. }));
@@ -331,14 +339,20 @@
 fn partitions_that_do_not_exist_are_rejected() {
     let mut state = state();
     for partition in [STORE_PARTITIONS, u16::MAX] {
-        let copy = StoreRequest::CopyPartition { epoch: 4, partition, cursor: 0 };
-        assert_eq!(state.handle(&copy, START), Handled::Reply(StoreReply::StaleEpoch { epoch: 4 }));
-        let extend = StoreRequest::ExtendTurns { epoch: 4, partition, ids: Vec::new(), retention_ms: 1 };
-        assert_eq!(state.handle(&extend, START), Handled::Reply(StoreReply::StaleEpoch { epoch: 4 }));
+        let copy =
+            StoreRequest::CopyPartition { epoch: Epoch(4), partition: Partition(partition), cursor: 0 };
+        assert_eq!(state.handle(&copy, START), Handled::Reply(StoreReply::StaleEpoch { epoch: Epoch(4) }));
+        let extend = StoreRequest::ExtendTurns {
+            epoch: Epoch(4),
+            partition: Partition(partition),
+            ids: Vec::new(),
+            retention_ms: 1,
+        };
+        assert_eq!(state.handle(&extend, START), Handled::Reply(StoreReply::StaleEpoch { epoch: Epoch(4) }));
     }
 }
 
 #[test]
 fn a_record_that_can_not_be_decoded_is_an_error() {
-    assert!(StoreState::new(SELF, LIMITS).replay(0, &[1, 2, 3], START).is_err());
+    assert!(StoreState::new(NodeIdentity(SELF), LIMITS).replay(0, &[1, 2, 3], START).is_err());
 }
--- a/crates/wire/src/feed.rs
+++ b/crates/wire/src/feed.rs
@@ -9,18 +9,19 @@
     reason = "the types that rkyv derives have undocumented fields; every type here is documented"
 )]
 
+use crate::ids::{Epoch, FeedOffset, Generation, NodeIdentity, Partition, Shard};
 use rkyv::{Archive, Deserialize, Serialize};
 
 /// The shard that holds the configuration, the control processes and the store map.
-pub const CONFIGURATION_SHARD: u16 = 0;
+pub const CONFIGURATION_SHARD: Shard = Shard::CONFIGURATION;
 /// Number of shards that hold the sessions of workers and gatekeepers, numbered from 1.
 pub const SESSION_SHARDS: u16 = 3;
 
 /// The shard that holds the sessions of a service's workers.
 #[must_use]
-pub fn shard_of_service(service: &str) -> u16 {
+pub fn shard_of_service(service: &str) -> Shard {
     let hash = stable_hash(service.as_bytes());
-    1 + (hash % u64::from(SESSION_SHARDS)) as u16
+    Shard(1 + (hash % u64::from(SESSION_SHARDS)) as u16)
 }
 
 /// A hash that is the same in every process and version (FNV-1a with a final mix).
@@ -39,7 +40,7 @@
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
 pub struct ControlNode {
     /// Drawn at the first start on an empty disk; a machine that lost its disk is another node.
-    pub identity: u64,
+    pub identity: NodeIdentity,
     /// The machine's name.
     pub node_name: String,
     /// Where other processes of the tier reach it.
@@ -97,7 +98,7 @@
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
 pub struct StoreNode {
     /// Drawn at the first start on an empty disk; a machine that lost its disk is another node.
-    pub identity: u64,
+    pub identity: NodeIdentity,
     /// The machine's name.
     pub node_name: String,
     /// Where gatekeepers and other stores reach it.
@@ -112,7 +113,7 @@
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Replica {
     /// The identity of its store.
-    pub store: u64,
+    pub store: NodeIdentity,
     /// It holds everything that was acknowledged. An incomplete one is still catching up: it takes writes, but its
     /// answers count towards no quorum.
     pub is_complete: bool,
@@ -120,14 +121,14 @@
 
 /// The replicas of one partition of the stores' data.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq, Default)]
-pub struct Partition {
+pub struct PartitionReplicas {
     /// The replicas that hold it.
     pub replicas: Vec<Replica>,
     /// Former replicas that still have its data: sources for catching up while some replica is incomplete.
-    pub sources: Vec<u64>,
+    pub sources: Vec<NodeIdentity>,
 }
 
-impl Partition {
+impl PartitionReplicas {
     /// Complete replicas whose answers an operation needs.
     #[must_use]
     pub fn quorum(&self) -> usize {
@@ -139,11 +140,11 @@
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq, Default)]
 pub struct StoreMap {
     /// Rises with each change of the map.
-    pub epoch: u64,
+    pub epoch: Epoch,
     /// All stores that the map or a partition names.
     pub stores: Vec<StoreNode>,
     /// By number; empty until the first map is formed.
-    pub partitions: Vec<Partition>,
+    pub partitions: Vec<PartitionReplicas>,
 }
 
 /// Number of partitions of the stores' data.
@@ -151,8 +152,8 @@
 
 /// The partition of a program's count or of a turn, by its name.
 #[must_use]
-pub fn partition_of(name: &str) -> u16 {
-    (stable_hash(name.as_bytes()) % u64::from(STORE_PARTITIONS)) as u16
+pub fn partition_of(name: &str) -> Partition {
+    Partition((stable_hash(name.as_bytes()) % u64::from(STORE_PARTITIONS)) as u16)
 }
 
 /// One change of a shard's state.
@@ -161,7 +162,7 @@
     /// A configuration is in force: the operator's body as it was sent.
     Configuration {
         /// Its generation.
-        generation: u64,
+        generation: Generation,
         /// The JSON body.
         body: Vec<u8>,
     },
@@ -184,9 +185,9 @@
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Position {
     /// The shard.
-    pub shard: u16,
+    pub shard: Shard,
     /// The offset up to which its changes are known.
-    pub offset: u64,
+    pub offset: FeedOffset,
 }
 
 /// What a subscriber (an agent, a store, or a proxy at its agent) sends.
@@ -204,23 +205,23 @@
         /// What it holds now.
         positions: Vec<Position>,
         /// The generation of the configuration in force there.
-        generation: u64,
+        generation: Generation,
     },
     /// From a gatekeeper: requests that failed at workers since its last report.
     WorkerFailures(Vec<WorkerFailures>),
     /// From a store: the replicas of these partitions here are complete as of this epoch.
     ReplicasComplete {
         /// The store's identity.
-        store: u64,
+        store: NodeIdentity,
         /// The epoch of the map in which it became so.
-        epoch: u64,
+        epoch: Epoch,
         /// The partitions.
-        partitions: Vec<u16>,
+        partitions: Vec<Partition>,
     },
     /// From a store that received SIGTERM: asks whether its replicas are to be moved before it exits.
     ShutdownRequested {
         /// The store's identity.
-        store: u64,
+        store: NodeIdentity,
     },
 }
 
@@ -262,18 +263,18 @@
     /// The whole state of a shard, which replaces what was known of it.
     Snapshot {
         /// The shard.
-        shard: u16,
+        shard: Shard,
         /// The offset that it stands for.
-        offset: u64,
+        offset: FeedOffset,
         /// The state, as the changes that make it from nothing.
         changes: Vec<Change>,
     },
     /// Changes that follow what is known.
     Changes {
         /// The shard.
-        shard: u16,
+        shard: Shard,
         /// The offset after them.
-        offset: u64,
+        offset: FeedOffset,
         /// The changes, in order.
         changes: Vec<Change>,
     },
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod feed;
 pub mod frame;
+pub mod ids;
 pub mod result_code;
 pub mod store;
 
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -5,6 +5,7 @@
     reason = "the types that rkyv derives have undocumented fields; every type here is documented"
 )]
 
+use crate::ids::{Epoch, Partition};
 use rkyv::{Archive, Deserialize, Serialize};
 
 /// A turn is kept for this many times its retention, so that one that goes on being built on rarely has to be extended.
@@ -31,6 +32,21 @@
     pub taken: u64,
 }
 
+/// Merges entries into those that are known of the same program: of each holder the one with the highest sequence stays.
+/// Returns whether one was newer than what was known.
+pub fn merge_count_entries(known: &mut Vec<CountEntry>, entries: &[CountEntry]) -> bool {
+    let mut is_changed = false;
+    for entry in entries {
+        match known.iter_mut().find(|known| known.holder == entry.holder) {
+            Some(known) if known.sequence >= entry.sequence => continue,
+            Some(known) => *known = *entry,
+            None => known.push(*entry),
+        }
+        is_changed = true;
+    }
+    is_changed
+}
+
 /// A turn that was answered whole.
 #[derive(Archive, Serialize, Deserialize, Debug, Clone, PartialEq, Eq)]
 pub struct Turn {
@@ -54,7 +70,7 @@
     /// Writes a holder's entry durably and reads all entries of the program.
     WriteCount {
         /// The epoch of the sender's map.
-        epoch: u64,
+        epoch: Epoch,
         /// The program.
         program: String,
         /// The entry.
@@ -63,14 +79,14 @@
     /// Writes a turn durably.
     PutTurn {
         /// The epoch of the sender's map.
-        epoch: u64,
+        epoch: Epoch,
         /// The turn.
         turn: Turn,
     },
     /// Reads a turn.
     GetTurn {
         /// The epoch of the sender's map.
-        epoch: u64,
+        epoch: Epoch,
         /// Its id.
         id: String,
     },
@@ -78,9 +94,9 @@
     /// partition; those that are not here are passed over.
     ExtendTurns {
         /// The epoch of the sender's map.
-        epoch: u64,
+        epoch: Epoch,
         /// The partition.
-        partition: u16,
+        partition: Partition,
         /// Their ids.
         ids: Vec<String>,
         /// Milliseconds for which they are to be kept from now on.
@@ -89,9 +105,9 @@
     /// From another store: a page of everything that it holds of a partition, for an incomplete replica.
     CopyPartition {
         /// The epoch of the asking store's map: the answer must come from a store that knows it, too.
-        epoch: u64,
+        epoch: Epoch,
         /// The partition.
-        partition: u16,
+        partition: Partition,
         /// Where the page begins; 0 at first.
         cursor: u64,
     },
@@ -100,7 +116,7 @@
 impl StoreRequest {
     /// The epoch of the sender's map.
     #[must_use]
-    pub fn epoch(&self) -> u64 {
+    pub fn epoch(&self) -> Epoch {
         match self {
             Self::WriteCount { epoch, .. }
             | Self::PutTurn { epoch, .. }
@@ -149,7 +165,7 @@
     /// The request names an older epoch than this store knows, or a partition that it does not hold.
     StaleEpoch {
         /// The epoch that the store knows.
-        epoch: u64,
+        epoch: Epoch,
     },
     /// The store can't do it now (a full disk, say): numbered as in `docs/results.md`.
     Failed {
--- a/crates/wire/tests/golden_messages.rs
+++ b/crates/wire/tests/golden_messages.rs
@@ -6,20 +6,24 @@
 use golden::{GoldenCase, case};
 use opalrun_wire::{
     feed::{
-        Change, ControlNode, FeedRequest, FeedUpdate, Partition, Position, Replica, StoreMap, StoreNode,
-        StoreState, Subscriber, Worker, WorkerFailures, WorkerState,
+        Change, ControlNode, FeedRequest, FeedUpdate, PartitionReplicas, Position, Replica, StoreMap,
+        StoreNode, StoreState, Subscriber, Worker, WorkerFailures, WorkerState,
     },
     frame::{self, HEADER_BYTES, PROTOCOL_VERSION},
+    ids::{Epoch, FeedOffset, Generation, NodeIdentity, Partition, Shard},
     store::{CountEntry, StoreReply, StoreRequest, Turn},
 };
 
 fn positions() -> Vec<Position> {
-    vec![Position { shard: 0, offset: 17 }, Position { shard: 3, offset: u64::MAX }]
+    vec![
+        Position { shard: Shard(0), offset: FeedOffset(17) },
+        Position { shard: Shard(3), offset: FeedOffset(u64::MAX) },
+    ]
 }
 
 fn store_node(identity: u64, state: StoreState) -> StoreNode {
     StoreNode {
-        identity,
+        identity: NodeIdentity(identity),
         node_name: format!("storage-{identity}"),
         address: format!("10.9.0.{identity}:7380"),
         zone: "zone-1".to_owned(),
@@ -29,7 +33,7 @@
 
 fn control_node(identity: u64) -> ControlNode {
     ControlNode {
-        identity,
+        identity: NodeIdentity(identity),
         node_name: format!("core-{identity}"),
         peer_address: format!("10.8.0.{identity}:7380"),
         control_address: format!("10.8.0.{identity}:8144"),
@@ -59,25 +63,25 @@
 }
 
 fn store_map() -> StoreMap {
-    let complete = Replica { store: 1, is_complete: true };
-    let copying = Replica { store: 2, is_complete: false };
+    let complete = Replica { store: NodeIdentity(1), is_complete: true };
+    let copying = Replica { store: NodeIdentity(2), is_complete: false };
     StoreMap {
-        epoch: 12,
+        epoch: Epoch(12),
         stores: vec![
             store_node(1, StoreState::Active),
             store_node(2, StoreState::Retiring),
             store_node(3, StoreState::Retired),
         ],
         partitions: vec![
-            Partition { replicas: vec![complete, copying], sources: vec![3] },
-            Partition { replicas: vec![complete], sources: Vec::new() },
-            Partition::default(),
+            PartitionReplicas { replicas: vec![complete, copying], sources: vec![NodeIdentity(3)] },
+            PartitionReplicas { replicas: vec![complete], sources: Vec::new() },
+            PartitionReplicas::default(),
         ],
     }
 }
 
 fn configuration() -> Change {
-    Change::Configuration { generation: 5, body: b"{\"generation\":5}".to_vec() }
+    Change::Configuration { generation: Generation(5), body: b"{\"generation\":5}".to_vec() }
 }
 
 fn changes() -> Vec<Change> {
@@ -110,21 +114,31 @@
             subscribe(Subscriber::Store { node: store_node(8, StoreState::Retiring), bootstrap: false }),
         ),
         case("subscribe_proxy", subscribe(Subscriber::Proxy)),
-        case("heartbeat", FeedRequest::Heartbeat { positions: positions(), generation: 5 }),
+        case("heartbeat", FeedRequest::Heartbeat { positions: positions(), generation: Generation(5) }),
         case("worker_failures", FeedRequest::WorkerFailures(worker_failures())),
         case(
             "replicas_complete",
-            FeedRequest::ReplicasComplete { store: 7, epoch: 12, partitions: vec![0, 5, 31] },
+            FeedRequest::ReplicasComplete {
+                store: NodeIdentity(7),
+                epoch: Epoch(12),
+                partitions: vec![Partition(0), Partition(5), Partition(31)],
+            },
         ),
-        case("shutdown_requested", FeedRequest::ShutdownRequested { store: 7 }),
+        case("shutdown_requested", FeedRequest::ShutdownRequested { store: NodeIdentity(7) }),
     ]
 }
 
 fn feed_updates() -> Vec<GoldenCase<FeedUpdate>> {
     vec![
-        case("snapshot", FeedUpdate::Snapshot { shard: 2, offset: 40, changes: changes() }),
-        case("snapshot_of_nothing", FeedUpdate::Snapshot { shard: 2, offset: 0, changes: Vec::new() }),
-        case("changes", FeedUpdate::Changes { shard: 1, offset: 41, changes: changes() }),
+        case(
+            "snapshot",
+            FeedUpdate::Snapshot { shard: Shard(2), offset: FeedOffset(40), changes: changes() },
+        ),
+        case(
+            "snapshot_of_nothing",
+            FeedUpdate::Snapshot { shard: Shard(2), offset: FeedOffset(0), changes: Vec::new() },
+        ),
+        case("changes", FeedUpdate::Changes { shard: Shard(1), offset: FeedOffset(41), changes: changes() }),
         case("fresh", FeedUpdate::Fresh { gatekeepers: 6 }),
         case(
             "suspects",
@@ -168,20 +182,27 @@
     vec![
         case(
             "write_count",
-            StoreRequest::WriteCount { epoch: 12, program: "program-a".to_owned(), entry: count_entry(1) },
+            StoreRequest::WriteCount {
+                epoch: Epoch(12),
+                program: "program-a".to_owned(),
+                entry: count_entry(1),
+            },
         ),
-        case("put_turn", StoreRequest::PutTurn { epoch: 12, turn: turn() }),
-        case("get_turn", StoreRequest::GetTurn { epoch: 12, id: "turn-3".to_owned() }),
+        case("put_turn", StoreRequest::PutTurn { epoch: Epoch(12), turn: turn() }),
+        case("get_turn", StoreRequest::GetTurn { epoch: Epoch(12), id: "turn-3".to_owned() }),
         case(
             "extend_turns",
             StoreRequest::ExtendTurns {
-                epoch: 12,
-                partition: 31,
+                epoch: Epoch(12),
+                partition: Partition(31),
                 ids: vec!["turn-1".to_owned(), "turn-2 with a longer id".to_owned()],
                 retention_ms: 60_000,
             },
         ),
-        case("copy_partition", StoreRequest::CopyPartition { epoch: 12, partition: 31, cursor: 77 }),
+        case(
+            "copy_partition",
+            StoreRequest::CopyPartition { epoch: Epoch(12), partition: Partition(31), cursor: 77 },
+        ),
     ]
 }
 
@@ -209,7 +230,7 @@
             "page_last",
             StoreReply::Page { counts: Vec::new(), turns: Vec::new(), next: None, is_complete: false },
         ),
-        case("stale_epoch", StoreReply::StaleEpoch { epoch: 13 }),
+        case("stale_epoch", StoreReply::StaleEpoch { epoch: Epoch(13) }),
         case("failed", StoreReply::Failed { code: 601 }),
     ]
 }
@@ -304,8 +325,8 @@
 #[test]
 fn frames_keep_their_header() {
     let frames = [
-        case("heartbeat", FeedRequest::Heartbeat { positions: positions(), generation: 5 }),
-        case("shutdown_requested", FeedRequest::ShutdownRequested { store: 7 }),
+        case("heartbeat", FeedRequest::Heartbeat { positions: positions(), generation: Generation(5) }),
+        case("shutdown_requested", FeedRequest::ShutdownRequested { store: NodeIdentity(7) }),
     ];
     golden::check("frame", &frames, frame::encode_frame, |bytes| {
         let (header, body) = bytes.split_first_chunk::<HEADER_BYTES>().expect("a frame has a header");
--- a/lab/src/tier/fleet.rs
+++ b/lab/src/tier/fleet.rs
@@ -245,10 +245,26 @@
     /// # Errors
     /// There is none of the name, or it can't be started.
     pub async fn restart_role(&mut self, name: &str, role: &str) -> Result<(), TierError> {
+        self.kill_role(name, role).await?;
+        self.start_role(name, role)
+    }
+
+    /// Kills one process of a machine, which stays down.
+    ///
+    /// # Errors
+    /// There is no such machine.
+    pub async fn kill_role(&mut self, name: &str, role: &str) -> Result<(), TierError> {
         self.note(name, MachineEvent::Killed);
-        let machine = self.machine(name)?;
-        machine.kill_role(role).await;
-        machine.start_role(role)?;
+        self.machine(name)?.kill_role(role).await;
+        Ok(())
+    }
+
+    /// Starts one process of a machine that was killed.
+    ///
+    /// # Errors
+    /// There is no such machine, or it can't be started.
+    pub fn start_role(&mut self, name: &str, role: &str) -> Result<(), TierError> {
+        self.machine(name)?.start_role(role)?;
         self.note(name, MachineEvent::Started);
         self.await_readiness(name)
     }
