--- a/crates/opalrun/tests/tier/acknowledged.rs
+++ b/crates/opalrun/tests/tier/acknowledged.rs
@@ -6,13 +6,13 @@
 };
 use fleetlab::tier::{
     deployment::{Deployment, START_LIMIT},
-    program::{Ended, Program, Told},
+    program::{Ended, Program, ProgramReport},
     settings_file::Class,
 };
 use tokio::task::JoinHandle;
 
 /// Programs without end, each with a small budget, through all gatekeepers.
-fn looping_programs(deployment: &mut Deployment, count: usize) -> Vec<JoinHandle<Told>> {
+fn looping_programs(deployment: &mut Deployment, count: usize) -> Vec<JoinHandle<ProgramReport>> {
     let started = (0..count).map(|number| {
         let route = ["dispute", "trace", "resumable"][number % 3];
         let program = deployment.program(&format!("loop-{number}"), route);
--- a/lab/src/baseline.rs
+++ b/lab/src/baseline.rs
@@ -6,7 +6,7 @@
 use crate::{
     bucket::Bucket,
     record::{Ending, Event, FORM, Header, Meter, Outcome, Recording, Seen},
-    scenario::Scenario,
+    scenario::{Requirements, Scenario},
     world::plan::{Plan, mix},
 };
 use rand::{RngExt, SeedableRng};
@@ -53,11 +53,12 @@
 }
 
 /// Plays a scenario without sockets and faults under a policy.
+#[must_use]
 pub fn play(scenario: Scenario, seed: u64, policy: Policy) -> Recording {
-    let scenario = Scenario { faults: Vec::new(), must: Default::default(), ..scenario };
+    let scenario = Scenario { faults: Vec::new(), must: Requirements::default(), ..scenario };
     let plan = Plan::new(scenario, seed);
     let world = &plan.scenario.world;
-    let speed = plan.speeds.iter().sum::<f64>() / plan.speeds.len().max(1) as f64;
+    let mean_speed = plan.speeds.iter().sum::<f64>() / plan.speeds.len().max(1) as f64;
     let cores = (0..world.workers * world.cores).map(|_| Reverse(0)).collect();
     let mut model = Model {
         policy,
@@ -65,7 +66,7 @@
         shares: HashMap::new(),
         out: HashMap::new(),
         cores,
-        speed,
+        speed: mean_speed,
         line: 0.0,
         seen: Vec::new(),
         plan,
--- a/lab/src/bucket.rs
+++ b/lab/src/bucket.rs
@@ -23,10 +23,10 @@
 
     /// Takes a unit, if there is one.
     pub fn take(&mut self, now: f64) -> bool {
-        let room = self.refill(now) >= 1.0;
-        if room {
+        let has_unit = self.refill(now) >= 1.0;
+        if has_unit {
             self.level -= 1.0;
         }
-        room
+        has_unit
     }
 }
--- a/lab/src/experiment.rs
+++ b/lab/src/experiment.rs
@@ -35,6 +35,7 @@
 
 impl Difference {
     /// Of the second of each pair less the first; `None` with no pair that has both.
+    #[must_use]
     pub fn of(pairs: &[(f64, f64)]) -> Option<Self> {
         let differences: Vec<f64> = pairs.iter().map(|(a, b)| b - a).filter(|d| d.is_finite()).collect();
         let n = differences.len();
@@ -42,18 +43,18 @@
             return None;
         }
         let mean = differences.iter().sum::<f64>() / n as f64;
-        let half = match n {
-            // One pair says nothing of its swing.
-            1 => f64::INFINITY,
-            _ => {
-                let variance = differences.iter().map(|d| (d - mean).powi(2)).sum::<f64>() / (n - 1) as f64;
-                STUDENT.get(n - 2).copied().unwrap_or(1.96) * (variance / n as f64).sqrt()
-            }
+        // One pair says nothing of the variance.
+        let half = if n == 1 {
+            f64::INFINITY
+        } else {
+            let variance = differences.iter().map(|d| (d - mean).powi(2)).sum::<f64>() / (n - 1) as f64;
+            STUDENT.get(n - 2).copied().unwrap_or(1.96) * (variance / n as f64).sqrt()
         };
         Some(Self { mean, half, pairs: n })
     }
 
     /// Whether the interval leaves 0 out.
+    #[must_use]
     pub fn clear(&self) -> bool {
         self.mean.abs() > self.half
     }
@@ -100,6 +101,7 @@
 }
 
 /// Reads a value as TOML would; what is no TOML value is text.
+#[must_use]
 pub fn value(text: &str) -> Value {
     let parsed = format!("v = {text}").parse::<Table>().ok().and_then(|mut t| t.remove("v"));
     parsed.unwrap_or_else(|| Value::String(text.to_owned()))
--- a/lab/src/http.rs
+++ b/lab/src/http.rs
@@ -4,9 +4,9 @@
 use std::io;
 
 /// The longest head that is read.
-const MOST: usize = 16 << 10;
+const MAX_HEAD_BYTES: usize = 16 << 10;
 /// The longest body.
-const MOST_BODY: usize = 1 << 20;
+const MAX_BODY_BYTES: usize = 1 << 20;
 
 /// One message.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -19,22 +19,26 @@
 }
 
 impl Message {
+    #[must_use]
     pub fn header(&self, name: &str) -> Option<&str> {
         self.headers.iter().find(|(n, _)| n == name).map(|(_, v)| v.as_str())
     }
 
     /// The status of an answer; 0: it is none.
+    #[must_use]
     pub fn status(&self) -> u16 {
         self.line.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
     }
 
     /// The method and path of a request.
+    #[must_use]
     pub fn target(&self) -> (&str, &str) {
-        let mut words = self.line.split(' ');
-        (words.next().unwrap_or(""), words.next().unwrap_or(""))
+        let mut fields = self.line.split(' ');
+        (fields.next().unwrap_or(""), fields.next().unwrap_or(""))
     }
 
     /// Whether its sender ends the connection after it.
+    #[must_use]
     pub fn closes(&self) -> bool {
         self.header("connection").is_some_and(|v| v.eq_ignore_ascii_case("close"))
     }
@@ -42,7 +46,7 @@
     /// The head alone, and how many bytes it took; `None`: it is not whole yet.
     pub(crate) fn parse_head(bytes: &[u8]) -> Result<Option<(Self, usize)>, io::Error> {
         let Some(end) = bytes.windows(4).position(|w| w == b"\r\n\r\n") else {
-            return if bytes.len() > MOST { Err(unreadable()) } else { Ok(None) };
+            return if bytes.len() > MAX_HEAD_BYTES { Err(unreadable()) } else { Ok(None) };
         };
         let head = std::str::from_utf8(&bytes[..end]).map_err(|_| unreadable())?;
         let mut lines = head.split("\r\n");
@@ -66,7 +70,7 @@
             Some(text) => text.parse::<usize>().map_err(|_| unreadable())?,
             None => 0,
         };
-        if length > MOST_BODY {
+        if length > MAX_BODY_BYTES {
             return Err(unreadable());
         }
         let whole = head + length;
@@ -83,11 +87,11 @@
     let (mut body, mut at) = (Vec::new(), 0);
     loop {
         let Some(line) = bytes[at..].windows(2).position(|w| w == b"\r\n") else {
-            return if bytes.len() - at > MOST { Err(unreadable()) } else { Ok(None) };
+            return if bytes.len() - at > MAX_HEAD_BYTES { Err(unreadable()) } else { Ok(None) };
         };
         let size = std::str::from_utf8(&bytes[at..at + line]).map_err(|_| unreadable())?;
         let size = usize::from_str_radix(size.trim(), 16).map_err(|_| unreadable())?;
-        if size > MOST_BODY || body.len() + size > MOST_BODY {
+        if size > MAX_BODY_BYTES || body.len() + size > MAX_BODY_BYTES {
             return Err(unreadable());
         }
         let (from, to) = (at + line + 2, at + line + 2 + size);
@@ -104,6 +108,7 @@
 }
 
 /// The beginning of a good answer in chunks: its head and one of them.
+#[must_use]
 pub fn beginning(part: &[u8]) -> Vec<u8> {
     let mut bytes =
         format!("HTTP/1.1 200 -\r\nTransfer-Encoding: chunked\r\n\r\n{:x}\r\n", part.len()).into_bytes();
@@ -113,6 +118,7 @@
 }
 
 /// The first half of a good answer of stated length.
+#[must_use]
 pub fn half(body: &str) -> Vec<u8> {
     let mut bytes = answer(200, "", body.as_bytes());
     bytes.truncate(bytes.len() - body.len().div_ceil(2));
@@ -141,6 +147,7 @@
 }
 
 /// An answer's bytes.
+#[must_use]
 pub fn answer(status: u16, headers: &str, body: &[u8]) -> Vec<u8> {
     let mut bytes =
         format!("HTTP/1.1 {status} -\r\n{headers}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
--- a/lab/src/judge/answers.rs
+++ b/lab/src/judge/answers.rs
@@ -6,13 +6,13 @@
 impl Judge<'_> {
     /// Finds requests whose answer was missing, late or made up.
     pub(super) fn answers(&mut self) {
-        let excuses = self.excuses();
+        let excused_spans = self.excuses();
         let mut found = Vec::new();
         for (txn, tried) in &self.tries {
             let by = tried.at + tried.remaining + SLACK_S;
             // The play's end took what was not answered by then.
             let (at, outcome) = tried.answer.clone().unwrap_or((by, Outcome::Left));
-            let excused = excuses
+            let is_excused = excused_spans
                 .get(&tried.gate)
                 .is_some_and(|e| e.iter().any(|(from, to)| *from <= at && tried.at <= *to));
             // What a worker has begun and not gone on with can't be finished by anybody, and its client can tell.
@@ -28,7 +28,7 @@
                 }
                 _ => None,
             };
-            if let Some(what) = wrong.filter(|_| !excused) {
+            if let Some(what) = wrong.filter(|_| !is_excused) {
                 found.push((Rule::Answers, at, format!("{txn:016x} at gateway {} {what}", tried.gate)));
             }
             if outcome == (Outcome::Served { genuine: false }) {
@@ -36,6 +36,6 @@
                 found.push((Rule::Genuine, at, what));
             }
         }
-        self.tell(found);
+        self.report(found);
     }
 }
--- a/lab/src/judge/conclusion.rs
+++ b/lab/src/judge/conclusion.rs
@@ -13,12 +13,12 @@
             let first = first.map(|b| format!(", first at {:.2} s: {}", b.at_s, b.what)).unwrap_or_default();
             failed.push(format!("the rule on {rule} is broken {n} times{first}"));
         }
-        let mut least = |name: &str, value: f64, bound: f64| {
+        let mut at_least = |name: &str, value: f64, bound: f64| {
             if value < bound {
                 failed.push(format!("{name} is {value:.3}, {bound:.3} at least"));
             }
         };
-        least("goodput", v.goodput, must.goodput);
+        at_least("goodput", v.goodput, must.goodput);
         // The negative of a most is a least.
         for (name, value, bound) in [
             ("the worst second's amplification", v.worst_amplification, must.amplification),
--- a/lab/src/judge/excuses.rs
+++ b/lab/src/judge/excuses.rs
@@ -33,26 +33,28 @@
                 Event::Fault { index, on: true, gates, .. } => {
                     let Some(fault) = self.scenario.faults.get(*index) else { continue };
                     let front = matches!(Peers::parse(&fault.peers, zones), Ok(Peers::Front | Peers::All));
-                    if holds_up_links(fault.what) && front {
+                    if delays_answers(fault.what) && front {
                         // What the cut held back comes after it has healed.
                         let once = fault.what == FaultKind::Reset;
                         let lasts = if once { 0.0 } else { fault.for_s.unwrap_or(f64::INFINITY) };
                         let until = at + lasts + 1.0;
-                        gates.iter().for_each(|g| excuses.entry(*g).or_default().push((at, until)));
+                        for gate in gates {
+                            excuses.entry(*gate).or_default().push((at, until));
+                        }
                     }
                 }
                 _ => {}
             }
         }
-        since
-            .into_iter()
-            .for_each(|(gate, from)| excuses.entry(gate).or_default().push((from, f64::INFINITY)));
+        for (gate, from) in since {
+            excuses.entry(gate).or_default().push((from, f64::INFINITY));
+        }
         excuses
     }
 }
 
 /// Whether a fault of this kind strikes links so that answers are late or lost.
-fn holds_up_links(kind: FaultKind) -> bool {
+fn delays_answers(kind: FaultKind) -> bool {
     matches!(
         kind,
         FaultKind::Cut
--- a/lab/src/judge/gather.rs
+++ b/lab/src/judge/gather.rs
@@ -18,16 +18,18 @@
         for Seen { at, event } in &recording.seen {
             let at = seconds(*at);
             match event {
-                Event::Try { .. } => self.gather_try(at, event),
+                Event::Try { .. } => self.gather_request(at, event),
                 Event::Answer { txn, outcome } => self.gather_answer(at, *txn, outcome),
                 Event::Attempt { txn, worker, intact, link_delay, .. } => {
                     *attempts.entry((at as usize, *worker)).or_default() += 1;
                     self.gather_attempt(at, at - seconds(*link_delay), *txn, *worker, *intact);
                 }
                 Event::Ended { txn, worker, how, worked, .. } => {
-                    let Some(tried) = self.tries.get_mut(txn) else { continue };
-                    let open = tried.sent.iter_mut().find(|s| s.worker == *worker && s.ended.is_none());
-                    open.into_iter().for_each(|s| s.ended = Some((at, *how, *worked)));
+                    let Some(request) = self.tries.get_mut(txn) else { continue };
+                    let open = request.sent.iter_mut().find(|s| s.worker == *worker && s.ended.is_none());
+                    if let Some(attempt) = open {
+                        attempt.ended = Some((at, *how, *worked));
+                    }
                 }
                 Event::Stranger { gate, worker } => {
                     let what = format!("gateway {gate} sent worker {worker} what no client sent");
@@ -52,7 +54,7 @@
         self.count_worst_workers(attempts);
     }
 
-    fn gather_try(&mut self, at: f64, event: &Event) {
+    fn gather_request(&mut self, at: f64, event: &Event) {
         let &Event::Try { txn, first, again, gate, customer, plan, class, remaining } = event else { return };
         let second = self.second(at);
         if again == 0 {
@@ -61,8 +63,8 @@
             second.retries += 1;
         }
         let (answer, sent) = (None, Vec::new());
-        let tried = Try { at, first, again, gate, customer, plan, class, remaining, answer, sent };
-        self.tries.insert(txn, tried);
+        let request = Try { at, first, again, gate, customer, plan, class, remaining, answer, sent };
+        self.tries.insert(txn, request);
         self.order.push(txn);
     }
 
@@ -73,11 +75,11 @@
             Outcome::Failed { .. } | Outcome::Broken | Outcome::CutOff | Outcome::Never => second.failed += 1,
             _ => {}
         }
-        let Some(tried) = self.tries.get_mut(&txn) else { return };
-        if tried.answer.is_some() {
+        let Some(request) = self.tries.get_mut(&txn) else { return };
+        if request.answer.is_some() {
             self.broken(Rule::Answers, at, format!("{txn:016x} has a second answer"));
         } else {
-            tried.answer = Some((at, outcome.clone()));
+            request.answer = Some((at, outcome.clone()));
         }
     }
 
@@ -89,12 +91,12 @@
         if !intact {
             self.broken(Rule::Strangers, at, format!("{txn:016x} came to worker {worker} changed"));
         }
-        let Some(tried) = self.tries.get_mut(&txn) else {
+        let Some(request) = self.tries.get_mut(&txn) else {
             self.broken(Rule::Strangers, at, format!("{txn:016x} was never sent"));
             return;
         };
-        tried.sent.push(Attempt { at, left_gateway, worker, ended: None });
-        if tried.sent.len() == 1 {
+        request.sent.push(Attempt { at, left_gateway, worker, ended: None });
+        if request.sent.len() == 1 {
             self.second(at).sent += 1;
         }
     }
--- a/lab/src/judge/mod.rs
+++ b/lab/src/judge/mod.rs
@@ -27,7 +27,7 @@
 /// What sockets and this machine may add to a time limit.
 const SLACK_S: f64 = 0.05;
 /// Broken rules that are listed one by one; the others are only counted.
-const MOST_LISTED: usize = 20;
+const MAX_LISTED: usize = 20;
 
 /// A recording's time in seconds.
 fn seconds(at: Micros) -> f64 {
@@ -47,6 +47,7 @@
 }
 
 /// Judges a play.
+#[must_use]
 pub fn judge(recording: &Recording) -> Verdict {
     let mut judge = Judge {
         recording,
@@ -71,15 +72,17 @@
     /// Takes down one broken rule.
     fn broken(&mut self, rule: Rule, at_s: f64, what: String) {
         *self.verdict.broken_by.entry(rule).or_default() += 1;
-        if self.verdict.broken.len() < MOST_LISTED {
+        if self.verdict.broken.len() < MAX_LISTED {
             self.verdict.broken.push(Broken { rule, at_s, what });
         }
     }
 
     /// Takes down what was found, in the order that it happened.
-    fn tell(&mut self, mut found: Vec<(Rule, f64, String)>) {
+    fn report(&mut self, mut found: Vec<(Rule, f64, String)>) {
         found.sort_by(|a, b| a.1.total_cmp(&b.1));
-        found.into_iter().for_each(|(rule, at, what)| self.broken(rule, at, what));
+        for (rule, at, what) in found {
+            self.broken(rule, at, what);
+        }
     }
 
     /// Seconds by which the machine, and not the gateway, may have delayed something in a span: what the lab itself ran
--- a/lab/src/judge/quotas.rs
+++ b/lab/src/judge/quotas.rs
@@ -5,7 +5,7 @@
 use std::collections::HashMap;
 
 /// Seconds of a ceiling's rate by which a customer may be past it, besides the plan's slack.
-const CEILING_SLACK_S: f64 = 0.15;
+const RATE_LIMIT_SLACK_S: f64 = 0.15;
 
 /// What happens to a customer's accounts.
 #[derive(Clone, Copy, PartialEq)]
@@ -46,13 +46,13 @@
     }
 
     /// Takes a unit from the ceiling; the units past it, where that is more than the plan allows.
-    fn past_ceiling(&mut self, at: f64, plan: &PlanSpec) -> Option<f64> {
+    fn rate_limit_exceeded(&mut self, at: f64, plan: &PlanSpec) -> Option<f64> {
         if plan.ceiling_rate <= 0.0 {
             return None;
         }
         self.ceiling.refill(at);
         self.ceiling.level -= 1.0;
-        let slack = plan.slack + CEILING_SLACK_S * plan.ceiling_rate;
+        let slack = plan.slack + RATE_LIMIT_SLACK_S * plan.ceiling_rate;
         (self.ceiling.level < -slack).then_some(-self.ceiling.level)
     }
 }
@@ -66,7 +66,7 @@
     refused_half_full: u64,
     beyond_causes: Causes,
     refused_causes: Causes,
-    past_ceiling: Vec<(Rule, f64, String)>,
+    rate_limit_exceeded: Vec<(Rule, f64, String)>,
 }
 
 impl Judge<'_> {
@@ -75,27 +75,31 @@
         let mut accounts: HashMap<usize, Account> = HashMap::new();
         let mut counts = Counts::default();
         for TimedStep { at, step, txn } in self.quota_steps() {
-            let tried = &self.tries[&txn];
-            let plan = &self.scenario.plans[tried.plan];
-            let account = accounts.entry(tried.customer).or_insert_with(|| Account::new(plan));
+            let request = &self.tries[&txn];
+            let plan = &self.scenario.plans[request.plan];
+            let account = accounts.entry(request.customer).or_insert_with(|| Account::new(plan));
             let level = account.quota.refill(at);
-            let room = level >= 1.0 && (plan.open == 0 || account.open < plan.open);
+            let has_capacity = level >= 1.0 && (plan.open == 0 || account.open < plan.open);
             match step {
                 Step::Sent => {
                     counts.sent += 1;
                     account.open += 1;
-                    if room {
+                    if has_capacity {
                         account.quota.level -= 1.0;
                     } else {
                         account.beyond += 1;
                         self.count_beyond(&mut counts, at, level, txn);
                     }
-                    if let Some(units) = account.past_ceiling(at, plan) {
-                        counts.past_ceiling.push((Rule::Ceiling, at, past_ceiling_text(tried, units)));
+                    if let Some(units) = account.rate_limit_exceeded(at, plan) {
+                        counts.rate_limit_exceeded.push((
+                            Rule::Ceiling,
+                            at,
+                            rate_limit_exceeded_text(request, units),
+                        ));
                     }
                 }
                 Step::Finished => account.open = account.open.saturating_sub(1),
-                Step::Refused if room && at >= self.scenario.lead_s => {
+                Step::Refused if has_capacity && at >= self.scenario.lead_s => {
                     counts.refused_with_room += 1;
                     counts.refused_half_full += u64::from(level >= plan.burst / 2.0);
                     *counts.refused_causes.entry(self.cause(txn)).or_default() += 1;
@@ -110,13 +114,13 @@
     /// All steps of all tries, in the order that they happened.
     fn quota_steps(&self) -> Vec<TimedStep> {
         let mut steps = Vec::new();
-        for (&txn, tried) in &self.tries {
-            if let Some(first) = tried.sent.first() {
+        for (&txn, request) in &self.tries {
+            if let Some(first) = request.sent.first() {
                 steps.push(TimedStep { at: first.at, step: Step::Sent, txn });
-                let ends = tried.sent.iter().map(|s| s.ended.as_ref().map_or(s.at, |e| e.0));
+                let ends = request.sent.iter().map(|s| s.ended.as_ref().map_or(s.at, |e| e.0));
                 let last = ends.fold(first.at, f64::max);
                 steps.push(TimedStep { at: last, step: Step::Finished, txn });
-            } else if let Some((at, Outcome::Refused { .. })) = tried.answer {
+            } else if let Some((at, Outcome::Refused { .. })) = request.answer {
                 steps.push(TimedStep { at, step: Step::Refused, txn });
             }
         }
@@ -141,7 +145,7 @@
 
     /// Takes the counts into the verdict.
     fn take_quota_counts(&mut self, counts: Counts, worst_beyond: u64) {
-        self.tell(counts.past_ceiling);
+        self.report(counts.rate_limit_exceeded);
         let lead = self.scenario.lead_s;
         let tries = self.tries.values().filter(|t| t.at >= lead).count().max(1) as f64;
         let verdict = &mut self.verdict;
@@ -157,6 +161,6 @@
     }
 }
 
-fn past_ceiling_text(tried: &Try, units: f64) -> String {
-    format!("customer {} is {units:.1} units past its ceiling", tried.customer)
+fn rate_limit_exceeded_text(request: &Try, units: f64) -> String {
+    format!("customer {} is {units:.1} units past its ceiling", request.customer)
 }
--- a/lab/src/judge/repeats.rs
+++ b/lab/src/judge/repeats.rs
@@ -15,24 +15,15 @@
             }
             for (i, later) in tried.sent.iter().enumerate() {
                 for earlier in tried.sent[..i].iter().filter(|s| s.may_have_run(later.at)) {
-                    match class.effect {
-                        Effect::Unsafe => {
-                            found.push((
-                                Rule::Unsafe,
-                                later.at,
-                                format!("{txn:016x} was sent again after it may have run"),
-                            ));
-                        }
-                        _ => {
-                            let strange = zones.get(earlier.worker) != zones.get(later.worker);
-                            if strange || later.at - earlier.at > class.window_s + SLACK_S {
-                                found.push((
-                                    Rule::Keyed,
-                                    later.at,
-                                    format!("{txn:016x} was sent where nobody remembers it"),
-                                ));
-                            }
-                        }
+                    if class.effect == Effect::Unsafe {
+                        let what = format!("{txn:016x} was sent again after it may have run");
+                        found.push((Rule::Unsafe, later.at, what));
+                        continue;
+                    }
+                    let is_elsewhere = zones.get(earlier.worker) != zones.get(later.worker);
+                    if is_elsewhere || later.at - earlier.at > class.window_s + SLACK_S {
+                        let what = format!("{txn:016x} was sent where nobody remembers it");
+                        found.push((Rule::Keyed, later.at, what));
                     }
                 }
             }
@@ -43,6 +34,6 @@
                 found.push((rule, *at, format!("{txn:016x} was refused though it may have run")));
             }
         }
-        self.tell(found);
+        self.report(found);
     }
 }
--- a/lab/src/judge/tests.rs
+++ b/lab/src/judge/tests.rs
@@ -132,7 +132,9 @@
                 tape.sends(1.1 + later, i, 0);
             }
         }
-        state.into_iter().for_each(|state| tape.note(1.0, Event::Gate { gate: 0, state }));
+        if let Some(state) = state {
+            tape.note(1.0, Event::Gate { gate: 0, state });
+        }
         let verdict = tape.judged();
         (verdict.gone, verdict.broken_by.contains_key(&Rule::Gone))
     };
@@ -170,7 +172,9 @@
         let mut tape = Tape::new();
         tape.tries(1.0, 1, READ, 0, 0);
         tape.sends(1.01, 1, 0);
-        how.into_iter().for_each(|how| tape.ends(1.1, 1, 0, how));
+        if let Some(how) = how {
+            tape.ends(1.1, 1, 0, how);
+        }
         tape.answers(at_s, 1, outcome);
         tape.breaks()
     };
--- a/lab/src/judge/verdict.rs
+++ b/lab/src/judge/verdict.rs
@@ -108,11 +108,13 @@
 
 impl Verdict {
     /// Whether the play counts and nothing it has to show is missing.
+    #[must_use]
     pub fn passed(&self) -> bool {
         self.failed.is_empty() && self.void.is_none()
     }
 
     /// The line that a play ends in.
+    #[must_use]
     pub fn line(&self) -> String {
         match (&self.void, self.failed.is_empty()) {
             (Some(why), _) => format!("VOID: {why}"),
--- a/lab/src/judge/workers.rs
+++ b/lab/src/judge/workers.rs
@@ -81,6 +81,6 @@
                 _ => {}
             }
         }
-        self.tell(found);
+        self.report(found);
     }
 }
--- a/lab/src/judge/worth.rs
+++ b/lab/src/judge/worth.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 
 /// A second with fewer tries sent on says nothing of amplification.
-const LEAST_TRIES: u64 = 20;
+const MIN_TRIES: u64 = 20;
 /// What a unit sent on beyond its quota costs, of its worth.
 const OVERRUN: f64 = 0.8;
 
@@ -39,11 +39,11 @@
 }
 
 impl PlayTotals {
-    fn add(&mut self, tried: &Try, value: &TryValue) {
+    fn add(&mut self, request: &Try, value: &TryValue) {
         self.worked += value.worked;
         self.useful += value.useful;
         self.latencies_ms.extend(value.took.map(|took| took * 1e3));
-        for totals in [&mut self.plans[tried.plan], &mut self.classes[tried.class]] {
+        for totals in [&mut self.plans[request.plan], &mut self.classes[request.class]] {
             totals.tries += 1;
             totals.served += u64::from(value.took.is_some());
             totals.refused += u64::from(value.refused);
@@ -51,7 +51,7 @@
             totals.asked += value.asked;
             totals.earned += value.earned;
         }
-        let (tries, refused) = self.gates.entry(tried.gate).or_default();
+        let (tries, refused) = self.gates.entry(request.gate).or_default();
         *tries += 1;
         *refused += u64::from(value.refused);
     }
@@ -66,7 +66,7 @@
 
     /// The least and the greatest share of refused tries at any gateway.
     fn refused_spread(&self) -> [f64; 2] {
-        let busy = self.gates.values().filter(|(tries, _)| *tries >= LEAST_TRIES);
+        let busy = self.gates.values().filter(|(tries, _)| *tries >= MIN_TRIES);
         let shares: Vec<f64> = busy.map(|(tries, refused)| *refused as f64 / *tries as f64).collect();
         [shares.iter().copied().fold(1.0, f64::min), shares.iter().copied().fold(0.0, f64::max)]
     }
@@ -88,11 +88,11 @@
         };
         let mut values = Vec::new();
         for txn in &self.order {
-            let tried = &self.tries[txn];
-            let Some(first) = firsts.get(&tried.first).copied() else { continue };
-            let value = self.value_of(tried, first);
+            let request = &self.tries[txn];
+            let Some(first) = firsts.get(&request.first).copied() else { continue };
+            let value = self.value_of(request, first);
             if first >= scenario.lead_s {
-                totals.add(tried, &value);
+                totals.add(request, &value);
             }
             values.push(value);
         }
@@ -103,26 +103,26 @@
             second.wasted_s += value.worked - value.useful;
         }
         let requests = firsts.values().filter(|at| **at >= scenario.lead_s).count();
-        self.take_worth(totals, requests);
-        self.take_tries();
+        self.sum_up(totals, requests);
+        self.count_attempts();
     }
 
-    fn value_of(&self, tried: &Try, first: f64) -> TryValue {
-        let class = &self.scenario.classes[tried.class];
-        let worth = class.worth * self.scenario.plans[tried.plan].pays;
-        let took = match tried.answer {
+    fn value_of(&self, request: &Try, first: f64) -> TryValue {
+        let class = &self.scenario.classes[request.class];
+        let worth = class.worth * self.scenario.plans[request.plan].pays;
+        let took = match request.answer {
             Some((at, Outcome::Served { genuine: true })) => Some(at - first),
             _ => None,
         };
         let earned = took.map_or(0.0, |took| worth * share_earned(class, took));
-        let ended = || tried.sent.iter().filter_map(|s| s.ended.as_ref());
+        let ended = || request.sent.iter().filter_map(|s| s.ended.as_ref());
         let worked: f64 = ended().map(|e| e.2).sum();
         let best = ended().filter(|e| e.1 == Ending::Served).map(|e| e.2).fold(0.0, f64::max);
-        let refused = matches!(tried.answer, Some((_, Outcome::Refused { .. })));
-        let left = matches!(tried.answer, Some((_, Outcome::Left)) | None);
+        let refused = matches!(request.answer, Some((_, Outcome::Refused { .. })));
+        let left = matches!(request.answer, Some((_, Outcome::Left)) | None);
         TryValue {
             first,
-            asked: if tried.again == 0 { worth } else { 0.0 },
+            asked: if request.again == 0 { worth } else { 0.0 },
             earned,
             worked,
             useful: if earned > 0.0 { best } else { 0.0 },
@@ -133,7 +133,7 @@
     }
 
     /// Takes the sums into the verdict.
-    fn take_worth(&mut self, mut totals: PlayTotals, requests: usize) {
+    fn sum_up(&mut self, mut totals: PlayTotals, requests: usize) {
         let scenario = self.scenario;
         let (asked, earned): (f64, f64) =
             totals.plans.iter().fold((0.0, 0.0), |s, t| (s.0 + t.asked, s.1 + t.earned));
@@ -151,14 +151,14 @@
     }
 
     /// Counts tries and attempts, and what came of each on the mean.
-    fn take_tries(&mut self) {
+    fn count_attempts(&mut self) {
         let (lead, end) = (self.scenario.lead_s, self.scenario.length_s as usize);
         let verdict = &mut self.verdict;
         verdict.tries = self.tries.values().filter(|t| t.at >= lead).count() as u64;
         verdict.attempts = self.tries.values().map(|t| t.sent.len() as u64).sum();
         verdict.amplification = verdict.attempts as f64 / verdict.sent.max(1) as f64;
         let seconds = verdict.seconds.iter().take(end).skip(lead as usize);
-        let busy = seconds.filter(|s| s.sent >= LEAST_TRIES);
+        let busy = seconds.filter(|s| s.sent >= MIN_TRIES);
         let amplifications = busy.map(|s| s.attempts.iter().sum::<u64>() as f64 / s.sent as f64);
         verdict.worst_amplification = amplifications.fold(0.0, f64::max);
         let sum = |f: fn(&Second) -> u64| verdict.seconds.iter().map(f).sum::<u64>() as f64;
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -1,5 +1,10 @@
 //! A fleet of real gateways under faults: the world round them, what strikes it, and what is judged of it.
 
+#![allow(
+    missing_docs,
+    reason = "fields and variants of recordings, scenarios and observations are named after what they hold"
+)]
+
 pub mod baseline;
 mod bucket;
 pub mod experiment;
--- a/lab/src/main.rs
+++ b/lab/src/main.rs
@@ -195,7 +195,7 @@
     }
 
     fn play(&self, scenario: &Scenario, seed: u64, build: &Path) -> Result<Recording, LabError> {
-        let program = build.canonicalize().map_err(|e| LabError::Use(format!("{}: {e}", build.display())))?;
+        let program = canonical(build)?;
         let (tell, mut told) = watch::channel(Progress::default());
         let style = ProgressStyle::with_template("{msg} {bar:40} {pos}/{len} s")
             .unwrap_or(ProgressStyle::default_bar());
@@ -263,7 +263,7 @@
 }
 
 /// Plays a day for each seed, or the usual one.
-fn tier(day: Day, seeds: &[u64], folder: Option<&Path>) -> Result<ExitCode, LabError> {
+fn tier(day: &Day, seeds: &[u64], folder: Option<&Path>) -> Result<ExitCode, LabError> {
     let seeds: Vec<Option<u64>> =
         if seeds.is_empty() { vec![None] } else { seeds.iter().copied().map(Some).collect() };
     let mut passed = true;
@@ -287,20 +287,18 @@
         println!("{}", failed.line());
         return ExitCode::FAILURE;
     }
-    match verdicts.iter().find(|v| v.void.is_some()) {
-        Some(void) => {
-            println!("{}", void.line());
-            ExitCode::from(3)
-        }
-        None => {
-            println!("PASS");
-            ExitCode::SUCCESS
-        }
+    if let Some(void) = verdicts.iter().find(|v| v.void.is_some()) {
+        println!("{}", void.line());
+        ExitCode::from(3)
+    } else {
+        println!("PASS");
+        ExitCode::SUCCESS
     }
 }
 
-fn go(cli: Cli) -> Result<ExitCode, LabError> {
-    match cli.command {
+/// Carries out a command; returns the exit status.
+fn carry_out(command: Command) -> Result<ExitCode, LabError> {
+    match command {
         Command::Run { scenario, seed, report, with, build } => {
             let scenario = with.scenario(&scenario, &[])?;
             let seed = seed.unwrap_or(scenario.seeds[0]);
@@ -309,76 +307,24 @@
         }
         Command::Compare { scenario, build, seeds, with } => {
             let [a, b] = &build[..] else { return Err(LabError::Use("--build is wanted twice".to_owned())) };
-            let scenario = with.scenario(&scenario, &[])?;
-            let seeds = if seeds.is_empty() { scenario.seeds.clone() } else { seeds };
-            let (lab, mut pairs, mut verdicts) = (Lab::new()?, Vec::new(), Vec::new());
-            for (i, seed) in seeds.iter().enumerate() {
-                // Whichever comes first has the cooler machine: they take turns.
-                let first_a = i % 2 == 0;
-                let (x, y) = if first_a { (a, b) } else { (b, a) };
-                let name = |is_a: bool| if is_a { "A" } else { "B" };
-                let one = row(&lab, name(first_a), &scenario, *seed, x)?;
-                let two = row(&lab, name(!first_a), &scenario, *seed, y)?;
-                let (of_a, of_b) = if first_a { (one, two) } else { (two, one) };
-                if of_a.void.is_none() && of_b.void.is_none() {
-                    pairs.push((of_a.clone(), of_b.clone()));
-                }
-                verdicts.extend([of_a, of_b]);
-            }
-            println!("B less A over {} pairs:", pairs.len());
-            for (name, figure) in FIGURES {
-                let values: Vec<(f64, f64)> = pairs.iter().map(|(a, b)| (figure(a), figure(b))).collect();
-                match Difference::of(&values) {
-                    Some(d) => println!(
-                        "{name:<24}{:+.4} ± {:.4}{}",
-                        d.mean,
-                        d.half,
-                        if d.clear() { "  clear" } else { "" }
-                    ),
-                    None => println!("{name:<24}not seen"),
-                }
-            }
-            Ok(worst(&verdicts))
+            compare(&with.scenario(&scenario, &[])?, a, b, seeds)
         }
         Command::Sweep { scenario, key, values, seeds, with, build } => {
             // All are checked before the first is played.
             let scenarios = values.iter().map(|v| with.scenario(&scenario, &[(&key, v)]));
             let scenarios = scenarios.collect::<Result<Vec<_>, _>>()?;
-            let (lab, mut verdicts) = (Lab::new()?, Vec::new());
-            for (value, scenario) in values.iter().zip(&scenarios) {
-                let seeds = if seeds.is_empty() { &scenario.seeds } else { &seeds };
-                for seed in seeds {
-                    verdicts.push(row(&lab, &format!("{key} = {value}"), scenario, *seed, &build)?);
-                }
-            }
-            Ok(worst(&verdicts))
-        }
-        Command::Check { scenario } => {
-            let found = Scenario::from_table(Scenario::load(&scenario)?);
-            match found {
-                Ok(scenario) => {
-                    println!("ok: {}: {}", scenario.name, scenario.about);
-                    Ok(ExitCode::SUCCESS)
-                }
-                Err(invalid) => {
-                    println!("{invalid}");
-                    Ok(ExitCode::FAILURE)
-                }
-            }
+            sweep(&key, values.iter().zip(&scenarios), &seeds, &build)
         }
+        Command::Check { scenario } => check(&scenario),
         Command::List => {
-            for (name, text) in shipped() {
-                let about = Scenario::parse(text).map(|s| s.about).unwrap_or_default();
-                println!("{name:<20}{about}");
-            }
+            list();
             Ok(ExitCode::SUCCESS)
         }
         Command::Tier { build, length_s, edges, seeds, report } => {
-            let program =
-                build.canonicalize().map_err(|e| LabError::Use(format!("{}: {e}", build.display())))?;
+            let program = canonical(&build)?;
             let spec = TierSpec { edges: edges as usize, ..TierSpec::default() };
             let day = Day { program, length: Duration::from_secs(length_s), tier: spec, seed: None };
-            tier(day, &seeds, report.as_deref())
+            tier(&day, &seeds, report.as_deref())
         }
         Command::Replay { folder } => {
             let path = folder.join("recording.jsonl");
@@ -389,9 +335,102 @@
     }
 }
 
+fn canonical(path: &Path) -> Result<PathBuf, LabError> {
+    path.canonicalize().map_err(|e| LabError::Use(format!("{}: {e}", path.display())))
+}
+
+/// The verdicts of two builds on one seed.
+struct Pair {
+    a: Verdict,
+    b: Verdict,
+}
+
+impl Pair {
+    /// Neither play was void.
+    fn counts(&self) -> bool {
+        self.a.void.is_none() && self.b.void.is_none()
+    }
+}
+
+/// Plays two builds in turn on the same seeds and shows the differences.
+fn compare(scenario: &Scenario, a: &Path, b: &Path, seeds: Vec<u64>) -> Result<ExitCode, LabError> {
+    let seeds = if seeds.is_empty() { scenario.seeds.clone() } else { seeds };
+    let lab = Lab::new()?;
+    let mut pairs = Vec::new();
+    for (number, seed) in seeds.iter().enumerate() {
+        // Whichever comes first has the cooler machine: they take turns.
+        pairs.push(if number % 2 == 0 {
+            let a = row(&lab, "A", scenario, *seed, a)?;
+            Pair { a, b: row(&lab, "B", scenario, *seed, b)? }
+        } else {
+            let b = row(&lab, "B", scenario, *seed, b)?;
+            Pair { a: row(&lab, "A", scenario, *seed, a)?, b }
+        });
+    }
+    show_differences(&pairs);
+    let verdicts: Vec<Verdict> = pairs.into_iter().flat_map(|pair| [pair.a, pair.b]).collect();
+    Ok(worst(&verdicts))
+}
+
+/// Shows the mean difference of each metric with its 95% interval.
+fn show_differences(pairs: &[Pair]) {
+    let counted: Vec<&Pair> = pairs.iter().filter(|pair| pair.counts()).collect();
+    println!("B less A over {} pairs:", counted.len());
+    for (name, metric) in FIGURES {
+        let values: Vec<(f64, f64)> = counted.iter().map(|pair| (metric(&pair.a), metric(&pair.b))).collect();
+        match Difference::of(&values) {
+            Some(difference) => println!(
+                "{name:<24}{:+.4} ± {:.4}{}",
+                difference.mean,
+                difference.half,
+                if difference.clear() { "  clear" } else { "" }
+            ),
+            None => println!("{name:<24}not seen"),
+        }
+    }
+}
+
+/// Plays the scenario of each value of a key on all seeds.
+fn sweep<'a>(
+    key: &str,
+    scenarios: impl Iterator<Item = (&'a String, &'a Scenario)>,
+    seeds: &[u64],
+    build: &Path,
+) -> Result<ExitCode, LabError> {
+    let lab = Lab::new()?;
+    let mut verdicts = Vec::new();
+    for (value, scenario) in scenarios {
+        let seeds = if seeds.is_empty() { &scenario.seeds } else { seeds };
+        for seed in seeds {
+            verdicts.push(row(&lab, &format!("{key} = {value}"), scenario, *seed, build)?);
+        }
+    }
+    Ok(worst(&verdicts))
+}
+
+fn check(scenario: &str) -> Result<ExitCode, LabError> {
+    match Scenario::from_table(Scenario::load(scenario)?) {
+        Ok(scenario) => {
+            println!("ok: {}: {}", scenario.name, scenario.about);
+            Ok(ExitCode::SUCCESS)
+        }
+        Err(invalid) => {
+            println!("{invalid}");
+            Ok(ExitCode::FAILURE)
+        }
+    }
+}
+
+fn list() {
+    for (name, text) in shipped() {
+        let about = Scenario::parse(text).map(|scenario| scenario.about).unwrap_or_default();
+        println!("{name:<20}{about}");
+    }
+}
+
 fn main() -> ExitCode {
     // Status 2 for wrong use is clap's own.
-    match go(Cli::parse()) {
+    match carry_out(Cli::parse().command) {
         Ok(status) => status,
         Err(LabError::Use(why)) => {
             eprintln!("fleetlab: {why}");
--- a/lab/src/record.rs
+++ b/lab/src/record.rs
@@ -237,11 +237,6 @@
     pub fn load(path: &Path) -> io::Result<Self> {
         let file = io::BufReader::new(std::fs::File::open(path)?);
         let mut lines = file.lines().enumerate();
-        fn read<T: for<'a> Deserialize<'a>>(line: Option<(usize, io::Result<String>)>) -> io::Result<T> {
-            let bad = |why: String| io::Error::new(io::ErrorKind::InvalidData, why);
-            let (number, line) = line.ok_or_else(|| bad("it ends too soon".into()))?;
-            serde_json::from_str(&line?).map_err(|e| bad(format!("line {}: {e}", number + 1)))
-        }
         let header: Header = read(lines.next())?;
         if header.form != FORM {
             let why = format!("its form is {}, this build reads {FORM}", header.form);
@@ -253,6 +248,13 @@
     }
 }
 
+/// Reads one line of a recording.
+fn read<T: for<'a> Deserialize<'a>>(line: Option<(usize, io::Result<String>)>) -> io::Result<T> {
+    let bad = |why: String| io::Error::new(io::ErrorKind::InvalidData, why);
+    let (number, line) = line.ok_or_else(|| bad("it ends too soon".into()))?;
+    serde_json::from_str(&line?).map_err(|e| bad(format!("line {}: {e}", number + 1)))
+}
+
 /// Where stand-ins write down what they see.
 pub struct Log {
     start: OnceLock<Instant>,
@@ -267,6 +269,7 @@
 
 impl Log {
     /// Begins; the load has not started yet.
+    #[must_use]
     pub fn new() -> Self {
         Self { start: OnceLock::new(), seen: Mutex::default() }
     }
--- a/lab/src/run_delay/tests.rs
+++ b/lab/src/run_delay/tests.rs
@@ -10,6 +10,7 @@
     series
 }
 
+#[expect(clippy::float_cmp, reason = "sums of whole microseconds come back exactly")]
 #[test]
 fn a_delay_counts_in_the_spans_that_it_lies_in_and_in_no_other() {
     let series = delayed_once();
@@ -24,6 +25,7 @@
     assert_eq!(delayed_once().0.len(), 4);
 }
 
+#[expect(clippy::float_cmp, reason = "sums of whole microseconds come back exactly")]
 #[test]
 fn a_gateway_is_not_excused_by_the_delay_of_another() {
     let delays = RunDelays { gates: vec![DelaySeries::default(), delayed_once()], ..RunDelays::default() };
--- a/lab/src/scenario/check.rs
+++ b/lab/src/scenario/check.rs
@@ -1,7 +1,7 @@
 //! What the values of a scenario, each readable by itself, get wrong together.
 
 use super::{
-    ClassSpec, Disk, Fault, FaultKind, MOST_GATES, MOST_WORKERS, Peers, PlanSpec, Problem, Scenario,
+    ClassSpec, Disk, Fault, FaultKind, MAX_GATEWAYS, MAX_WORKERS, Peers, PlanSpec, Problem, Scenario,
     Selection,
 };
 
@@ -43,11 +43,11 @@
         if !(0.0..self.length_s).contains(&self.lead_s) {
             problems.add("lead_s", "must be 0 or more and less than length_s");
         }
-        if !(2..=MOST_GATES).contains(&w.gatekeepers) {
-            problems.add("world.gatekeepers", &format!("must be from 2 to {MOST_GATES}"));
+        if !(2..=MAX_GATEWAYS).contains(&w.gatekeepers) {
+            problems.add("world.gatekeepers", &format!("must be from 2 to {MAX_GATEWAYS}"));
         }
-        if !(1..=MOST_WORKERS).contains(&w.workers) {
-            problems.add("world.workers", &format!("must be from 1 to {MOST_WORKERS}"));
+        if !(1..=MAX_WORKERS).contains(&w.workers) {
+            problems.add("world.workers", &format!("must be from 1 to {MAX_WORKERS}"));
         }
         if w.zones.is_empty() {
             problems.add("world.zones", "is empty");
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -27,9 +27,9 @@
 use serde::{Deserialize, Serialize};
 
 /// Gateways that a play may have.
-const MOST_GATES: usize = 100;
+const MAX_GATEWAYS: usize = 100;
 /// Workers that a play may have.
-const MOST_WORKERS: usize = 400;
+const MAX_WORKERS: usize = 400;
 
 /// Everything a run needs to know; times in seconds, counts in whole numbers, unless the key says otherwise.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -86,10 +86,11 @@
     }
 
     /// The same play with so many times the gateways and workers, and with that the load.
+    #[must_use]
     pub fn scaled(mut self, scale: f64) -> Self {
         let times = |n: usize, most: usize| ((n as f64 * scale).round() as usize).clamp(2, most);
-        self.world.gatekeepers = times(self.world.gatekeepers, MOST_GATES);
-        self.world.workers = times(self.world.workers, MOST_WORKERS);
+        self.world.gatekeepers = times(self.world.gatekeepers, MAX_GATEWAYS);
+        self.world.workers = times(self.world.workers, MAX_WORKERS);
         self.counter.calls_per_s *= scale;
         self
     }
--- a/lab/src/scenario/parse.rs
+++ b/lab/src/scenario/parse.rs
@@ -5,7 +5,7 @@
 use toml::{Table, Value};
 
 /// Type errors that are looked for at most: each takes a reading of its own.
-const MOST_ERRORS: usize = 50;
+const MAX_ERRORS: usize = 50;
 
 impl Scenario {
     /// Reads a scenario from TOML text.
@@ -52,7 +52,7 @@
                     let path = track.path();
                     wrongs.push(Problem { key: path.to_string(), why: error.message().trim().to_owned() });
                     // Without what can't be read, the rest is looked at too.
-                    if wrongs.len() >= MOST_ERRORS || !remove(&mut value, &path) {
+                    if wrongs.len() >= MAX_ERRORS || !remove(&mut value, &path) {
                         break None;
                     }
                 }
--- a/lab/src/scenario/plans.rs
+++ b/lab/src/scenario/plans.rs
@@ -87,6 +87,7 @@
 }
 
 /// The classes where a file names none: one of each effect.
+#[must_use]
 pub fn default_classes() -> Vec<ClassSpec> {
     vec![
         class("record-read", 0.46, Effect::Safe, 40.0, [600.0, 2000.0], [1.0, 0.0]),
@@ -96,6 +97,7 @@
 }
 
 /// The plans where a file names none: small, middling, and one with a cap on what is open and a ceiling.
+#[must_use]
 pub fn default_plans() -> Vec<PlanSpec> {
     let plan = |name: &str, share, rate: f64, burst_s: f64, pays| PlanSpec {
         name: name.into(),
--- a/lab/src/scenario/shipped.rs
+++ b/lab/src/scenario/shipped.rs
@@ -1,6 +1,7 @@
 //! The scenarios that are built into the lab.
 
 /// The scenarios that ship with the lab, by name.
+#[must_use]
 pub fn shipped() -> &'static [(&'static str, &'static str)] {
     macro_rules! ship {
         ($($name:literal),* $(,)?) => {
--- a/lab/src/scenario/world.rs
+++ b/lab/src/scenario/world.rs
@@ -5,6 +5,7 @@
 /// Gateways and workers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
+#[allow(clippy::struct_excessive_bools, reason = "each is a key of its own in scenario files")]
 pub struct World {
     pub gatekeepers: usize,
     pub memory_mb: u64,
--- a/lab/src/switchboard.rs
+++ b/lab/src/switchboard.rs
@@ -83,7 +83,7 @@
 
 /// What a fault does to a link.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Strike {
+pub struct LinkFault {
     pub what: FaultKind,
     pub way: Direction,
     pub delay: Duration,
@@ -96,19 +96,20 @@
 #[derive(Debug)]
 pub struct Link {
     base: LinkState,
-    strikes: Mutex<Vec<(usize, Strike)>>,
+    faults: Mutex<Vec<(usize, LinkFault)>>,
     state: watch::Sender<LinkState>,
     rng: Mutex<ChaCha8Rng>,
 }
 
 impl Link {
     /// A whole link whose messages take `delay` each way.
+    #[must_use]
     pub fn new(delay: Duration, seed: u64) -> Arc<Self> {
         let shape = Shape { delay, jitter: delay / 5, ..Shape::default() };
         let base = LinkState { out: shape, into: shape, ..LinkState::default() };
         Arc::new(Self {
             base,
-            strikes: Mutex::default(),
+            faults: Mutex::default(),
             state: watch::channel(base).0,
             rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
         })
@@ -119,44 +120,44 @@
     }
 
     /// Fault number `index` begins.
-    pub fn strike(&self, index: usize, strike: Strike) {
-        let mut strikes = self.strikes.lock().unwrap_or_else(PoisonError::into_inner);
-        match strike.what {
+    pub fn begin(&self, index: usize, fault: LinkFault) {
+        let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        match fault.what {
             FaultKind::Reset => self.state.send_modify(|s| s.resets += 1),
             FaultKind::HalfOpen => self.state.send_modify(|s| s.halves += 1),
-            _ => strikes.push((index, strike)),
+            _ => faults.push((index, fault)),
         }
-        self.settle(&strikes);
+        self.apply(&faults);
     }
 
     /// Fault number `index` ends.
     pub fn heal(&self, index: usize) {
-        let mut strikes = self.strikes.lock().unwrap_or_else(PoisonError::into_inner);
-        strikes.retain(|(i, _)| *i != index);
-        self.settle(&strikes);
+        let mut faults = self.faults.lock().unwrap_or_else(PoisonError::into_inner);
+        faults.retain(|(i, _)| *i != index);
+        self.apply(&faults);
     }
 
-    fn settle(&self, strikes: &[(usize, Strike)]) {
+    fn apply(&self, faults: &[(usize, LinkFault)]) {
         self.state.send_modify(|state| {
             let mut next = LinkState { resets: state.resets, halves: state.halves, ..self.base };
-            for (_, strike) in strikes {
-                if strike.what == FaultKind::Refuse {
+            for (_, fault) in faults {
+                if fault.what == FaultKind::Refuse {
                     next.refuse = true;
                 }
                 for (way, shape) in [(Direction::Out, &mut next.out), (Direction::In, &mut next.into)] {
-                    if strike.way != Direction::Both && strike.way != way {
+                    if fault.way != Direction::Both && fault.way != way {
                         continue;
                     }
-                    match strike.what {
+                    match fault.what {
                         FaultKind::Cut => shape.cut = true,
                         FaultKind::Delay => {
-                            shape.delay += strike.delay;
-                            shape.jitter += strike.jitter;
+                            shape.delay += fault.delay;
+                            shape.jitter += fault.jitter;
                         }
-                        FaultKind::Lose => shape.lose = 1.0 - (1.0 - shape.lose) * (1.0 - strike.share),
-                        FaultKind::Throttle => shape.bytes_per_s = strike.bytes_per_s,
-                        FaultKind::Duplicate => shape.duplicate = strike.share,
-                        FaultKind::Reorder => shape.reorder = strike.share,
+                        FaultKind::Lose => shape.lose = 1.0 - (1.0 - shape.lose) * (1.0 - fault.share),
+                        FaultKind::Throttle => shape.bytes_per_s = fault.bytes_per_s,
+                        FaultKind::Duplicate => shape.duplicate = fault.share,
+                        FaultKind::Reorder => shape.reorder = fault.share,
                         _ => {}
                     }
                 }
@@ -300,8 +301,8 @@
     /// Whether it can still be used: nothing has come that nobody asked for, nor the end.
     pub fn idle(&self) -> bool {
         let state = self.link.state();
-        let whole = state.resets <= self.resets && self.buffer.is_empty();
-        whole && self.socket.try_read(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
+        let is_intact = state.resets <= self.resets && self.buffer.is_empty();
+        is_intact && self.socket.try_read(&mut [0]).is_err_and(|e| e.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Ends it with a reset once it is dropped.
@@ -348,7 +349,7 @@
     }
 
     /// Makes the listener what the link's state and `up` want it to be.
-    async fn settle(&mut self, up: bool) -> io::Result<()> {
+    async fn apply(&mut self, up: bool) -> io::Result<()> {
         let state = self.link.state();
         if !up || state.refuse {
             self.plug = Plug::None;
@@ -368,7 +369,7 @@
                 Err(_) => Plug::Other,
             };
         } else if !state.clogged() && plugged {
-            rustix::net::listen(listener, BACKLOG as i32)?;
+            rustix::net::listen(listener, BACKLOG.cast_signed())?;
             if matches!(self.plug, Plug::Other) {
                 self.plug = Plug::None;
             }
@@ -385,7 +386,7 @@
         loop {
             changes.borrow_and_update();
             let is_up = *up.borrow_and_update();
-            self.settle(is_up).await?;
+            self.apply(is_up).await?;
             let open = self.listener.as_ref().filter(|_| !self.link.state().clogged());
             let accepted = async {
                 match open {
@@ -407,7 +408,7 @@
                     return Ok(Conn::new(socket, self.link.clone()));
                 }
                 _ = changes.changed() => {}
-                changed = up.changed() => changed.map_err(|_| io::ErrorKind::BrokenPipe)?,
+                power = up.changed() => power.map_err(|_| io::ErrorKind::BrokenPipe)?,
             }
         }
     }
@@ -453,6 +454,7 @@
     }
 
     /// Carries datagrams until it is dropped.
+    #[must_use]
     pub fn run(self: Arc<Self>) -> tokio::task::JoinSet<()> {
         let mut tasks = tokio::task::JoinSet::new();
         for to in 0..self.members.len() {
@@ -477,8 +479,8 @@
             if state.out.cut || state.into.cut || link.draw() < state.out.lose {
                 continue;
             }
-            let copies = 1 + usize::from(link.draw() < state.out.duplicate);
-            for _ in 0..copies {
+            let duplicates = 1 + usize::from(link.draw() < state.out.duplicate);
+            for _ in 0..duplicates {
                 let mut wait = link.time(&Shape { lose: 0.0, ..state.out }, n);
                 if link.draw() < state.out.reorder {
                     wait += Duration::from_millis(20).mul_f64(link.draw());
@@ -511,8 +513,8 @@
     const LOCAL: IpAddr = IpAddr::V4(Ipv4Addr::LOCALHOST);
     const LONG: Duration = Duration::from_secs(20);
 
-    fn strike(what: FaultKind) -> Strike {
-        Strike {
+    fn link_fault(what: FaultKind) -> LinkFault {
+        LinkFault {
             what,
             way: Direction::Both,
             delay: Duration::ZERO,
@@ -525,17 +527,17 @@
     /// Accepts connections and hands on what they bring, until it is dropped.
     fn serve(mut port: Port) -> (watch::Sender<bool>, tokio::sync::mpsc::UnboundedReceiver<Option<Vec<u8>>>) {
         let (up, mut is_up) = watch::channel(true);
-        let (tell, heard) = tokio::sync::mpsc::unbounded_channel();
+        let (sender, heard) = tokio::sync::mpsc::unbounded_channel();
         tokio::spawn(async move {
             while let Ok(mut conn) = port.accept(&mut is_up).await {
-                let tell = tell.clone();
+                let sender = sender.clone();
                 tokio::spawn(async move {
                     while let Ok(1..) = conn.fill().await {
                         let bytes = std::mem::take(conn.buffer());
                         conn.link.pass(Dir::Out, bytes.len()).await;
-                        let _ = tell.send(Some(bytes));
+                        let _ = sender.send(Some(bytes));
                     }
-                    let _ = tell.send(None);
+                    let _ = sender.send(None);
                 });
             }
         });
@@ -551,7 +553,7 @@
         let mut client = TcpStream::connect(addr).await.expect("it is up");
         client.write_all(b"one").await.expect("up");
         assert_eq!(heard.recv().await, Some(Some(b"one".to_vec())));
-        link.strike(0, strike(FaultKind::Cut));
+        link.begin(0, link_fault(FaultKind::Cut));
         client.write_all(b"two").await.expect("the sender notices nothing");
         // The line is full once a connection does not come up any more.
         let refused = async {
@@ -586,7 +588,7 @@
         let mut client = TcpStream::connect(addr).await.expect("it is up");
         client.write_all(b"one").await.expect("up");
         assert_eq!(heard.recv().await, Some(Some(b"one".to_vec())));
-        link.strike(0, strike(FaultKind::Reset));
+        link.begin(0, link_fault(FaultKind::Reset));
         assert_eq!(heard.recv().await, Some(None));
         let ended = client.read(&mut [0]).await;
         assert!(ended.is_err(), "a reset, not an end: {ended:?}");
@@ -599,7 +601,7 @@
                 }
             }
         };
-        link.strike(1, strike(FaultKind::Refuse));
+        link.begin(1, link_fault(FaultKind::Refuse));
         tokio::time::timeout(LONG, refused(addr)).await.expect("refused");
         link.heal(1);
         let again = |addr| async move { while TcpStream::connect(addr).await.is_err() {} };
@@ -617,7 +619,7 @@
         let mut old = TcpStream::connect(addr).await.expect("it is up");
         old.write_all(b"one").await.expect("up");
         assert_eq!(heard.recv().await, Some(Some(b"one".to_vec())));
-        link.strike(0, strike(FaultKind::HalfOpen));
+        link.begin(0, link_fault(FaultKind::HalfOpen));
         old.write_all(b"lost").await.expect("the sender notices nothing");
         let mut new = TcpStream::connect(addr).await.expect("it is up");
         new.write_all(b"two").await.expect("up");
@@ -630,21 +632,24 @@
     #[test]
     fn faults_on_one_link_add_up_and_each_is_taken_back_by_itself() {
         let link = Link::new(Duration::from_millis(1), 1);
-        let whole = link.state();
-        let slow =
-            |ms| Strike { delay: Duration::from_millis(ms), way: Direction::In, ..strike(FaultKind::Delay) };
-        link.strike(0, slow(10));
-        link.strike(1, slow(20));
+        let is_intact = link.state();
+        let slow = |ms| LinkFault {
+            delay: Duration::from_millis(ms),
+            way: Direction::In,
+            ..link_fault(FaultKind::Delay)
+        };
+        link.begin(0, slow(10));
+        link.begin(1, slow(20));
         assert_eq!(link.state().into.delay, Duration::from_millis(31));
-        assert_eq!(link.state().out, whole.out, "the other way is whole");
-        link.strike(2, Strike { way: Direction::Out, ..strike(FaultKind::Cut) });
+        assert_eq!(link.state().out, is_intact.out, "the other way is whole");
+        link.begin(2, LinkFault { way: Direction::Out, ..link_fault(FaultKind::Cut) });
         assert!(link.arrival(Dir::Out, 10).is_none());
         assert!(link.arrival(Dir::In, 10).is_some());
         link.heal(0);
         assert_eq!(link.state().into.delay, Duration::from_millis(21));
         link.heal(1);
         link.heal(2);
-        assert_eq!(link.state(), whole);
+        assert_eq!(link.state(), is_intact);
     }
 
     #[test]
@@ -677,7 +682,7 @@
         sockets[0].send_to(b"one", relay.addrs[1]).await.expect("sent");
         // It comes from where the first is known to the second, so that an answer finds its way.
         assert_eq!(receive(1).await, (b"one".to_vec(), relay.addrs[0]));
-        links[1].strike(0, strike(FaultKind::Lose));
+        links[1].begin(0, link_fault(FaultKind::Lose));
         sockets[0].send_to(b"lost", relay.addrs[1]).await.expect("sent");
         sockets[1].send_to(b"back", relay.addrs[0]).await.expect("sent");
         assert_eq!(receive(0).await.0, b"back", "the other way is whole");
@@ -685,7 +690,7 @@
             tokio::task::yield_now().await;
         }
         links[1].heal(0);
-        links[1].strike(1, strike(FaultKind::Duplicate));
+        links[1].begin(1, link_fault(FaultKind::Duplicate));
         sockets[0].send_to(b"twice", relay.addrs[1]).await.expect("sent");
         assert_eq!(receive(1).await.0, b"twice");
         assert_eq!(receive(1).await.0, b"twice");
--- a/lab/src/tier/arrivals.rs
+++ b/lab/src/tier/arrivals.rs
@@ -3,7 +3,7 @@
 use super::{
     client::Client,
     deployment::Deployment,
-    program::{Program, Told},
+    program::{Program, ProgramReport},
 };
 use std::{sync::Arc, time::Duration};
 use tokio::{
@@ -21,7 +21,7 @@
 /// Programs under way.
 pub struct Arrivals {
     stop: watch::Sender<bool>,
-    task: JoinHandle<Vec<Told>>,
+    task: JoinHandle<Vec<ProgramReport>>,
 }
 
 impl Arrivals {
@@ -46,7 +46,7 @@
     }
 
     /// Has no more come, and waits for those under way.
-    pub async fn end(self) -> Vec<Told> {
+    pub async fn end(self) -> Vec<ProgramReport> {
         self.stop.send_replace(true);
         self.task.await.unwrap_or_default()
     }
@@ -78,7 +78,7 @@
         }
     }
 
-    async fn play(&self, number: usize) -> Told {
+    async fn play(&self, number: usize) -> ProgramReport {
         let pattern = self.patterns[number % self.patterns.len()].clone();
         let loops = number % LOOPING == LOOPING - 1;
         let budget = if loops { LOOPING_BUDGET } else { pattern.budget };
--- a/lab/src/tier/client.rs
+++ b/lab/src/tier/client.rs
@@ -22,11 +22,11 @@
 /// How long a new connection may take to come up.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 /// The shortest silence after which a stream is given up.
-const LEAST_SILENCE: Duration = Duration::from_secs(2);
+const MIN_EVENT_TIMEOUT: Duration = Duration::from_secs(2);
 /// The longest pause between events that the stand-in configurations name.
-const GAP_AIM: Duration = Duration::from_millis(400);
+const EVENT_GAP_TARGET: Duration = Duration::from_millis(400);
 /// Pause before a try is repeated.
-const RETRY_PAUSE: Duration = Duration::from_millis(50);
+const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// Counts the tries of all clients, so that no two share an id.
 static TRIES: AtomicU64 = AtomicU64::new(1);
@@ -118,7 +118,7 @@
             let outcome = Outcome::Closed { request_written: false };
             return Reply { request: id, outcome, events: Vec::new() };
         };
-        let sent = self.to_try(ask, &id, &entry.machine);
+        let sent = Self::describe(ask, &id, &entry.machine);
         self.log.note(Observation::TrySent(Arc::new(sent.clone())));
         let mut exchange =
             Exchange { log: &self.log, sent: &sent, events: Vec::new(), written: false, status: None };
@@ -133,7 +133,7 @@
         Reply { request: id, outcome, events }
     }
 
-    fn to_try(&self, ask: &Ask, id: &str, machine: &str) -> Try {
+    fn describe(ask: &Ask, id: &str, machine: &str) -> Try {
         Try {
             request: id.to_owned(),
             machine: machine.to_owned(),
@@ -164,11 +164,11 @@
     let remaining = until.saturating_duration_since(Instant::now());
     match outcome {
         Outcome::Answered { status: 408 | 421 | 429 | 503, retry_after, .. } => {
-            Some(retry_after.unwrap_or(RETRY_PAUSE).min(remaining / 3))
+            Some(retry_after.unwrap_or(RETRY_DELAY).min(remaining / 3))
         }
         Outcome::Answered { status: 200..=299 | 400..=499, .. } => None,
-        Outcome::Closed { request_written: false } => Some(RETRY_PAUSE),
-        _ if kind == RouteKind::Safe => Some(RETRY_PAUSE),
+        Outcome::Closed { request_written: false } => Some(RETRY_DELAY),
+        _ if kind == RouteKind::Safe => Some(RETRY_DELAY),
         _ => None,
     }
 }
@@ -241,13 +241,14 @@
         let streams = head.header("content-type").is_some_and(|t| t.starts_with("text/event-stream"));
         let (mut body, mut pending) = (Vec::new(), Vec::new());
         loop {
-            let piece = timeout(LEAST_SILENCE.max(8 * GAP_AIM), peer.read_piece(&mut framing));
-            let Some(piece) = piece.await.map_err(|_| io::ErrorKind::TimedOut)?? else { break };
+            let chunk =
+                timeout(MIN_EVENT_TIMEOUT.max(8 * EVENT_GAP_TARGET), peer.read_body_part(&mut framing));
+            let Some(chunk) = chunk.await.map_err(|_| io::ErrorKind::TimedOut)?? else { break };
             if streams {
-                pending.extend_from_slice(&piece);
+                pending.extend_from_slice(&chunk);
                 self.take_events(&mut pending);
             } else {
-                body.extend_from_slice(&piece);
+                body.extend_from_slice(&chunk);
             }
         }
         Ok(body)
--- a/lab/src/tier/configuration.rs
+++ b/lab/src/tier/configuration.rs
@@ -126,12 +126,12 @@
     pub fn body(&self) -> Vec<u8> {
         let routes: Vec<Value> = self.routes.iter().map(Route::to_json).collect();
         let services: Vec<Value> = self.services.iter().map(Service::to_json).collect();
-        let whole = json!({
+        let document = json!({
             "generation": self.generation, "routes": routes, "services": services,
             "limits": {"max_header_bytes": 16384, "max_body_bytes": 4_194_304,
                        "header_timeout_ms": 3000, "idle_timeout_ms": 15000},
         });
-        whole.to_string().into_bytes()
+        document.to_string().into_bytes()
     }
 
     /// The same with another generation.
--- a/lab/src/tier/day.rs
+++ b/lab/src/tier/day.rs
@@ -4,11 +4,11 @@
 use super::{
     arrivals::Arrivals,
     deployment::Deployment,
+    fault::{ORDER_LIMIT, Strikes},
     fleet::{TierError, TierSpec},
     judge::{Broken, EarlyStop, early_stops},
     observation::{MachineEvent, Observation, Outcome, Seen},
-    program::{Ended, Told},
-    strike::{ORDER_LIMIT, Strikes},
+    program::{Ended, ProgramReport},
 };
 use std::{
     collections::BTreeMap,
@@ -22,7 +22,7 @@
 /// Early stops that a summary names.
 const EARLY_STOPS_SHOWN: usize = 5;
 /// A day is so many times as long as the pause before each strike.
-const PAUSES: u32 = 12;
+const FAULT_INTERVALS: u32 = 12;
 
 /// What day to play.
 #[derive(Debug, Clone)]
@@ -58,9 +58,9 @@
     /// For each second: tries answered by success, refused, and failed.
     pub seconds: Vec<[usize; 3]>,
     /// What befell the tier, in order.
-    pub strikes: Vec<String>,
+    pub faults: Vec<String>,
     /// The last words of all processes, if the day did not pass.
-    pub words: String,
+    pub log_tails: String,
 }
 
 impl Summary {
@@ -95,7 +95,7 @@
         for (at_ms, event) in &self.events {
             writeln!(f, "{:<28}{event}", format!("{:.1} s", *at_ms as f64 / 1e3))?;
         }
-        writeln!(f, "{:<28}{}", "struck by", self.strikes.join(", "))?;
+        writeln!(f, "{:<28}{}", "struck by", self.faults.join(", "))?;
         writeln!(f, "{:<28}{}", "402 while budget was left", self.early_stops.len())?;
         for stop in self.early_stops.iter().take(EARLY_STOPS_SHOWN) {
             let EarlyStop { at_ms, program, spent, most, budget } = stop;
@@ -108,7 +108,7 @@
         for broken in self.broken.iter().take(BROKEN_SHOWN) {
             writeln!(f, "{:<28}{broken}", "broken")?;
         }
-        f.write_str(&self.words)
+        f.write_str(&self.log_tails)
     }
 }
 
@@ -122,48 +122,48 @@
         let machines = deployment.tier.names().len();
         let from = deployment.tier.log.seen().len();
         let arrivals = Arrivals::start(&deployment);
-        let strikes = self.strike(&mut deployment).await?;
-        let told = arrivals.end().await;
+        let faults = self.inject_faults(&mut deployment).await?;
+        let injected = arrivals.end().await;
         deployment.operator.read(ORDER_LIMIT).await;
         let seen = deployment.tier.log.seen();
         let mut summary =
-            summary(machines, &told, &seen[from..], deployment.broken(), deployment.tier.fallen());
-        summary.strikes = strikes;
+            summary(machines, &injected, &seen[from..], deployment.broken(), deployment.tier.fallen());
+        summary.faults = faults;
         summary.early_stops = early_stops(&seen, &self.tier.bounds);
         if !summary.passed() {
-            summary.words = deployment.tier.log_tails();
+            summary.log_tails = deployment.tier.log_tails();
         }
         Ok(summary)
     }
 
     /// Strikes, spread over the day, and ends with it.
-    async fn strike(&self, deployment: &mut Deployment) -> Result<Vec<String>, TierError> {
+    async fn inject_faults(&self, deployment: &mut Deployment) -> Result<Vec<String>, TierError> {
         let end = Instant::now() + self.length;
-        let mut strikes = self.seed.map_or_else(Strikes::usual, Strikes::drawn);
-        let pause = self.length / PAUSES;
-        let mut told = Vec::new();
+        let mut faults = self.seed.map_or_else(Strikes::usual, Strikes::drawn);
+        let interval = self.length / FAULT_INTERVALS;
+        let mut injected = Vec::new();
         loop {
-            tokio::time::sleep(pause.min(end.saturating_duration_since(Instant::now()))).await;
+            tokio::time::sleep(interval.min(end.saturating_duration_since(Instant::now()))).await;
             if Instant::now() >= end {
-                return Ok(told);
+                return Ok(injected);
             }
-            let Some(strike) = strikes.next(deployment) else { continue };
-            told.push(format!("{strike:?}"));
-            strike.strike(deployment).await?;
+            let Some(fault) = faults.next(deployment) else { continue };
+            injected.push(format!("{fault:?}"));
+            fault.inject(deployment).await?;
         }
     }
 }
 
 fn summary(
     machines: usize,
-    told: &[Told],
+    injected: &[ProgramReport],
     seen: &[Seen],
     broken: Vec<Broken>,
     fallen: Vec<String>,
 ) -> Summary {
     let mut programs = BTreeMap::new();
-    for told in told {
-        let name = match told.ended {
+    for injected in injected {
+        let name = match injected.ended {
             Ended::Completed => "completed".to_owned(),
             Ended::Stopped => "stopped by their budget".to_owned(),
             Ended::Failed { status: 0 } => "failed without an answer".to_owned(),
@@ -172,21 +172,23 @@
         *programs.entry(name).or_insert(0) += 1;
     }
     let mut collected = Collected { began_ms: seen.first().map_or(0, |s| s.at_ms), ..Collected::default() };
-    seen.iter().for_each(|s| collected.add(s));
+    for observation in seen {
+        collected.add(observation);
+    }
     Summary {
         machines,
         programs,
-        turns: told.iter().map(|t| t.turns).sum(),
-        calls: told.iter().map(|t| t.calls).sum(),
+        turns: injected.iter().map(|t| t.turns).sum(),
+        calls: injected.iter().map(|t| t.calls).sum(),
         latency_ms: collected.latencies(),
         tries: collected.tries,
         events: collected.events,
         seconds: collected.seconds,
         broken,
         fallen,
-        strikes: Vec::new(),
+        faults: Vec::new(),
         early_stops: Vec::new(),
-        words: String::new(),
+        log_tails: String::new(),
     }
 }
 
--- a/lab/src/tier/deployment.rs
+++ b/lab/src/tier/deployment.rs
@@ -22,11 +22,11 @@
 /// How long a start may take.
 pub const START_LIMIT: Duration = Duration::from_secs(8);
 /// Pause between two looks at something that changes.
-const LOOK_PAUSE: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// Tries that a message shows.
 const OUTCOMES_SHOWN: usize = 3;
 /// The address of workers, outside the tier's own.
-const WORKERS_IP: Ipv4Addr = Ipv4Addr::new(127, 0, 0, 1);
+const WORKERS_IP: Ipv4Addr = Ipv4Addr::LOCALHOST;
 
 /// The engine of the deployment's model workers: quick, so that a turn takes some tens of milliseconds.
 const ENGINE: EngineSpec = EngineSpec {
@@ -216,7 +216,7 @@
                 Ok(worker) => return worker,
                 Err(error) => assert!(tokio::time::Instant::now() < until, "{error}"),
             }
-            tokio::time::sleep(LOOK_PAUSE).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
--- a/lab/src/tier/strike.rs
+++ b/lab/src/tier/fault.rs
@@ -32,7 +32,7 @@
 
 /// Something that befalls the tier.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Strike {
+pub enum TierFault {
     /// The owner of the configuration is killed and comes back.
     KillOwner,
     /// A machine is killed and comes back after a time.
@@ -64,7 +64,7 @@
 /// What befalls the tier, one after the other.
 pub enum Strikes {
     /// As listed.
-    Usual(std::vec::IntoIter<Strike>),
+    Usual(std::vec::IntoIter<TierFault>),
     /// Drawn, without end.
     Drawn(Box<ChaCha8Rng>),
 }
@@ -75,11 +75,11 @@
     pub fn usual() -> Self {
         let (killed, stopped) = ("edge-1".to_owned(), "edge-2".to_owned());
         let usual = vec![
-            Strike::KillOwner,
-            Strike::ChangeConfiguration,
-            Strike::Kill(killed, DOWN),
-            Strike::WorkerLeaves,
-            Strike::Stop(stopped),
+            TierFault::KillOwner,
+            TierFault::ChangeConfiguration,
+            TierFault::Kill(killed, DOWN),
+            TierFault::WorkerLeaves,
+            TierFault::Stop(stopped),
         ];
         Self::Usual(usual.into_iter())
     }
@@ -91,15 +91,15 @@
     }
 
     /// The next one, for the tier as it is now.
-    pub fn next(&mut self, deployment: &Deployment) -> Option<Strike> {
+    pub fn next(&mut self, deployment: &Deployment) -> Option<TierFault> {
         match self {
-            Self::Usual(strikes) => strikes.next(),
+            Self::Usual(faults) => faults.next(),
             Self::Drawn(rng) => Some(draw(rng, deployment)),
         }
     }
 }
 
-impl Strike {
+impl TierFault {
     /// Whether a machine with a disk is lost for a while.
     fn takes_disk(&self) -> bool {
         match self {
@@ -117,7 +117,7 @@
     ///
     /// # Errors
     /// Something did not come back in time.
-    pub async fn strike(&self, deployment: &mut Deployment) -> Result<(), TierError> {
+    pub async fn inject(&self, deployment: &mut Deployment) -> Result<(), TierError> {
         self.begin_and_end(deployment).await?;
         if self.takes_disk() {
             deployment.tier.control_ready(START_LIMIT).await?;
@@ -219,25 +219,25 @@
     }
 }
 
-fn draw(rng: &mut ChaCha8Rng, deployment: &Deployment) -> Strike {
+fn draw(rng: &mut ChaCha8Rng, deployment: &Deployment) -> TierFault {
     let names = deployment.tier.names();
     let any = names.choose(rng).cloned().unwrap_or_default();
     let is_edge = any.starts_with(Class::Edge.name());
     let (least, most) = DRAWN_DOWN_MS;
     let down = Duration::from_millis(rng.random_range(least..most));
     match rng.random_range(0..14) {
-        0 | 1 => Strike::Kill(any, down),
-        2 | 3 => Strike::Freeze(any, down),
-        4 if !is_edge => Strike::Wipe(any),
-        4 | 5 => Strike::Stop(any),
-        6 => Strike::Reload(any),
-        7 => Strike::Replace(any),
-        8 => Strike::LosePower,
-        9 => Strike::ChangeConfiguration,
-        10 => Strike::LoseAcknowledgement,
-        11 => Strike::InvalidConfiguration,
-        12 if rng.random() => Strike::WorkerLeaves,
-        12 => Strike::WorkerCrashes,
-        _ => Strike::WorkersFail(WORKER_FAULTS.choose(rng).copied().unwrap_or(Fault::Failure)),
+        0 | 1 => TierFault::Kill(any, down),
+        2 | 3 => TierFault::Freeze(any, down),
+        4 if !is_edge => TierFault::Wipe(any),
+        4 | 5 => TierFault::Stop(any),
+        6 => TierFault::Reload(any),
+        7 => TierFault::Replace(any),
+        8 => TierFault::LosePower,
+        9 => TierFault::ChangeConfiguration,
+        10 => TierFault::LoseAcknowledgement,
+        11 => TierFault::InvalidConfiguration,
+        12 if rng.random() => TierFault::WorkerLeaves,
+        12 => TierFault::WorkerCrashes,
+        _ => TierFault::WorkersFail(WORKER_FAULTS.choose(rng).copied().unwrap_or(Fault::Failure)),
     }
 }
--- a/lab/src/tier/fleet.rs
+++ b/lab/src/tier/fleet.rs
@@ -21,11 +21,11 @@
 use tokio::time::Instant;
 
 /// Pause between two looks at a process that is starting.
-const LOOK_PAUSE: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 /// How long one look may take.
-const LOOK_LIMIT: Duration = Duration::from_millis(500);
+const POLL_TIMEOUT: Duration = Duration::from_millis(500);
 /// Most seeds that a process is told.
-const MOST_SEEDS: usize = 3;
+const MAX_SEEDS: usize = 3;
 /// Networks of which each tier has one.
 const NETWORKS: u8 = 125;
 /// The port by which a tier claims its network; no process of it uses that.
@@ -59,8 +59,8 @@
     Io(#[from] io::Error),
     #[error("no machine is called {0:?}")]
     NoMachine(String),
-    #[error("{what} within {limit:?}; the last words of its processes:\n{words}")]
-    Late { what: String, limit: Duration, words: String },
+    #[error("{what} within {limit:?}; the last words of its processes:\n{log_tails}")]
+    Late { what: String, limit: Duration, log_tails: String },
 }
 
 /// A tier that runs.
@@ -110,7 +110,7 @@
                 tier.lay_out(&format!("{}-{number}", class.name()), class, &zone, true)?;
             }
         }
-        tier.seeds = tier.control_addresses().into_iter().take(MOST_SEEDS).collect();
+        tier.seeds = tier.control_addresses().into_iter().take(MAX_SEEDS).collect();
         tier.controls.set(tier.control_addresses());
         let names = tier.names();
         for name in names {
@@ -373,14 +373,14 @@
         let until = Instant::now() + limit;
         for address in self.control_addresses() {
             loop {
-                let answer = call(address, "GET", "/opalrun/config", &[], b"", LOOK_LIMIT).await;
+                let answer = call(address, "GET", "/opalrun/config", &[], b"", POLL_TIMEOUT).await;
                 if answer.is_ok_and(|a| (200..500).contains(&a.status())) {
                     break;
                 }
                 if Instant::now() > until {
                     return Err(self.late(format!("control at {address} does not answer"), limit));
                 }
-                tokio::time::sleep(LOOK_PAUSE).await;
+                tokio::time::sleep(POLL_INTERVAL).await;
             }
         }
         Ok(())
@@ -405,14 +405,14 @@
     pub async fn gatekeeper_ready(&self, name: &str, limit: Duration) -> Result<(), TierError> {
         let until = Instant::now() + limit;
         loop {
-            self.platform.check(LOOK_LIMIT).await;
+            self.platform.check(POLL_TIMEOUT).await;
             if self.platform.ready().iter().any(|ready| ready == name) {
                 return Ok(());
             }
             if Instant::now() > until {
                 return Err(self.late(format!("{name} is not ready"), limit));
             }
-            tokio::time::sleep(LOOK_PAUSE).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
     }
 
@@ -437,16 +437,16 @@
         name: &str,
         limit: Duration,
         text: &str,
-        holds: impl Fn(&Machine) -> bool,
+        is_met: impl Fn(&Machine) -> bool,
     ) -> Result<(), TierError> {
         let machine = self.machines.iter().find(|m| m.name == name);
         let machine = machine.ok_or_else(|| TierError::NoMachine(name.to_owned()))?;
         let until = Instant::now() + limit;
-        while !holds(machine) {
+        while !is_met(machine) {
             if Instant::now() > until {
                 return Err(self.late(format!("{name} does not log {text:?}"), limit));
             }
-            tokio::time::sleep(LOOK_PAUSE).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
         Ok(())
     }
@@ -479,7 +479,7 @@
     }
 
     pub(super) fn late(&self, what: String, limit: Duration) -> TierError {
-        TierError::Late { what, limit, words: self.log_tails() }
+        TierError::Late { what, limit, log_tails: self.log_tails() }
     }
 }
 
--- a/lab/src/tier/judge/control.rs
+++ b/lab/src/tier/judge/control.rs
@@ -150,11 +150,11 @@
         for (id, request) in &index.requests {
             let Some((sent_ms, sent)) = request.sent else { continue };
             let Some((at_ms, outcome)) = request.ended else { continue };
-            let cut = matches!(outcome, Outcome::Closed { .. } | Outcome::BrokenOff { .. });
+            let is_cut_off = matches!(outcome, Outcome::Closed { .. } | Outcome::BrokenOff { .. });
             let passed_on = !request.reached.is_empty();
             let to_ms = stopped_ms + bounds.grace_ms + AFTER_GRACE_MS;
             let during = at_ms >= *stopped_ms && at_ms <= to_ms;
-            if sent.machine != *machine || !cut || !passed_on || !during {
+            if sent.machine != *machine || !is_cut_off || !passed_on || !during {
                 continue;
             }
             let by_worker = request.runs.iter().any(|r| r.answer.is_some_and(|a| !a.3))
@@ -172,11 +172,14 @@
 /// Whether unplanned trouble befell a machine from shortly before a request until its end.
 fn unplanned(index: &Index<'_>, machine: &str, sent_ms: u64, ended_ms: u64, bounds: &Bounds) -> bool {
     let from = sent_ms.saturating_sub(bounds.contact_ms);
-    let trouble = |e: MachineEvent| {
+    let is_unplanned = |e: MachineEvent| {
         matches!(
             e,
             MachineEvent::Killed | MachineEvent::Frozen | MachineEvent::Thawed | MachineEvent::DiskLost
         )
     };
-    index.machines.iter().any(|(at, m, e)| *m == machine && trouble(*e) && (from..=ended_ms).contains(at))
+    index
+        .machines
+        .iter()
+        .any(|(at, m, e)| *m == machine && is_unplanned(*e) && (from..=ended_ms).contains(at))
 }
--- a/lab/src/tier/judge/index.rs
+++ b/lab/src/tier/judge/index.rs
@@ -83,7 +83,7 @@
             Observation::TrySent(sent) => self.request(&sent.request).sent = Some((at_ms, sent)),
             Observation::EventReceived { request, event } => self.request(request).received.push(event),
             Observation::TryEnded { request, outcome } => {
-                self.request(request).ended = Some((at_ms, outcome))
+                self.request(request).ended = Some((at_ms, outcome));
             }
             Observation::Reached { request, worker } => self.request(request).reached.push((at_ms, worker)),
             Observation::Ran { request, worker, service, method, host, path, body } => {
@@ -105,9 +105,9 @@
                     run.events.push(event);
                 }
             }
-            Observation::WorkerAnswered { request, worker, status, signature, body, whole } => {
+            Observation::WorkerAnswered { request, worker, status, signature, body, is_complete } => {
                 if let Some(run) = self.last_run(request, worker) {
-                    run.answer = Some((*status, signature, body, *whole));
+                    run.answer = Some((*status, signature, body, *is_complete));
                 }
             }
             Observation::AnswerBegun { request, status, signature } => {
--- a/lab/src/tier/judge/programs.rs
+++ b/lab/src/tier/judge/programs.rs
@@ -70,15 +70,16 @@
 fn spent_by(index: &Index<'_>, name: &str, at_ms: u64, settle_ms: u64) -> u64 {
     let mut spent = 0;
     for request in index.requests.values() {
-        let Some((sent_ms, sent)) = request.sent else { continue };
-        let Some(program) = sent.program.as_ref().filter(|p| p.name == name && p.budget.is_some()) else {
+        let Some((sent_ms, first_try)) = request.sent else { continue };
+        let Some(program) = first_try.program.as_ref().filter(|p| p.name == name && p.budget.is_some())
+        else {
             continue;
         };
         if sent_ms > at_ms {
             continue;
         }
-        let settled = request.ended.filter(|(ended_ms, _)| ended_ms + settle_ms <= at_ms);
-        spent += match settled {
+        let ended_before = request.ended.filter(|(ended_ms, _)| ended_ms + settle_ms <= at_ms);
+        spent += match ended_before {
             Some((_, Outcome::Answered { status: 200..=299, .. })) => {
                 request.received.len() as u64 * program.chunk_tokens
             }
--- a/lab/src/tier/judge/requests.rs
+++ b/lab/src/tier/judge/requests.rs
@@ -16,7 +16,7 @@
 const DENIED_ALLOWANCE: usize = 5;
 const DENIED_ONE_IN: usize = 500;
 /// How far back a chain of turns is followed.
-const MOST_TURNS: usize = 1000;
+const MAX_CHAIN_TURNS: usize = 1000;
 
 pub fn check(index: &Index<'_>) -> Vec<Broken> {
     let mut broken = Vec::new();
@@ -82,7 +82,7 @@
             said.push(b'\n');
         }
         turns.push(said);
-        if turns.len() > MOST_TURNS {
+        if turns.len() > MAX_CHAIN_TURNS {
             return None;
         }
         at = sent.previous.as_deref();
@@ -130,8 +130,9 @@
                 ));
             }
             if success && !matches!(request.kind(), RouteKind::Streaming { .. }) {
-                let whole = |r: &Run<'_>| r.answer.is_some_and(|a| a.1 == signature && a.2 == body && a.3);
-                if !request.runs.iter().any(whole) {
+                let is_complete_answer =
+                    |r: &Run<'_>| r.answer.is_some_and(|a| a.1 == signature && a.2 == body && a.3);
+                if !request.runs.iter().any(is_complete_answer) {
                     return report(format!("{id}: the body is not the one that its worker sent"));
                 }
             }
--- a/lab/src/tier/judge/streams.rs
+++ b/lab/src/tier/judge/streams.rs
@@ -19,7 +19,7 @@
             return report(format!("{id}: the event {} follows the event {}", pair[1].id, pair[0].id));
         }
     }
-    let whole = outcome.is_success();
+    let ended_complete = outcome.is_success();
     if resumable {
         let unknown = request.received.iter().find(|e| !request.runs.iter().any(|r| r.events.contains(e)));
         if let Some(event) = unknown {
@@ -27,7 +27,7 @@
         }
         let ended = |r: &Run<'_>| r.answer.is_some_and(|a| a.3) && r.events.last() == request.received.last();
         let complete = request.runs.iter().any(ended);
-        return if whole && !complete {
+        return if ended_complete && !complete {
             report(format!("{id}: it ended as complete and is not"))
         } else {
             None
@@ -42,5 +42,5 @@
         };
     };
     let complete = run.events.len() == request.received.len() && run.answer.is_some_and(|a| a.3);
-    if whole && !complete { report(format!("{id}: it ended as complete and is not")) } else { None }
+    if ended_complete && !complete { report(format!("{id}: it ended as complete and is not")) } else { None }
 }
--- a/lab/src/tier/judge/tests.rs
+++ b/lab/src/tier/judge/tests.rs
@@ -99,7 +99,7 @@
             status: 200,
             signature: format!("{request}@{worker}"),
             body: body.as_bytes().to_vec(),
-            whole: true,
+            is_complete: true,
         })
     }
 
--- a/lab/src/tier/mod.rs
+++ b/lab/src/tier/mod.rs
@@ -6,6 +6,7 @@
 pub mod configuration;
 pub mod day;
 pub mod deployment;
+pub mod fault;
 pub mod fleet;
 pub mod judge;
 pub mod machine;
@@ -16,7 +17,6 @@
 pub mod platform;
 pub mod program;
 pub mod settings_file;
-pub mod strike;
 #[cfg(test)]
 mod tests;
 pub mod worker;
--- a/lab/src/tier/observation.rs
+++ b/lab/src/tier/observation.rs
@@ -150,14 +150,14 @@
         status: u16,
         signature: String,
     },
-    /// A worker ended its answer; `whole`: it did not break it off.
+    /// A worker ended its answer; `is_complete`: it did not break it off.
     WorkerAnswered {
         request: String,
         worker: String,
         status: u16,
         signature: String,
         body: Vec<u8>,
-        whole: bool,
+        is_complete: bool,
     },
     /// A worker crashed or was reset: what it had is broken off.
     WorkerCrashed {
--- a/lab/src/tier/operator.rs
+++ b/lab/src/tier/operator.rs
@@ -22,8 +22,8 @@
 /// Times that a redirection is followed.
 const REDIRECTS: usize = 2;
 /// The first pause after a round without an answer, and the longest.
-const FIRST_PAUSE: Duration = Duration::from_millis(30);
-const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+const MIN_BACKOFF: Duration = Duration::from_millis(30);
+const MAX_BACKOFF: Duration = Duration::from_millis(500);
 
 /// An operator.
 #[derive(Debug, Clone)]
@@ -93,7 +93,7 @@
             if self.retire_state(node, limit).await.as_deref() == Some("completed") {
                 return true;
             }
-            tokio::time::sleep(FIRST_PAUSE).await;
+            tokio::time::sleep(MIN_BACKOFF).await;
         }
         false
     }
@@ -114,7 +114,7 @@
         limit: Duration,
     ) -> Option<Message> {
         let until = Instant::now() + limit;
-        let mut pause = FIRST_PAUSE;
+        let mut backoff = MIN_BACKOFF;
         while Instant::now() < until {
             let answer = match self.choose() {
                 Some(address) => self.follow(address, method, path, headers, body).await,
@@ -126,8 +126,8 @@
                 return Some(answer);
             }
             self.next.fetch_add(1, Ordering::Relaxed);
-            tokio::time::sleep(pause).await;
-            pause = (pause * 2).min(LONGEST_PAUSE);
+            tokio::time::sleep(backoff).await;
+            backoff = (backoff * 2).min(MAX_BACKOFF);
         }
         None
     }
--- a/lab/src/tier/page.rs
+++ b/lab/src/tier/page.rs
@@ -31,11 +31,11 @@
     // Writing into a string does not fail.
     let _ = write!(page, "<h1>{}</h1><pre>{}</pre>", escape(&summary.line()), escape(&summary.to_string()));
     page.push_str("<h2>Tries ended in each second</h2><p>answered, refused, failed</p><table>");
-    let most = summary.seconds.iter().map(|s| s.iter().sum::<usize>()).max().unwrap_or(1).max(1);
+    let max = summary.seconds.iter().map(|s| s.iter().sum::<usize>()).max().unwrap_or(1).max(1);
     for (second, counts) in summary.seconds.iter().enumerate() {
         let _ = write!(page, "<tr><td>{second}</td><td>");
         for (count, class) in counts.iter().zip(["ok", "refused", "failed"]) {
-            let width = count * WIDEST_BAR / most;
+            let width = count * WIDEST_BAR / max;
             let _ = write!(page, "<i class=\"{class}\" style=\"width:{width}px\" title=\"{count}\"></i>");
         }
         page.push_str("</td></tr>");
--- a/lab/src/tier/peer.rs
+++ b/lab/src/tier/peer.rs
@@ -1,7 +1,7 @@
 //! One TCP connection of a stand-in, read as HTTP/1.1, whole or piece by piece.
 
 use crate::http::{Message, unreadable};
-use std::{io, net::SocketAddr, time::Duration};
+use std::{fmt::Write as _, io, net::SocketAddr, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -11,7 +11,7 @@
 /// Bytes read at a time.
 const READ_BYTES: usize = 16 << 10;
 /// Longest line that begins a chunk.
-const MOST_CHUNK_LINE: usize = 64;
+const MAX_CHUNK_LINE_BYTES: usize = 64;
 
 /// How the end of a body is known, and how much of it is still to come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -103,15 +103,15 @@
     ///
     /// # Errors
     /// The connection ended before that, or the framing is wrong.
-    pub async fn read_piece(&mut self, framing: &mut Framing) -> io::Result<Option<Vec<u8>>> {
+    pub async fn read_body_part(&mut self, framing: &mut Framing) -> io::Result<Option<Vec<u8>>> {
         match *framing {
             Framing::Ended => Ok(None),
             Framing::Length(left) => {
                 self.need(1).await?;
-                let piece: Vec<u8> = self.buffer.drain(..left.min(self.buffer.len())).collect();
-                let left = left - piece.len();
+                let chunk: Vec<u8> = self.buffer.drain(..left.min(self.buffer.len())).collect();
+                let left = left - chunk.len();
                 *framing = if left == 0 { Framing::Ended } else { Framing::Length(left) };
-                Ok(Some(piece))
+                Ok(Some(chunk))
             }
             Framing::Chunked => self.read_chunk(framing).await,
         }
@@ -122,7 +122,7 @@
             if let Some(end) = self.buffer.windows(2).position(|w| w == b"\r\n") {
                 break self.buffer.drain(..end + 2).collect::<Vec<u8>>();
             }
-            if self.buffer.len() > MOST_CHUNK_LINE {
+            if self.buffer.len() > MAX_CHUNK_LINE_BYTES {
                 return Err(unreadable());
             }
             self.need(self.buffer.len() + 1).await?;
@@ -130,7 +130,7 @@
         let size = std::str::from_utf8(&line).map_err(|_| unreadable())?;
         let size = usize::from_str_radix(size.trim(), 16).map_err(|_| unreadable())?;
         self.need(size + 2).await?;
-        let piece: Vec<u8> = self.buffer.drain(..size).collect();
+        let chunk: Vec<u8> = self.buffer.drain(..size).collect();
         let end: Vec<u8> = self.buffer.drain(..2).collect();
         if end != b"\r\n" {
             return Err(unreadable());
@@ -139,7 +139,7 @@
             *framing = Framing::Ended;
             return Ok(None);
         }
-        Ok(Some(piece))
+        Ok(Some(chunk))
     }
 
     /// Reads until the buffer holds so many bytes.
@@ -189,10 +189,10 @@
 pub fn request(method: &str, path: &str, headers: &[(&str, String)], body: &[u8]) -> Vec<u8> {
     let mut head = format!("{method} {path} HTTP/1.1\r\n");
     for (name, value) in headers {
-        head.push_str(&format!("{name}: {value}\r\n"));
+        let _ = write!(head, "{name}: {value}\r\n");
     }
     if !body.is_empty() || method != "GET" {
-        head.push_str(&format!("Content-Length: {}\r\n", body.len()));
+        let _ = write!(head, "Content-Length: {}\r\n", body.len());
     }
     head.push_str("\r\n");
     let mut bytes = head.into_bytes();
--- a/lab/src/tier/program.rs
+++ b/lab/src/tier/program.rs
@@ -10,7 +10,7 @@
 /// Times a turn that failed is sent again from its start.
 const RESENDS: usize = 2;
 /// Pause before that.
-const RESEND_PAUSE: Duration = Duration::from_millis(150);
+const RESEND_DELAY: Duration = Duration::from_millis(150);
 /// Times a program that loops sends a turn after a 402.
 const RESENDS_AFTER_REFUSAL: usize = 2;
 
@@ -48,7 +48,7 @@
 
 /// What became of a program.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Told {
+pub struct ProgramReport {
     pub ended: Ended,
     /// Turns that were answered whole.
     pub turns: usize,
@@ -84,8 +84,8 @@
 
 impl Program {
     /// Plays it to its end.
-    pub async fn play(&self, client: &Client) -> Told {
-        let mut told = Told { ended: Ended::Completed, turns: 0, calls: 0 };
+    pub async fn play(&self, client: &Client) -> ProgramReport {
+        let mut told = ProgramReport { ended: Ended::Completed, turns: 0, calls: 0 };
         let mut line = Line::new(&self.name);
         if self.turns == 0 {
             self.tools(client, &mut told).await;
@@ -114,30 +114,29 @@
 
     /// Asks for one more turn of a line, which gets longer if it is answered.
     pub async fn one_turn(&self, client: &Client, line: &mut Line, number: usize) -> Ended {
-        let mut told = Told { ended: Ended::Completed, turns: 0, calls: 0 };
+        let mut told = ProgramReport { ended: Ended::Completed, turns: 0, calls: 0 };
         self.turn(client, line, number, &mut told).await;
         told.ended
     }
 
-    async fn turn(&self, client: &Client, line: &mut Line, number: usize, told: &mut Told) -> bool {
+    async fn turn(&self, client: &Client, line: &mut Line, number: usize, told: &mut ProgramReport) -> bool {
         let ask = self.turn_ask(line, number);
         let mut refusals = 0;
         let mut failures = 0;
         let reply = loop {
             let reply = client.ask(&ask).await;
             match reply.status() {
-                200 => break reply,
                 402 if self.loops && refusals < RESENDS_AFTER_REFUSAL => refusals += 1,
-                400..=404 | 413 => break reply,
+                200 | 400..=404 | 413 => break reply,
                 _ if failures < RESENDS => failures += 1,
                 _ => break reply,
             }
-            tokio::time::sleep(RESEND_PAUSE).await;
+            tokio::time::sleep(RESEND_DELAY).await;
         };
         self.after_turn(line, &ask, &reply, told)
     }
 
-    fn after_turn(&self, line: &mut Line, ask: &Ask, reply: &Reply, told: &mut Told) -> bool {
+    fn after_turn(&self, line: &mut Line, ask: &Ask, reply: &Reply, told: &mut ProgramReport) -> bool {
         match reply.status() {
             200 => {}
             402 => told.ended = Ended::Stopped,
@@ -181,7 +180,7 @@
     }
 
     /// Calls all tools side by side; whether none failed.
-    async fn tools(&self, client: &Client, told: &mut Told) -> bool {
+    async fn tools(&self, client: &Client, told: &mut ProgramReport) -> bool {
         let calls = self.tools.iter().map(|route| {
             let (client, ask) = (client.clone(), self.tool_ask(route));
             tokio::spawn(async move { client.ask(&ask).await })
@@ -220,13 +219,13 @@
         line: &'a Line,
         count: usize,
         turns: usize,
-        told: &'a mut Told,
+        told: &'a mut ProgramReport,
     ) -> Boxed<'a, ()> {
         Box::pin(async move {
             let agents = (1..=count).map(|number| {
                 let (program, client, mut line) = (self.clone(), client.clone(), line.branch(number));
                 tokio::spawn(async move {
-                    let mut told = Told { ended: Ended::Completed, turns: 0, calls: 0 };
+                    let mut told = ProgramReport { ended: Ended::Completed, turns: 0, calls: 0 };
                     for number in 0..turns {
                         if !program.turn(&client, &mut line, number, &mut told).await {
                             break;
--- a/lab/src/tier/settings_file.rs
+++ b/lab/src/tier/settings_file.rs
@@ -124,10 +124,12 @@
     fn tables(&self, text: &mut String) {
         text.push_str("\n[zones]\n");
         for zone in self.zones {
-            text.push_str(&format!("{zone} = \"region-1\"\n"));
+            let _ = writeln!(text, "{zone} = \"region-1\"");
         }
         text.push_str("\n[listen]\n");
-        let mut listen = |key: &str, port: u16| text.push_str(&format!("{key} = \"{}:{port}\"\n", self.ip));
+        let mut listen = |key: &str, port: u16| {
+            let _ = writeln!(text, "{key} = \"{}:{port}\"", self.ip);
+        };
         match (self.class, self.role) {
             (Class::Edge, "proxy") => {
                 listen("frontend", self.ports.frontend);
@@ -136,14 +138,16 @@
             (Class::Core, _) => listen("control_plane", self.ports.control),
             _ => {}
         }
-        text.push_str(&format!(
+        let _ = write!(
+            text,
             "\n[limits]\ncpu_quota = 0.5\ncores = 1\nmemory_mb = 260\nmax_fds = 4100\nbandwidth_mbps = 1000.0\n\
              disk_mb = {}\n\n[fault_tolerance]\nhosts_lost = {}\nzones = 0\nregions = 0\n",
             if self.class == Class::Edge { 0 } else { 128 },
             self.hosts_lost
-        ));
+        );
         let bounds = &self.bounds;
-        text.push_str(&format!(
+        let _ = write!(
+            text,
             "\n[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\ncontact_ms = {}\nack_ms = 4000\ncatch_up_s = 4.4\n\
              drain_ms = {}\ngrace_s = {}\nloss_slack_ms = 200\nconfig_apply_ms = {}\ndowngrade_ms = {}\n\
              skew_ms = 5000\nrecovery_s = 12\npass_ms = 120\nagain_s = 0\ncompletion_s = 10\nsettle_ms = 1000\n",
@@ -152,7 +156,7 @@
             bounds.grace_ms as f64 / 1e3,
             bounds.config_apply_ms,
             bounds.downgrade_ms
-        ));
+        );
     }
 }
 
--- a/lab/src/tier/worker/engine.rs
+++ b/lab/src/tier/worker/engine.rs
@@ -101,8 +101,8 @@
     /// # Errors
     /// There is no place, or the request is larger than the memory.
     pub fn admit(&mut self, prompt: Prompt) -> Result<u64, Full> {
-        let places = self.spec.capacity + self.spec.queue;
-        if self.running.len() + self.waiting.len() >= places
+        let slots = self.spec.capacity + self.spec.queue;
+        if self.running.len() + self.waiting.len() >= slots
             || prompt.tokens() + prompt.out > self.spec.kv_capacity
         {
             return Err(Full);
@@ -134,7 +134,7 @@
     /// How full it is.
     #[must_use]
     pub fn load(&self) -> EngineLoad {
-        let kv_used = self.pinned_tokens();
+        let kv_used = self.tokens_in_use();
         EngineLoad { running: self.running.len(), waiting: self.waiting.len(), kv_used }
     }
 
@@ -159,7 +159,7 @@
         while let Some(at) = self.most_urgent_waiting() {
             let priority = self.waiting[at].prompt.priority;
             let new = self.new_tokens(&self.waiting[at]);
-            if self.running.len() < self.spec.capacity && self.make_room(new) {
+            if self.running.len() < self.spec.capacity && self.free_tokens(new) {
                 let job = self.waiting.remove(at);
                 self.start(job);
             } else if !self.preempt_below(priority) {
@@ -169,8 +169,8 @@
     }
 
     fn most_urgent_waiting(&self) -> Option<usize> {
-        let places = self.waiting.iter().enumerate();
-        places.min_by_key(|(_, job)| (job.prompt.priority, job.ticket)).map(|(at, _)| at)
+        let slots = self.waiting.iter().enumerate();
+        slots.min_by_key(|(_, job)| (job.prompt.priority, job.ticket)).map(|(at, _)| at)
     }
 
     /// Puts the newest of the least urgent running requests back, if it is less urgent than this.
@@ -212,10 +212,10 @@
             if job.prefill_left == 0 {
                 continue;
             }
-            let piece = job.prefill_left.min(budget);
-            job.prefill_left -= piece;
-            budget -= piece;
-            self.prefilled += piece;
+            let chunk = job.prefill_left.min(budget);
+            job.prefill_left -= chunk;
+            budget -= chunk;
+            self.prefilled += chunk;
             if job.prefill_left == 0 {
                 read.extend(job.prompt.parts.iter().cloned());
             }
@@ -227,10 +227,10 @@
 
     /// Emits a token of a request; `None`: it had to give way.
     fn emit(&mut self, ticket: u64) -> Option<bool> {
-        while !self.make_room(1) {
-            let least = self.running.iter().max_by_key(|j| (j.prompt.priority, j.ticket))?.ticket;
-            self.preempt(least);
-            if least == ticket {
+        while !self.free_tokens(1) {
+            let lowest_priority = self.running.iter().max_by_key(|j| (j.prompt.priority, j.ticket))?.ticket;
+            self.preempt(lowest_priority);
+            if lowest_priority == ticket {
                 return None;
             }
         }
@@ -246,16 +246,16 @@
 
     /// Tokens that a request adds to what is pinned.
     fn new_tokens(&self, job: &Job) -> u64 {
-        let pinned = self.pinned_parts();
-        let new = job.prompt.parts.iter().filter(|(id, _)| !pinned.contains(id.as_str()));
+        let in_use = self.parts_in_use();
+        let new = job.prompt.parts.iter().filter(|(id, _)| !in_use.contains(id.as_str()));
         new.map(|(_, tokens)| tokens).sum::<u64>() + job.generated
     }
 
-    fn pinned_parts(&self) -> BTreeSet<&str> {
+    fn parts_in_use(&self) -> BTreeSet<&str> {
         self.running.iter().flat_map(|j| &j.prompt.parts).map(|(id, _)| id.as_str()).collect()
     }
 
-    fn pinned_tokens(&self) -> u64 {
+    fn tokens_in_use(&self) -> u64 {
         let mut parts = BTreeMap::new();
         for (id, tokens) in self.running.iter().flat_map(|j| &j.prompt.parts) {
             parts.insert(id.as_str(), *tokens);
@@ -264,17 +264,17 @@
     }
 
     /// Drops cached parts, the least recently used first, until so many tokens fit beside what is pinned.
-    fn make_room(&mut self, tokens: u64) -> bool {
-        let pinned_tokens = self.pinned_tokens();
-        if pinned_tokens + tokens > self.spec.kv_capacity {
+    fn free_tokens(&mut self, tokens: u64) -> bool {
+        let tokens_in_use = self.tokens_in_use();
+        if tokens_in_use + tokens > self.spec.kv_capacity {
             return false;
         }
         loop {
-            let pinned = self.pinned_parts();
+            let in_use = self.parts_in_use();
             let free: Vec<(&String, &CachedPart)> =
-                self.cached.iter().filter(|(id, _)| !pinned.contains(id.as_str())).collect();
+                self.cached.iter().filter(|(id, _)| !in_use.contains(id.as_str())).collect();
             let kept: u64 = free.iter().map(|(_, p)| p.tokens).sum();
-            if pinned_tokens + kept + tokens <= self.spec.kv_capacity {
+            if tokens_in_use + kept + tokens <= self.spec.kv_capacity {
                 return true;
             }
             let Some(oldest) = free.iter().min_by_key(|(_, p)| p.used).map(|(id, _)| (*id).clone()) else {
--- a/lab/src/tier/worker/engine_tests.rs
+++ b/lab/src/tier/worker/engine_tests.rs
@@ -81,7 +81,7 @@
     let second = engine.admit(prompt(&[("y", 40)], 20, 5)).expect("a place");
     while !engine.is_idle() {
         engine.step();
-        assert!(engine.pinned_tokens() <= SPEC.kv_capacity);
+        assert!(engine.tokens_in_use() <= SPEC.kv_capacity);
     }
     assert!(engine.preempted >= 1, "{first} and {second} do not fit together to their ends");
 }
--- a/lab/src/tier/worker/mod.rs
+++ b/lab/src/tier/worker/mod.rs
@@ -193,17 +193,17 @@
             let draining = self.draining.load(Ordering::Relaxed);
             let acknowledged = self.registration.lock().await.heartbeat(draining).await;
             // Until it is known at all, it tries more often.
-            let pause = if acknowledged { self.spec.heartbeat } else { self.spec.heartbeat / 4 };
-            tokio::time::sleep(pause).await;
+            let interval = if acknowledged { self.spec.heartbeat } else { self.spec.heartbeat / 4 };
+            tokio::time::sleep(interval).await;
         }
     }
 
     async fn accept(self: Arc<Self>, listener: TcpListener) {
         while let Ok((stream, _)) = listener.accept().await {
-            let held = self.connections.fetch_add(1, Ordering::Relaxed);
+            let open_connections = self.connections.fetch_add(1, Ordering::Relaxed);
             let (worker, peer) = (self.clone(), Peer::new(stream));
             self.clone().spawn_while_alive(async move {
-                if held >= worker.spec.max_connections {
+                if open_connections >= worker.spec.max_connections {
                     peer.reset();
                 } else {
                     worker.serve(peer).await;
@@ -293,7 +293,7 @@
         format!("{}.{:x}", self.id, self.answers.fetch_add(1, Ordering::Relaxed))
     }
 
-    fn note_run(&self, message: &Message, request: &str) {
+    fn log_run(&self, message: &Message, request: &str) {
         let (method, path) = message.target();
         self.log.note(Observation::Ran {
             request: request.to_owned(),
@@ -306,14 +306,14 @@
         });
     }
 
-    fn note_answer(&self, request: &str, status: u16, signature: &str, body: &[u8], whole: bool) {
+    fn log_answer(&self, request: &str, status: u16, signature: &str, body: &[u8], is_complete: bool) {
         self.log.note(Observation::WorkerAnswered {
             request: request.to_owned(),
             worker: self.id.clone(),
             status,
             signature: signature.to_owned(),
             body: body.to_vec(),
-            whole,
+            is_complete,
         });
     }
 }
--- a/lab/src/tier/worker/model.rs
+++ b/lab/src/tier/worker/model.rs
@@ -67,15 +67,15 @@
     /// Steps the engine while there is something to do.
     pub async fn drive(&self) {
         loop {
-            let pause = {
+            let step_time = {
                 let state = self.state();
                 (!state.engine.is_idle()).then(|| state.engine.step_time())
             };
-            let Some(pause) = pause else {
+            let Some(step_time) = step_time else {
                 self.admitted.notified().await;
                 continue;
             };
-            tokio::time::sleep(pause).await;
+            tokio::time::sleep(step_time).await;
             let mut state = self.state();
             for (ticket, last) in state.engine.step() {
                 if let Some(stream) = state.streams.get(&ticket) {
@@ -98,7 +98,7 @@
             token = stream.tokens.recv() => token,
             () = peer.closed() => return Ok(After::Close),
         };
-        worker.note_run(message, request);
+        worker.log_run(message, request);
         let fault = worker.faults.take();
         let signature = worker.signature();
         match fault {
@@ -111,7 +111,7 @@
                 return Ok(After::Close);
             }
             Some(Fault::Failure) => {
-                worker.note_answer(request, 500, &signature, b"", true);
+                worker.log_answer(request, 500, &signature, b"", true);
                 let headers = format!("Request-Id: {request}\r\nServer-Signature: {signature}\r\n");
                 return worker.write(peer, 500, &headers, b"").await;
             }
@@ -194,7 +194,7 @@
                 return self.end(fault).await;
             }
             if fault == Some(Fault::ResetMidAnswer) && held == 0 && self.next > EVENTS_BEFORE_RESET {
-                self.worker.note_answer(self.request, 200, self.signature, b"", false);
+                self.worker.log_answer(self.request, 200, self.signature, b"", false);
                 return Ok(After::Reset);
             }
             token = tokio::select! {
@@ -223,9 +223,9 @@
     }
 
     async fn end(&mut self, fault: Option<Fault>) -> io::Result<After> {
-        let whole = fault != Some(Fault::LoseAnswer);
-        self.worker.note_answer(self.request, 200, self.signature, b"", whole);
-        if !whole {
+        let is_complete = fault != Some(Fault::LoseAnswer);
+        self.worker.log_answer(self.request, 200, self.signature, b"", is_complete);
+        if !is_complete {
             return Ok(After::Close);
         }
         self.peer.write(b"0\r\n\r\n").await?;
--- a/lab/src/tier/worker/plain.rs
+++ b/lab/src/tier/worker/plain.rs
@@ -50,7 +50,7 @@
         drop(waits);
         // The semaphore is never closed.
         let Ok(_slot) = slot else { return Ok(After::Close) };
-        worker.note_run(message, request);
+        worker.log_run(message, request);
         let fault = worker.faults.take();
         tokio::select! {
             () = tokio::time::sleep(self.work) => {}
@@ -70,8 +70,8 @@
         let mut body = format!("{signature} answers {request} ").into_bytes();
         body.resize(self.answer_bytes.max(body.len()), b'.');
         let status = if fault == Some(Fault::Failure) { 500 } else { 200 };
-        let whole = matches!(fault, None | Some(Fault::SecondAnswer | Fault::Failure));
-        worker.note_answer(request, status, &signature, &body, whole);
+        let is_complete = matches!(fault, None | Some(Fault::SecondAnswer | Fault::Failure));
+        worker.log_answer(request, status, &signature, &body, is_complete);
         let headers = format!(
             "Request-Id: {request}\r\nServer-Signature: {signature}\r\nServer-Load: {}\r\n",
             worker.server_load()
--- a/lab/src/tier/worker/registration.rs
+++ b/lab/src/tier/worker/registration.rs
@@ -11,9 +11,9 @@
 /// An acknowledgement that takes longer does not count.
 const ACKNOWLEDGE_LIMIT: Duration = Duration::from_secs(1);
 /// An acknowledgement that is longer does not count, in bytes.
-const MOST_ACKNOWLEDGEMENT: usize = 4096;
+const MAX_ACKNOWLEDGEMENT_BYTES: usize = 4096;
 /// Pause between rounds over all processes that serve control.
-const ROUND_PAUSE: Duration = Duration::from_millis(50);
+const RETRY_DELAY: Duration = Duration::from_millis(50);
 
 /// The processes that serve control, as callers know them.
 #[derive(Debug, Clone, Default)]
@@ -96,7 +96,7 @@
     pub async fn heartbeat_until(&mut self, draining: bool, limit: Duration) -> bool {
         let repeated = async {
             while !self.heartbeat(draining).await {
-                tokio::time::sleep(ROUND_PAUSE).await;
+                tokio::time::sleep(RETRY_DELAY).await;
             }
         };
         tokio::time::timeout(limit, repeated).await.is_ok()
@@ -110,7 +110,9 @@
         for address in addresses {
             let answer = call(address, method, &path, &[], body, ACKNOWLEDGE_LIMIT).await;
             match answer {
-                Ok(answer) if answer.status() / 100 == 2 && answer.body.len() <= MOST_ACKNOWLEDGEMENT => {
+                Ok(answer)
+                    if answer.status() / 100 == 2 && answer.body.len() <= MAX_ACKNOWLEDGEMENT_BYTES =>
+                {
                     self.heartbeat_address = named_address(&answer.body).or(self.heartbeat_address);
                     return true;
                 }
--- a/lab/src/world/discovery.rs
+++ b/lab/src/world/discovery.rs
@@ -37,7 +37,7 @@
 }
 
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
-pub struct Trouble {
+pub struct Disturbance {
     pub down: bool,
     pub overbooked: bool,
     pub later: f64,
@@ -60,10 +60,11 @@
     log: Arc<Log>,
     pub agents: Vec<Arc<Agent>>,
     version: Mutex<u64>,
-    pub trouble: watch::Sender<Trouble>,
+    pub disturbance: watch::Sender<Disturbance>,
 }
 
 /// The name of a worker, the same at every gateway.
+#[must_use]
 pub fn name(worker: usize) -> String {
     format!("w-{worker}")
 }
@@ -90,7 +91,7 @@
             log,
             agents,
             version: Mutex::new(1),
-            trouble: watch::channel(Trouble::default()).0,
+            disturbance: watch::channel(Disturbance::default()).0,
         })
     }
 
@@ -107,14 +108,14 @@
             *version
         };
         let entry = Entry { worker, state, started_ms, version };
-        let [least, most] = self.plan.scenario.discovery.late_s;
+        let [min_delay, max_delay] = self.plan.scenario.discovery.late_s;
         for agent in &self.agents {
             let draw: f64 = agent.rng.lock().unwrap_or_else(PoisonError::into_inner).random();
-            let late = least + (most - least) * draw + self.trouble.borrow().later;
-            let mut last = agent.last.lock().unwrap_or_else(PoisonError::into_inner);
-            let at = Instant::now() + Duration::from_secs_f64(late);
-            let at = last.map_or(at, |last| last.max(at));
-            *last = Some(at);
+            let delay = min_delay + (max_delay - min_delay) * draw + self.disturbance.borrow().later;
+            let mut previous = agent.last.lock().unwrap_or_else(PoisonError::into_inner);
+            let at = Instant::now() + Duration::from_secs_f64(delay);
+            let at = previous.map_or(at, |previous| previous.max(at));
+            *previous = Some(at);
             let (agent, entry) = (agent.clone(), entry.clone());
             tokio::spawn(async move {
                 sleep_until(at).await;
@@ -178,29 +179,29 @@
         };
         let (from, hold) =
             (number("from="), Duration::from_millis(number("hold_ms=").unwrap_or(0).min(60_000)));
-        let trouble = *self.trouble.borrow();
-        if trouble.down {
+        let disturbance = *self.disturbance.borrow();
+        if disturbance.down {
             // Silent until it is back; the caller has long gone then.
-            let mut changes = self.trouble.subscribe();
+            let mut changes = self.disturbance.subscribe();
             let _ = changes.wait_for(|t| !t.down).await;
         }
-        if trouble.overbooked {
+        if disturbance.overbooked {
             return http::answer(503, "", b"");
         }
-        let mut news = agent.known.subscribe();
+        let mut updates = agent.known.subscribe();
         if let Some(from) = from {
-            let newer = news.wait_for(|k| k.version > from);
+            let newer = updates.wait_for(|k| k.version > from);
             // No news by then is an answer, too.
             let _ = tokio::time::timeout(hold, newer).await;
         }
         let known = agent.known.borrow().clone();
         let list = self.list(agent, &known, from);
-        self.told(agent, &known, from);
+        self.log_published(agent, &known, from);
         http::answer(200, "", list.to_string().as_bytes())
     }
 
     /// Writes down what the gateway has been told.
-    fn told(&self, agent: &Agent, known: &Known, from: Option<u64>) {
+    fn log_published(&self, agent: &Agent, known: &Known, from: Option<u64>) {
         for entry in known.entries.iter().filter(|e| e.version > from.unwrap_or(0) && e.version > 1) {
             let wanted = entry.state == "SERVING";
             self.log.note(Event::Told { gate: agent.gate, worker: entry.worker, wanted });
--- a/lab/src/world/faults.rs
+++ b/lab/src/world/faults.rs
@@ -1,10 +1,14 @@
 //! Carries out a scenario's faults, each at its time, and takes them back.
 
-use super::{World, discovery, plan::Plan, worker::Worker};
+use super::{
+    World, discovery,
+    plan::Plan,
+    worker::{Disturbance, Worker},
+};
 use crate::{
     record::{Event, GateState, WorkerState},
     scenario::{Direction, Disk, Fault, FaultKind, Peers, Selection},
-    switchboard::Strike,
+    switchboard::LinkFault,
 };
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
@@ -18,12 +22,22 @@
 };
 
 /// A worker that is replaced is listed as draining so long, and turns requests away from halfway on.
-const DRAIN: Duration = Duration::from_millis(4000);
+const DRAIN: Duration = Duration::from_secs(4);
 /// The address that an agent moves from takes calls so long after the move.
 const MOVING: Duration = Duration::from_millis(500);
 /// What was written so long before the kill is what a disk that loses writes has kept.
 const UNWRITTEN: Duration = Duration::from_millis(1500);
 
+/// Milliseconds of a second, the unit of times in scenarios whose keys say so.
+const MILLISECONDS_PER_SECOND: f64 = 1e3;
+
+/// Whom a fault strikes, by number.
+#[derive(Clone)]
+struct Targets {
+    gates: Vec<usize>,
+    workers: Vec<usize>,
+}
+
 fn unix_ms() -> u64 {
     SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_millis() as u64)
 }
@@ -45,28 +59,48 @@
 }
 
 impl World {
-    /// Starts all faults; they strike at their times after `start`.
-    pub fn strike_all(self: Arc<Self>, start: Instant) -> JoinSet<()> {
+    /// Starts the tasks of all faults, each of which begins at its time after `start`.
+    pub fn inject_all(self: Arc<Self>, start: Instant) -> JoinSet<()> {
         let mut tasks = JoinSet::new();
         for (index, fault) in self.plan.scenario.faults.iter().cloned().enumerate() {
             let world = self.clone();
-            tasks.spawn(async move { world.strike(index, fault, start).await });
+            tasks.spawn(async move { world.inject(index, fault, start).await });
         }
         tasks
     }
 
-    async fn strike(self: Arc<Self>, index: usize, fault: Fault, start: Instant) {
+    /// Carries out one fault from its time to its end.
+    async fn inject(self: Arc<Self>, index: usize, fault: Fault, start: Instant) {
         let mut rng = self.plan.rng(&format!("fault {index}"));
-        let gates = chosen(&fault.gates, &self.plan, &self.plan.gate_zones, &mut rng);
-        let workers = chosen(&fault.workers, &self.plan, &self.plan.worker_zones, &mut rng);
+        let targets = Targets {
+            gates: chosen(&fault.gates, &self.plan, &self.plan.gate_zones, &mut rng),
+            workers: chosen(&fault.workers, &self.plan, &self.plan.worker_zones, &mut rng),
+        };
         let at = start + Duration::from_secs_f64(fault.at_s);
         if fault.disk == Disk::Stale {
             sleep_until(at.checked_sub(UNWRITTEN).unwrap_or(at)).await;
-            gates.iter().for_each(|gate| self.gates[*gate].remember());
+            targets.gates.iter().for_each(|gate| self.gates[*gate].remember());
         }
         sleep_until(at).await;
-        self.log.note(Event::Fault { index, on: true, gates: gates.clone(), workers: workers.clone() });
+        self.log_fault(index, true, &targets);
         let until = fault.for_s.map(|s| at + Duration::from_secs_f64(s));
+        self.carry_out(index, &fault, &targets, until, &mut rng).await;
+        self.log_fault(index, false, &targets);
+    }
+
+    fn log_fault(&self, index: usize, on: bool, targets: &Targets) {
+        let Targets { gates, workers } = targets.clone();
+        self.log.note(Event::Fault { index, on, gates, workers });
+    }
+
+    async fn carry_out(
+        &self,
+        index: usize,
+        fault: &Fault,
+        Targets { gates, workers }: &Targets,
+        until: Option<Instant>,
+        rng: &mut ChaCha8Rng,
+    ) {
         match fault.what {
             FaultKind::Cut
             | FaultKind::Delay
@@ -76,92 +110,105 @@
             | FaultKind::HalfOpen
             | FaultKind::Throttle
             | FaultKind::Duplicate
-            | FaultKind::Reorder => self.links(index, &fault, &gates, until, &mut rng).await,
-            FaultKind::Kill => self.kill(&fault, &gates, until, &mut rng).await,
-            FaultKind::Pause => {
-                gates.iter().for_each(|g| self.gates[*g].pause());
-                wait(until).await;
-                gates.iter().for_each(|g| self.gates[*g].go_on());
-            }
-            FaultKind::Roll => self.roll(&fault, &gates).await,
-            FaultKind::Reload => {
-                for gate in &gates {
-                    // A disk of the lab's own that fails shows as a gateway that keeps what it has.
-                    let _ = self.gates[*gate].reload();
-                }
-            }
-            FaultKind::Leave => {
-                let leave = |g: &usize| self.gates[*g].leave.send_modify(|l| *l = (l.0 + 1, fault.share));
-                gates.iter().for_each(leave);
-            }
-            FaultKind::Crash => self.crash(&fault, &workers, &mut rng).await,
-            FaultKind::Replace => self.replace(&fault, &workers).await,
+            | FaultKind::Reorder => self.disturb_links(index, fault, gates, until, rng).await,
+            FaultKind::Kill => self.kill(fault, gates, until, rng).await,
+            FaultKind::Pause => self.pause(gates, until).await,
+            FaultKind::Roll => self.roll(fault, gates).await,
+            FaultKind::Reload => self.reload(gates),
+            FaultKind::Leave => self.disconnect_clients(fault, gates),
+            FaultKind::Crash => self.crash(fault, workers, rng).await,
+            FaultKind::Replace => self.replace(fault, workers).await,
             FaultKind::Slow
             | FaultKind::Errors
             | FaultKind::Silent
             | FaultKind::Spoil
             | FaultKind::Stall
-            | FaultKind::BreakOff => {
-                let set = |on: bool| {
-                    let share = if on { fault.share } else { 0.0 };
-                    for worker in &workers {
-                        self.workers[*worker].set(|t| match fault.what {
-                            FaultKind::Slow if on => t.slower *= fault.times,
-                            FaultKind::Slow => t.slower /= fault.times,
-                            FaultKind::Errors => t.errors = share,
-                            FaultKind::Silent => t.silent = on,
-                            FaultKind::Stall => t.stall = share,
-                            FaultKind::BreakOff => t.break_off = share,
-                            _ => t.spoil = share,
-                        });
-                    }
-                };
-                set(true);
-                wait(until).await;
-                set(false);
-            }
+            | FaultKind::BreakOff => self.disturb_workers(fault, workers, until).await,
             FaultKind::CounterEmpty => self.counter.empty(),
-            FaultKind::CounterDown => {
-                self.counter.up.send_replace(false);
-                wait(until).await;
-                self.counter.up.send_replace(true);
-            }
+            FaultKind::CounterDown => self.stop_counter(until).await,
             FaultKind::CounterBusy
             | FaultKind::CounterSlow
             | FaultKind::CounterLoseCalls
-            | FaultKind::CounterLoseAnswers => {
-                let set = |share: f64, slower: f64| {
-                    let mut trouble = self.counter.trouble.lock().unwrap_or_else(PoisonError::into_inner);
-                    match fault.what {
-                        FaultKind::CounterBusy => trouble.busy = share,
-                        FaultKind::CounterSlow => trouble.slower = slower,
-                        FaultKind::CounterLoseCalls => trouble.lose_calls = share,
-                        _ => trouble.lose_answers = share,
-                    }
-                };
-                set(fault.share, fault.times);
-                wait(until).await;
-                set(0.0, 1.0);
-            }
+            | FaultKind::CounterLoseAnswers => self.disturb_counter(fault, until).await,
             FaultKind::DiscoveryMove => {
-                self.move_agents(&gates, true).await;
+                self.move_agents(gates, true).await;
                 wait(until).await;
-                self.move_agents(&gates, false).await;
+                self.move_agents(gates, false).await;
             }
             FaultKind::DiscoveryDown | FaultKind::DiscoveryLate | FaultKind::DiscoveryOverbooked => {
-                let set = |on: bool| {
-                    self.discovery.trouble.send_modify(|t| match fault.what {
-                        FaultKind::DiscoveryDown => t.down = on,
-                        FaultKind::DiscoveryOverbooked => t.overbooked = on,
-                        _ => t.later = if on { fault.ms / 1e3 } else { 0.0 },
-                    });
-                };
-                set(true);
-                wait(until).await;
-                set(false);
+                self.disturb_discovery(fault, until).await;
             }
         }
-        self.log.note(Event::Fault { index, on: false, gates, workers });
+    }
+
+    /// Stops the processes of gateways for a while.
+    async fn pause(&self, gates: &[usize], until: Option<Instant>) {
+        for gate in gates {
+            self.gates[*gate].pause();
+        }
+        wait(until).await;
+        for gate in gates {
+            self.gates[*gate].go_on();
+        }
+    }
+
+    fn reload(&self, gates: &[usize]) {
+        for gate in gates {
+            // A disk of the lab's own that fails shows as a gateway that keeps what it has.
+            let _ = self.gates[*gate].reload();
+        }
+    }
+
+    /// Has a share of the clients that wait at gateways leave.
+    fn disconnect_clients(&self, fault: &Fault, gates: &[usize]) {
+        for gate in gates {
+            self.gates[*gate].leave.send_modify(|leave| *leave = (leave.0 + 1, fault.share));
+        }
+    }
+
+    async fn disturb_workers(&self, fault: &Fault, workers: &[usize], until: Option<Instant>) {
+        let set = |on: bool| {
+            for worker in workers {
+                self.workers[*worker].set(|disturbance| disturb_worker(disturbance, fault, on));
+            }
+        };
+        set(true);
+        wait(until).await;
+        set(false);
+    }
+
+    async fn stop_counter(&self, until: Option<Instant>) {
+        self.counter.up.send_replace(false);
+        wait(until).await;
+        self.counter.up.send_replace(true);
+    }
+
+    async fn disturb_counter(&self, fault: &Fault, until: Option<Instant>) {
+        let set = |share: f64, slower: f64| {
+            let mut disturbance = self.counter.disturbance.lock().unwrap_or_else(PoisonError::into_inner);
+            match fault.what {
+                FaultKind::CounterBusy => disturbance.busy = share,
+                FaultKind::CounterSlow => disturbance.slower = slower,
+                FaultKind::CounterLoseCalls => disturbance.lose_calls = share,
+                _ => disturbance.lose_answers = share,
+            }
+        };
+        set(fault.share, fault.times);
+        wait(until).await;
+        set(0.0, 1.0);
+    }
+
+    async fn disturb_discovery(&self, fault: &Fault, until: Option<Instant>) {
+        let set = |on: bool| {
+            self.discovery.disturbance.send_modify(|disturbance| match fault.what {
+                FaultKind::DiscoveryDown => disturbance.down = on,
+                FaultKind::DiscoveryOverbooked => disturbance.overbooked = on,
+                _ => disturbance.later = if on { fault.ms / MILLISECONDS_PER_SECOND } else { 0.0 },
+            });
+        };
+        set(true);
+        wait(until).await;
+        set(false);
     }
 
     /// Moves the agents of `gates` to their second address, or back.
@@ -178,7 +225,7 @@
         }
     }
 
-    async fn links(
+    async fn disturb_links(
         &self,
         index: usize,
         fault: &Fault,
@@ -193,18 +240,18 @@
             Peers::Gates(pick) => pick.of(&self.plan.gate_zones, |n| rng.random_range(0..n)),
             _ => Vec::new(),
         };
-        let strike = Strike {
+        let link_fault = LinkFault {
             what: fault.what,
-            // Between gateways each way is a link, and is struck as a whole.
+            // Between gateways each direction is a link, and the fault is on all of it.
             way: if matches!(peers, Peers::Gates(_)) { Direction::Both } else { fault.way },
-            delay: Duration::from_secs_f64(fault.ms / 1e3),
-            jitter: Duration::from_secs_f64(fault.jitter_ms / 1e3),
+            delay: Duration::from_secs_f64(fault.ms / MILLISECONDS_PER_SECOND),
+            jitter: Duration::from_secs_f64(fault.jitter_ms / MILLISECONDS_PER_SECOND),
             share: fault.share,
             bytes_per_s: fault.bytes_per_s,
         };
         let every = |on: bool| {
             for link in gates.iter().flat_map(|g| self.links.of(*g, &peers, &workers, fault.way)) {
-                if on { link.strike(index, strike) } else { link.heal(index) }
+                if on { link.begin(index, link_fault) } else { link.heal(index) }
             }
         };
         every(true);
@@ -231,7 +278,7 @@
 
     fn restart(&self, gate: usize) {
         let known = self.discovery.known(gate);
-        if self.gates[gate].start(known).is_err() {
+        if self.gates[gate].start(&known).is_err() {
             // It was there at the start of the play; a gateway that is not back shows in what follows.
             self.log.note(Event::Gate {
                 gate,
@@ -247,19 +294,23 @@
         let each = Duration::from_secs_f64(fault.for_s.unwrap_or(0.0) / steps.max(1) as f64);
         for step in gates.chunks(size) {
             let next = Instant::now() + each;
-            let mut stops = JoinSet::new();
+            let mut stopping = JoinSet::new();
             for gate in step {
                 let gate = self.gates[*gate].clone();
-                stops.spawn(async move { gate.stop().await });
+                stopping.spawn(async move { gate.stop().await });
+            }
+            while stopping.join_next().await.is_some() {}
+            for gate in step {
+                self.restart(*gate);
             }
-            while stops.join_next().await.is_some() {}
-            step.iter().for_each(|gate| self.restart(*gate));
             sleep_until(next).await;
         }
     }
 
     async fn crash(&self, fault: &Fault, workers: &[usize], rng: &mut ChaCha8Rng) {
-        workers.iter().for_each(|w| self.workers[*w].die(WorkerState::Died));
+        for worker in workers {
+            self.workers[*worker].die(WorkerState::Died);
+        }
         let Some(for_s) = fault.for_s else { return };
         let until = Instant::now() + Duration::from_secs_f64(for_s);
         for (at, worker) in returns(fault, workers, until, rng) {
@@ -275,7 +326,9 @@
             self.discovery.publish(*worker, "DRAINING", 0);
         }
         sleep(DRAIN / 2).await;
-        workers.iter().for_each(|w| self.workers[*w].set(|t| t.draining = true));
+        for worker in workers {
+            self.workers[*worker].set(|disturbance| disturbance.draining = true);
+        }
         sleep(DRAIN / 2).await;
         for worker in workers {
             self.discovery.publish(*worker, "DELETED", 0);
@@ -290,6 +343,20 @@
     }
 }
 
+/// Begins what a fault does to a worker, or takes it back.
+fn disturb_worker(disturbance: &mut Disturbance, fault: &Fault, on: bool) {
+    let share = if on { fault.share } else { 0.0 };
+    match fault.what {
+        FaultKind::Slow if on => disturbance.slower *= fault.times,
+        FaultKind::Slow => disturbance.slower /= fault.times,
+        FaultKind::Errors => disturbance.errors = share,
+        FaultKind::Silent => disturbance.is_unresponsive = on,
+        FaultKind::Stall => disturbance.stall = share,
+        FaultKind::BreakOff => disturbance.break_off = share,
+        _ => disturbance.spoil = share,
+    }
+}
+
 /// Who of those struck comes back when, in that order: spread over `over_s` from `until` on, some never.
 fn returns(fault: &Fault, struck: &[usize], until: Instant, rng: &mut ChaCha8Rng) -> Vec<(Instant, usize)> {
     let mut back = Vec::new();
--- a/lab/src/world/front.rs
+++ b/lab/src/world/front.rs
@@ -27,9 +27,9 @@
 };
 
 /// A connection to a gateway that is not up after so long has failed.
-const CONNECT: Duration = Duration::from_millis(500);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// The least time in which a try makes sense.
-const LEAST: f64 = 0.02;
+const MIN_REMAINING_S: f64 = 0.02;
 
 pub struct Front {
     plan: Arc<Plan>,
@@ -83,7 +83,7 @@
         let first = mix(self.plan.seed ^ mix(number as u64));
         for again in 0..=clients.retries {
             let left = deadline - start.elapsed().as_secs_f64();
-            if left < LEAST {
+            if left < MIN_REMAINING_S {
                 return;
             }
             let [least, most] = clients.try_share;
@@ -94,7 +94,7 @@
             let txn = if again == 0 { first } else { mix(first ^ u64::from(again)) };
             let outcome = self.attempt(arrival, txn, first, again, remaining, leaves, draw).await;
             let backoff = clients.backoff_ms / 1e3 * f64::from(1 << again.min(8)) * (0.5 + wait);
-            let pause = match outcome {
+            let delay = match outcome {
                 Outcome::Served { .. } | Outcome::Left => return,
                 Outcome::Refused { after } if honours < clients.honour => {
                     after.min(clients.max_retry_after_ms / 1e3).max(backoff * 0.1)
@@ -104,7 +104,7 @@
                 _ if class.effect != Effect::Safe => return,
                 _ => backoff,
             };
-            sleep(Duration::from_secs_f64(pause)).await;
+            sleep(Duration::from_secs_f64(delay)).await;
         }
     }
 
@@ -158,15 +158,15 @@
             class,
             remaining,
         });
-        let patience = remaining + spec.clients.patience_ms / 1e3;
-        let until = Instant::now() + Duration::from_secs_f64(patience);
+        let timeout = remaining + spec.clients.patience_ms / 1e3;
+        let until = Instant::now() + Duration::from_secs_f64(timeout);
         let exchange = async {
             match gate {
                 Some(gate) => self.exchange(gate, &message, &facts.answer(txn), until).await,
                 None => Outcome::Nobody,
             }
         };
-        let alone = async {
+        let departure = async {
             match leaves {
                 Some(after) => sleep(Duration::from_secs_f64(after)).await,
                 None => std::future::pending().await,
@@ -176,7 +176,7 @@
         let outcome = tokio::select! {
             biased;
             outcome = exchange => outcome,
-            () = alone => Outcome::Left,
+            () = departure => Outcome::Left,
             () = self.leaves_with_others(gate, txn) => Outcome::Left,
         };
         self.log.note(Event::Answer { txn, outcome: outcome.clone() });
@@ -195,7 +195,7 @@
                 return;
             }
         }
-        std::future::pending().await
+        std::future::pending::<()>().await;
     }
 
     async fn connect(&self, gate: usize) -> Option<Conn> {
@@ -205,10 +205,10 @@
             return None;
         }
         if state.into.cut || state.out.cut {
-            sleep(CONNECT).await;
+            sleep(CONNECT_TIMEOUT).await;
             return None;
         }
-        let socket = timeout(CONNECT, TcpStream::connect(gate.addr)).await.ok()?.ok()?;
+        let socket = timeout(CONNECT_TIMEOUT, TcpStream::connect(gate.addr)).await.ok()?.ok()?;
         Some(Conn::new(socket, gate.front.clone()))
     }
 
@@ -216,7 +216,7 @@
         let kept = loop {
             let kept = self.pools[gate].lock().unwrap_or_else(PoisonError::into_inner).pop();
             match kept {
-                Some(conn) if !conn.idle() => continue,
+                Some(conn) if !conn.idle() => {}
                 kept => break kept,
             }
         };
--- a/lab/src/world/gates.rs
+++ b/lab/src/world/gates.rs
@@ -29,11 +29,11 @@
 };
 
 /// Lines of a gateway's log that are kept to be shown.
-const TAIL: usize = 30;
+const LOG_TAIL_LINES: usize = 30;
 /// Between two looks whether a gateway answers `/up`.
-const LOOK: Duration = Duration::from_millis(10);
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// A gateway that was asked to end is killed after so long.
-const PATIENCE: Duration = Duration::from_millis(4500);
+const STOP_TIMEOUT: Duration = Duration::from_millis(4500);
 
 /// Where a gateway is, and its neighbours.
 pub struct Around {
@@ -85,6 +85,10 @@
 }
 
 impl Gate {
+    /// A gateway that has not been started, with a folder of its own below `root`.
+    ///
+    /// # Errors
+    /// The folder can't be made.
     pub fn new(
         index: usize,
         plan: Arc<Plan>,
@@ -152,7 +156,7 @@
     ///
     /// # Errors
     /// The program can't be started.
-    pub fn start(self: &Arc<Self>, known: Value) -> io::Result<()> {
+    pub fn start(self: &Arc<Self>, known: &Value) -> io::Result<()> {
         if self.pid().is_some() {
             return Ok(());
         }
@@ -185,7 +189,7 @@
         }
         command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::piped()).kill_on_drop(true);
         let mut child = command.spawn()?;
-        let pid = child.id().and_then(|id| Pid::from_raw(id as i32));
+        let pid = child.id().and_then(|id| Pid::from_raw(id.cast_signed()));
         if let Some(pid) = pid {
             // A process that has ended by now is told of below.
             let limit = |n: u64| Rlimit { current: Some(n), maximum: Some(n) };
@@ -214,7 +218,7 @@
             return self.log.note(event);
         }
         let mut tail = self.tail.lock().unwrap_or_else(PoisonError::into_inner);
-        if tail.len() == TAIL {
+        if tail.len() == LOG_TAIL_LINES {
             tail.pop_front();
         }
         tail.push_back(line);
@@ -273,7 +277,7 @@
                 self.ready.notify_waiters();
                 return;
             }
-            sleep(LOOK).await;
+            sleep(POLL_INTERVAL).await;
         }
     }
 
@@ -309,7 +313,7 @@
         ended.borrow_and_update();
         self.signal(Signal::KILL);
         let _ = ended.changed().await;
-        if let Err(error) = self.strike(disk, seed) {
+        if let Err(error) = self.damage_disk(disk, seed) {
             // The lab's own disk fails: that is no finding on the gateway's.
             self.tail.lock().unwrap_or_else(PoisonError::into_inner).push_back(format!("lab: {error}"));
         }
@@ -335,7 +339,7 @@
             files.into_iter().filter_map(read).collect();
     }
 
-    fn strike(&self, disk: Disk, seed: u64) -> io::Result<()> {
+    fn damage_disk(&self, disk: Disk, seed: u64) -> io::Result<()> {
         match disk {
             Disk::Kept => {}
             Disk::Empty => {
@@ -386,7 +390,7 @@
         // The front takes it out of its list a little later, as the protocol has it.
         sleep(Duration::from_millis(300)).await;
         self.admitted.store(false, Ordering::Relaxed);
-        if tokio::time::timeout(PATIENCE, ended.changed()).await.is_err() {
+        if tokio::time::timeout(STOP_TIMEOUT, ended.changed()).await.is_err() {
             self.signal(Signal::KILL);
             let _ = ended.changed().await;
         }
--- a/lab/src/world/mod.rs
+++ b/lab/src/world/mod.rs
@@ -266,7 +266,7 @@
         let start = Instant::from_std(log.start());
         let run_delays = RunDelayMonitor::start(world.gates.clone(), log.start());
         let front = Front::new(plan.clone(), log.clone(), world.gates.clone());
-        let mut faults = world.clone().strike_all(start);
+        let mut faults = world.clone().inject_all(start);
         let planned = plan.arrivals.len() as u64;
         let mut load = tokio::spawn(front.clone().run());
         loop {
@@ -376,7 +376,7 @@
     async fn start_gates(&self, program: &Path) -> Result<(), WorldError> {
         let by = Instant::now() + READY_BY;
         for gate in &self.gates {
-            gate.start(self.discovery.known(gate.index))
+            gate.start(&self.discovery.known(gate.index))
                 .map_err(|error| WorldError::Program { program: program.to_owned(), error })?;
         }
         for gate in &self.gates {
--- a/lab/src/world/plan.rs
+++ b/lab/src/world/plan.rs
@@ -9,6 +9,7 @@
 use rand_distr::{Distribution, Exp1, LogNormal};
 use std::{
     collections::HashMap,
+    fmt::Write as _,
     sync::{Arc, Mutex, PoisonError},
 };
 
@@ -48,6 +49,7 @@
 
 impl Facts {
     /// Whether a message is what the client sent.
+    #[must_use]
     pub fn fits(&self, message: &Message) -> bool {
         let (method, path) = message.target();
         let key = message.header("idempotency-key");
@@ -58,11 +60,13 @@
             && (!keyed || key == Some(&format!("{:032x}", self.key)))
     }
 
+    #[must_use]
     pub fn body(&self) -> String {
         if self.method == "GET" { String::new() } else { format!("ask {:016x}", self.work.to_bits()) }
     }
 
     /// The one answer that a worker makes for it.
+    #[must_use]
     pub fn answer(&self, txn: u64) -> String {
         let mark = format!("served {:016x}", mix(txn ^ self.work.to_bits()));
         // The mark over and over, so that no part of it can be missing unseen.
@@ -70,23 +74,25 @@
     }
 
     /// The message that a client sends.
+    #[must_use]
     pub fn message(&self, txn: u64, headers: &str) -> Vec<u8> {
         let mut text = format!(
             "{} {} HTTP/1.1\r\nHost: backend.local\r\nX-Txn: {txn:016x}\r\n{headers}",
             self.method, self.path
         );
         if self.key > 0 {
-            text += &format!("Idempotency-Key: {:032x}\r\n", self.key);
+            let _ = write!(text, "Idempotency-Key: {:032x}\r\n", self.key);
         }
         let body = self.body();
         if !body.is_empty() {
-            text += &format!("Content-Length: {}\r\n", body.len());
+            let _ = write!(text, "Content-Length: {}\r\n", body.len());
         }
         (text + "\r\n" + &body).into_bytes()
     }
 }
 
 /// Scrambles a number, the same each time.
+#[must_use]
 pub fn mix(n: u64) -> u64 {
     // SplitMix64's finishing steps.
     let mut z = n.wrapping_add(0x9E37_79B9_7F4A_7C15);
@@ -114,11 +120,12 @@
 }
 
 /// Requests that a play may have: more than this machine carries in an hour.
-const MOST_ARRIVALS: usize = 2_000_000;
+const MAX_ARRIVALS: usize = 2_000_000;
 /// Customers of one plan.
-const MOST_CUSTOMERS: f64 = 50_000.0;
+const MAX_CUSTOMERS: f64 = 50_000.0;
 
 impl Plan {
+    #[must_use]
     pub fn new(scenario: Scenario, seed: u64) -> Self {
         let scenario = Arc::new(scenario);
         let world = &scenario.world;
@@ -166,7 +173,7 @@
             (self.scenario.world.gatekeepers, self.scenario.plans.iter().map(|p| p.share).sum::<f64>());
         for (i, plan) in self.scenario.plans.iter().enumerate() {
             let demand = self.rate * plan.share / shares;
-            let n = (demand / (plan.rate * plan.usage)).round().clamp(1.0, MOST_CUSTOMERS) as usize;
+            let n = (demand / (plan.rate * plan.usage)).round().clamp(1.0, MAX_CUSTOMERS) as usize;
             for _ in 0..n {
                 let [least, most] = plan.spread;
                 let share = least + (most - least) * rng.random::<f64>();
@@ -222,7 +229,7 @@
         // The deviation of the logarithm of a request's work: its mean is its class's.
         let work = LogNormal::new(-0.18, 0.6).ok();
         let (mut now, mut rate) = (0.0, self.rate);
-        while self.arrivals.len() < MOST_ARRIVALS {
+        while self.arrivals.len() < MAX_ARRIVALS {
             let gap: f64 = match scenario.load.arrivals {
                 Arrivals::Poisson => Exp1.sample(&mut times),
                 Arrivals::Even => 1.0,
@@ -284,7 +291,9 @@
         })
         .collect();
     let total = sums.last().copied().unwrap_or(1.0).max(1e-12);
-    sums.iter_mut().for_each(|s| *s /= total);
+    for sum in &mut sums {
+        *sum /= total;
+    }
     sums
 }
 
--- a/lab/src/world/run_delay_monitor.rs
+++ b/lab/src/world/run_delay_monitor.rs
@@ -109,7 +109,7 @@
     /// Time stolen since it was last read from the processor from which most was.
     fn steal_increment(&mut self) -> Micros {
         let text = fs::read_to_string("/proc/stat").unwrap_or_default();
-        let mut most = 0;
+        let mut max = 0;
         for line in text.lines().filter(|line| line.starts_with("cpu") && !line.starts_with("cpu ")) {
             let mut columns = line.split_whitespace();
             let (Some(processor), Some(Ok(ticks))) =
@@ -118,9 +118,9 @@
                 continue;
             };
             let before = self.stolen.insert(processor.to_owned(), ticks).unwrap_or(ticks);
-            most = most.max(ticks.saturating_sub(before));
+            max = max.max(ticks.saturating_sub(before));
         }
-        most * TICK.as_micros() as Micros
+        max * TICK.as_micros() as Micros
     }
 }
 
--- a/lab/src/world/worker.rs
+++ b/lab/src/world/worker.rs
@@ -1,11 +1,11 @@
-//! A worker: cores behind a line, cold after each start, that may fall, slow down, fail or go silent.
+//! A worker: cores behind a queue, warming up after each start, that may fall, slow down, fail or stop answering.
 
 use crate::{
     http,
     record::{Ending, Event, Log, Micros, WorkerState},
     scenario::Scenario,
     switchboard::{Conn, Dir},
-    world::plan::Plan,
+    world::plan::{Facts, Plan},
 };
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -17,15 +17,15 @@
     },
     time::{Duration, Instant},
 };
-use tokio::sync::{Semaphore, watch};
+use tokio::sync::{Semaphore, SemaphorePermit, watch};
 
 /// What is wrong with a worker; faults set it.
 #[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Trouble {
+pub struct Disturbance {
     pub slower: f64,
     /// Share of errors at once.
     pub errors: f64,
-    pub silent: bool,
+    pub is_unresponsive: bool,
     pub spoil: f64,
     /// Shares of the answers that stop, and that break off, half way.
     pub stall: f64,
@@ -33,19 +33,19 @@
     pub draining: bool,
 }
 
-impl Default for Trouble {
+impl Default for Disturbance {
     fn default() -> Self {
         let [errors, spoil, stall, break_off] = [0.0; 4];
-        Self { slower: 1.0, errors, silent: false, spoil, stall, break_off, draining: false }
+        Self { slower: 1.0, errors, is_unresponsive: false, spoil, stall, break_off, draining: false }
     }
 }
 
-/// Its present life.
-struct Life {
+/// What is known of the worker since its last start.
+struct Incarnation {
     /// `None`: warm since long ago.
     started: Option<Instant>,
     /// Work that came of late while it was cold: when, and seconds of it.
-    came: VecDeque<(Instant, f64)>,
+    received: VecDeque<(Instant, f64)>,
 }
 
 /// One worker, over all gateways.
@@ -59,12 +59,12 @@
     waiting: AtomicUsize,
     connections: AtomicUsize,
     served: AtomicU64,
-    life: Mutex<Life>,
-    trouble: Mutex<Trouble>,
+    incarnation: Mutex<Incarnation>,
+    disturbance: Mutex<Disturbance>,
     /// False while it is dead.
     pub up: watch::Sender<bool>,
-    /// Counts its deaths: what belongs to an earlier life ends.
-    pub lives: watch::Sender<u64>,
+    /// Counts its deaths: what belongs to an earlier incarnation ends.
+    pub incarnations: watch::Sender<u64>,
     rng: Mutex<ChaCha8Rng>,
     /// It fell by itself: somebody has to bring it back.
     pub fell: tokio::sync::Notify,
@@ -73,7 +73,7 @@
 impl Worker {
     pub fn new(index: usize, speed: f64, plan: Arc<Plan>, log: Arc<Log>) -> Arc<Self> {
         let scenario = plan.scenario.clone();
-        let seed = plan.stream(&format!("worker {index}"));
+        let random_seed = plan.stream(&format!("worker {index}"));
         Arc::new(Self {
             index,
             speed,
@@ -84,11 +84,11 @@
             waiting: AtomicUsize::new(0),
             connections: AtomicUsize::new(0),
             served: AtomicU64::new(0),
-            life: Mutex::new(Life { started: None, came: VecDeque::new() }),
-            trouble: Mutex::default(),
+            incarnation: Mutex::new(Incarnation { started: None, received: VecDeque::new() }),
+            disturbance: Mutex::default(),
             up: watch::channel(true).0,
-            lives: watch::channel(0).0,
-            rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            incarnations: watch::channel(0).0,
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(random_seed)),
             fell: tokio::sync::Notify::new(),
         })
     }
@@ -97,27 +97,27 @@
         self.rng.lock().unwrap_or_else(PoisonError::into_inner).random()
     }
 
-    pub fn trouble(&self) -> Trouble {
-        *self.trouble.lock().unwrap_or_else(PoisonError::into_inner)
+    pub fn disturbance(&self) -> Disturbance {
+        *self.disturbance.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    pub fn set(&self, change: impl FnOnce(&mut Trouble)) {
-        change(&mut self.trouble.lock().unwrap_or_else(PoisonError::into_inner));
+    pub fn set(&self, change: impl FnOnce(&mut Disturbance)) {
+        change(&mut self.disturbance.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
     /// Dies: connections are reset and new ones refused.
     pub fn die(&self, state: WorkerState) {
         if self.up.send_replace(false) {
-            self.lives.send_modify(|n| *n += 1);
+            self.incarnations.send_modify(|n| *n += 1);
             self.log.note(Event::Worker { worker: self.index, state });
         }
     }
 
-    /// Begins a new life, cold.
+    /// Starts again, without warm caches.
     pub fn start(&self) {
-        let mut life = self.life.lock().unwrap_or_else(PoisonError::into_inner);
-        *life = Life { started: Some(Instant::now()), came: VecDeque::new() };
-        drop(life);
+        let mut incarnation = self.incarnation.lock().unwrap_or_else(PoisonError::into_inner);
+        *incarnation = Incarnation { started: Some(Instant::now()), received: VecDeque::new() };
+        drop(incarnation);
         self.set(|t| t.draining = false);
         self.log.note(Event::Worker { worker: self.index, state: WorkerState::Started });
         self.up.send_replace(true);
@@ -134,18 +134,18 @@
     /// Takes note of work that came; `true`: it falls, as a cold worker that was sent too much.
     fn falls(&self, work: f64) -> (f64, bool) {
         let (world, now) = (&self.scenario.world, Instant::now());
-        let mut life = self.life.lock().unwrap_or_else(PoisonError::into_inner);
-        let warmth = self.warmth(life.started, now);
+        let mut incarnation = self.incarnation.lock().unwrap_or_else(PoisonError::into_inner);
+        let warmth = self.warmth(incarnation.started, now);
         if warmth >= 1.0 {
-            life.came.clear();
+            incarnation.received.clear();
             return (1.0, false);
         }
         let window = Duration::from_secs_f64(world.fall_s);
-        while life.came.front().is_some_and(|(at, _)| now.duration_since(*at) > window) {
-            life.came.pop_front();
+        while incarnation.received.front().is_some_and(|(at, _)| now.duration_since(*at) > window) {
+            incarnation.received.pop_front();
         }
-        life.came.push_back((now, work));
-        let sent: f64 = life.came.iter().map(|(_, w)| w).sum();
+        incarnation.received.push_back((now, work));
+        let sent: f64 = incarnation.received.iter().map(|(_, w)| w).sum();
         let bears = world.fall_multiple * warmth * world.cores as f64 * self.speed * world.fall_s;
         // A little for chance, as a few long requests in a row are nobody's fault.
         let slack = 4.0 * self.plan.mean_work;
@@ -163,19 +163,19 @@
 
     /// Serves one connection to its end.
     pub async fn serve(self: Arc<Self>, gate: usize, mut conn: Conn) {
-        let held = self.connections.fetch_add(1, Ordering::Relaxed);
-        let mut lives = self.lives.subscribe();
-        lives.borrow_and_update();
+        let open_connections = self.connections.fetch_add(1, Ordering::Relaxed);
+        let mut incarnations = self.incarnations.subscribe();
+        incarnations.borrow_and_update();
         tokio::select! {
-            () = self.exchange(gate, &mut conn, held) => {}
-            _ = lives.changed() => conn.reset(),
+            () = self.exchange(gate, &mut conn, open_connections) => {}
+            _ = incarnations.changed() => conn.reset(),
         }
         self.connections.fetch_sub(1, Ordering::Relaxed);
     }
 
-    async fn exchange(&self, gate: usize, conn: &mut Conn, held: usize) {
+    async fn exchange(&self, gate: usize, conn: &mut Conn, open_connections: usize) {
         let world = &self.scenario.world;
-        if held >= world.connections {
+        if open_connections >= world.connections {
             return conn.reset();
         }
         self.log.note(Event::Handshake { gate, worker: self.index });
@@ -199,7 +199,7 @@
         }
     }
 
-    /// Does one request's work; `None`: the gateway ended the connection, or gets no answer.
+    /// Serves one request; `None`: the gateway ended the connection, or gets no answer.
     async fn request(
         &self,
         gate: usize,
@@ -219,85 +219,122 @@
         };
         let intact = facts.fits(message);
         self.log.note(Event::Attempt { txn, gate, worker: self.index, intact, link_delay });
-        let mut work = Work { worker: self, txn, queued: 0.0, worked: 0.0, begun: false, told: false };
-        let trouble = self.trouble();
-        let turned_away = |mut work: Work<'_>| {
-            work.end(Ending::TurnedAway);
-            Some(http::answer(503, &format!("X-Turned-Away: 1\r\n{}", self.report()), b""))
-        };
-        if trouble.draining {
-            return turned_away(work);
+        let work = Work { worker: self, txn, queued: 0.0, worked: 0.0, begun: false, is_logged: false };
+        self.attempt(conn, &facts, work).await
+    }
+
+    /// Does the work of one attempt and answers it, unless something is wrong with this worker.
+    async fn attempt(&self, conn: &mut Conn, facts: &Facts, mut work: Work<'_>) -> Option<Vec<u8>> {
+        let disturbance = self.disturbance();
+        if disturbance.draining {
+            return Some(self.reject(work));
         }
-        if trouble.silent {
+        if disturbance.is_unresponsive {
             // Nobody hears of it again: the gateway gives it up, or the worker dies.
-            let _ = closed(conn).await;
+            closed(conn).await;
             work.end(Ending::Silent);
             return None;
         }
-        if trouble.errors > 0.0 && self.draw() < trouble.errors || self.draw() < self.scenario.world.errors {
+        if self.fails_at_once(disturbance.errors) {
             work.end(Ending::Error);
             return Some(http::answer(500, &self.report(), b"failed"));
         }
-        let needs = facts.work;
-        let (warmth, falls) = self.falls(needs);
+        let (warmth, falls) = self.falls(facts.work);
         if falls {
             self.die(WorkerState::Fell);
             self.fell.notify_one();
             return None;
         }
-        if self.cores.available_permits() == 0
-            && self.waiting.load(Ordering::Relaxed) >= self.scenario.world.queue
-        {
-            return turned_away(work);
+        if self.is_full() {
+            return Some(self.reject(work));
         }
+        let _core = self.wait_for_core(conn, &mut work).await?;
+        let takes = facts.work * disturbance.slower / (self.speed * warmth);
+        self.work_for(conn, &mut work, takes).await?;
+        self.answer(conn, &facts.answer(work.txn), &disturbance, work).await
+    }
+
+    fn fails_at_once(&self, errors: f64) -> bool {
+        errors > 0.0 && self.draw() < errors || self.draw() < self.scenario.world.errors
+    }
+
+    fn is_full(&self) -> bool {
+        self.cores.available_permits() == 0
+            && self.waiting.load(Ordering::Relaxed) >= self.scenario.world.queue
+    }
+
+    /// Rejects a request without having begun it.
+    fn reject(&self, mut work: Work<'_>) -> Vec<u8> {
+        work.end(Ending::TurnedAway);
+        http::answer(503, &format!("X-Turned-Away: 1\r\n{}", self.report()), b"")
+    }
+
+    /// Waits for a free core; `None` where the gateway gives the attempt up before.
+    async fn wait_for_core(&self, conn: &mut Conn, work: &mut Work<'_>) -> Option<SemaphorePermit<'_>> {
         let since = Instant::now();
         self.waiting.fetch_add(1, Ordering::Relaxed);
         let core = tokio::select! {
-            core = self.cores.acquire() => core,
-            () = closed(conn) => {
-                self.waiting.fetch_sub(1, Ordering::Relaxed);
-                work.end(Ending::Cancelled { begun: false });
-                return None;
-            }
+            core = self.cores.acquire() => Some(core),
+            () = closed(conn) => None,
         };
         self.waiting.fetch_sub(1, Ordering::Relaxed);
-        // The semaphore is never closed.
-        let _core = core.ok()?;
+        let Some(core) = core else {
+            work.end(Ending::Cancelled { begun: false });
+            return None;
+        };
         work.queued = since.elapsed().as_secs_f64();
         work.begun = true;
-        let takes = needs * trouble.slower / (self.speed * warmth);
+        // The semaphore is never closed.
+        core.ok()
+    }
+
+    /// Works for so many seconds; `None` where the gateway gives the attempt up before.
+    async fn work_for(&self, conn: &mut Conn, work: &mut Work<'_>, seconds: f64) -> Option<()> {
         let begun = Instant::now();
         tokio::select! {
-            () = tokio::time::sleep(Duration::from_secs_f64(takes)) => {}
+            () = tokio::time::sleep(Duration::from_secs_f64(seconds)) => {}
             () = closed(conn) => {
                 work.worked = begun.elapsed().as_secs_f64();
                 work.end(Ending::Cancelled { begun: true });
                 return None;
             }
         }
-        work.worked = takes;
-        let body = facts.answer(txn);
+        work.worked = seconds;
+        Some(())
+    }
+
+    /// Answers an attempt whose work is done, unless the answer is to stop or break off half way.
+    async fn answer(
+        &self,
+        conn: &mut Conn,
+        body: &str,
+        disturbance: &Disturbance,
+        mut work: Work<'_>,
+    ) -> Option<Vec<u8>> {
         let draw = self.draw();
-        if draw < trouble.stall + trouble.break_off {
+        if draw < disturbance.stall + disturbance.break_off {
             work.end(Ending::HalfWay);
-            let stalls = draw < trouble.stall;
-            let part = &body.as_bytes()[..body.len() / 2];
-            let half = if stalls { http::beginning(part) } else { http::half(&body) };
-            if conn.write(Dir::In, &half).await.is_ok() && stalls {
-                let _ = closed(conn).await;
-            }
-            conn.reset();
+            answer_half(conn, body, draw < disturbance.stall).await;
             return None;
         }
         work.end(Ending::Served);
         self.served.fetch_add(1, Ordering::Relaxed);
-        if trouble.spoil > 0.0 && self.draw() < trouble.spoil {
+        if disturbance.spoil > 0.0 && self.draw() < disturbance.spoil {
             return Some(b"HTTP/1.1 200 OK\r\nContent-Length: nonsense\r\n\r\n".to_vec());
         }
         Some(http::answer(200, &self.report(), body.as_bytes()))
     }
 }
 
+/// Sends the first half of an answer and resets the connection: at once, or once the gateway has given it up.
+async fn answer_half(conn: &mut Conn, body: &str, stalls: bool) {
+    let half = if stalls { http::beginning(&body.as_bytes()[..body.len() / 2]) } else { http::half(body) };
+    if conn.write(Dir::In, &half).await.is_ok() && stalls {
+        closed(conn).await;
+    }
+    conn.reset();
+}
+
 /// An attempt's stay; however it ends, that is written down once.
 struct Work<'a> {
     worker: &'a Worker,
@@ -305,12 +342,12 @@
     queued: f64,
     worked: f64,
     begun: bool,
-    told: bool,
+    is_logged: bool,
 }
 
 impl Work<'_> {
     fn end(&mut self, how: Ending) {
-        self.told = true;
+        self.is_logged = true;
         let (txn, worker) = (self.txn, self.worker.index);
         self.worker.log.note(Event::Ended { txn, worker, how, queued: self.queued, worked: self.worked });
     }
@@ -319,7 +356,7 @@
 impl Drop for Work<'_> {
     fn drop(&mut self) {
         // Dropped under way: the worker has died.
-        if !self.told {
+        if !self.is_logged {
             self.end(Ending::Died);
         }
     }
