--- a/crates/net/src/reachability.rs
+++ b/crates/net/src/reachability.rs
@@ -8,8 +8,8 @@
 /// Least time between two warnings about the same peer.
 const WARN_INTERVAL: Duration = Duration::from_secs(30);
 
-/// Follows the attempts to reach a peer: a process that can't reach one says so after [`WARN_AFTER`], again at most once
-/// every [`WARN_INTERVAL`], and once more when the peer is there.
+/// Follows the attempts to reach a peer: a process that can't reach one says so after three seconds, again at most once
+/// every thirty, and once more when the peer is there.
 #[derive(Debug)]
 pub struct Reachability {
     /// What the process waits for, for the log.
