--- a/review/standins/src/retention.rs
+++ b/review/standins/src/retention.rs
@@ -18,7 +18,7 @@
 /// `retention_s` of the route of the conversation.
 const RETENTION: Duration = Duration::from_secs(32);
 /// Pause between the second turn and the other conversations, so that the compaction falls shortly before the third turn.
-const PAUSE: Duration = Duration::from_secs(9);
+const PAUSE: Duration = Duration::from_secs(8);
 /// Turns of other conversations between the second and the third turn, all with a short retention.
 const OTHER_TURNS: usize = 480;
 const OTHER_TURN_BYTES: usize = 100_000;
@@ -63,7 +63,7 @@
     let frontends = tier.frontends();
 
     let first = answered_turn(frontends[0], "t1", None)?;
-    sleep(RETENTION - Duration::from_secs(3));
+    sleep(RETENTION - Duration::from_secs(2));
     let second = answered_turn(frontends[0], "t2", Some(&first))?;
     let second_at = Instant::now();
 
