--- a/review/standins/src/children.rs
+++ b/review/standins/src/children.rs
@@ -26,6 +26,11 @@
     }
 }
 
+/// Sends a signal such as `TERM` to a process that this program has started, by the shell's own `kill`.
+pub fn signal(id: u32, name: &str) {
+    let _ = Command::new("bash").args(["-c", &format!("kill -{name} {id}")]).status();
+}
+
 /// Ends all processes and exits with 2 if the run is not over after `limit`.
 pub fn give_up_after(limit: Duration) {
     thread::spawn(move || {
@@ -33,7 +38,7 @@
         crate::note!("the run has taken too long");
         if let Ok(running) = RUNNING.lock() {
             for id in running.iter() {
-                let _ = Command::new("kill").arg("-KILL").arg(id.to_string()).status();
+                signal(*id, "KILL");
             }
             exit(2);
         }
--- a/review/standins/src/tier.rs
+++ b/review/standins/src/tier.rs
@@ -177,7 +177,7 @@
                 continue;
             }
             if let Some(child) = &process.child {
-                let _ = Command::new("kill").arg(format!("-{signal}")).arg(child.id().to_string()).status();
+                children::signal(child.id(), signal);
             }
         }
     }
