Store client: a read no longer tells how long a quorum retains a turn

Cause: get_turn recorded the remaining retention in one replica's reply as that of the quorum. A restarted store retains turns for their full time anew, so it reports more than the others have left; the turn was not extended, the others dropped it, and the last copy went with the disk.

Change: a read records nothing. The client knows of retention what a quorum has acknowledged: its own writes and extensions. Messages and records stay as they are. A gatekeeper that reads a chain for the first time extends its turns once.

--- a/crates/store-client/src/client.rs
+++ b/crates/store-client/src/client.rs
@@ -38,7 +38,7 @@
     sequence: Cell<u64>,
     pub(crate) operations: Operations,
     pub(crate) reverts: Reverts,
-    /// Times until which the stores retain the turns that this client has written or read.
+    /// Times until which the stores retain the turns that this client has written or extended.
     pub(crate) known_retention: RefCell<KnownRetention>,
     /// Number of writes that run in the background.
     background_writes: Cell<usize>,
--- a/crates/store-client/src/retention.rs
+++ b/crates/store-client/src/retention.rs
@@ -1,5 +1,5 @@
-//! Tracks until when the stores retain the turns that this client has written or read. When a new turn is written, this
-//! tells which of its ancestors need their retention extended.
+//! Tracks until when a quorum of stores retains the turns that this client has written or extended. When a new turn is
+//! written, this tells which of its ancestors need their retention extended.
 
 #[cfg(test)]
 mod tests;
@@ -9,7 +9,7 @@
 /// Minimum number of turns at which expired ones are removed from the map.
 const MIN_SWEEP_SIZE: usize = 1024;
 
-/// Minimum retention of turns at the stores. All times are on the client's monotonic clock.
+/// Minimum retention of turns at a quorum of stores. All times are on the client's monotonic clock.
 #[derive(Debug, Default)]
 pub struct KnownRetention {
     /// Time until which a turn is retained at least, by the turn's id.
--- a/crates/store-client/src/turns.rs
+++ b/crates/store-client/src/turns.rs
@@ -16,13 +16,6 @@
 /// Time-out of extending the retention of a chain's turns, including retries.
 const EXTENSION_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// A turn read from a store.
-struct FoundTurn {
-    turn: Turn,
-    /// Remaining retention of the turn at the store that replied.
-    remaining: Duration,
-}
-
 /// Order in which the replicas of a partition are read.
 struct ReadOrder {
     /// Read first. If the partition has no replicas, this is 0, which is not the identity of any store.
@@ -53,6 +46,9 @@
 
     /// Reads a turn. Returns `None` only if a quorum of complete replicas has replied that it does not have the turn.
     ///
+    /// One replica's reply shows that the turn exists, but not for how long a quorum retains it: a replica that has
+    /// restarted retains it for longer than the others. So the remaining retention in the reply is not recorded.
+    ///
     /// # Errors
     /// [`TurnError::Unavailable`] if within `time_limit` neither a replica has returned the turn nor a quorum has replied
     /// that it is absent.
@@ -65,16 +61,12 @@
         let read = self
             .run_in_layout(partition_of(id), deadline, async |layout| self.get_in(layout, id, deadline).await)
             .await;
-        let found = read.ok_or(TurnError::Unavailable)?;
-        if let Some(found) = &found {
-            self.record_retention(id, found.remaining);
-        }
-        Ok(found.map(|found| found.turn))
+        read.ok_or(TurnError::Unavailable)
     }
 
     /// Reads a turn in one layout of its partition: first from the nearest replica, and from all others if that one does
     /// not return the turn within [`HEDGE_DELAY`].
-    async fn get_in(&self, layout: &Layout, id: &str, deadline: Instant) -> Option<FoundTurn> {
+    async fn get_in(&self, layout: &Layout, id: &str, deadline: Instant) -> Option<Turn> {
         let request = Rc::new(StoreRequest::GetTurn { epoch: layout.epoch, id: id.to_owned() });
         let mut calls = self.calls(deadline);
         let mut quorum = QuorumTracker::new(&layout.partition);
@@ -85,9 +77,7 @@
         while !quorum.is_quorum() {
             let ask_others = tokio::select! {
                 replied = calls.next_reply() => match replied.reply {
-                    StoreReply::Turn { turn: Some(turn), left_ms, .. } => {
-                        return Some(FoundTurn { turn, remaining: Duration::from_millis(left_ms) });
-                    }
+                    StoreReply::Turn { turn: Some(turn), .. } => return Some(turn),
                     StoreReply::Turn { is_complete, turn: None, .. } => {
                         quorum.record(replied.store, is_complete);
                         true
--- a/crates/store/tests/cluster/harness.rs
+++ b/crates/store/tests/cluster/harness.rs
@@ -1,6 +1,6 @@
 //! Test stores on loopback, and a fake control whose store map the tests change.
 
-use opalrun_net::Listener;
+use opalrun_net::{Listener, RpcClient};
 use opalrun_storage::DataDirectory;
 use opalrun_store::{
     JournalStatus, StoreServer, serve,
@@ -11,7 +11,7 @@
 use opalrun_wire::{
     feed::{PartitionReplicas, Replica, STORE_PARTITIONS, StoreMap, StoreNode, StoreState},
     ids::{Epoch, NodeIdentity},
-    store::Turn,
+    store::{StoreReply, StoreRequest, Turn},
 };
 use std::{net::SocketAddr, rc::Rc, sync::Arc, thread::JoinHandle, time::Duration};
 use tempfile::TempDir;
@@ -22,6 +22,9 @@
 /// Time-out of operations that are expected to fail.
 pub const SHORT_TIMEOUT: Duration = Duration::from_millis(150);
 
+/// Requested retention of the turns that [`turn`] creates, in milliseconds.
+pub const RETENTION_MS: u64 = 60_000;
+
 const LIMITS: StoreLimits = StoreLimits { memory_bytes: 100 << 20, disk_bytes: 100 << 20 };
 
 /// A store with its data directory, on a thread of its own. Dropping it closes its connections, as the end of its process
@@ -85,6 +88,20 @@
         self.maps.send(map.clone()).unwrap();
     }
 
+    /// Sends a request to this store alone, without a client that writes to all replicas.
+    pub async fn call(&self, request: &StoreRequest) -> StoreReply {
+        let connection: Rc<RpcClient<StoreRequest, StoreReply>> = RpcClient::new("store", self.address);
+        connection.call(request, TEST_TIMEOUT).await.unwrap()
+    }
+
+    /// Returns for how long this store retains a turn from now on; `None` if it does not have the turn.
+    pub async fn remaining_retention(&self, epoch: Epoch, id: &str) -> Option<Duration> {
+        match self.call(&StoreRequest::GetTurn { epoch, id: id.to_owned() }).await {
+            StoreReply::Turn { turn, left_ms, .. } => turn.map(|_| Duration::from_millis(left_ms)),
+            other => panic!("no reply to a read of a turn: {other:?}"),
+        }
+    }
+
     /// Returns the completed transfers to this store.
     pub fn completed(&self) -> Vec<CompletedTransfer> {
         self.completed.borrow().clone()
@@ -235,12 +252,17 @@
 }
 
 pub fn turn(id: &str) -> Turn {
+    turn_after(id, &[])
+}
+
+/// Returns a turn that continues the conversation with these earlier turns, oldest first.
+pub fn turn_after(id: &str, ancestors: &[&str]) -> Turn {
     Turn {
         id: id.to_owned(),
-        ancestors: Vec::new(),
+        ancestors: ancestors.iter().map(|id| (*id).to_owned()).collect(),
         input: format!("input of {id}").into_bytes(),
         output: format!("output of {id}\n").into_bytes(),
-        retention_ms: 60_000,
+        retention_ms: RETENTION_MS,
         worker: "i-1".to_owned(),
     }
 }
--- a/crates/store/tests/cluster/main.rs
+++ b/crates/store/tests/cluster/main.rs
@@ -3,5 +3,6 @@
 mod counts;
 mod harness;
 mod partition_transfer;
+mod retention;
 mod turns;
 mod unresponsive_replicas;
--- /dev/null
+++ b/crates/store/tests/cluster/retention.rs
@@ -0,0 +1,47 @@
+//! Retention of the turns of a chain, which a gatekeeper extends when it stores a further turn of the conversation.
+
+use crate::harness::{Control, RETENTION_MS, TEST_TIMEOUT, TestStore, run, three_stores, turn, turn_after};
+use opalrun_store_client::StoreClient;
+use opalrun_wire::store::{StoreReply, StoreRequest, Turn};
+use std::time::Duration;
+
+/// Requested retention of a turn that expires before [`RETENTION_MS`] unless it is extended, in milliseconds.
+const SHORT_RETENTION_MS: u64 = 1;
+/// Requested retention of a turn that needs no extension, in milliseconds.
+const LONG_RETENTION_MS: u64 = 10 * RETENTION_MS;
+
+/// Writes a turn to one replica alone.
+async fn put_at(store: &TestStore, control: &Control, turn: &Turn) {
+    let request = StoreRequest::PutTurn { epoch: control.map.epoch, turn: turn.clone() };
+    assert_eq!(store.call(&request).await, StoreReply::Stored { is_complete: true });
+}
+
+/// Returns the number of stores that retain a turn for at least [`RETENTION_MS`] from now on.
+async fn retaining_stores(stores: &[TestStore], control: &Control, id: &str) -> usize {
+    let mut count = 0;
+    for store in stores {
+        let remaining = store.remaining_retention(control.map.epoch, id).await.unwrap_or_default();
+        count += usize::from(remaining >= Duration::from_millis(RETENTION_MS));
+    }
+    count
+}
+
+/// Guards against the loss of a conversation one of whose replicas was restarted: that replica retains a turn for longer
+/// than the others, and its word was taken for that of a quorum, so that the turn was not extended anywhere.
+#[test]
+fn a_turn_that_one_replica_retains_longer_is_still_extended_at_a_quorum() {
+    run(async {
+        let (stores, control, _client) = three_stores().await;
+        let retention_ms = [SHORT_RETENTION_MS, LONG_RETENTION_MS, SHORT_RETENTION_MS];
+        for (store, retention_ms) in stores.iter().zip(retention_ms) {
+            put_at(store, &control, &Turn { retention_ms, ..turn("t1") }).await;
+        }
+        // The replica in this client's zone, which it reads first, is the one that retains the turn longer.
+        let client = StoreClient::new(12, "zone-2");
+        control.publish_to_all(&[], &[&client]);
+        assert!(client.get_turn("t1", TEST_TIMEOUT).await.unwrap().is_some());
+        client.put_turn(&turn_after("t2", &["t1"]), TEST_TIMEOUT).await.unwrap();
+        assert!(client.flush(TEST_TIMEOUT).await);
+        assert!(retaining_stores(&stores, &control, "t1").await >= 2);
+    });
+}
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -149,7 +149,7 @@
         is_complete: bool,
         /// The turn; `None` if the store does not have it.
         turn: Option<Turn>,
-        /// Remaining time for which the store keeps the turn, in milliseconds.
+        /// Remaining time for which this store keeps the turn, in milliseconds. The other replicas may keep it for less.
         left_ms: u64,
     },
     /// A page of a partition's data.
