Stores: an extension counts only where the turns are, on disk

What callers would see: a continued conversation answered 503 for good after the loss of one disk.

Cause: a store that lacked a turn, as it had missed its write, acknowledged the turn's extension, and one that had it unsynced did so before the sync. One disk could hold the only copy of a turn that its gatekeeper took for retained by a quorum.

Change: the reply counts (is_complete) only if the store has all the turns, and waits for their records. No message and no record changes its form; a client of an earlier build takes the reply for that of an incomplete replica.

Extending moves to a module of its own.

--- a/crates/store-client/src/lib.rs
+++ b/crates/store-client/src/lib.rs
@@ -12,6 +12,7 @@
 mod client;
 mod counts;
 mod error;
+mod extension;
 mod layout;
 pub mod lease_acquisition;
 mod operation;
--- a/crates/store-client/src/quorum.rs
+++ b/crates/store-client/src/quorum.rs
@@ -7,6 +7,7 @@
 pub struct QuorumTracker {
     replicas: Vec<ReplicaStatus>,
     quorum: usize,
+    has_refusal: bool,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,7 +31,7 @@
                 has_replied: false,
             })
             .collect();
-        Self { replicas, quorum: partition.quorum() }
+        Self { replicas, quorum: partition.quorum(), has_refusal: false }
     }
 
     /// Records the reply of a replica; `is_complete` is the replica's own statement in the reply. A replica counts towards
@@ -38,6 +39,7 @@
     pub fn record(&mut self, store: NodeIdentity, is_complete: bool) {
         if let Some(replica) = self.replicas.iter_mut().find(|replica| replica.store == store) {
             replica.has_replied = true;
+            self.has_refusal |= replica.is_complete && !is_complete;
             replica.is_complete &= is_complete;
         }
     }
@@ -49,6 +51,12 @@
             >= self.quorum
     }
 
+    /// Whether a replica that the store map lists as complete has replied that it does not count.
+    #[must_use]
+    pub fn has_refusal(&self) -> bool {
+        self.has_refusal
+    }
+
     /// Whether all replicas have replied and are complete.
     #[must_use]
     pub fn is_unanimous(&self) -> bool {
--- a/crates/store-client/src/turns.rs
+++ b/crates/store-client/src/turns.rs
@@ -1,20 +1,18 @@
 //! Operations on retained turns.
 
-use crate::{StoreClient, TurnError, layout::Layout, quorum::QuorumTracker};
+use crate::{
+    StoreClient, TurnError, extension::retention_after_write, layout::Layout, quorum::QuorumTracker,
+};
 use opalrun_wire::{
     feed::partition_of,
-    ids::{NodeIdentity, Partition},
-    store::{StoreReply, StoreRequest, Turn, keep_ms},
+    ids::NodeIdentity,
+    store::{StoreReply, StoreRequest, Turn},
 };
-use std::{collections::BTreeMap, rc::Rc, time::Duration};
+use std::{rc::Rc, time::Duration};
 use tokio::time::{Instant, sleep};
 
 /// Delay after which a read that the nearest replica has not answered is also sent to the other replicas (hedged request).
 const HEDGE_DELAY: Duration = Duration::from_millis(6);
-/// Upper bound on the time between a store's execution of a write and the arrival of its reply at this client.
-const MAX_WRITE_TIME: Duration = Duration::from_secs(5);
-/// Time-out of extending the retention of a chain's turns, including retries.
-const EXTENSION_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Order in which the replicas of a partition are read.
 struct ReadOrder {
@@ -66,7 +64,7 @@
 
     /// Reads a turn in one layout of its partition: first from the nearest replica, and from all others if that one does
     /// not return the turn within [`HEDGE_DELAY`].
-    async fn get_in(&self, layout: &Layout, id: &str, deadline: Instant) -> Option<Turn> {
+    pub(crate) async fn get_in(&self, layout: &Layout, id: &str, deadline: Instant) -> Option<Turn> {
         let request = Rc::new(StoreRequest::GetTurn { epoch: layout.epoch, id: id.to_owned() });
         let mut calls = self.calls(deadline);
         let mut quorum = QuorumTracker::new(&layout.partition);
@@ -110,7 +108,7 @@
     }
 
     /// Sends a write to all replicas in one layout of the partition; returns once a quorum has replied.
-    async fn store_in(&self, layout: &Layout, request: Rc<StoreRequest>, deadline: Instant) {
+    pub(crate) async fn store_in(&self, layout: &Layout, request: Rc<StoreRequest>, deadline: Instant) {
         let mut calls = self.calls(deadline);
         let mut quorum = QuorumTracker::new(&layout.partition);
         calls.send_to_all((), &layout.partition, &request);
@@ -122,48 +120,4 @@
             }
         }
     }
-
-    /// Extends the retention of a turn's ancestors in the background, unless they are known to be retained long enough.
-    fn extend_chain(self: &Rc<Self>, turn: &Turn) {
-        let wanted = self.started.elapsed() + Duration::from_millis(turn.retention_ms);
-        let mut by_partition: BTreeMap<Partition, Vec<String>> = BTreeMap::new();
-        for id in self.known_retention.borrow().not_retained_until(&turn.ancestors, wanted) {
-            by_partition.entry(partition_of(id)).or_default().push(id.clone());
-        }
-        for (number, ids) in by_partition {
-            self.extend(number, ids, turn.retention_ms);
-        }
-    }
-
-    /// Extends the retention of turns of one partition in the background.
-    fn extend(self: &Rc<Self>, partition: Partition, ids: Vec<String>, retention_ms: u64) {
-        let client = self.clone();
-        self.spawn_write(async move {
-            let deadline = Instant::now() + EXTENSION_TIMEOUT;
-            let extended = client
-                .run_in_layout(partition, deadline, async |layout| {
-                    let (epoch, ids) = (layout.epoch, ids.clone());
-                    let request = StoreRequest::ExtendTurns { epoch, partition, ids, retention_ms };
-                    client.store_in(layout, Rc::new(request), deadline).await;
-                })
-                .await;
-            if extended.is_some() {
-                for id in &ids {
-                    client.record_retention(id, retention_after_write(retention_ms));
-                }
-            }
-        });
-    }
-
-    /// Records that the stores retain a turn for at least `remaining` from now.
-    fn record_retention(&self, id: &str, remaining: Duration) {
-        let now = self.started.elapsed();
-        self.known_retention.borrow_mut().record(id, now + remaining, now);
-    }
-}
-
-/// Returns the minimum time for which stores retain a turn from the moment when this client receives the reply to the
-/// write or the extension.
-fn retention_after_write(retention_ms: u64) -> Duration {
-    Duration::from_millis(keep_ms(retention_ms)).saturating_sub(MAX_WRITE_TIME)
 }
--- a/crates/store/src/state/partition.rs
+++ b/crates/store/src/state/partition.rs
@@ -160,12 +160,14 @@
         }
     }
 
-    /// Extends the retention of a turn to at least `expires`.
-    pub fn extend_turn(&mut self, id: &str, expires: Duration) {
-        let Some(number) = self.turns.get(id) else { return };
-        if let Some(Item::Turn(retained)) = self.items.get_mut(number) {
+    /// Extends the retention of a turn to at least `expires`. Returns the number of the turn's log record; `None` if there is
+    /// no such turn.
+    pub fn extend_turn(&mut self, id: &str, expires: Duration) -> Option<u64> {
+        let number = *self.turns.get(id)?;
+        if let Some(Item::Turn(retained)) = self.items.get_mut(&number) {
             retained.expires = retained.expires.max(expires);
         }
+        Some(number)
     }
 
     /// Removes and returns the item whose newest state the log record `number` holds.
--- a/crates/store/src/state/requests.rs
+++ b/crates/store/src/state/requests.rs
@@ -176,7 +176,8 @@
     }
 
     /// Extends the retention of turns, in memory only: after a restart every turn is retained for its full retention time
-    /// again.
+    /// again. The reply counts towards a quorum only if this replica has all of the turns, and is sent once they are on
+    /// disk, since their own writes may not have waited for this replica.
     fn extend_turns(
         &mut self,
         is_complete: bool,
@@ -186,10 +187,13 @@
         now: Duration,
     ) -> RequestOutcome {
         let expires = now + Duration::from_millis(keep_ms(retention_ms));
-        for id in ids {
-            self.partitions[partition.position()].extend_turn(id, expires);
+        let turns = &mut self.partitions[partition.position()];
+        let records: Vec<u64> = ids.iter().filter_map(|id| turns.extend_turn(id, expires)).collect();
+        let has_all = records.len() == ids.len();
+        RequestOutcome::AfterSync {
+            record: records.into_iter().max().unwrap_or_default(),
+            reply: StoreReply::Stored { is_complete: is_complete && has_all },
         }
-        RequestOutcome::AfterSync { record: self.epoch_record, reply: StoreReply::Stored { is_complete } }
     }
 
     /// Returns the reply that rejects a write if the disk is full or the log has reached its size limit.
--- a/crates/store/tests/cluster/retention.rs
+++ b/crates/store/tests/cluster/retention.rs
@@ -45,3 +45,19 @@
         assert!(retaining_stores(&stores, &control, "t1").await >= 2);
     });
 }
+
+/// Guards against an extension that a replica without the turn acknowledges: one disk held the only copy of a turn that
+/// its gatekeeper took for retained by a quorum.
+#[test]
+fn an_extension_writes_a_turn_again_to_a_replica_that_lacks_it() {
+    run(async {
+        let ([one, two, three], control, client) = three_stores().await;
+        for store in [&one, &two] {
+            put_at(store, &control, &Turn { retention_ms: SHORT_RETENTION_MS, ..turn("t1") }).await;
+        }
+        drop(two);
+        client.put_turn(&turn_after("t2", &["t1"]), TEST_TIMEOUT).await.unwrap();
+        assert!(client.flush(TEST_TIMEOUT).await);
+        assert_eq!(retaining_stores(&[one, three], &control, "t1").await, 2);
+    });
+}
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -92,7 +92,8 @@
         id: String,
     },
     /// Restarts the retention of turns as if they were written now, because a new turn depends on them. All turns must
-    /// belong to one partition; turns that the store does not have are ignored.
+    /// belong to one partition. A store that lacks one of them extends the others and replies that it does not count towards
+    /// the quorum.
     ExtendTurns {
         /// Epoch of the sender's store map.
         epoch: Epoch,
@@ -140,7 +141,8 @@
     },
     /// The turn has been written durably, or the retention of the turns has been extended.
     Stored {
-        /// Whether the replica is complete, so that its reply counts towards the quorum.
+        /// Whether the reply counts towards the quorum: the replica is complete, and it has all turns that were to be
+        /// extended.
         is_complete: bool,
     },
     /// The result of reading a turn.
