Store client: a turn is acknowledged once its chain is retained as well

What callers would see: a conversation whose last turn was answered whole is answered 503 for good once its first turn expires, inside the retention.

Cause: the turns before a new one were extended in the background, after the end of its answer; a failure, or the end of the gatekeeper, lost the extension. A chain that only the gatekeeper's cache had was continued although the stores had dropped it.

Change: put_turn returns once a quorum has the turn on disk and a quorum retains each ancestor; both run at once. Ancestors that replicas lack are written again from the gatekeeper's cache or from another replica.

Two tests failed before the change and pass now: put_turn returned Ok with two of three replicas of the ancestor gone (cluster), and a cached chain could not be read by another gatekeeper (gatekeeper, stores).

--- a/crates/gatekeeper/src/turns/store.rs
+++ b/crates/gatekeeper/src/turns/store.rs
@@ -1,7 +1,7 @@
 //! Reads the chains of turns from the cache and the stores, and writes turns to the stores.
 
 use super::{Chain, ChainError, TurnCache};
-use opalrun_store_client::{StoreClient, TurnError};
+use opalrun_store_client::{CachedTurns, StoreClient, TurnError};
 use opalrun_wire::store::Turn;
 use std::cell::RefCell;
 use std::future::Future;
@@ -18,17 +18,22 @@
 
 /// Access to the turns in the stores.
 pub trait TurnStore: Clone + 'static {
-    /// Stores a turn and extends the retention of its ancestors to the turn's own. Returns once the turn is durable.
-    /// Idempotent.
-    fn put(&self, turn: &Turn, timeout: Duration) -> impl Future<Output = Result<(), TurnError>>;
+    /// Stores a turn and extends the retention of its ancestors to the turn's own. Returns once the turn is durable and its
+    /// ancestors are retained. Those that the stores lack are stored again, from `cached` if it has them. Idempotent.
+    fn put(
+        &self,
+        turn: &Turn,
+        cached: &CachedTurns,
+        timeout: Duration,
+    ) -> impl Future<Output = Result<(), TurnError>>;
 
     /// Reads a turn; returns `None` when the turn certainly does not exist.
     fn get(&self, id: &str, timeout: Duration) -> impl Future<Output = Result<Option<Turn>, TurnError>>;
 }
 
 impl TurnStore for Rc<StoreClient> {
-    async fn put(&self, turn: &Turn, timeout: Duration) -> Result<(), TurnError> {
-        self.put_turn(turn, timeout).await
+    async fn put(&self, turn: &Turn, cached: &CachedTurns, timeout: Duration) -> Result<(), TurnError> {
+        self.put_turn_with_chain(turn, cached, timeout).await
     }
 
     async fn get(&self, id: &str, timeout: Duration) -> Result<Option<Turn>, TurnError> {
@@ -67,9 +72,11 @@
     /// succeeded.
     ///
     /// # Errors
-    /// The turn may not be stored, so the answer must not appear complete to the client.
+    /// The turn may not be stored or its chain not be retained, so the answer must not appear complete to the client.
     pub async fn store(&self, turn: Turn) -> Result<(), TurnError> {
-        self.store.put(&turn, TURN_WRITE_TIMEOUT).await?;
+        let cache = Rc::clone(&self.cache);
+        let cached: CachedTurns = Rc::new(move |id| cache.borrow_mut().get(id));
+        self.store.put(&turn, &cached, TURN_WRITE_TIMEOUT).await?;
         self.cache.borrow_mut().insert(Rc::new(turn));
         Ok(())
     }
--- a/crates/gatekeeper/src/turns/tests.rs
+++ b/crates/gatekeeper/src/turns/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the turn cache, of reading chains and of storing turns, against fake stores in paused time.
 
 use super::{Chain, ChainError, TurnCache, TurnStore, Turns};
-use opalrun_store_client::TurnError;
+use opalrun_store_client::{CachedTurns, TurnError};
 use opalrun_wire::store::Turn;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -21,7 +21,7 @@
 }
 
 impl TurnStore for FakeTurnStore {
-    async fn put(&self, turn: &Turn, timeout: Duration) -> Result<(), TurnError> {
+    async fn put(&self, turn: &Turn, _cached: &CachedTurns, timeout: Duration) -> Result<(), TurnError> {
         if self.is_unavailable.get() {
             tokio::time::sleep(timeout).await;
             return Err(TurnError::Unavailable);
@@ -52,11 +52,15 @@
     }
 }
 
+fn no_cache() -> CachedTurns {
+    Rc::new(|_| None)
+}
+
 /// Creates stores with a chain of three turns, and a fourth turn that branches off the first.
 async fn store_with_branch() -> FakeTurnStore {
     let store = FakeTurnStore::default();
     for turn in [turn("a", &[]), turn("b", &["a"]), turn("c", &["a", "b"]), turn("d", &["a"])] {
-        store.put(&turn, READ_LATENCY).await.unwrap();
+        store.put(&turn, &no_cache(), READ_LATENCY).await.unwrap();
     }
     store
 }
--- a/crates/gatekeeper/tests/stores.rs
+++ b/crates/gatekeeper/tests/stores.rs
@@ -200,3 +200,26 @@
         assert_eq!(second.chain("c").await, Err(ChainError::Unknown));
     });
 }
+
+/// Guards against a conversation that one gatekeeper continues from its cache although the stores have lost its first
+/// turns: every other gatekeeper answered it 503 for good.
+#[test]
+fn chain_that_only_a_cache_has_is_stored_again_with_the_next_turn() {
+    run(async {
+        let tier = Tier::start().await;
+        let client = tier.client(11);
+        let first = Turns::new(Rc::clone(&client), CACHE_BYTES);
+        // The retention of the first turn is so short that it has to be extended for the second one.
+        first.store(Turn { retention_ms: 1, ..turn("a", &[]) }).await.unwrap();
+        let mut empty = Tier::start().await;
+        empty.map.epoch = tier.map.epoch.next();
+        for store in &empty.stores {
+            store.server.set_map(Rc::new(empty.map.clone()));
+        }
+        client.set_map(empty.map.clone());
+        let second = Turns::new(empty.client(12), CACHE_BYTES);
+        assert_eq!(second.chain("a").await, Err(ChainError::Unknown));
+        first.store(turn("b", &["a"])).await.unwrap();
+        assert_eq!(second.chain("b").await.unwrap().ancestors, ["a", "b"]);
+    });
+}
--- a/crates/store-client/src/lib.rs
+++ b/crates/store-client/src/lib.rs
@@ -22,4 +22,5 @@
 
 pub use client::{LeaseGrant, StoreClient};
 pub use error::{CountError, TurnError};
+pub use extension::CachedTurns;
 pub use quorum::QuorumTracker;
--- a/crates/store-client/src/turns.rs
+++ b/crates/store-client/src/turns.rs
@@ -1,7 +1,8 @@
 //! Operations on retained turns.
 
 use crate::{
-    StoreClient, TurnError, extension::retention_after_write, layout::Layout, quorum::QuorumTracker,
+    CachedTurns, StoreClient, TurnError, extension::retention_after_write, layout::Layout,
+    quorum::QuorumTracker,
 };
 use opalrun_wire::{
     feed::partition_of,
@@ -23,14 +24,35 @@
 }
 
 impl StoreClient {
-    /// Writes a turn; returns once a quorum of complete replicas has it on disk. The write is idempotent. The retention of
-    /// the turn's ancestors is extended in the background so that they do not expire before it.
+    /// Writes a turn as [`put_turn_with_chain`](Self::put_turn_with_chain) does, for a caller that has no turns in memory.
     ///
     /// # Errors
-    /// [`TurnError::Unavailable`] if no quorum has replied within `time_limit`: the turn may or may not be stored.
+    /// As those of [`put_turn_with_chain`](Self::put_turn_with_chain).
     pub async fn put_turn(self: &Rc<Self>, turn: &Turn, time_limit: Duration) -> Result<(), TurnError> {
+        let no_cache: CachedTurns = Rc::new(|_| None);
+        self.put_turn_with_chain(turn, &no_cache, time_limit).await
+    }
+
+    /// Writes a turn; returns once a quorum of complete replicas has it on disk, and a quorum retains each of its ancestors
+    /// for as long as the turn. The write is idempotent. Ancestors that the replicas lack are written again, from `cached`
+    /// or from another replica.
+    ///
+    /// # Errors
+    /// [`TurnError::Unavailable`] if that does not succeed within `time_limit`: the turn may or may not be stored, and its
+    /// chain may expire before it.
+    pub async fn put_turn_with_chain(
+        self: &Rc<Self>,
+        turn: &Turn,
+        cached: &CachedTurns,
+        time_limit: Duration,
+    ) -> Result<(), TurnError> {
         let deadline = Instant::now() + time_limit;
-        self.extend_chain(turn);
+        tokio::try_join!(self.write_turn(turn, deadline), self.extend_chain(turn, cached, deadline))?;
+        Ok(())
+    }
+
+    /// Writes a turn; returns once a quorum of complete replicas has it on disk.
+    async fn write_turn(&self, turn: &Turn, deadline: Instant) -> Result<(), TurnError> {
         let stored = self
             .run_in_layout(partition_of(&turn.id), deadline, async |layout| {
                 let request = StoreRequest::PutTurn { epoch: layout.epoch, turn: turn.clone() };
--- a/crates/store/tests/cluster/retention.rs
+++ b/crates/store/tests/cluster/retention.rs
@@ -1,8 +1,14 @@
 //! Retention of the turns of a chain, which a gatekeeper extends when it stores a further turn of the conversation.
 
-use crate::harness::{Control, RETENTION_MS, TEST_TIMEOUT, TestStore, run, three_stores, turn, turn_after};
-use opalrun_store_client::StoreClient;
-use opalrun_wire::store::{StoreReply, StoreRequest, Turn};
+use crate::harness::{
+    Control, RETENTION_MS, SHORT_TIMEOUT, TEST_TIMEOUT, TestStore, run, three_stores, turn, turn_after,
+};
+use opalrun_store_client::{StoreClient, TurnError};
+use opalrun_wire::{
+    feed::{Replica, partition_of},
+    ids::NodeIdentity,
+    store::{StoreReply, StoreRequest, Turn},
+};
 use std::time::Duration;
 
 /// Requested retention of a turn that expires before [`RETENTION_MS`] unless it is extended, in milliseconds.
@@ -61,3 +67,24 @@
         assert_eq!(retaining_stores(&[one, three], &control, "t1").await, 2);
     });
 }
+
+/// Guards against an answer that promises to keep a chain which no quorum retains: the extension ran after the answer,
+/// and was lost when it failed or its gatekeeper was killed.
+#[test]
+fn a_turn_is_not_acknowledged_before_its_chain_is_retained_by_a_quorum() {
+    run(async {
+        let (stores, mut control, client) = three_stores().await;
+        for store in &stores {
+            put_at(store, &control, &Turn { retention_ms: SHORT_RETENTION_MS, ..turn("t1") }).await;
+        }
+        // Two of three replicas of the partition of t1 are lost, those of t2 are all there.
+        assert_ne!(partition_of("t1"), partition_of("t2"));
+        let lost = [NodeIdentity(8), NodeIdentity(9)].map(|store| Replica { store, is_complete: true });
+        control.change(|_| ());
+        control.map.partitions[partition_of("t1").position()].replicas[1..].clone_from_slice(&lost);
+        control.publish_to_all(&stores.each_ref(), &[&client]);
+        client.put_turn(&turn("t2"), TEST_TIMEOUT).await.unwrap();
+        let continued = client.put_turn(&turn_after("t2", &["t1"]), SHORT_TIMEOUT).await;
+        assert_eq!(continued, Err(TurnError::Unavailable));
+    });
+}
