Store client: retention counts from the request, ancestors outlive the answer

A reply was counted from when it was handled, less 5 s; a gatekeeper suspended in between for longer than that takes a turn for retained longer than it is. And ancestors were wanted for the retention from the write of the turn, while PROTOCOL keeps them from the end of the answer, which comes later.

Now the client counts from before it sends the request, so no bound on the way of a reply is needed, and wants ancestors for the 10 s more that turns get for the same reason. A process suspended between request and reply has no test of its own.

--- a/crates/store-client/src/extension.rs
+++ b/crates/store-client/src/extension.rs
@@ -8,7 +8,7 @@
 use opalrun_wire::{
     feed::partition_of,
     ids::Partition,
-    store::{StoreReply, StoreRequest, Turn, keep_ms},
+    store::{StoreReply, StoreRequest, Turn},
 };
 use std::{collections::BTreeMap, pin::pin, rc::Rc, time::Duration};
 use tokio::{
@@ -16,8 +16,6 @@
     time::{Instant, sleep},
 };
 
-/// Upper bound on the time between a store's execution of a write and the arrival of its reply at this client.
-const MAX_WRITE_TIME: Duration = Duration::from_secs(5);
 /// Delay after which turns that a replica lacks are written to it again, if the other replicas form no quorum by then.
 const REPAIR_DELAY: Duration = Duration::from_millis(20);
 
@@ -61,9 +59,9 @@
         cached: &CachedTurns,
         deadline: Instant,
     ) -> Result<(), TurnError> {
-        let wanted = self.started.elapsed() + Duration::from_millis(turn.retention_ms);
+        let now = self.started.elapsed();
         let mut by_partition: BTreeMap<Partition, Vec<String>> = BTreeMap::new();
-        for id in self.known_retention.borrow().not_retained_until(&turn.ancestors, wanted) {
+        for id in self.known_retention.borrow().to_extend(&turn.ancestors, now, turn.retention_ms) {
             by_partition.entry(partition_of(id)).or_default().push(id.clone());
         }
         let mut extensions = JoinSet::new();
@@ -79,6 +77,7 @@
 
     /// Extends the retention of turns of one partition, and records it once a quorum has done so.
     async fn extend(self: Rc<Self>, extension: Extension, cached: CachedTurns) -> Result<(), TurnError> {
+        let begun = self.started.elapsed();
         let extended = self
             .run_in_layout(extension.partition, extension.deadline, async |layout| {
                 while self.extend_in(layout, &extension).await == ExtensionOutcome::TurnMissing {
@@ -91,7 +90,7 @@
             return Err(TurnError::Unavailable);
         }
         for id in &extension.ids {
-            self.record_retention(id, retention_after_write(extension.retention_ms));
+            self.known_retention.borrow_mut().record_write(id, begun, extension.retention_ms);
         }
         Ok(())
     }
@@ -142,16 +141,4 @@
         }
         Ok(())
     }
-
-    /// Records that a quorum retains a turn for at least `remaining` from now.
-    pub(crate) fn record_retention(&self, id: &str, remaining: Duration) {
-        let now = self.started.elapsed();
-        self.known_retention.borrow_mut().record(id, now + remaining, now);
-    }
-}
-
-/// Returns the minimum time for which stores retain a turn from the moment when this client receives the reply to the
-/// write or the extension.
-pub(crate) fn retention_after_write(retention_ms: u64) -> Duration {
-    Duration::from_millis(keep_ms(retention_ms)).saturating_sub(MAX_WRITE_TIME)
 }
--- a/crates/store-client/src/retention.rs
+++ b/crates/store-client/src/retention.rs
@@ -4,6 +4,7 @@
 #[cfg(test)]
 mod tests;
 
+use opalrun_wire::store::{RETENTION_SLACK_MS, keep_ms};
 use std::{collections::HashMap, time::Duration};
 
 /// Minimum number of turns at which expired ones are removed from the map.
@@ -33,6 +34,25 @@
         }
     }
 
+    /// Records that a quorum has acknowledged the write or the extension of a turn with this requested retention. Counts from
+    /// `begun`, when the request was sent: the stores executed it later, however long the reply took to be handled.
+    pub fn record_write(&mut self, id: &str, begun: Duration, retention_ms: u64) {
+        self.record(id, begun + Duration::from_millis(keep_ms(retention_ms)), begun);
+    }
+
+    /// Returns those of a new turn's ancestors whose retention is to be extended at `now`. They have to be kept as long as
+    /// the turn, whose retention begins only when the end of its answer has reached the client.
+    #[must_use]
+    pub fn to_extend<'a>(
+        &self,
+        ancestors: &'a [String],
+        now: Duration,
+        retention_ms: u64,
+    ) -> Vec<&'a String> {
+        let required = Duration::from_millis(retention_ms.saturating_add(RETENTION_SLACK_MS));
+        self.not_retained_until(ancestors, now + required)
+    }
+
     /// Returns those of the turns that are not known to be retained until `wanted`.
     #[must_use]
     pub fn not_retained_until<'a>(&self, ids: &'a [String], wanted: Duration) -> Vec<&'a String> {
--- a/crates/store-client/src/turns.rs
+++ b/crates/store-client/src/turns.rs
@@ -1,9 +1,6 @@
 //! Operations on retained turns.
 
-use crate::{
-    CachedTurns, StoreClient, TurnError, extension::retention_after_write, layout::Layout,
-    quorum::QuorumTracker,
-};
+use crate::{CachedTurns, StoreClient, TurnError, layout::Layout, quorum::QuorumTracker};
 use opalrun_wire::{
     feed::partition_of,
     ids::NodeIdentity,
@@ -53,6 +50,7 @@
 
     /// Writes a turn; returns once a quorum of complete replicas has it on disk.
     async fn write_turn(&self, turn: &Turn, deadline: Instant) -> Result<(), TurnError> {
+        let begun = self.started.elapsed();
         let stored = self
             .run_in_layout(partition_of(&turn.id), deadline, async |layout| {
                 let request = StoreRequest::PutTurn { epoch: layout.epoch, turn: turn.clone() };
@@ -60,7 +58,7 @@
             })
             .await;
         stored.ok_or(TurnError::Unavailable)?;
-        self.record_retention(&turn.id, retention_after_write(turn.retention_ms));
+        self.known_retention.borrow_mut().record_write(&turn.id, begun, turn.retention_ms);
         Ok(())
     }
 
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -11,8 +11,8 @@
 /// Factor by which a store prolongs the requested retention, so that turns of an active conversation rarely have to be
 /// extended.
 const RETENTION_FACTOR: u64 = 2;
-/// Added to the retention, because a turn is stored before the end of its response reaches the client.
-const RETENTION_SLACK_MS: u64 = 10_000;
+/// Added to the retention, in milliseconds, because a turn is stored before the end of its response reaches the client.
+pub const RETENTION_SLACK_MS: u64 = 10_000;
 /// Upper bound on the requested retention, so that clients can't fill a store permanently.
 const MAX_RETENTION_MS: u64 = 3_600_000;
 
