Proxy: a stream without a length is complete only after a complete event

Cause: a body without a length or chunks ends with its connection, and so does that of a killed process. read_chunk took every such end for the end of the stream, whatever was left in the event reader.

Change: without framing a stream may end only after a complete event, and not before the first one unless the request named a last event. Anything else is a broken stream: resumed, or cut off, and not stored. Framed streams are as before.

--- a/crates/gatekeeper/src/proxy/event_stream.rs
+++ b/crates/gatekeeper/src/proxy/event_stream.rs
@@ -114,10 +114,11 @@
         self.end_of_event().is_some()
     }
 
-    /// Whether the buffer contains bytes; once all complete events are taken, these belong to an incomplete event.
+    /// Whether the buffer contains the beginning of an event, once all complete events are taken. Line ends alone, which may
+    /// follow the last event, begin none.
     #[must_use]
     pub fn has_incomplete_event(&self) -> bool {
-        !self.bytes.is_empty()
+        self.bytes.iter().any(|byte| !matches!(byte, b'\r' | b'\n'))
     }
 
     /// Removes and returns all buffered bytes, which are those of an incomplete event once all complete ones are taken.
--- a/crates/gatekeeper/src/proxy/event_stream/tests.rs
+++ b/crates/gatekeeper/src/proxy/event_stream/tests.rs
@@ -45,6 +45,16 @@
     assert!(!reader.has_incomplete_event());
 }
 
+#[test]
+fn line_ends_after_the_last_event_begin_no_event() {
+    for line_ends in ["\n", "\r\n", "\r"] {
+        let mut reader = EventReader::default();
+        reader.push(format!("id: 1\ndata: a\n\n{line_ends}").as_bytes()).expect("short events");
+        assert_eq!(read_all(&mut reader).len(), 1);
+        assert!(!reader.has_incomplete_event());
+    }
+}
+
 #[test]
 fn an_event_longer_than_the_limit_is_rejected() {
     let mut reader = EventReader::default();
--- a/crates/gatekeeper/src/proxy/headers.rs
+++ b/crates/gatekeeper/src/proxy/headers.rs
@@ -35,6 +35,19 @@
     headers.remove(header::CONTENT_LENGTH);
 }
 
+/// Whether these headers of a response give its body a length or chunks. A body without them ends with the connection.
+#[must_use]
+pub fn has_framed_body(headers: &HeaderMap) -> bool {
+    let encodings = headers.get_all(header::TRANSFER_ENCODING).iter().next_back();
+    match encodings.map(|value| value.to_str().unwrap_or_default()) {
+        Some(encodings) => {
+            let last = encodings.rsplit(',').next().unwrap_or_default();
+            last.trim().eq_ignore_ascii_case("chunked")
+        }
+        None => headers.contains_key(header::CONTENT_LENGTH),
+    }
+}
+
 /// Returns the `timeout` of the `Keep-Alive` header: the seconds for which the peer keeps an idle connection open.
 #[must_use]
 pub fn keep_alive_seconds(headers: &HeaderMap) -> Option<u32> {
--- a/crates/gatekeeper/src/proxy/stream.rs
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -39,6 +39,8 @@
     reader: EventReader,
     /// Id of the last event that was relayed to the client, or that the client stated in its request.
     last_event_id: Option<u64>,
+    /// Whether the first event was received, from this worker or from an earlier one.
+    has_begun: bool,
 }
 
 /// Result of waiting for the beginning of a stream.
@@ -91,6 +93,7 @@
             exchange: Some(exchange),
             reader: EventReader::default(),
             last_event_id: request.parameters.last_event_id,
+            has_begun: false,
         };
         while !stream.reader.has_event() {
             match stream.read_chunk(deadline).await {
@@ -106,6 +109,7 @@
                 }
             }
         }
+        stream.has_begun = true;
         stream.record_first_event();
         Ok(StreamStart::Begun(Box::new(stream)))
     }
@@ -234,18 +238,27 @@
         FailureReason::after_attempt(AttemptFailure::MayHaveRun, self.request.time_left())
     }
 
-    /// Waits until `deadline` for the next bytes of the stream and adds them to the reader.
+    /// Waits until `deadline` for the next bytes of the stream and adds them to the reader, from which all complete events
+    /// must have been taken.
     async fn read_chunk(&mut self, deadline: Instant) -> StreamRead {
         let Some(exchange) = &mut self.exchange else { return StreamRead::Broken(BreakCause::Closed) };
         match timeout_at(deadline, exchange.chunk()).await {
             Ok(Ok(Some(bytes))) if self.reader.push(&bytes).is_ok() => StreamRead::Bytes,
-            Ok(Ok(None)) => StreamRead::End,
+            Ok(Ok(None)) if exchange.has_framed_body() || self.may_end_here() => StreamRead::End,
+            Ok(Ok(None) | Err(BodyBroken)) => StreamRead::Broken(BreakCause::Closed),
             Ok(Ok(Some(_))) => StreamRead::Broken(BreakCause::Garbled),
-            Ok(Err(BodyBroken)) => StreamRead::Broken(BreakCause::Closed),
             Err(_elapsed) => StreamRead::Broken(BreakCause::Silent),
         }
     }
 
+    /// Whether a stream without a length, which ends with its connection, may be complete at this point. The connection of a
+    /// worker that is killed ends in the same way, but a complete stream neither ends inside an event nor has no event at
+    /// all, unless the request asked for the events after a given one.
+    fn may_end_here(&self) -> bool {
+        let may_be_empty = self.last_event_id.is_some();
+        !self.reader.has_incomplete_event() && (self.has_begun || may_be_empty)
+    }
+
     /// Returns the time at which the wait for the next event times out.
     fn event_deadline(&self, attempts: &Attempts) -> Instant {
         if !attempts.may_attempt_more() {
--- a/crates/gatekeeper/src/proxy/upstream.rs
+++ b/crates/gatekeeper/src/proxy/upstream.rs
@@ -101,6 +101,12 @@
         request_parameters::header_text(&self.parts.headers, &SERVER_LOAD).and_then(LoadReport::parse)
     }
 
+    /// Whether the framing of the body, its length or its chunks, shows where it ends. Otherwise it ends with the connection,
+    /// which ends in the same way when the worker is killed.
+    pub fn has_framed_body(&self) -> bool {
+        headers::has_framed_body(&self.parts.headers)
+    }
+
     /// Returns the next chunk of the body; `None` at its end.
     pub async fn chunk(&mut self) -> Result<Option<Bytes>, BodyBroken> {
         self.lease.connection().next_chunk(&mut self.body).await.map_err(|_| BodyBroken)
--- a/crates/gatekeeper/tests/proxy/fakes.rs
+++ b/crates/gatekeeper/tests/proxy/fakes.rs
@@ -260,6 +260,13 @@
         .to_owned()
 }
 
+/// Returns the head of an event stream without a length, whose body ends with the connection.
+pub fn unframed_stream_head() -> String {
+    "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nServer-Signature: sig\r\nContent-Type: text/event-stream\r\n\
+     Connection: close\r\n\r\n"
+        .to_owned()
+}
+
 /// Returns the events with the ids `from` to `to`, each in a chunk of its own.
 pub fn events(from: u64, to: u64) -> String {
     let chunks: Vec<String> =
--- a/crates/gatekeeper/tests/proxy/main.rs
+++ b/crates/gatekeeper/tests/proxy/main.rs
@@ -9,3 +9,4 @@
 mod stores;
 mod streams;
 mod timeouts;
+mod unframed_streams;
