Stores: an extension outlives a restart after compaction and transfer

Cause: extensions are kept in memory, as a restarted store retains each turn for its full time anew. A record that compaction had rewritten stated the time that was left, so a later extension was gone with the process. Transferred turns were stored with the time left at their source: the same fault.

Change: a record states the longest retention that a write or an extension of its turn has asked for, never what is left. Replayed from any restart on it covers every extension up to that length, so nothing more is written for those. A longer extension writes the turn anew before it is acknowledged, and is rejected while the disk is full. The form of records and messages stays; records of earlier builds with less than the full time are replayed with the full time. An id that lies in another partition than its request names is not extended.

--- a/crates/store/src/record.rs
+++ b/crates/store/src/record.rs
@@ -31,7 +31,8 @@
     Turn {
         /// Content of the turn.
         turn: Turn,
-        /// Retention in milliseconds, counted from when the record was written, or from its replay at a start.
+        /// Time for which the turn is retained from a restart on, in milliseconds: the longest that a write or an extension
+        /// of the turn has asked for, however much of it is left. Earlier builds stored what was left.
         keep_ms: u64,
     },
 }
--- a/crates/store/src/state/compaction.rs
+++ b/crates/store/src/state/compaction.rs
@@ -1,7 +1,7 @@
 //! Compaction of the log: rewrites the items with the oldest records at the end of the log, so that its oldest segments
 //! can be deleted.
 
-use super::{Item, StoreState, partition::PartitionData, remaining_ms};
+use super::{Item, StoreState, partition::PartitionData};
 use crate::record::Record;
 use opalrun_wire::ids::Epoch;
 use rkyv::util::AlignedVec;
@@ -45,9 +45,7 @@
                     self.partitions[partition].put_program(new, &count.program, count.entries, count.expires);
                 }
                 Some(Item::Turn(retained)) => {
-                    let keep_ms = remaining_ms(retained.expires, now);
-                    let new = self.append(&Record::Turn { turn: retained.turn.clone(), keep_ms });
-                    self.partitions[partition].put_turn(new, retained.turn, retained.expires);
+                    self.write_turn(retained.turn, retained.expires, retained.stored_retention);
                 }
                 None => {}
             }
--- a/crates/store/src/state/mod.rs
+++ b/crates/store/src/state/mod.rs
@@ -18,6 +18,7 @@
 mod store_map;
 
 use crate::record::Record;
+use merge::full_retention;
 use opalrun_wire::{
     feed::{STORE_PARTITIONS, StoreMap, partition_of},
     frame::FrameError,
@@ -121,8 +122,10 @@
                 data.put_program(number, &program, entries, now + COUNT_RETENTION);
             }
             Record::Turn { turn, keep_ms } => {
+                // Compaction of earlier builds stored the time that was left, which a later extension exceeded.
+                let retention = Duration::from_millis(keep_ms).max(full_retention(&turn));
                 let data = &mut self.partitions[partition_of(&turn.id).position()];
-                data.put_turn(number, turn, now + Duration::from_millis(keep_ms));
+                data.put_turn(number, turn, now + retention, retention);
             }
         }
         Ok(())
--- a/crates/store/src/state/partition.rs
+++ b/crates/store/src/state/partition.rs
@@ -62,6 +62,17 @@
     pub turn: Turn,
     /// Time at which the turn expires, on the monotonic clock.
     pub expires: Duration,
+    /// Time for which the turn is retained after a restart, as its log record states.
+    pub stored_retention: Duration,
+}
+
+/// Where a turn is stored in the log.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct StoredTurn {
+    /// Number of the log record.
+    pub record: u64,
+    /// Time for which the turn is retained after a restart, as the record states.
+    pub retention: Duration,
 }
 
 impl Item {
@@ -140,16 +151,16 @@
         self.insert(number, Item::Program(ProgramCount { program, entries, expires }));
     }
 
-    /// Inserts a turn, which the log record `number` holds. Replaces the older state of the turn, if any, and never
-    /// shortens its retention.
-    pub fn put_turn(&mut self, number: u64, turn: Turn, expires: Duration) {
+    /// Inserts a turn, which the log record `number` holds with the retention `stored_retention`. Replaces the older state of
+    /// the turn, if any, and never shortens its retention.
+    pub fn put_turn(&mut self, number: u64, turn: Turn, expires: Duration, stored_retention: Duration) {
         let known = self.turns.get(turn.id.as_str()).copied();
         let known_expires =
             known.and_then(|known| self.remove(known)).map_or(Duration::ZERO, |item| item.expires());
         let id: Rc<str> = Rc::from(turn.id.as_str());
         self.turns.insert(id.clone(), number);
         let expires = expires.max(known_expires);
-        self.insert(number, Item::Turn(RetainedTurn { id, turn, expires }));
+        self.insert(number, Item::Turn(RetainedTurn { id, turn, expires, stored_retention }));
     }
 
     /// Extends the retention of a program's count to at least `expires`.
@@ -160,14 +171,25 @@
         }
     }
 
-    /// Extends the retention of a turn to at least `expires`. Returns the number of the turn's log record; `None` if there is
-    /// no such turn.
-    pub fn extend_turn(&mut self, id: &str, expires: Duration) -> Option<u64> {
-        let number = *self.turns.get(id)?;
-        if let Some(Item::Turn(retained)) = self.items.get_mut(&number) {
+    /// Extends the retention of a turn to at least `expires`, in memory. Does nothing if there is no such turn.
+    pub fn extend_turn(&mut self, id: &str, expires: Duration) {
+        let Some(number) = self.turns.get(id) else { return };
+        if let Some(Item::Turn(retained)) = self.items.get_mut(number) {
             retained.expires = retained.expires.max(expires);
         }
-        Some(number)
+    }
+
+    /// Returns the number of the log record of a turn and the retention that the record states. The turn may have expired,
+    /// if it is not removed yet.
+    #[must_use]
+    pub fn stored_turn(&self, id: &str) -> Option<StoredTurn> {
+        let number = *self.turns.get(id)?;
+        match self.items.get(&number) {
+            Some(Item::Turn(retained)) => {
+                Some(StoredTurn { record: number, retention: retained.stored_retention })
+            }
+            _ => None,
+        }
     }
 
     /// Removes and returns the item whose newest state the log record `number` holds.
--- a/crates/store/src/state/requests.rs
+++ b/crates/store/src/state/requests.rs
@@ -1,6 +1,6 @@
 //! Handling of requests from gatekeepers and from other stores.
 
-use super::{Item, PAGE_BYTES, RequestOutcome, StoreState, remaining_ms};
+use super::{Item, PAGE_BYTES, RequestOutcome, StoreState, merge::full_retention, remaining_ms};
 use opalrun_wire::{
     ResultCode,
     feed::{PartitionReplicas, partition_of},
@@ -161,7 +161,7 @@
         if self.live_bytes() >= self.limits.memory_bytes {
             return RequestOutcome::Reply(StoreReply::Failed { code: ResultCode::DISK_FULL.0 });
         }
-        let record = self.retain_turn(turn.clone(), keep_ms(turn.retention_ms), now);
+        let record = self.retain_turn(turn.clone(), full_retention(turn), now);
         RequestOutcome::AfterSync { record, reply: StoreReply::Stored { is_complete } }
     }
 
@@ -175,9 +175,10 @@
         }
     }
 
-    /// Extends the retention of turns, in memory only: after a restart every turn is retained for its full retention time
-    /// again. The reply counts towards a quorum only if this replica has all of the turns, and is sent once they are on
-    /// disk, since their own writes may not have waited for this replica.
+    /// Extends the retention of turns. The reply counts towards a quorum only if this replica has all of the turns, and is
+    /// sent once they are on disk, since their own writes may not have waited for this replica.
+    ///
+    /// An extension beyond what the log states of a turn is written, so it is rejected while the disk is full.
     fn extend_turns(
         &mut self,
         is_complete: bool,
@@ -186,9 +187,14 @@
         retention_ms: u64,
         now: Duration,
     ) -> RequestOutcome {
-        let expires = now + Duration::from_millis(keep_ms(retention_ms));
-        let turns = &mut self.partitions[partition.position()];
-        let records: Vec<u64> = ids.iter().filter_map(|id| turns.extend_turn(id, expires)).collect();
+        let retention = Duration::from_millis(keep_ms(retention_ms));
+        if self.must_write(partition, ids, retention)
+            && let Some(disk_full_reply) = self.disk_full_reply()
+        {
+            return disk_full_reply;
+        }
+        let records: Vec<u64> =
+            ids.iter().filter_map(|id| self.extend_turn(partition, id, retention, now)).collect();
         let has_all = records.len() == ids.len();
         RequestOutcome::AfterSync {
             record: records.into_iter().max().unwrap_or_default(),
@@ -196,6 +202,12 @@
         }
     }
 
+    /// Whether the log states less than `retention` of one of the turns.
+    fn must_write(&self, partition: Partition, ids: &[String], retention: Duration) -> bool {
+        let turns = &self.partitions[partition.position()];
+        ids.iter().filter_map(|id| turns.stored_turn(id)).any(|stored| stored.retention < retention)
+    }
+
     /// Returns the reply that rejects a write if the disk is full or the log has reached its size limit.
     fn disk_full_reply(&self) -> Option<RequestOutcome> {
         let is_full = self.is_disk_full || self.log_bytes >= self.limits.disk_bytes;
--- a/crates/store/tests/model/main.rs
+++ b/crates/store/tests/model/main.rs
@@ -1,8 +1,9 @@
 //! Model test of stores, gatekeepers and control as state machines, driven through random orders of events: delays, lost
-//! messages, restarts that lose unsynced records, lost disks, retired stores, and store maps that arrive late.
+//! messages, restarts that lose unsynced records, lost disks, retired stores, store maps that arrive late, compaction and
+//! time that passes.
 //!
-//! Invariants: the units leased by all gatekeepers never sum to more than the budget, and an acknowledged turn is never
-//! reported as absent.
+//! Invariants: the units leased by all gatekeepers never sum to more than the budget, and a turn whose write or extension
+//! was acknowledged is not reported as absent before its retention has ended.
 
 mod holder;
 mod node;
--- a/crates/store/tests/model/node.rs
+++ b/crates/store/tests/model/node.rs
@@ -12,7 +12,6 @@
 use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
 const LIMITS: StoreLimits = StoreLimits { memory_bytes: 1 << 30, disk_bytes: 1 << 30 };
-pub const NOW: Duration = Duration::from_secs(1);
 
 /// Recipient of a reply.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -28,6 +27,8 @@
     pub state: StoreState,
     pub transfers: BTreeMap<Partition, RunningTransfer>,
     disk: Vec<Vec<u8>>,
+    /// Number of the first record that is not deleted from the log.
+    first_record: usize,
     unsynced: Vec<Vec<u8>>,
     unsent_replies: Vec<(u64, Requester, StoreReply)>,
 }
@@ -47,19 +48,20 @@
             state: StoreState::new(identity, LIMITS),
             transfers: BTreeMap::new(),
             disk: Vec::new(),
+            first_record: 0,
             unsynced: Vec::new(),
             unsent_replies: Vec::new(),
         }
     }
 
     /// Restarts the store: it loses unsynced records, and its map until it is notified again.
-    pub fn restart(&mut self) {
+    pub fn restart(&mut self, now: Duration) {
         self.unsynced.clear();
         self.unsent_replies.clear();
         self.transfers.clear();
         self.state = StoreState::new(self.identity, LIMITS);
-        for (number, record) in self.disk.iter().enumerate() {
-            self.state.replay(number as u64, record, NOW).unwrap();
+        for (number, record) in self.disk.iter().enumerate().skip(self.first_record) {
+            self.state.replay(number as u64, record, now).unwrap();
         }
         self.state.set_next_record(self.disk.len() as u64);
     }
@@ -76,8 +78,13 @@
     }
 
     /// Serves a request; returns the reply if it may be sent immediately.
-    pub fn handle(&mut self, requester: Requester, request: &StoreRequest) -> Option<StoreReply> {
-        let handled = self.state.handle(request, NOW);
+    pub fn handle(
+        &mut self,
+        requester: Requester,
+        request: &StoreRequest,
+        now: Duration,
+    ) -> Option<StoreReply> {
+        let handled = self.state.handle(request, now);
         self.collect();
         match handled {
             RequestOutcome::Reply(reply) => Some(reply),
@@ -90,9 +97,10 @@
         }
     }
 
-    /// Syncs all records; returns the replies that may be sent now.
+    /// Syncs all records and deletes those that are no longer needed; returns the replies that may be sent now.
     pub fn sync(&mut self) -> Vec<(Requester, StoreReply)> {
         self.disk.append(&mut self.unsynced);
+        self.first_record = usize::try_from(self.state.oldest_record()).unwrap();
         let synced = self.disk.len() as u64;
         let (sendable, unsent_replies) = std::mem::take(&mut self.unsent_replies)
             .into_iter()
@@ -124,12 +132,13 @@
         epoch: Epoch,
         source: NodeIdentity,
         reply: StoreReply,
+        now: Duration,
     ) {
         let StoreReply::Page { counts, turns, next, is_complete: true } = reply else { return };
         if self.transfers.get(&partition).is_none_or(|transfer| transfer.epoch != epoch) {
             return;
         }
-        let record = self.state.merge_page(PartitionPage::from_wire(counts, turns), NOW);
+        let record = self.state.merge_page(PartitionPage::from_wire(counts, turns), now);
         self.collect();
         if let Some(transfer) = self.transfers.get_mut(&partition) {
             transfer.plan.record_page(source, next);
@@ -152,11 +161,18 @@
     }
 
     /// Runs a compaction step, which moves records to the end of the log.
-    pub fn compact(&mut self) {
-        self.state.rewrite_oldest(1, NOW);
+    pub fn compact(&mut self, now: Duration) {
+        self.state.rewrite_oldest(1, now);
         self.collect();
     }
 
+    /// Removes the items of these partitions that have expired.
+    pub fn expire(&mut self, partitions: &[Partition], now: Duration) {
+        for partition in partitions {
+            self.state.expire(*partition, now);
+        }
+    }
+
     fn collect(&mut self) {
         self.unsynced.extend(self.state.take_pending_records().iter().map(|record| record.to_vec()));
     }
--- a/crates/store/tests/model/world.rs
+++ b/crates/store/tests/model/world.rs
@@ -5,6 +5,7 @@
     holder::{Holder, PendingAcquisition},
     node::{Node, Requester},
 };
+use opalrun_store::state::COUNT_RETENTION;
 use opalrun_store_client::{
     QuorumTracker,
     lease_acquisition::{LeaseAcquisition, Progress, Round},
@@ -12,16 +13,22 @@
 use opalrun_wire::{
     feed::{PartitionReplicas, Replica, STORE_PARTITIONS, StoreMap, partition_of},
     ids::{Epoch, NodeIdentity, Partition},
-    store::{CountEntry, StoreReply, StoreRequest, Turn},
+    store::{CountEntry, StoreReply, StoreRequest, Turn, keep_ms},
 };
-use std::{collections::BTreeMap, rc::Rc};
+use std::{collections::BTreeMap, rc::Rc, time::Duration};
 
+/// Time at which a run begins.
+const START: Duration = Duration::from_secs(1);
 const BUDGET: u64 = 2;
 const PROGRAM: &str = "p";
 const HOLDERS: usize = 3;
 const TURN_IDS: [&str; 3] = ["t0", "t1", "t2"];
 /// Number of requests in flight at which operations add no further ones.
 const MAX_MESSAGES: usize = 24;
+/// Requested retention of turns and extensions, in milliseconds.
+const RETENTIONS_MS: [u64; 3] = [5_000, 20_000, 60_000];
+/// Upper bound on one step of the clock.
+const MAX_CLOCK_STEP: Duration = Duration::from_secs(20);
 
 pub struct World<C> {
     choices: C,
@@ -38,19 +45,31 @@
     requests: Vec<(NodeIdentity, Requester, StoreRequest)>,
     replies: Vec<(NodeIdentity, Requester, StoreReply)>,
     turn_operations: BTreeMap<u64, TurnOperation>,
-    acknowledged: Vec<&'static str>,
+    /// Time until which each acknowledged turn must be kept.
+    kept_until: BTreeMap<&'static str, Duration>,
+    /// Time on the clock of all processes.
+    now: Duration,
     pub grants: u64,
     pub replicas_completed: u64,
 }
 
 struct TurnOperation {
     id: &'static str,
-    is_write: bool,
-    /// Whether the turn was acknowledged before this operation began.
-    must_exist: bool,
+    kind: TurnOperationKind,
+    /// Time until which the turn must be kept by what was acknowledged before this operation began.
+    kept_until: Duration,
     quorum: QuorumTracker,
 }
 
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TurnOperationKind {
+    Read,
+    /// A write or an extension, which keeps the turn until this time once it is acknowledged.
+    Retain {
+        until: Duration,
+    },
+}
+
 impl<C: Choices> World<C> {
     pub fn new(choices: C) -> Self {
         let mut nodes: Vec<Node> = (1..=3).map(NodeIdentity).map(Node::new).collect();
@@ -77,7 +96,8 @@
             requests: Vec::new(),
             replies: Vec::new(),
             turn_operations: BTreeMap::new(),
-            acknowledged: Vec::new(),
+            kept_until: BTreeMap::new(),
+            now: START,
             grants: 0,
             replicas_completed: 0,
         }
@@ -97,10 +117,11 @@
             78..=81 => self.start_second_round(),
             82..=84 => self.notify_holder(),
             85..=88 => self.notify_node(),
-            89..=90 => self.start_turn_operation(),
-            91..=92 => self.request_pages(),
-            93..=94 => self.mark_complete(),
-            95..=98 => self.reduce_or_cancel(),
+            89..=91 => self.start_turn_operation(),
+            92..=93 => self.request_pages(),
+            94..=95 => self.mark_complete(),
+            96..=97 => self.reduce_or_cancel(),
+            98 => self.advance_clock(),
             _ => self.inject_fault(),
         }
         self.check(0);
@@ -128,8 +149,9 @@
         } else {
             self.requests.swap_remove(index)
         };
+        let now = self.now;
         if let Some(node) = self.nodes.iter_mut().find(|node| node.identity == to)
-            && let Some(reply) = node.handle(requester, &request)
+            && let Some(reply) = node.handle(requester, &request, now)
         {
             self.replies.push((to, requester, reply));
         }
@@ -144,7 +166,7 @@
         match requester {
             Requester::Transfer { store, partition, epoch } => {
                 if let Some(node) = self.nodes.iter_mut().find(|node| node.identity == store) {
-                    node.merge_page(partition, epoch, from, reply);
+                    node.merge_page(partition, epoch, from, reply, self.now);
                 }
             }
             Requester::Operation { holder, operation, second_round } => match reply {
@@ -276,23 +298,28 @@
         );
     }
 
-    /// Starts a write or a read of a turn.
+    /// Starts a write, an extension or a read of a turn.
     fn start_turn_operation(&mut self) {
         let holder = self.choices.below(HOLDERS);
         let id = TURN_IDS[self.choices.below(TURN_IDS.len())];
-        let is_write = self.choices.once_in(2);
+        let retention_ms = RETENTIONS_MS[self.choices.below(RETENTIONS_MS.len())];
         let map = self.holders[holder].map.clone();
         let operation = self.next_operation;
         self.next_operation += 1;
-        let partition = &map.partitions[partition_of(id).position()];
-        let request = if is_write {
-            StoreRequest::PutTurn { epoch: map.epoch, turn: turn(id) }
-        } else {
-            StoreRequest::GetTurn { epoch: map.epoch, id: id.to_owned() }
+        let (epoch, partition) = (map.epoch, &map.partitions[partition_of(id).position()]);
+        let retain =
+            TurnOperationKind::Retain { until: self.now + Duration::from_millis(keep_ms(retention_ms)) };
+        let (kind, request) = match self.choices.below(3) {
+            0 => (retain, StoreRequest::PutTurn { epoch, turn: turn(id, retention_ms) }),
+            1 => {
+                let (partition, ids) = (partition_of(id), vec![id.to_owned()]);
+                (retain, StoreRequest::ExtendTurns { epoch, partition, ids, retention_ms })
+            }
+            _ => (TurnOperationKind::Read, StoreRequest::GetTurn { epoch, id: id.to_owned() }),
         };
-        let must_exist = self.acknowledged.contains(&id);
+        let kept_until = self.kept_until.get(id).copied().unwrap_or_default();
         let quorum = QuorumTracker::new(partition);
-        self.turn_operations.insert(operation, TurnOperation { id, is_write, must_exist, quorum });
+        self.turn_operations.insert(operation, TurnOperation { id, kind, kept_until, quorum });
         self.send_to_all(
             partition,
             Requester::Operation { holder, operation, second_round: false },
@@ -312,18 +339,34 @@
             }
             _ => return,
         }
-        if turn_operation.quorum.is_quorum() {
-            let (id, is_write, must_exist) =
-                (turn_operation.id, turn_operation.is_write, turn_operation.must_exist);
-            self.turn_operations.remove(&operation);
-            if is_write {
-                self.acknowledged.push(id);
-            } else {
-                assert!(!must_exist, "an acknowledged turn was reported as absent");
+        if !turn_operation.quorum.is_quorum() {
+            return;
+        }
+        let (id, kind, kept_until) = (turn_operation.id, turn_operation.kind, turn_operation.kept_until);
+        self.turn_operations.remove(&operation);
+        match kind {
+            TurnOperationKind::Read => {
+                assert!(kept_until <= self.now, "an acknowledged turn was reported as absent");
+            }
+            TurnOperationKind::Retain { until } => {
+                let kept_until = self.kept_until.entry(id).or_default();
+                *kept_until = until.max(*kept_until);
             }
         }
     }
 
+    /// Advances the clock, and removes what has expired. A run is too short for the expiry of counts.
+    fn advance_clock(&mut self) {
+        let step = MAX_CLOCK_STEP.mul_f64(self.choices.below(256) as f64 / 255.0);
+        if self.now + step >= START + COUNT_RETENTION {
+            return;
+        }
+        self.now += step;
+        for node in &mut self.nodes {
+            node.expire(&used_partitions(), self.now);
+        }
+    }
+
     fn notify_holder(&mut self) {
         // The first holder receives maps later than the others.
         let holder = self.choices.below(HOLDERS);
@@ -401,12 +444,12 @@
         match self.choices.below(10) {
             0..=2 => {
                 let index = self.choices.below(self.nodes.len());
-                self.nodes[index].restart();
+                self.nodes[index].restart(self.now);
             }
             3..=4 => self.lose_message(),
             5..=6 => {
                 let index = self.choices.below(self.nodes.len());
-                self.nodes[index].compact();
+                self.nodes[index].compact(self.now);
             }
             7..=8 => self.lose_disk(),
             _ => self.retire(),
@@ -489,13 +532,13 @@
     StoreRequest::WriteCount { epoch, program: PROGRAM.to_owned(), entry }
 }
 
-fn turn(id: &str) -> Turn {
+fn turn(id: &str, retention_ms: u64) -> Turn {
     Turn {
         id: id.to_owned(),
         ancestors: Vec::new(),
         input: vec![1],
         output: vec![2],
-        retention_ms: 60_000,
+        retention_ms,
         worker: String::new(),
     }
 }
--- a/crates/store/tests/state.rs
+++ b/crates/store/tests/state.rs
@@ -1,7 +1,8 @@
 //! Unit tests of the store's state machine.
 
-use opalrun_store::state::{
-    COUNT_RETENTION, PAGE_BYTES, PartitionPage, RequestOutcome, StoreLimits, StoreState,
+use opalrun_store::{
+    record::Record,
+    state::{COUNT_RETENTION, PAGE_BYTES, PartitionPage, RequestOutcome, StoreLimits, StoreState},
 };
 use opalrun_wire::{
     ResultCode,
@@ -14,6 +15,8 @@
 const LIMITS: StoreLimits = StoreLimits { memory_bytes: 1 << 30, disk_bytes: 1 << 30 };
 const START: Duration = Duration::from_secs(5);
 const OWN_STORE: u64 = 1;
+/// Requested retention of the turns, in milliseconds.
+const RETENTION_MS: u64 = 60_000;
 
 fn replica(store: u64, is_complete: bool) -> Replica {
     Replica { store: NodeIdentity(store), is_complete }
@@ -47,7 +50,7 @@
         ancestors: Vec::new(),
         input: vec![b'x'; bytes],
         output: Vec::new(),
-        retention_ms: 60_000,
+        retention_ms: RETENTION_MS,
         worker: String::new(),
     }
 }
@@ -62,11 +65,33 @@
 
 /// Extends the retention of turns of the partition of the first one.
 fn extend(epoch: u64, ids: &[&str]) -> StoreRequest {
+    extend_for(epoch, ids, RETENTION_MS)
+}
+
+fn extend_for(epoch: u64, ids: &[&str], retention_ms: u64) -> StoreRequest {
     StoreRequest::ExtendTurns {
         epoch: Epoch(epoch),
         partition: partition_of(ids[0]),
         ids: ids.iter().map(|id| (*id).to_owned()).collect(),
-        retention_ms: 60_000,
+        retention_ms,
+    }
+}
+
+/// Returns how long a store keeps a turn whose requested retention is `retention_ms`.
+fn keep(retention_ms: u64) -> Duration {
+    Duration::from_millis(keep_ms(retention_ms))
+}
+
+/// Returns a millisecond less than [`keep`].
+fn almost(retention_ms: u64) -> Duration {
+    Duration::from_millis(keep_ms(retention_ms) - 1)
+}
+
+/// Rewrites all records of the log.
+fn compact(state: &mut StoreState, now: Duration) {
+    let end = state.next_record();
+    while state.oldest_record() < end {
+        state.rewrite_oldest(100, now);
     }
 }
 
@@ -301,6 +326,115 @@
     assert!(has_turn(&mut state, "t", later + Duration::from_millis(keep_ms(60_000) - 1)));
 }
 
+/// Guards against the loss of a continued conversation when all processes are killed: compaction stored the time that was
+/// left of a turn, and an extension after it was in memory only.
+#[test]
+fn an_extension_after_a_compaction_survives_a_restart() {
+    let mut state = state();
+    state.handle(&put(4, "t"), START);
+    // These records are in segments that compaction deletes.
+    records(&mut state);
+    let later = START + almost(RETENTION_MS);
+    compact(&mut state, later);
+    state.handle(&extend(4, &["t"]), later);
+    let mut state = restarted(&records(&mut state), later);
+    state.set_map(complete_map(4));
+    assert!(has_turn(&mut state, "t", later + almost(RETENTION_MS)));
+}
+
+/// Guards against the same loss at a store that has received the turn in a transfer, with the time that was left.
+#[test]
+fn an_extension_of_a_transferred_turn_survives_a_restart() {
+    let mut source = state();
+    source.handle(&put(4, "t"), START);
+    let later = START + almost(RETENTION_MS);
+    let request = StoreRequest::CopyPartition { epoch: Epoch(4), partition: partition_of("t"), cursor: 0 };
+    let StoreReply::Page { counts, turns, .. } = reply(source.handle(&request, later)) else { panic!() };
+    let mut target = StoreState::new(NodeIdentity(OWN_STORE), LIMITS);
+    target.set_map(complete_map(4));
+    target.merge_page(PartitionPage::from_wire(counts, turns), later);
+    assert!(
+        !has_turn(&mut target, "t", later + Duration::from_millis(1)),
+        "the transfer keeps the time that is left"
+    );
+    target.handle(&extend(4, &["t"]), later);
+    let mut target = restarted(&records(&mut target), later);
+    target.set_map(complete_map(4));
+    assert!(has_turn(&mut target, "t", later + almost(RETENTION_MS)));
+}
+
+/// Guards against the same loss when a turn is continued on a route with a longer retention than its own.
+#[test]
+fn an_extension_beyond_the_own_retention_of_a_turn_survives_a_restart() {
+    let longer_ms = 10 * RETENTION_MS;
+    for write_again in [false, true] {
+        let mut state = state();
+        state.handle(&put(4, "t"), START);
+        let before = state.next_record();
+        let extension = if write_again {
+            let turn = Turn { retention_ms: longer_ms, ..turn("t", 10) };
+            StoreRequest::PutTurn { epoch: Epoch(4), turn }
+        } else {
+            extend_for(4, &["t"], longer_ms)
+        };
+        let RequestOutcome::AfterSync { record, .. } = state.handle(&extension, START) else { panic!() };
+        assert_eq!((record, state.next_record()), (before, before + 1), "the extension is written");
+        let mut state = restarted(&records(&mut state), START);
+        state.set_map(complete_map(4));
+        assert!(has_turn(&mut state, "t", START + almost(longer_ms)));
+        compact(&mut state, START);
+        let mut state = restarted(&records(&mut state), START);
+        state.set_map(complete_map(4));
+        assert!(has_turn(&mut state, "t", START + almost(longer_ms)));
+    }
+}
+
+/// The epoch is checked for the partition that the request names.
+#[test]
+fn a_turn_of_another_partition_is_not_extended() {
+    let mut state = state();
+    state.handle(&put(4, "t"), START);
+    let mut request = extend(4, &["t"]);
+    if let StoreRequest::ExtendTurns { partition, .. } = &mut request {
+        *partition = Partition((partition.0 + 1) % STORE_PARTITIONS);
+    }
+    let later = START + almost(RETENTION_MS);
+    assert_eq!(reply(state.handle(&request, later)), StoreReply::Stored { is_complete: false });
+    assert!(!has_turn(&mut state, "t", START + keep(RETENTION_MS)));
+}
+
+#[test]
+fn an_extension_that_the_log_covers_writes_no_record() {
+    let mut state = state();
+    state.handle(&put(4, "t"), START);
+    let later = START + almost(RETENTION_MS);
+    compact(&mut state, later);
+    let end = state.next_record();
+    state.handle(&extend(4, &["t"]), later);
+    assert_eq!(state.next_record(), end);
+}
+
+/// An earlier build stored the time that was left of a turn with each compaction and transfer.
+#[test]
+fn a_record_with_less_than_the_full_retention_time_is_replayed_with_the_full_time() {
+    let record = Record::Turn { turn: turn("t", 10), keep_ms: 1 };
+    let mut state = restarted(&[record.encode().to_vec()], START);
+    state.set_map(complete_map(4));
+    assert!(has_turn(&mut state, "t", START + almost(RETENTION_MS)));
+}
+
+#[test]
+fn an_extension_that_has_to_be_written_is_rejected_while_the_disk_is_full() {
+    let mut state = state();
+    state.handle(&put(4, "t"), START);
+    state.set_disk_status(0, true);
+    let full = RequestOutcome::Reply(StoreReply::Failed { code: ResultCode::DISK_FULL.0 });
+    assert_eq!(state.handle(&extend_for(4, &["t"], 10 * RETENTION_MS), START), full);
+    let later = START + almost(RETENTION_MS);
+    assert_eq!(reply(state.handle(&extend(4, &["t"]), later)), StoreReply::Stored { is_complete: true });
+    assert!(!has_turn(&mut state, "t", later + keep(RETENTION_MS)));
+}
+
 #[test]
 fn pages_cover_a_partition_while_compaction_moves_its_records() {
     let mut state = state();
@@ -366,10 +500,8 @@
         state.handle(&count(4, 7, number, number), START);
     }
     let end = state.next_record();
-    let later = START + Duration::from_millis(keep_ms(60_000));
-    while state.oldest_record() < end {
-        state.rewrite_oldest(100, later);
-    }
+    let later = START + keep(RETENTION_MS);
+    compact(&mut state, later);
     assert_eq!(state.next_record() - end, 2, "only the epoch and the count are rewritten");
     assert_eq!(entries(state.handle(&count(4, 7, 0, 0), later))[0].taken, 29);
 }
