Stores: a turn is retained as long as its route asks, up to 30 days

What callers would see: on a route with a retention_s above an hour a conversation is answered 404 or 503 two hours after its last turn at the latest.

Cause: stores took any requested retention for an hour at most, without a word, while a configuration may state up to 30 days (MAX_DURATION_MS of the configuration). The retention comes from the route, never from a client.

Change: the same bound in both places. The new test in state.rs failed before the change (2 hours) and passes now.

--- a/crates/store/tests/state.rs
+++ b/crates/store/tests/state.rs
@@ -8,7 +8,7 @@
     ResultCode,
     feed::{PartitionReplicas, Replica, STORE_PARTITIONS, StoreMap, partition_of},
     ids::{Epoch, NodeIdentity, Partition},
-    store::{CountEntry, StoreReply, StoreRequest, Turn, keep_ms},
+    store::{CountEntry, RETENTION_SLACK_MS, StoreReply, StoreRequest, Turn, keep_ms},
 };
 use std::{rc::Rc, time::Duration};
 
@@ -281,6 +281,21 @@
     assert_eq!(state.oldest_record(), 0, "the record of the epoch is still needed");
 }
 
+/// Guards against a route whose turns are forgotten after two hours although it asks for more.
+#[test]
+fn a_turn_is_retained_as_long_as_its_route_asks_up_to_the_longest_duration_of_a_configuration() {
+    let hour_ms = 3_600_000;
+    for retention_ms in [2 * hour_ms, 30 * 24 * hour_ms] {
+        let mut state = state();
+        let request = StoreRequest::PutTurn { epoch: Epoch(4), turn: Turn { retention_ms, ..turn("t", 10) } };
+        state.handle(&request, START);
+        let later = START + Duration::from_millis(retention_ms + RETENTION_SLACK_MS);
+        assert!(has_turn(&mut state, "t", later), "{retention_ms} ms");
+        state.handle(&extend_for(4, &["t"], retention_ms), later);
+        assert!(has_turn(&mut state, "t", later + Duration::from_millis(retention_ms + RETENTION_SLACK_MS)));
+    }
+}
+
 #[test]
 fn an_extension_prolongs_the_retention_of_a_turn() {
     let mut state = state();
--- a/crates/wire/src/store.rs
+++ b/crates/wire/src/store.rs
@@ -13,8 +13,8 @@
 const RETENTION_FACTOR: u64 = 2;
 /// Added to the retention, in milliseconds, because a turn is stored before the end of its response reaches the client.
 pub const RETENTION_SLACK_MS: u64 = 10_000;
-/// Upper bound on the requested retention, so that clients can't fill a store permanently.
-const MAX_RETENTION_MS: u64 = 3_600_000;
+/// Upper bound on the requested retention, in milliseconds: 30 days, the longest duration that a configuration may state.
+const MAX_RETENTION_MS: u64 = 30 * 24 * 3_600_000;
 
 /// Returns how long, in milliseconds, a store keeps a turn whose requested retention is `retention_ms`.
 #[must_use]
