--- a/crates/store/tests/state.rs
+++ b/crates/store/tests/state.rs
@@ -397,10 +397,14 @@
         let mut state = restarted(&records(&mut state), START);
         state.set_map(complete_map(4));
         assert!(has_turn(&mut state, "t", START + almost(longer_ms)));
-        compact(&mut state, START);
-        let mut state = restarted(&records(&mut state), START);
+        let later = START + almost(longer_ms);
+        compact(&mut state, later);
+        let mut state = restarted(&records(&mut state), later);
         state.set_map(complete_map(4));
-        assert!(has_turn(&mut state, "t", START + almost(longer_ms)));
+        assert!(
+            has_turn(&mut state, "t", later + almost(longer_ms)),
+            "compaction keeps the longer retention"
+        );
     }
 }
 
