--- /dev/null
+++ b/review/standins-2/src/record.rs
@@ -0,0 +1,41 @@
+//! The record of a run: what was sent, answered and run, with the time since the start.
+
+use std::{
+    fs::File,
+    io::Write,
+    path::Path,
+    sync::{Arc, Mutex},
+    time::Instant,
+};
+
+/// Writes lines to `record.txt`; clones write to the same file.
+#[derive(Clone)]
+pub struct Record {
+    file: Arc<Mutex<File>>,
+    started: Instant,
+}
+
+impl Record {
+    /// Creates the file in the folder of the case.
+    ///
+    /// # Panics
+    /// If the file can't be created.
+    #[must_use]
+    pub fn create(folder: &Path) -> Self {
+        let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
+        Self { file: Arc::new(Mutex::new(file)), started: Instant::now() }
+    }
+
+    /// Writes a line.
+    pub fn line(&self, text: impl AsRef<str>) {
+        let at = self.started.elapsed().as_secs_f64();
+        let mut file = self.file.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+        let _ = writeln!(file, "{at:8.3} {}", text.as_ref());
+    }
+
+    /// Writes a line and prints it.
+    pub fn say(&self, text: impl AsRef<str>) {
+        println!("{}", text.as_ref());
+        self.line(text);
+    }
+}
