--- a/review/standins-2/src/record.rs
+++ b/review/standins-2/src/record.rs
@@ -5,9 +5,13 @@
     io::Write,
     path::Path,
     sync::{Arc, Mutex},
-    time::Instant,
+    thread,
+    time::{Duration, Instant},
 };
 
+/// Longest time of a run.
+const LIMIT: Duration = Duration::from_secs(117);
+
 /// Writes lines to `record.txt`; clones write to the same file.
 #[derive(Clone)]
 pub struct Record {
@@ -16,12 +20,18 @@
 }
 
 impl Record {
-    /// Creates the file in the folder of the case.
+    /// Creates the file in the folder of the case. A run that takes longer than [`LIMIT`] is given up with status 2; the
+    /// processes of the tier end with this one.
     ///
     /// # Panics
     /// If the file can't be created.
     #[must_use]
     pub fn create(folder: &Path) -> Self {
+        thread::spawn(|| {
+            thread::sleep(LIMIT);
+            eprintln!("the run has taken too long");
+            std::process::exit(2);
+        });
         let file = File::create(folder.join("record.txt")).expect("record.txt can be written");
         Self { file: Arc::new(Mutex::new(file)), started: Instant::now() }
     }
--- a/review/standins-2/src/tier.rs
+++ b/review/standins-2/src/tier.rs
@@ -56,6 +56,14 @@
     child: Option<Child>,
 }
 
+impl Process {
+    /// Returns the id of the running process.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+}
+
 /// The deployment. Dropping it ends all processes and removes their folder.
 pub struct Tier {
     program: PathBuf,
