Proxy: a retained turn is received and stored from its first event

Cause: the output of a turn was what one try relays. The first worker was asked for the events after the client's last one, so the stored output began there.

Reads and chains returned what was stored, so they were ruled out.

Change: the first worker of a retained turn is asked for the whole stream. Each event received is retained; only those after the client's Last-Event-Id are sent and counted. A worker that resumes is asked for what follows the last event received. Routes that do not retain are unchanged.

Price: the worker produces the events that the client has once more.

--- a/crates/gatekeeper/src/proxy/event_stream.rs
+++ b/crates/gatekeeper/src/proxy/event_stream.rs
@@ -57,6 +57,12 @@
         to.push(b'\n');
     }
 
+    /// Whether the event has an id that is not above `last_id`.
+    #[must_use]
+    pub fn is_at_or_before(&self, last_id: Option<u64>) -> bool {
+        self.id.zip(last_id).is_some_and(|(id, last_id)| id <= last_id)
+    }
+
     /// Whether the event has a `data` field.
     #[must_use]
     pub fn has_data(&self) -> bool {
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -205,7 +205,7 @@
     ) -> AttemptOutcome {
         let deadline = self.answer_deadline(request, selected, may_attempt_more);
         let overdue_at = self.overdue_at(request, selected).filter(|at| *at < deadline);
-        let last_event_id = request.parameters.last_event_id;
+        let last_event_id = request.first_worker_last_event_id();
         let exchange = self.exchange(request, selected, deadline, last_event_id);
         let exchange = match self.record_if_overdue(request, selected, overdue_at, exchange).await {
             Ok(exchange) => exchange,
--- a/crates/gatekeeper/src/proxy/request.rs
+++ b/crates/gatekeeper/src/proxy/request.rs
@@ -44,6 +44,14 @@
     pub fn time_left(&self) -> Duration {
         self.deadline.saturating_duration_since(Instant::now())
     }
+
+    /// Returns the id of the event after which the first worker is to begin its stream; `None` for a stream from its first
+    /// event. A retained turn is always received from its first event, since its output is stored completely, although its
+    /// client may have taken the stream up after a later one.
+    #[must_use]
+    pub fn first_worker_last_event_id(&self) -> Option<u64> {
+        if self.turn.retained.is_some() { None } else { self.parameters.last_event_id }
+    }
 }
 
 /// Returns the deadline of a request that was received at `received_at`.
--- a/crates/gatekeeper/src/proxy/stream.rs
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -37,7 +37,7 @@
     /// Exchange with the worker; `None` while the stream is being resumed at another worker.
     exchange: Option<Exchange>,
     reader: EventReader,
-    /// Id of the last event that was relayed to the client, or that the client stated in its request.
+    /// Id of the last event that was received, or after which the first worker was asked to begin.
     last_event_id: Option<u64>,
     /// Whether the first event was received, from this worker or from an earlier one.
     has_begun: bool,
@@ -92,7 +92,7 @@
             worker: worker.clone(),
             exchange: Some(exchange),
             reader: EventReader::default(),
-            last_event_id: request.parameters.last_event_id,
+            last_event_id: request.first_worker_last_event_id(),
             has_begun: false,
         };
         while !stream.reader.has_event() {
@@ -201,16 +201,18 @@
         }
     }
 
-    /// Forwards an event to the client unless the client has it already. Returns `false` when the client has closed its
-    /// connection.
+    /// Retains an event that was not received before, and forwards it to the client unless the client has it already.
+    /// Returns `false` when the client has closed its connection.
     async fn forward_event(&mut self, event: Event, events: &mpsc::Sender<Chunk>) -> bool {
-        if let (Some(id), Some(last)) = (event.id, self.last_event_id)
-            && id <= last
-        {
+        if event.is_at_or_before(self.last_event_id) {
             return true;
         }
         self.last_event_id = event.id.or(self.last_event_id);
-        self.request.turn.record_event(&event);
+        self.request.turn.retain_event(&event);
+        if event.is_at_or_before(self.request.parameters.last_event_id) {
+            return true;
+        }
+        self.request.turn.count_event(&event);
         events.send(Chunk::Data(event.raw)).await.is_ok()
     }
 
@@ -268,7 +270,7 @@
         self.request.deadline.min(Instant::now() + gap.mul_f64(EVENT_TIMEOUT_IN_GAPS))
     }
 
-    /// Resumes the stream at another worker, after the last event that the client has. Returns `false` when no further
+    /// Resumes the stream at another worker, after the last event that was received. Returns `false` when no further
     /// attempt is possible.
     async fn resume_elsewhere(
         &mut self,
--- a/crates/gatekeeper/src/proxy/turn.rs
+++ b/crates/gatekeeper/src/proxy/turn.rs
@@ -22,7 +22,7 @@
     pub(super) ancestors: Vec<String>,
     /// Body of the client's request, without the earlier turns.
     pub(super) input: Bytes,
-    /// Data of the events relayed so far.
+    /// Data of the events received so far, from the first one of the turn on.
     pub(super) output: RefCell<Vec<u8>>,
     /// How long the stores are to retain the turn.
     pub(super) retention: Duration,
@@ -31,14 +31,17 @@
 }
 
 impl Turn {
-    /// Counts and retains an event that is about to be sent to the client. Events without data are ignored.
-    pub fn record_event(&self, event: &Event) {
-        if !event.has_data() {
-            return;
-        }
-        if let Some(lease) = &self.lease {
+    /// Counts the tokens of an event that is about to be sent to the client. Events without data are ignored.
+    pub fn count_event(&self, event: &Event) {
+        if let Some(lease) = &self.lease
+            && event.has_data()
+        {
             lease.record_units(self.event_units);
         }
+    }
+
+    /// Adds the data of an event to the output that is stored, whether or not the client has the event already.
+    pub fn retain_event(&self, event: &Event) {
         if let Some(retained) = &self.retained {
             event.append_data(&mut retained.output.borrow_mut());
         }
--- a/crates/gatekeeper/src/proxy/turn_lifecycle.rs
+++ b/crates/gatekeeper/src/proxy/turn_lifecycle.rs
@@ -8,6 +8,7 @@
         answer::{self, Answer},
         failed_requests::FailureReason,
         request::ForwardedRequest,
+        request_parameters::LAST_EVENT_ID,
         turn::{Retained, Turn},
     },
     turns::{Chain, ChainError},
@@ -55,6 +56,8 @@
             previous_worker: chain.worker,
         };
         request.turn = Turn { lease, event_units, retained: Some(retained) };
+        // Set again for a worker that resumes the stream; see `ForwardedRequest::first_worker_last_event_id`.
+        request.headers.remove(LAST_EVENT_ID);
         Ok(())
     }
 
--- a/crates/gatekeeper/tests/proxy/main.rs
+++ b/crates/gatekeeper/tests/proxy/main.rs
@@ -5,6 +5,7 @@
 mod limits;
 mod metrics;
 mod programs;
+mod resumed_turns;
 mod shutdown;
 mod stores;
 mod streams;
