Proxy: an attempt ends with the head of a rejection, not with its rest

Cause: the rest of a rejected attempt's answer was read, so that its connection can be reused, before the attempt ended, with a limit of chunks and none of time.

Change: the head decides at once and releases the slot at the worker. A task reads the rest within 250 ms, then the connection is reused, or closed. The other waits for a worker's bytes have limits; the gateway in service has one for this read.

--- a/crates/gatekeeper/src/proxy/upstream.rs
+++ b/crates/gatekeeper/src/proxy/upstream.rs
@@ -12,11 +12,11 @@
 use hyper::{Request, StatusCode, body::Incoming, header::HeaderValue, http::response::Parts};
 use opalrun_transport::{
     body::RequestBody,
-    connection::{Failure, Progress},
+    connection::{Connection, Failure, Progress},
     pool::{Lease, NoConnection},
 };
-use std::{cell::RefCell, rc::Rc};
-use tokio::time::{Instant, timeout_at};
+use std::{cell::RefCell, rc::Rc, time::Duration};
+use tokio::time::{Instant, timeout, timeout_at};
 use tracing::info;
 
 /// Maximum number of reused connections that may prove closed, before a byte is written, within one attempt.
@@ -26,6 +26,11 @@
 /// Maximum length of an answer that is read completely, in bytes.
 const MAX_ANSWER_BYTES: usize = 16 << 20;
 
+/// Time-out for the rest of an answer of which only the head matters.
+const DISCARD_TIMEOUT: Duration = Duration::from_millis(250);
+/// Maximum number of chunks of such an answer that are read, the end of the body included.
+const MAX_DISCARDED_CHUNKS: u32 = 4;
+
 /// A request in flight at a worker. Dropping it releases the slot that the request occupies there.
 pub struct WorkerRequest {
     proxy: Rc<Proxy>,
@@ -260,24 +265,34 @@
         } else {
             exchange.worker_request.rejected(exchange.load_report());
         }
-        exchange.discard().await;
+        exchange.discard_body();
         Err(AttemptFailure::NotExecuted)
     }
 }
 
 impl Exchange {
     /// Reads and discards the short body of an answer of which only the head matters, so that the connection can be
-    /// reused.
-    async fn discard(mut self) {
-        const MAX_CHUNKS: u32 = 4;
-        for _ in 0..MAX_CHUNKS {
-            match self.chunk().await {
-                Ok(Some(_)) => {}
-                Ok(None) => return self.lease.release(true),
-                Err(BodyBroken) => return,
+    /// reused. This happens in the background: the head has decided, and the rest may never be received. A connection whose
+    /// body is not complete within [`DISCARD_TIMEOUT`] is closed.
+    fn discard_body(self) {
+        let Self { mut lease, mut body, .. } = self;
+        tokio::task::spawn_local(async move {
+            let read = read_short_body(lease.connection(), &mut body);
+            if timeout(DISCARD_TIMEOUT, read).await == Ok(Ok(())) {
+                lease.release(true);
             }
+        });
+    }
+}
+
+/// Reads a body of at most [`MAX_DISCARDED_CHUNKS`] chunks to its end.
+async fn read_short_body(connection: &mut Connection, body: &mut Incoming) -> Result<(), BodyBroken> {
+    for _ in 0..MAX_DISCARDED_CHUNKS {
+        if connection.next_chunk(body).await.map_err(|_| BodyBroken)?.is_none() {
+            return Ok(());
         }
     }
+    Err(BodyBroken)
 }
 
 /// Returns the failure of an attempt without an answer, depending on whether the request was sent completely.
--- a/crates/gatekeeper/tests/proxy/main.rs
+++ b/crates/gatekeeper/tests/proxy/main.rs
@@ -1,5 +1,6 @@
 //! Integration tests of the complete proxy over loopback, between clients and fake workers.
 
+mod cut_rejections;
 mod fakes;
 mod forwarding;
 mod limits;
