Proxy: turns are in memory once, within a budget, and sent without copies

Cause: a chain was a value without a bound, copied at each step: read anew for each request, joined, joined with the input, and copied once more into the write buffer of the connection, which a pooled connection keeps. Only what clients send was within a budget.

Before the change a_long_body_is_sent_without_a_copy_of_it failed (16.9 MB taken for a body of 16 MiB), and so did a_turn_is_rejected_while_other_conversations_take_the_memory_for_turns (200 in place of 503). Ruled out: client bodies (8 bytes) and the cache (8 MB).

Change: the cache and all requests share one loaded turn, and one read of it. A quarter of the memory is the budget for turns; cached ones give way, and a chain that does not fit is answered 503 (E513, reason no_turn_memory). The body for a worker refers to the turns and is sent in frames of 64 KiB. Long turns are transferred two at a time, and read one by one within a chain.

--- a/crates/gatekeeper/src/lib.rs
+++ b/crates/gatekeeper/src/lib.rs
@@ -5,5 +5,6 @@
 pub mod agent;
 pub mod feed;
 pub mod lease;
+pub mod memory;
 pub mod proxy;
 pub mod turns;
--- a/crates/gatekeeper/src/proxy/body.rs
+++ b/crates/gatekeeper/src/proxy/body.rs
@@ -1,10 +1,10 @@
 //! Reads the bodies of requests, which are buffered completely before they are forwarded.
 
+use crate::memory::{BudgetExhausted, MemoryBudget, MemoryReservation};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use snafu::Snafu;
-use std::{cell::Cell, rc::Rc};
 use tokio::time::{Instant, timeout_at};
 
 /// Why a request body could not be read.
@@ -24,46 +24,9 @@
     NoMemory,
 }
 
-/// Remaining memory for the bodies of all requests together, in bytes.
-#[derive(Debug, Clone)]
-pub struct BodyMemory(Rc<Cell<usize>>);
-
-impl BodyMemory {
-    /// Creates a budget of `bytes`.
-    #[must_use]
-    pub fn new(bytes: usize) -> Self {
-        Self(Rc::new(Cell::new(bytes)))
-    }
-
-    /// Reserves `bytes`; returns `None` when fewer are left.
-    #[must_use]
-    pub fn reserve(&self, bytes: usize) -> Option<MemoryReservation> {
-        let left = self.0.get().checked_sub(bytes)?;
-        self.0.set(left);
-        Some(MemoryReservation { memory: self.clone(), bytes })
-    }
-}
-
-/// Bytes reserved from a [`BodyMemory`] until this is dropped.
-#[derive(Debug)]
-pub struct MemoryReservation {
-    memory: BodyMemory,
-    bytes: usize,
-}
-
-impl MemoryReservation {
-    /// Reserves `bytes` more.
-    fn grow(&mut self, bytes: usize) -> Result<(), BodyError> {
-        let left = self.memory.0.get().checked_sub(bytes).ok_or(BodyError::NoMemory)?;
-        self.memory.0.set(left);
-        self.bytes += bytes;
-        Ok(())
-    }
-}
-
-impl Drop for MemoryReservation {
-    fn drop(&mut self) {
-        self.memory.0.set(self.memory.0.get() + self.bytes);
+impl From<BudgetExhausted> for BodyError {
+    fn from(_: BudgetExhausted) -> Self {
+        Self::NoMemory
     }
 }
 
@@ -82,7 +45,7 @@
 /// The body is too long, is not complete by the deadline, is invalid, or exceeds the memory left for bodies.
 pub async fn read_complete(
     mut body: Incoming,
-    memory: &BodyMemory,
+    memory: &MemoryBudget,
     max_bytes: usize,
     deadline: Instant,
 ) -> Result<CompleteBody, BodyError> {
@@ -90,7 +53,7 @@
     if declared > max_bytes as u64 {
         return Err(BodyError::TooLong);
     }
-    let mut reservation = memory.reserve(0).ok_or(BodyError::NoMemory)?;
+    let mut reservation = memory.reserve(0)?;
     let mut first: Option<Bytes> = None;
     let mut joined = BytesMut::new();
     let mut length = 0;
--- a/crates/gatekeeper/src/proxy/failed_requests.rs
+++ b/crates/gatekeeper/src/proxy/failed_requests.rs
@@ -39,6 +39,8 @@
     BudgetUnavailable,
     /// The stores did not return the earlier turns in time.
     TurnsUnavailable,
+    /// No memory was left for the earlier turns.
+    NoTurnMemory,
     /// A worker answered with a server error.
     WorkerFailed,
     /// The connection to a worker broke, or its answer was invalid (`worker_broke`).
@@ -62,6 +64,7 @@
             Self::Rejected => "not_taken",
             Self::BudgetUnavailable => "count_unavailable",
             Self::TurnsUnavailable => "turns_unavailable",
+            Self::NoTurnMemory => "no_turn_memory",
             Self::WorkerFailed => "worker_failed",
             Self::ConnectionBroken => "worker_broke",
             Self::DeadlineExceeded => "time_over",
--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -113,7 +113,7 @@
             method: head.method,
             uri: uri.ok_or_else(|| answer::without_body(StatusCode::BAD_REQUEST))?,
             headers: head.headers,
-            body: body.bytes,
+            body: body.bytes.into(),
             parameters,
             service,
             route,
--- a/crates/gatekeeper/src/proxy/request.rs
+++ b/crates/gatekeeper/src/proxy/request.rs
@@ -1,9 +1,12 @@
 //! A client's request after it was read completely and validated.
 
-use crate::proxy::{body::MemoryReservation, request_parameters::RequestParameters, turn::Turn};
-use bytes::Bytes;
+use crate::{
+    memory::MemoryReservation,
+    proxy::{request_parameters::RequestParameters, turn::Turn},
+};
 use hyper::{HeaderMap, Method, Uri};
 use opalrun_configuration::Route;
+use opalrun_transport::body::Segments;
 use std::{sync::Arc, time::Duration};
 use tokio::time::Instant;
 
@@ -21,7 +24,7 @@
     /// Headers without the connection headers of the client.
     pub headers: HeaderMap,
     /// Body, preceded by the earlier turns of the conversation when the route retains turns.
-    pub body: Bytes,
+    pub body: Segments,
     /// Parameters parsed from the headers.
     pub parameters: RequestParameters,
     /// Route that matches the request.
--- a/crates/gatekeeper/src/proxy/state.rs
+++ b/crates/gatekeeper/src/proxy/state.rs
@@ -4,16 +4,16 @@
 use crate::{
     feed::{ControlView, Workers},
     lease::ProgramLeases,
+    memory::MemoryBudget,
     proxy::{
         balance::{Balancer, WorkerId},
-        body::BodyMemory,
         failed_requests::FailedRequests,
         freshness::Freshness,
         metrics::ProxyMetrics,
         services::Services,
         worker_connections::WorkerConnections,
     },
-    turns::Turns,
+    turns::{TurnMemory, Turns},
 };
 use opalrun_configuration::{Configuration, Limits};
 use opalrun_settings::Settings;
@@ -35,6 +35,8 @@
 const RESERVED_DESCRIPTORS: u64 = 260;
 /// Share of the memory limit that all request bodies together may take.
 const BODY_MEMORY_SHARE: f64 = 0.15;
+/// Share of the memory limit that all turns in memory together may take: those of requests in progress, and the cache.
+const TURN_MEMORY_SHARE: f64 = 0.25;
 /// Capacity of the cache of recent turns.
 const TURN_CACHE_BYTES: usize = 8 << 20;
 const BYTES_PER_MB: f64 = 1e6;
@@ -50,7 +52,7 @@
     freshness: Freshness,
     is_shutting_down: Cell<bool>,
     /// Memory budget for request bodies.
-    pub(super) body_memory: BodyMemory,
+    pub(super) body_memory: MemoryBudget,
     /// Leases of the programs' budget units.
     pub(super) leases: ProgramLeases<Rc<StoreClient>>,
     /// Reads and stores retained turns.
@@ -69,7 +71,7 @@
     pub fn new(settings: &Settings) -> Rc<Self> {
         let started = Instant::now();
         let store_client = StoreClient::new(fastrand::u64(..), &settings.zone);
-        let body_bytes = (settings.limits.memory_mb * BYTES_PER_MB * BODY_MEMORY_SHARE) as usize;
+        let turn_memory = TurnMemory::new(memory_bytes(settings, TURN_MEMORY_SHARE), TURN_CACHE_BYTES);
         Rc::new(Self {
             started,
             configuration: RefCell::default(),
@@ -78,9 +80,9 @@
             limits: watch::Sender::default(),
             freshness: Freshness::new(started),
             is_shutting_down: Cell::new(false),
-            body_memory: BodyMemory::new(body_bytes),
+            body_memory: MemoryBudget::new(memory_bytes(settings, BODY_MEMORY_SHARE)),
             leases: ProgramLeases::new(store_client.clone(), fastrand::u64(..)),
-            turns: Turns::new(store_client.clone(), TURN_CACHE_BYTES),
+            turns: Turns::new(store_client.clone(), turn_memory),
             metrics: ProxyMetrics::default(),
             failed_requests: Rc::default(),
             store_client,
@@ -239,6 +241,11 @@
     }
 }
 
+/// Returns a share of the memory limit, in bytes.
+fn memory_bytes(settings: &Settings, share: f64) -> usize {
+    (settings.limits.memory_mb * BYTES_PER_MB * share) as usize
+}
+
 /// Returns the maximum number of connections to all workers together.
 fn max_worker_connections(settings: &Settings) -> usize {
     let free = settings.limits.max_fds.saturating_sub(RESERVED_DESCRIPTORS);
--- a/crates/gatekeeper/src/proxy/turn.rs
+++ b/crates/gatekeeper/src/proxy/turn.rs
@@ -1,8 +1,8 @@
 //! State of a request that is a turn of a program: its reserved budget units, and the data to be stored.
 
-use crate::{lease::TurnLease, proxy::event_stream::Event};
-use bytes::Bytes;
+use crate::{lease::TurnLease, proxy::event_stream::Event, turns::Chain};
 use opalrun_store_client::StoreClient;
+use opalrun_transport::body::Segments;
 use std::{cell::RefCell, rc::Rc, time::Duration};
 
 /// State of a request as a turn of a program. A request that is not a turn has neither a lease nor retained data.
@@ -18,16 +18,14 @@
 
 /// Data to be stored of a turn.
 pub(super) struct Retained {
-    /// Ids of the earlier turns of the conversation, oldest first.
-    pub(super) ancestors: Vec<String>,
+    /// Earlier turns of the conversation, which the body for the worker refers to.
+    pub(super) chain: Chain,
     /// Body of the client's request, without the earlier turns.
-    pub(super) input: Bytes,
+    pub(super) input: Segments,
     /// Data of the events received so far, from the first one of the turn on.
     pub(super) output: RefCell<Vec<u8>>,
     /// How long the stores are to retain the turn.
     pub(super) retention: Duration,
-    /// Id of the worker that answered the previous turn; empty when there is none.
-    pub(super) previous_worker: String,
 }
 
 impl Turn {
@@ -50,7 +48,6 @@
     /// Returns the id of the worker that answered the previous turn.
     #[must_use]
     pub fn previous_worker(&self) -> Option<&str> {
-        let worker = self.retained.as_ref()?.previous_worker.as_str();
-        (!worker.is_empty()).then_some(worker)
+        self.retained.as_ref()?.chain.worker().filter(|worker| !worker.is_empty())
     }
 }
--- a/crates/gatekeeper/src/proxy/turn_lifecycle.rs
+++ b/crates/gatekeeper/src/proxy/turn_lifecycle.rs
@@ -22,6 +22,9 @@
 /// `Retry-After` when the stores did not answer in time.
 const STORES_RETRY_AFTER: Duration = Duration::from_millis(150);
 
+/// `Retry-After` when no memory is left for the earlier turns of a conversation.
+const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// The turn was not stored, or it is unknown whether it was.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TurnNotStored;
@@ -45,16 +48,8 @@
             return Ok(());
         }
         let input = request.body.clone();
-        if !chain.bytes.is_empty() {
-            request.body = chain.body(&input).into();
-        }
-        let retained = Retained {
-            ancestors: chain.ancestors,
-            input,
-            output: RefCell::default(),
-            retention: route.retention,
-            previous_worker: chain.worker,
-        };
+        request.body = chain.body(&input);
+        let retained = Retained { chain, input, output: RefCell::default(), retention: route.retention };
         request.turn = Turn { lease, event_units, retained: Some(retained) };
         // Set again for a worker that resumes the stream; see `ForwardedRequest::first_worker_last_event_id`.
         request.headers.remove(LAST_EVENT_ID);
@@ -65,12 +60,16 @@
         let Some(previous) = request.parameters.previous.as_deref().filter(|_| request.route.retained) else {
             return Ok(Chain::default());
         };
-        self.turns.chain(previous).await.map_err(|error| match error {
+        self.turns.chain(previous, request.deadline).await.map_err(|error| match error {
             ChainError::Unknown => answer::with_message(StatusCode::NOT_FOUND, &error.to_string()),
             ChainError::Unavailable => {
                 self.failed_requests.record(request, FailureReason::TurnsUnavailable, 0);
                 answer::reject(STORES_RETRY_AFTER)
             }
+            ChainError::NoMemory => {
+                self.failed_requests.record(request, FailureReason::NoTurnMemory, 0);
+                answer::reject(NO_MEMORY_RETRY_AFTER)
+            }
         })
     }
 
@@ -101,7 +100,7 @@
         let Some(retained) = &turn.retained else { return Ok(()) };
         let record = store::Turn {
             id: id.to_owned(),
-            ancestors: retained.ancestors.clone(),
+            ancestors: retained.chain.ancestors(),
             input: retained.input.to_vec(),
             output: retained.output.take(),
             retention_ms: u64::try_from(retained.retention.as_millis()).unwrap_or(u64::MAX),
--- a/crates/gatekeeper/src/proxy/upstream.rs
+++ b/crates/gatekeeper/src/proxy/upstream.rs
@@ -188,7 +188,7 @@
                     lease.report_response();
                     let (parts, body) = response.into_parts();
                     let exchange = Exchange { lease, body, parts, worker_request };
-                    return self.check_head(request, selected, exchange).await;
+                    return self.check_head(request, selected, exchange);
                 }
                 Ok(Err(Failure::Unsent)) if lease.is_reused() && dead_connections < MAX_DEAD_CONNECTIONS => {
                     lease.report_dead();
@@ -241,7 +241,7 @@
     }
 
     /// Checks that the answer belongs to this request and does not state that the request was not run.
-    async fn check_head(
+    fn check_head(
         &self,
         request: &ForwardedRequest,
         selected: &SelectedWorker,
@@ -306,7 +306,7 @@
     selected: &SelectedWorker,
     last_event_id: Option<u64>,
 ) -> Request<RequestBody> {
-    let mut message = Request::new(RequestBody::Complete(Some(request.body.clone())));
+    let mut message = Request::new(RequestBody::Complete(request.body.clone()));
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.uri.clone();
     let headers = message.headers_mut();
--- a/crates/gatekeeper/src/turns/cache.rs
+++ b/crates/gatekeeper/src/turns/cache.rs
@@ -1,12 +1,8 @@
 //! Size-bounded LRU cache of turns. Stored turns are immutable, so cached ones need no invalidation.
 
+use super::LoadedTurn;
 use fnv::FnvHashMap;
-use opalrun_wire::store::Turn;
-use std::collections::BTreeMap;
-use std::rc::Rc;
-
-/// Approximate memory of a cache entry in addition to the turn's own bytes.
-const ENTRY_OVERHEAD_BYTES: usize = 320;
+use std::{collections::BTreeMap, rc::Rc};
 
 /// Caches turns by id and evicts the least recently used ones.
 #[derive(Debug)]
@@ -22,9 +18,8 @@
 
 #[derive(Debug)]
 struct Entry {
-    turn: Rc<Turn>,
+    turn: Rc<LoadedTurn>,
     last_use: u64,
-    bytes: usize,
 }
 
 impl TurnCache {
@@ -41,7 +36,7 @@
     }
 
     /// Returns a cached turn and marks it as used.
-    pub fn get(&mut self, id: &str) -> Option<Rc<Turn>> {
+    pub fn get(&mut self, id: &str) -> Option<Rc<LoadedTurn>> {
         let entry = self.entries.get_mut(id)?;
         let id_key = self.ids_by_last_use.remove(&entry.last_use)?;
         self.use_counter += 1;
@@ -51,9 +46,9 @@
     }
 
     /// Adds a turn and evicts least recently used turns as needed. A turn larger than the capacity is not added.
-    pub fn insert(&mut self, turn: Rc<Turn>) {
-        self.remove(&turn.id);
-        let bytes = size_in_bytes(&turn);
+    pub fn insert(&mut self, turn: Rc<LoadedTurn>) {
+        self.remove(turn.id());
+        let bytes = turn.size_in_bytes();
         if bytes > self.capacity_bytes {
             return;
         }
@@ -61,9 +56,9 @@
             self.evict_least_recently_used();
         }
         self.use_counter += 1;
-        let id_key: Rc<str> = Rc::from(turn.id.as_str());
+        let id_key: Rc<str> = Rc::from(turn.id());
         self.ids_by_last_use.insert(self.use_counter, Rc::clone(&id_key));
-        self.entries.insert(id_key, Entry { turn, last_use: self.use_counter, bytes });
+        self.entries.insert(id_key, Entry { turn, last_use: self.use_counter });
         self.used_bytes += bytes;
     }
 
@@ -73,22 +68,18 @@
         self.used_bytes
     }
 
-    fn evict_least_recently_used(&mut self) {
-        if let Some((_, id_key)) = self.ids_by_last_use.first_key_value() {
-            let id_key = Rc::clone(id_key);
-            self.remove(&id_key);
-        }
+    /// Removes the least recently used turn; returns `false` if the cache is empty.
+    pub fn evict_least_recently_used(&mut self) -> bool {
+        let Some((_, id_key)) = self.ids_by_last_use.first_key_value() else { return false };
+        let id_key = Rc::clone(id_key);
+        self.remove(&id_key);
+        true
     }
 
     fn remove(&mut self, id: &str) {
         if let Some(entry) = self.entries.remove(id) {
             self.ids_by_last_use.remove(&entry.last_use);
-            self.used_bytes -= entry.bytes;
+            self.used_bytes -= entry.turn.size_in_bytes();
         }
     }
 }
-
-fn size_in_bytes(turn: &Turn) -> usize {
-    let ancestors: usize = turn.ancestors.iter().map(|id| id.len() + std::mem::size_of::<String>()).sum();
-    turn.input.len() + turn.output.len() + ancestors + 2 * turn.id.len() + ENTRY_OVERHEAD_BYTES
-}
--- a/crates/gatekeeper/src/turns/chain.rs
+++ b/crates/gatekeeper/src/turns/chain.rs
@@ -1,36 +1,43 @@
 //! The chain of the turns that precede a turn.
 
-use opalrun_wire::store::Turn;
+use super::LoadedTurn;
+use opalrun_transport::body::Segments;
 use std::rc::Rc;
 
-/// The inputs and outputs of all turns that precede a turn.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+/// All turns that precede a turn, oldest first. They stay in memory for as long as the chain exists.
+#[derive(Debug, Clone, Default)]
 pub struct Chain {
-    /// Input and event data of each earlier turn, oldest first. The worker receives them before the new input.
-    pub bytes: Vec<u8>,
-    /// Ids of the earlier turns, oldest first. They are the `ancestors` of the new turn.
-    pub ancestors: Vec<String>,
-    /// Id of the worker that answered the newest of the earlier turns; empty without earlier turns.
-    pub worker: String,
+    turns: Vec<Rc<LoadedTurn>>,
 }
 
 impl Chain {
-    /// Concatenates turns, which must be ordered oldest first.
-    pub(super) fn from_turns(turns: &[Rc<Turn>]) -> Self {
-        let length = turns.iter().map(|turn| turn.input.len() + turn.output.len()).sum();
-        let mut bytes = Vec::with_capacity(length);
-        for turn in turns {
-            bytes.extend_from_slice(&turn.input);
-            bytes.extend_from_slice(&turn.output);
-        }
-        let ancestors = turns.iter().map(|turn| turn.id.clone()).collect();
-        let worker = turns.last().map(|turn| turn.worker.clone()).unwrap_or_default();
-        Self { bytes, ancestors, worker }
+    /// Creates the chain of these turns, which must be ordered oldest first.
+    pub(super) fn new(turns: Vec<Rc<LoadedTurn>>) -> Self {
+        Self { turns }
+    }
+
+    /// Returns the ids of the turns, oldest first. They are the `ancestors` of the new turn.
+    #[must_use]
+    pub fn ancestors(&self) -> Vec<String> {
+        self.turns.iter().map(|turn| turn.id().to_owned()).collect()
     }
 
-    /// Returns the request body for the worker: the chain followed by the new input.
+    /// Returns the id of the worker that answered the newest of the turns; `None` without turns.
     #[must_use]
-    pub fn body(&self, input: &[u8]) -> Vec<u8> {
-        [self.bytes.as_slice(), input].concat()
+    pub fn worker(&self) -> Option<&str> {
+        self.turns.last().map(|turn| turn.worker())
+    }
+
+    /// Returns the request body for the worker: input and event data of each turn, followed by the new input. The turns are
+    /// not copied.
+    #[must_use]
+    pub fn body(&self, input: &Segments) -> Segments {
+        let mut body = Segments::default();
+        for turn in &self.turns {
+            body.push(turn.input().clone());
+            body.push(turn.output().clone());
+        }
+        body.append(input);
+        body
     }
 }
--- a/crates/gatekeeper/src/turns/error.rs
+++ b/crates/gatekeeper/src/turns/error.rs
@@ -1,5 +1,6 @@
 //! Errors of reading the chain of a turn.
 
+use crate::memory::BudgetExhausted;
 use opalrun_wire::ResultCode;
 use snafu::Snafu;
 
@@ -15,4 +16,13 @@
         ResultCode::CHAIN_UNAVAILABLE
     ))]
     Unavailable,
+    /// The turns in use leave no memory for the chain. Answered with 503.
+    #[snafu(display("{}: the memory for earlier turns is used up", ResultCode::CHAIN_NO_MEMORY))]
+    NoMemory,
+}
+
+impl From<BudgetExhausted> for ChainError {
+    fn from(_: BudgetExhausted) -> Self {
+        Self::NoMemory
+    }
 }
--- a/crates/gatekeeper/src/turns/store.rs
+++ b/crates/gatekeeper/src/turns/store.rs
@@ -1,16 +1,19 @@
-//! Reads the chains of turns from the cache and the stores, and writes turns to the stores.
+//! Reads the chains of turns from memory and the stores, and writes turns to the stores.
 
-use super::{Chain, ChainError, TurnCache};
+use super::{
+    Chain, ChainError, LoadedTurn, TurnMemory,
+    transfer_limit::{LongTransfers, ReadWindow},
+};
 use opalrun_store_client::{CachedTurns, StoreClient, TurnError};
 use opalrun_wire::store::Turn;
-use std::cell::RefCell;
-use std::future::Future;
-use std::rc::Rc;
-use std::time::Duration;
-use tokio::task::JoinSet;
-
-/// Time-out for reading a complete chain.
-const CHAIN_READ_TIMEOUT: Duration = Duration::from_millis(400);
+use std::{cell::RefCell, future::Future, rc::Rc, time::Duration};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, timeout_at},
+};
+
+/// Time-out for reading a turn, which begins anew with each part of a long turn that is received.
+const TURN_READ_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time-out for storing a turn. The client has received all events by then and waits only for the end of the answer.
 const TURN_WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 /// Maximum length of a turn's id; no stored turn has a longer one.
@@ -27,8 +30,14 @@
         timeout: Duration,
     ) -> impl Future<Output = Result<(), TurnError>>;
 
-    /// Reads a turn; returns `None` when the turn certainly does not exist.
-    fn get(&self, id: &str, timeout: Duration) -> impl Future<Output = Result<Option<Turn>, TurnError>>;
+    /// Reads a turn; returns `None` when the turn certainly does not exist. `timeout` begins anew with each part of a long
+    /// turn that is received, until `deadline`.
+    fn get(
+        &self,
+        id: &str,
+        timeout: Duration,
+        deadline: Instant,
+    ) -> impl Future<Output = Result<Option<Turn>, TurnError>>;
 }
 
 impl TurnStore for Rc<StoreClient> {
@@ -36,36 +45,36 @@
         self.put_turn_with_chain(turn, cached, timeout).await
     }
 
-    async fn get(&self, id: &str, timeout: Duration) -> Result<Option<Turn>, TurnError> {
-        self.get_turn(id, timeout).await
+    async fn get(&self, id: &str, timeout: Duration, deadline: Instant) -> Result<Option<Turn>, TurnError> {
+        self.get_turn(id, timeout.min(deadline.saturating_duration_since(Instant::now()))).await
     }
 }
 
-/// Reads and writes retained turns through a cache. Runs on one thread, inside a `tokio::task::LocalSet`.
+/// Reads and writes retained turns. Runs on one thread, inside a `tokio::task::LocalSet`.
 pub struct Turns<S: TurnStore> {
-    store: S,
-    cache: Rc<RefCell<TurnCache>>,
+    reader: TurnReader<S>,
+    writes: LongTransfers,
 }
 
 impl<S: TurnStore> Turns<S> {
-    /// Creates the reader and writer with a cache of at most `cache_bytes`.
+    /// Creates the reader and writer, whose turns in memory are in `memory`.
     #[must_use]
-    pub fn new(store: S, cache_bytes: usize) -> Self {
-        Self { store, cache: Rc::new(RefCell::new(TurnCache::new(cache_bytes))) }
+    pub fn new(store: S, memory: TurnMemory) -> Self {
+        let memory = Rc::new(RefCell::new(memory));
+        let reader = TurnReader { store, memory, reads: LongTransfers::default() };
+        Self { reader, writes: LongTransfers::default() }
     }
 
-    /// Reads the chain that ends with the turn `previous`, for a turn that continues it.
+    /// Reads the chain that ends with the turn `previous`, for a turn that continues it, until `deadline`.
     ///
     /// # Errors
-    /// The turn does not exist, or its chain is unavailable at present.
-    pub async fn chain(&self, previous: &str) -> Result<Chain, ChainError> {
+    /// The turn does not exist, its chain is unavailable at present, or there is no memory for it.
+    pub async fn chain(&self, previous: &str, deadline: Instant) -> Result<Chain, ChainError> {
         if previous.is_empty() || previous.len() > MAX_ID_BYTES {
             return Err(ChainError::Unknown);
         }
-        let read = self.read_chain(previous);
-        let turns =
-            tokio::time::timeout(CHAIN_READ_TIMEOUT, read).await.unwrap_or(Err(ChainError::Unavailable))?;
-        Ok(Chain::from_turns(&turns))
+        let read = self.read_chain(previous, deadline);
+        timeout_at(deadline, read).await.unwrap_or(Err(ChainError::Unavailable)).map(Chain::new)
     }
 
     /// Stores a turn that was answered completely. The end of the answer may be sent to the client only once this has
@@ -74,35 +83,52 @@
     /// # Errors
     /// The turn may not be stored or its chain not be retained, so the answer must not appear complete to the client.
     pub async fn store(&self, turn: Turn) -> Result<(), TurnError> {
-        let cache = Rc::clone(&self.cache);
-        let cached: CachedTurns = Rc::new(move |id| cache.borrow_mut().get(id));
-        self.store.put(&turn, &cached, TURN_WRITE_TIMEOUT).await?;
-        self.cache.borrow_mut().insert(Rc::new(turn));
+        let put_until = Instant::now() + TURN_WRITE_TIMEOUT;
+        let begun = timeout_at(put_until, self.writes.begin(turn.input.len() + turn.output.len())).await;
+        let _transfer = begun.map_err(|_| TurnError::Unavailable)?;
+        let memory = Rc::clone(&self.reader.memory);
+        let cached: CachedTurns = Rc::new(move |id| Some(memory.borrow_mut().get(id)?.to_stored()));
+        let time_limit = put_until.saturating_duration_since(Instant::now());
+        self.reader.store.put(&turn, &cached, time_limit).await?;
+        // Without memory for it the next turn reads this one from the stores.
+        let _ = self.reader.memory.borrow_mut().insert(turn);
         Ok(())
     }
 
     /// Returns the turns up to and including `last`, oldest first.
-    async fn read_chain(&self, last: &str) -> Result<Vec<Rc<Turn>>, ChainError> {
-        let last = match self.cached(last) {
-            Some(turn) => turn,
-            None => self.fetch(last.to_owned()).await?.ok_or(ChainError::Unknown)?,
-        };
-        let mut turns = self.read_ancestors(&last.ancestors).await?;
+    async fn read_chain(&self, last: &str, deadline: Instant) -> Result<Vec<Rc<LoadedTurn>>, ChainError> {
+        let mut window = ReadWindow::default();
+        let last = self.reader.load(last, window.expected_turn_bytes(), deadline).await?;
+        let last = last.ok_or(ChainError::Unknown)?;
+        window.record(&last);
+        let mut turns = self.read_ancestors(last.ancestors(), window, deadline).await?;
         turns.push(last);
         Ok(turns)
     }
 
-    /// Returns the turns with these ids; those that are not cached are read from the stores in parallel.
-    async fn read_ancestors(&self, ids: &[String]) -> Result<Vec<Rc<Turn>>, ChainError> {
-        let mut turns: Vec<Option<Rc<Turn>>> = ids.iter().map(|id| self.cached(id)).collect();
+    /// Returns the turns with these ids. Those that are not in memory are read from the stores, several at a time as far as
+    /// `window` allows.
+    async fn read_ancestors(
+        &self,
+        ids: &[String],
+        mut window: ReadWindow,
+        deadline: Instant,
+    ) -> Result<Vec<Rc<LoadedTurn>>, ChainError> {
+        let mut turns: Vec<Option<Rc<LoadedTurn>>> = ids.iter().map(|id| self.reader.in_memory(id)).collect();
+        turns.iter().flatten().for_each(|turn| window.record(turn));
+        let missing: Vec<usize> = (0..ids.len()).filter(|position| turns[*position].is_none()).collect();
+        let mut to_read = missing.into_iter();
         let mut reads = JoinSet::new();
-        for (position, id) in ids.iter().enumerate().filter(|(position, _)| turns[*position].is_none()) {
-            let read = self.fetch(id.clone());
-            reads.spawn_local(async move { (position, read.await) });
-        }
-        while let Some(read) = reads.join_next().await {
+        loop {
+            for position in to_read.by_ref().take(window.max_reads().saturating_sub(reads.len())) {
+                let (reader, id, bytes) =
+                    (self.reader.clone(), ids[position].clone(), window.expected_turn_bytes());
+                reads.spawn_local(async move { (position, reader.load(&id, bytes, deadline).await) });
+            }
+            let Some(read) = reads.join_next().await else { break };
             let (position, turn) = read.map_err(|_| ChainError::Unavailable)?;
             turns[position] = turn?;
+            turns[position].iter().for_each(|turn| window.record(turn));
         }
         let complete: Option<Vec<_>> = turns.into_iter().collect();
         if complete.is_none() {
@@ -111,21 +137,45 @@
         // The turn itself exists, so its client must not receive 404.
         complete.ok_or(ChainError::Unavailable)
     }
+}
 
-    fn cached(&self, id: &str) -> Option<Rc<Turn>> {
-        self.cache.borrow_mut().get(id)
+/// Reads single turns from memory or from the stores.
+#[derive(Clone)]
+struct TurnReader<S: TurnStore> {
+    store: S,
+    memory: Rc<RefCell<TurnMemory>>,
+    reads: LongTransfers,
+}
+
+impl<S: TurnStore> TurnReader<S> {
+    fn in_memory(&self, id: &str) -> Option<Rc<LoadedTurn>> {
+        self.memory.borrow_mut().get(id)
     }
 
-    fn fetch(&self, id: String) -> impl Future<Output = Result<Option<Rc<Turn>>, ChainError>> + use<S> {
-        let store = self.store.clone();
-        let cache = Rc::clone(&self.cache);
-        async move {
-            let found = store.get(&id, CHAIN_READ_TIMEOUT).await.map_err(|_| ChainError::Unavailable)?;
-            let turn = found.map(Rc::new);
-            if let Some(turn) = &turn {
-                cache.borrow_mut().insert(Rc::clone(turn));
-            }
-            Ok(turn)
+    /// Returns a turn, which is read from the stores if it is not in memory; `None` if it does not exist. Requests that need
+    /// a turn at the same time share one read.
+    async fn load(
+        &self,
+        id: &str,
+        expected_bytes: usize,
+        deadline: Instant,
+    ) -> Result<Option<Rc<LoadedTurn>>, ChainError> {
+        if let Some(turn) = self.in_memory(id) {
+            return Ok(Some(turn));
         }
+        let read = self.memory.borrow_mut().shared_read(id);
+        read.get_or_try_init(|| self.read(id, expected_bytes, deadline)).await.cloned()
+    }
+
+    async fn read(
+        &self,
+        id: &str,
+        expected_bytes: usize,
+        deadline: Instant,
+    ) -> Result<Option<Rc<LoadedTurn>>, ChainError> {
+        let _transfer = self.reads.begin(expected_bytes).await;
+        let found = self.store.get(id, TURN_READ_TIMEOUT, deadline).await;
+        let Some(turn) = found.map_err(|_| ChainError::Unavailable)? else { return Ok(None) };
+        Ok(Some(self.memory.borrow_mut().insert(turn)?))
     }
 }
--- a/crates/gatekeeper/tests/proxy/fakes.rs
+++ b/crates/gatekeeper/tests/proxy/fakes.rs
@@ -296,7 +296,11 @@
 
 impl Gatekeeper {
     pub async fn start() -> Self {
-        let settings = settings();
+        Self::start_with(settings()).await
+    }
+
+    /// Starts a proxy with these settings.
+    pub async fn start_with(settings: Settings) -> Self {
         let proxy = Proxy::new(&settings);
         let clients = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let platform = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
--- a/crates/gatekeeper/tests/proxy/main.rs
+++ b/crates/gatekeeper/tests/proxy/main.rs
@@ -4,6 +4,7 @@
 mod fakes;
 mod forwarding;
 mod limits;
+mod long_conversations;
 mod metrics;
 mod programs;
 mod resumed_turns;
--- a/crates/gatekeeper/tests/stores.rs
+++ b/crates/gatekeeper/tests/stores.rs
@@ -1,7 +1,8 @@
 //! Integration tests of leases and turns: two gatekeepers with three stores on loopback.
 
+use bytes::Bytes;
 use opalrun_gatekeeper::lease::{LeaseError, ProgramLeases, TurnBudget};
-use opalrun_gatekeeper::turns::{ChainError, Turns};
+use opalrun_gatekeeper::turns::{ChainError, TurnMemory, Turns};
 use opalrun_net::Listener;
 use opalrun_storage::DataDirectory;
 use opalrun_store::{StoreServer, serve, state::StoreLimits};
@@ -14,17 +15,29 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tempfile::TempDir;
-use tokio::task::{JoinHandle, JoinSet, LocalSet};
+use tokio::{
+    task::{JoinHandle, JoinSet, LocalSet},
+    time::Instant,
+};
 
 const LIMITS: StoreLimits = StoreLimits { memory_bytes: 10 << 20, disk_bytes: 10 << 20 };
 const STORES: u64 = 3;
 const CACHE_BYTES: usize = 100_000;
+const MEMORY_BYTES: usize = 1_000_000;
 /// Time-out that no successful operation reaches.
 const GENEROUS_TIMEOUT: Duration = Duration::from_secs(20);
 const BUDGET: u64 = 1_000;
 const MAX_UNITS: u64 = 100;
 const USED: u64 = 60;
 
+fn deadline() -> Instant {
+    Instant::now() + GENEROUS_TIMEOUT
+}
+
+fn memory() -> TurnMemory {
+    TurnMemory::new(MEMORY_BYTES, CACHE_BYTES)
+}
+
 /// A store served by a task until it is stopped.
 struct Store {
     node: StoreNode,
@@ -190,14 +203,13 @@
 fn turn_stored_by_one_gatekeeper_is_continued_at_another() {
     run(async {
         let tier = Tier::start().await;
-        let (first, second) =
-            (Turns::new(tier.client(11), CACHE_BYTES), Turns::new(tier.client(12), CACHE_BYTES));
+        let (first, second) = (Turns::new(tier.client(11), memory()), Turns::new(tier.client(12), memory()));
         first.store(turn("a", &[])).await.unwrap();
         first.store(turn("b", &["a"])).await.unwrap();
-        let chain = second.chain("b").await.unwrap();
-        assert_eq!(chain.body(b"new"), b"in-a;out-a\nin-b;out-b\nnew");
-        assert_eq!(chain.ancestors, ["a", "b"]);
-        assert_eq!(second.chain("c").await, Err(ChainError::Unknown));
+        let chain = second.chain("b", deadline()).await.unwrap();
+        assert_eq!(chain.body(&Bytes::from_static(b"new").into()).to_vec(), b"in-a;out-a\nin-b;out-b\nnew");
+        assert_eq!(chain.ancestors(), ["a", "b"]);
+        assert_eq!(second.chain("c", deadline()).await.err(), Some(ChainError::Unknown));
     });
 }
 
@@ -208,7 +220,7 @@
     run(async {
         let tier = Tier::start().await;
         let client = tier.client(11);
-        let first = Turns::new(Rc::clone(&client), CACHE_BYTES);
+        let first = Turns::new(Rc::clone(&client), memory());
         // The retention of the first turn is so short that it has to be extended for the second one.
         first.store(Turn { retention_ms: 1, ..turn("a", &[]) }).await.unwrap();
         let mut empty = Tier::start().await;
@@ -217,9 +229,9 @@
             store.server.set_map(Rc::new(empty.map.clone()));
         }
         client.set_map(empty.map.clone());
-        let second = Turns::new(empty.client(12), CACHE_BYTES);
-        assert_eq!(second.chain("a").await, Err(ChainError::Unknown));
+        let second = Turns::new(empty.client(12), memory());
+        assert_eq!(second.chain("a", deadline()).await.err(), Some(ChainError::Unknown));
         first.store(turn("b", &["a"])).await.unwrap();
-        assert_eq!(second.chain("b").await.unwrap().ancestors, ["a", "b"]);
+        assert_eq!(second.chain("b", deadline()).await.unwrap().ancestors(), ["a", "b"]);
     });
 }
--- a/crates/gateway/src/bin/opalrun-gateway/workers.rs
+++ b/crates/gateway/src/bin/opalrun-gateway/workers.rs
@@ -153,7 +153,7 @@
             let waited = if forward.body.is_some() { started.elapsed().as_secs_f64() } else { 0.0 };
             let remaining = (timeout - waited).max(0.0);
             let body = match &forward.body {
-                Some(buffered) => RequestBody::Complete(Some(buffered.bytes())),
+                Some(buffered) => RequestBody::Complete(buffered.bytes().into()),
                 None => {
                     let upload = forward.upload.borrow_mut().take()?;
                     caller.upload_started();
--- a/crates/store-client/src/extension.rs
+++ b/crates/store-client/src/extension.rs
@@ -21,7 +21,7 @@
 
 /// Contents of turns that the caller has in memory, by id. A turn that replicas lack is written to them again from here, or
 /// from another replica.
-pub type CachedTurns = Rc<dyn Fn(&str) -> Option<Rc<Turn>>>;
+pub type CachedTurns = Rc<dyn Fn(&str) -> Option<Turn>>;
 
 /// Turns of one partition whose retention is to be extended.
 struct Extension {
@@ -129,7 +129,7 @@
     ) -> Result<(), TurnLost> {
         for id in &extension.ids {
             let turn = match cached(id) {
-                Some(turn) => Some(Turn::clone(&turn)),
+                Some(turn) => Some(turn),
                 None => self.get_in(layout, id, extension.deadline).await,
             };
             let Some(turn) = turn else {
--- a/crates/transport/src/body/mod.rs
+++ b/crates/transport/src/body/mod.rs
@@ -6,6 +6,7 @@
 mod receive;
 mod request_body;
 mod response_body;
+mod segments;
 #[cfg(test)]
 mod tests;
 mod upload;
@@ -16,6 +17,7 @@
 pub use receive::{BodyError, ReceivedBody, receive};
 pub use request_body::RequestBody;
 pub use response_body::{Chunk, ResponseBody};
+pub use segments::{MAX_FRAME_BYTES, Segments};
 pub use upload::Upload;
 
 use bytes::Bytes;
--- a/crates/transport/src/body/request_body.rs
+++ b/crates/transport/src/body/request_body.rs
@@ -1,6 +1,6 @@
 //! The body of a request that is sent to a worker.
 
-use super::{FramePoll, Upload};
+use super::{FramePoll, Segments, Upload};
 use crate::connection::Progress;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -13,8 +13,8 @@
 
 /// The body of a request that is sent to a worker.
 pub enum RequestBody {
-    /// The complete body; `None` if it is empty or has been sent.
-    Complete(Option<Bytes>),
+    /// What is left to send of a complete body.
+    Complete(Segments),
     /// A body that the client is still sending, and the write progress in which its end is recorded.
     Streaming(Box<Upload>, Rc<Progress>),
 }
@@ -23,7 +23,7 @@
     /// Creates an empty body.
     #[must_use]
     pub fn empty() -> Self {
-        Self::Complete(None)
+        Self::Complete(Segments::default())
     }
 }
 
@@ -33,9 +33,9 @@
 
     fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> FramePoll {
         match &mut *self {
-            Self::Complete(bytes) => {
-                let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
-                Poll::Ready(bytes.map(|bytes| Ok(Frame::data(bytes))))
+            Self::Complete(segments) => {
+                let frame = segments.next_frame();
+                Poll::Ready(frame.map(|bytes| Ok(Frame::data(bytes))))
             }
             Self::Streaming(upload, progress) => {
                 let frame = Pin::new(upload).poll_frame(cx);
@@ -48,14 +48,12 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Complete(bytes) if bytes.as_ref().is_none_or(Bytes::is_empty))
+        matches!(self, Self::Complete(segments) if segments.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
         match self {
-            Self::Complete(bytes) => {
-                SizeHint::with_exact(bytes.as_ref().map_or(0, |bytes| bytes.len() as u64))
-            }
+            Self::Complete(segments) => SizeHint::with_exact(segments.len() as u64),
             Self::Streaming(upload, _) => upload.size_hint(),
         }
     }
--- a/crates/wire/src/result_code.rs
+++ b/crates/wire/src/result_code.rs
@@ -73,6 +73,8 @@
     pub const UNKNOWN_TURN: Self = Self(511);
     /// The chain of a turn could not be read completely in time.
     pub const CHAIN_UNAVAILABLE: Self = Self(512);
+    /// No memory is left for the earlier turns of a conversation.
+    pub const CHAIN_NO_MEMORY: Self = Self(513);
     /// The disk is full.
     pub const DISK_FULL: Self = Self(601);
     /// A file on disk is damaged in a way that an interrupted write can't explain.
