Stores: long replies wait for room and are waited for; nothing is cut for them

Cause: a gatekeeper read all missing turns at once. The replies exceeded the send queue of a store's connection, which the store then closed, with all queued replies and the calls of other programs; the reads were sent again with the same end until the chain's time-out of 400 ms. After 6 ms each read went to all replicas, which tripled it.

Change: a server of calls answers a call before it reads the next one when it can, and a response waits for room in the queue. A call's time-out, and that of a turn's read, begin anew with each part of a long frame, until the request's deadline. A read goes to other replicas only if the nearest is not sending.

--- a/crates/gatekeeper/src/turns/store.rs
+++ b/crates/gatekeeper/src/turns/store.rs
@@ -46,7 +46,7 @@
     }
 
     async fn get(&self, id: &str, timeout: Duration, deadline: Instant) -> Result<Option<Turn>, TurnError> {
-        self.get_turn(id, timeout.min(deadline.saturating_duration_since(Instant::now()))).await
+        self.get_turn_until(id, timeout, deadline).await
     }
 }
 
--- a/crates/gatekeeper/tests/stores.rs
+++ b/crates/gatekeeper/tests/stores.rs
@@ -10,7 +10,7 @@
 use opalrun_wire::{
     feed::{PartitionReplicas, Replica, STORE_PARTITIONS, StoreMap, StoreNode, StoreState},
     ids::{Epoch, NodeIdentity},
-    store::Turn,
+    store::{StoreReply, StoreRequest, Turn},
 };
 use std::rc::Rc;
 use std::time::Duration;
@@ -47,10 +47,10 @@
 }
 
 impl Store {
-    async fn start(identity: u64) -> Self {
+    async fn start(identity: u64, limits: StoreLimits) -> Self {
         let temporary_directory = TempDir::new().unwrap();
         let directory = DataDirectory::open(temporary_directory.path()).unwrap();
-        let server = StoreServer::open(&directory, NodeIdentity(identity), LIMITS).unwrap();
+        let server = StoreServer::open(&directory, NodeIdentity(identity), limits).unwrap();
         let listener = Listener::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let node = StoreNode {
             identity: NodeIdentity(identity),
@@ -76,9 +76,13 @@
 
 impl Tier {
     async fn start() -> Self {
+        Self::start_with(LIMITS).await
+    }
+
+    async fn start_with(limits: StoreLimits) -> Self {
         let mut stores = Vec::new();
         for identity in 1..=STORES {
-            stores.push(Store::start(identity).await);
+            stores.push(Store::start(identity, limits).await);
         }
         let replicas =
             (1..=STORES).map(|store| Replica { store: NodeIdentity(store), is_complete: true }).collect();
@@ -213,6 +217,33 @@
     });
 }
 
+/// Guards against a long conversation that cannot be continued once the gatekeeper with its turns in memory is gone: the
+/// stores' replies, read at once, exceeded their send queues.
+#[test]
+fn a_long_conversation_is_read_by_a_gatekeeper_that_has_none_of_it() {
+    run(async {
+        const TURNS: usize = 12;
+        const INPUT_BYTES: usize = 2_500_000;
+        let tier = Tier::start_with(StoreLimits { memory_bytes: 80 << 20, disk_bytes: 80 << 20 }).await;
+        let ids: Vec<String> = (0..TURNS).map(|number| format!("t{number}")).collect();
+        for (number, id) in ids.iter().enumerate() {
+            let ancestors: Vec<&str> = ids[..number].iter().map(String::as_str).collect();
+            let long_turn = Turn { input: vec![number as u8; INPUT_BYTES], ..turn(id, &ancestors) };
+            let request = StoreRequest::PutTurn { epoch: tier.map.epoch, turn: long_turn };
+            for store in &tier.stores {
+                let reply = store.server.serve(request.clone()).await;
+                assert_eq!(reply, StoreReply::Stored { is_complete: true });
+            }
+        }
+        let memory = TurnMemory::new(2 * TURNS * INPUT_BYTES, CACHE_BYTES);
+        let turns = Turns::new(tier.client(12), memory);
+        let chain = turns.chain(&ids[TURNS - 1], deadline()).await.expect("the complete chain");
+        assert_eq!(chain.ancestors(), ids);
+        let outputs: usize = ids.iter().map(|id| format!("out-{id}\n").len()).sum();
+        assert_eq!(chain.body(&Bytes::new().into()).len(), TURNS * INPUT_BYTES + outputs);
+    });
+}
+
 /// Guards against a conversation that one gatekeeper continues from its cache although the stores have lost its first
 /// turns: every other gatekeeper answered it 503 for good.
 #[test]
--- a/crates/net/src/reader.rs
+++ b/crates/net/src/reader.rs
@@ -3,7 +3,7 @@
 use crate::{
     error::{FrameSnafu, IoSnafu, NetError},
     message::Decode,
-    writer::WriterState,
+    writer::{LONG_FRAME_BYTES, WriterState},
 };
 use bytes::{Buf, Bytes, BytesMut};
 use opalrun_wire::frame::{self, FrameError, HEADER_BYTES, MAX_FRAME_BYTES, PROTOCOL_VERSION};
@@ -22,13 +22,15 @@
 pub struct FrameReader {
     read_half: OwnedReadHalf,
     buffer: BytesMut,
+    /// Length of the frame at the start of the buffer, with its header; 0 until the header was received.
+    awaited_bytes: usize,
     version_checked: bool,
     writer: Rc<WriterState>,
 }
 
 impl FrameReader {
     pub(crate) fn new(read_half: OwnedReadHalf, writer: Rc<WriterState>) -> Self {
-        Self { read_half, buffer: BytesMut::new(), version_checked: false, writer }
+        Self { read_half, buffer: BytesMut::new(), awaited_bytes: 0, version_checked: false, writer }
     }
 
     /// Waits for the next message; `None` if the other side has ended the connection between frames, or this side has
@@ -73,6 +75,9 @@
                 read = self.read_half.read_buf(&mut self.buffer) => read.context(IoSnafu)?,
                 () = writer.closed() => return Ok(None),
             };
+            if self.awaited_bytes > LONG_FRAME_BYTES && read > 0 {
+                self.writer.record_long_frame_progress();
+            }
             if read == 0 {
                 return if self.buffer.is_empty() { Ok(None) } else { Err(NetError::Truncated) };
             }
@@ -89,10 +94,12 @@
         if length > MAX_FRAME_BYTES {
             return Err(FrameError::TooLong { bytes: length }).context(FrameSnafu);
         }
-        if self.buffer.len() < HEADER_BYTES + length {
-            self.buffer.reserve(HEADER_BYTES + length - self.buffer.len());
+        self.awaited_bytes = HEADER_BYTES + length;
+        if self.buffer.len() < self.awaited_bytes {
+            self.buffer.reserve(self.awaited_bytes - self.buffer.len());
             return Ok(None);
         }
+        self.awaited_bytes = 0;
         self.buffer.advance(HEADER_BYTES);
         let body = self.buffer.split_to(length).freeze();
         frame::check(&body, checksum).context(FrameSnafu)?;
--- a/crates/net/src/rpc_client.rs
+++ b/crates/net/src/rpc_client.rs
@@ -98,24 +98,50 @@
     /// With [`RpcError::NotSent`] the other side has not received the request. With the other errors it may have
     /// executed it.
     pub async fn call(self: &Rc<Self>, request: &Q, timeout: Duration) -> Result<R, RpcError> {
-        let deadline = Instant::now() + timeout;
-        let (writer, pending) = self.connected_link(deadline).await?;
+        self.call_until(request, timeout, Instant::now() + timeout).await
+    }
+
+    /// Sends a request and waits for its response, for longer than `timeout` only while a long frame is being transferred on
+    /// the connection: it may be, or precede, the request or the response. Ends at `deadline` in any case.
+    ///
+    /// # Errors
+    /// As those of [`call`](Self::call).
+    pub async fn call_until(
+        self: &Rc<Self>,
+        request: &Q,
+        timeout: Duration,
+        deadline: Instant,
+    ) -> Result<R, RpcError> {
+        let sent_at = Instant::now();
+        let (writer, pending) = self.connected_link(deadline.min(sent_at + timeout)).await?;
         let call_number = self.next_call_number.get();
         self.next_call_number.set(call_number + 1);
-        let (response_sender, response) = oneshot::channel();
+        let (response_sender, mut response) = oneshot::channel();
         pending.borrow_mut().insert(call_number, response_sender);
         let _guard = PendingGuard { pending: &pending, call_number };
         if let Err(error) = writer.send_call(call_number, request) {
             tracing::debug!(%error, address = %self.address.get(), "call was not sent");
             return Err(RpcError::NotSent);
         }
-        match timeout_at(deadline, response).await {
-            Ok(Ok(response)) => Ok(response),
-            Ok(Err(_)) => Err(RpcError::Closed),
-            Err(_) => Err(RpcError::TimedOut),
+        let mut waiting_since = sent_at;
+        loop {
+            let wait_end = deadline.min(waiting_since + timeout);
+            match timeout_at(wait_end, &mut response).await {
+                Ok(response) => return response.map_err(|_| RpcError::Closed),
+                Err(_) if wait_end >= deadline => return Err(RpcError::TimedOut),
+                Err(_) => {}
+            }
+            let progress = writer.state().long_frame_progress().filter(|at| *at > waiting_since);
+            waiting_since = progress.ok_or(RpcError::TimedOut)?;
         }
     }
 
+    /// Returns when bytes of a long frame were last transferred on the connection; `None` if none were.
+    #[must_use]
+    pub fn long_frame_progress(&self) -> Option<Instant> {
+        self.current_link()?.0.state().long_frame_progress()
+    }
+
     /// Waits for a usable connection, and opens one if necessary.
     async fn connected_link(
         self: &Rc<Self>,
--- a/crates/net/src/rpc_server.rs
+++ b/crates/net/src/rpc_server.rs
@@ -4,8 +4,9 @@
     connection::{Connection, Listener},
     error::NetError,
     message::{Decode, Encode, split_call},
+    writer::FrameWriter,
 };
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{future::poll_fn, pin::Pin, rc::Rc, sync::Arc, task::Poll, time::Duration};
 use tokio::sync::Semaphore;
 
 /// Maximum number of concurrent calls of one connection. Further calls are not executed until one ends.
@@ -13,8 +14,7 @@
 /// Backoff after a failure to accept a connection.
 const ACCEPT_BACKOFF: Duration = Duration::from_millis(50);
 
-/// Serves the calls of all connections, each call in a task of its own. Responses are sent as the calls end, in any
-/// order. Runs until it is dropped.
+/// Serves the calls of all connections concurrently. Responses are sent as the calls end, in any order. Runs until it is dropped.
 pub async fn serve_rpc<Q, R, F, Fut>(listener: Listener, handler: F)
 where
     Q: Decode + 'static,
@@ -51,6 +51,9 @@
 
 /// Serves the calls of one connection until it ends.
 ///
+/// A call whose handler answers at once is answered before the next call is read. So a caller that asks for more than it reads
+/// is not read from until it does, and no more than a few responses are in memory.
+///
 /// # Errors
 /// The connection fails, or carries something other than a call with a request of type `Q`.
 pub async fn serve_connection<Q, R, F, Fut>(connection: Connection, handler: Rc<F>) -> Result<(), NetError>
@@ -66,15 +69,30 @@
         let call =
             split_call(&body).and_then(|(call_number, message)| Ok((call_number, Q::decode(message)?)));
         let (call_number, request) = call.map_err(|source| NetError::Frame { source })?;
+        drop(body);
         let Ok(permit) = permits.clone().acquire_owned().await else { return Ok(()) };
-        let (handler, writer) = (handler.clone(), writer.clone());
+        let mut response = Box::pin(handler(request));
+        if let Poll::Ready(response) = poll_once(response.as_mut()).await {
+            respond(&writer, call_number, &response).await;
+            continue;
+        }
+        let writer = writer.clone();
         tokio::task::spawn_local(async move {
-            let response = handler(request).await;
-            if writer.send_call(call_number, &response).is_err() {
-                writer.close();
-            }
+            respond(&writer, call_number, &response.await).await;
             drop(permit);
         });
     }
     Ok(())
 }
+
+/// Polls a future once.
+async fn poll_once<T>(mut future: Pin<&mut impl Future<Output = T>>) -> Poll<T> {
+    poll_fn(|context| Poll::Ready(future.as_mut().poll(context))).await
+}
+
+/// Sends the response of a call, and closes the connection if that fails.
+async fn respond<R: Encode>(writer: &FrameWriter, call_number: u64, response: &R) {
+    if writer.send_response(call_number, response).await.is_err() {
+        writer.close();
+    }
+}
--- a/crates/net/src/writer.rs
+++ b/crates/net/src/writer.rs
@@ -11,10 +11,21 @@
     rc::Rc,
     time::Duration,
 };
-use tokio::{io::AsyncWriteExt, net::tcp::OwnedWriteHalf, sync::Notify, time::timeout};
+use tokio::{
+    io::AsyncWriteExt,
+    net::tcp::OwnedWriteHalf,
+    sync::Notify,
+    time::{Instant, timeout},
+};
 
+/// Length in bytes above which a frame is long: its transfer may take longer than the time-out of a call.
+pub(crate) const LONG_FRAME_BYTES: usize = 64 << 10;
 /// Maximum length of the send queue in bytes. The longest frame fits into an empty queue.
 const QUEUE_LIMIT_BYTES: usize = MAX_FRAME_BYTES + (4 << 20);
+/// Length of the send queue in bytes up to which responses are added to it. A longer response is added to an empty queue.
+const RESPONSE_QUEUE_BYTES: usize = 1 << 20;
+/// Number of bytes that are passed to the socket at once.
+const WRITE_SIZE_BYTES: usize = 64 << 10;
 /// Time-out for writing the rest of the queue after the last writer was dropped.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -41,11 +52,22 @@
         self.handle.state.queue(&[], &message.encode())
     }
 
-    /// Queues the request or response of the call with this number.
+    /// Queues the request of the call with this number.
     pub(crate) fn send_call<T: Encode>(&self, call_number: u64, message: &T) -> Result<(), NetError> {
         self.handle.state.queue(&call_number.to_le_bytes(), &message.encode())
     }
 
+    /// Queues the response of the call with this number, once the queue has room for it.
+    pub(crate) async fn send_response<T: Encode>(
+        &self,
+        call_number: u64,
+        message: &T,
+    ) -> Result<(), NetError> {
+        let (state, body) = (&self.handle.state, message.encode());
+        state.response_room(body.len()).await;
+        state.queue(&call_number.to_le_bytes(), &body)
+    }
+
     /// Ends the connection at once and discards the queue.
     pub fn close(&self) {
         self.handle.state.close();
@@ -89,8 +111,12 @@
     closed: Cell<bool>,
     /// Notified when the queue, `finished` or `closed` has changed.
     work_available: Notify,
+    /// Notified when the queue was taken, or the connection ends.
+    queue_taken: Notify,
     /// Notified when the connection ends.
     closed_notify: Notify,
+    /// When bytes of a long frame were last received or accepted by the socket.
+    long_frame_progress: Cell<Option<Instant>>,
 }
 
 impl WriterState {
@@ -100,7 +126,9 @@
             finished: Cell::new(false),
             closed: Cell::new(false),
             work_available: Notify::new(),
+            queue_taken: Notify::new(),
             closed_notify: Notify::new(),
+            long_frame_progress: Cell::new(None),
         }
     }
 
@@ -121,10 +149,39 @@
         Ok(())
     }
 
+    /// Waits until a response of `bytes` may be queued, or the connection has ended.
+    async fn response_room(&self, bytes: usize) {
+        loop {
+            let taken = self.queue_taken.notified();
+            let queued = self.queue.borrow().len();
+            if queued == 0 || queued + bytes <= RESPONSE_QUEUE_BYTES || self.is_closed() {
+                return;
+            }
+            taken.await;
+        }
+    }
+
+    fn take_queue(&self) -> Vec<u8> {
+        let batch = self.queue.take();
+        self.queue_taken.notify_waiters();
+        batch
+    }
+
+    /// Records that bytes of a frame of more than [`LONG_FRAME_BYTES`] were transferred just now.
+    pub(crate) fn record_long_frame_progress(&self) {
+        self.long_frame_progress.set(Some(Instant::now()));
+    }
+
+    /// Returns when bytes of a long frame were last transferred in either direction; `None` if none were.
+    pub(crate) fn long_frame_progress(&self) -> Option<Instant> {
+        self.long_frame_progress.get()
+    }
+
     pub(crate) fn close(&self) {
         if !self.closed.replace(true) {
             self.queue.take();
             self.work_available.notify_one();
+            self.queue_taken.notify_waiters();
             self.closed_notify.notify_waiters();
         }
     }
@@ -144,7 +201,7 @@
 /// Writes the queue to the socket until the connection ends.
 async fn write_queue(mut write_half: OwnedWriteHalf, state: Rc<WriterState>) {
     while !state.is_closed() {
-        let batch = state.queue.take();
+        let batch = state.take_queue();
         if !batch.is_empty() {
             let is_written = tokio::select! {
                 is_written = write_batch(&mut write_half, &batch, &state) => is_written,
@@ -164,9 +221,24 @@
 
 /// Writes a batch. Returns `false` if writing fails, or exceeds [`FLUSH_TIMEOUT`] after the last writer was dropped.
 async fn write_batch(write_half: &mut OwnedWriteHalf, batch: &[u8], state: &WriterState) -> bool {
-    let write = write_half.write_all(batch);
+    let write = write_in_steps(write_half, batch, state);
     if state.finished.get() {
         return matches!(timeout(FLUSH_TIMEOUT, write).await, Ok(Ok(())));
     }
     write.await.is_ok()
 }
+
+/// Writes a batch in steps, each of which is recorded if the batch is long.
+async fn write_in_steps(
+    write_half: &mut OwnedWriteHalf,
+    batch: &[u8],
+    state: &WriterState,
+) -> std::io::Result<()> {
+    for step in batch.chunks(WRITE_SIZE_BYTES) {
+        write_half.write_all(step).await?;
+        if batch.len() > LONG_FRAME_BYTES {
+            state.record_long_frame_progress();
+        }
+    }
+    Ok(())
+}
--- a/crates/store-client/src/calls.rs
+++ b/crates/store-client/src/calls.rs
@@ -14,7 +14,8 @@
 
 /// Backoff before a call is retried, after a replica did not reply or could not serve the request.
 const RETRY_BACKOFF: Duration = Duration::from_millis(25);
-/// Time-out of one attempt of a call, after which it is retried in case the reply was lost.
+/// Time-out of one attempt of a call, after which it is retried in case the reply was lost. It is prolonged while a long
+/// frame is being transferred.
 const CALL_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Kind of peer, as shown in log messages.
@@ -52,6 +53,11 @@
         self.connections.borrow().values().map(|connection| connection.peer_count()).sum()
     }
 
+    /// Returns when bytes of a long frame were last transferred between this process and a store; `None` if none were.
+    pub fn long_frame_progress(&self, store: NodeIdentity) -> Option<Instant> {
+        self.get(store)?.long_frame_progress()
+    }
+
     fn get(&self, store: NodeIdentity) -> Option<Connection> {
         self.connections.borrow().get(&store).cloned()
     }
@@ -99,11 +105,10 @@
         let (sender, request, deadline) = (self.sender.clone(), request.clone(), self.deadline);
         tokio::task::spawn_local(async move {
             loop {
-                let left = deadline.saturating_duration_since(Instant::now());
-                if left.is_zero() || sender.is_closed() {
+                if Instant::now() >= deadline || sender.is_closed() {
                     return;
                 }
-                match connection.call(&request, left.min(CALL_TIMEOUT)).await {
+                match connection.call_until(&request, CALL_TIMEOUT, deadline).await {
                     Ok(StoreReply::StaleEpoch { epoch }) if epoch <= request.epoch() => {
                         sleep(RETRY_BACKOFF).await;
                     }
--- a/crates/store-client/src/turns.rs
+++ b/crates/store-client/src/turns.rs
@@ -3,13 +3,14 @@
 use crate::{CachedTurns, StoreClient, TurnError, layout::Layout, quorum::QuorumTracker};
 use opalrun_wire::{
     feed::partition_of,
-    ids::NodeIdentity,
+    ids::{NodeIdentity, Partition},
     store::{StoreReply, StoreRequest, Turn},
 };
-use std::{rc::Rc, time::Duration};
-use tokio::time::{Instant, sleep};
+use std::{pin::pin, rc::Rc, time::Duration};
+use tokio::time::{Instant, sleep, timeout_at};
 
-/// Delay after which a read that the nearest replica has not answered is also sent to the other replicas (hedged request).
+/// Delay after which a read that the nearest replica has not begun to answer is also sent to the other replicas (hedged
+/// request).
 const HEDGE_DELAY: Duration = Duration::from_millis(6);
 
 /// Order in which the replicas of a partition are read.
@@ -75,22 +76,50 @@
         id: &str,
         time_limit: Duration,
     ) -> Result<Option<Turn>, TurnError> {
-        let deadline = Instant::now() + time_limit;
-        let read = self
-            .run_in_layout(partition_of(id), deadline, async |layout| self.get_in(layout, id, deadline).await)
-            .await;
-        read.ok_or(TurnError::Unavailable)
+        self.get_turn_until(id, time_limit, Instant::now() + time_limit).await
     }
 
-    /// Reads a turn in one layout of its partition: first from the nearest replica, and from all others if that one does
-    /// not return the turn within [`HEDGE_DELAY`].
+    /// Reads a turn as [`get_turn`](Self::get_turn) does. A long turn may take longer than `time_limit` to be transferred:
+    /// the limit begins anew with each part of one that a replica of the partition has sent, until `deadline`.
+    ///
+    /// # Errors
+    /// As those of [`get_turn`](Self::get_turn).
+    pub async fn get_turn_until(
+        self: &Rc<Self>,
+        id: &str,
+        time_limit: Duration,
+        deadline: Instant,
+    ) -> Result<Option<Turn>, TurnError> {
+        let partition = partition_of(id);
+        let read =
+            self.run_in_layout(partition, deadline, async |layout| self.get_in(layout, id, deadline).await);
+        let mut read = pin!(read);
+        let mut waiting_since = Instant::now();
+        loop {
+            if let Ok(read) = timeout_at(waiting_since + time_limit, read.as_mut()).await {
+                return read.ok_or(TurnError::Unavailable);
+            }
+            let progress = self.long_frame_progress(partition).filter(|at| *at > waiting_since);
+            waiting_since = progress.ok_or(TurnError::Unavailable)?;
+        }
+    }
+
+    /// Returns when bytes of a long frame were last transferred between this process and a replica of the partition.
+    fn long_frame_progress(&self, partition: Partition) -> Option<Instant> {
+        let map = self.layouts.map();
+        let replicas = &map.partitions.get(partition.position())?.replicas;
+        replicas.iter().filter_map(|replica| self.connections.long_frame_progress(replica.store)).max()
+    }
+
+    /// Reads a turn in one layout of its partition: first from the nearest replica, and from all others if that one neither
+    /// returns the turn within [`HEDGE_DELAY`] nor is sending a long reply then.
     pub(crate) async fn get_in(&self, layout: &Layout, id: &str, deadline: Instant) -> Option<Turn> {
         let request = Rc::new(StoreRequest::GetTurn { epoch: layout.epoch, id: id.to_owned() });
         let mut calls = self.calls(deadline);
         let mut quorum = QuorumTracker::new(&layout.partition);
         let order = self.read_order(layout);
         calls.send((), order.nearest, &request);
-        let mut hedge = std::pin::pin!(sleep(HEDGE_DELAY));
+        let mut hedge = pin!(sleep(HEDGE_DELAY));
         let mut others_asked = false;
         while !quorum.is_quorum() {
             let ask_others = tokio::select! {
@@ -105,8 +134,11 @@
                         true
                     }
                 },
-                () = &mut hedge, if !others_asked => true,
+                () = &mut hedge, if !others_asked => !self.is_sending(order.nearest),
             };
+            if hedge.is_elapsed() {
+                hedge.as_mut().reset(Instant::now() + HEDGE_DELAY);
+            }
             if ask_others && !others_asked {
                 others_asked = true;
                 order.others.iter().for_each(|store| calls.send((), *store, &request));
@@ -115,6 +147,12 @@
         None
     }
 
+    /// Whether a store is sending a long reply at present, so that other replicas would not be faster.
+    fn is_sending(&self, store: NodeIdentity) -> bool {
+        let progress = self.connections.long_frame_progress(store);
+        progress.is_some_and(|at| at.elapsed() < HEDGE_DELAY)
+    }
+
     /// Returns the order in which replicas are read: complete replicas before incomplete ones, replicas in this client's
     /// zone before those in other zones, and random among equals.
     fn read_order(&self, layout: &Layout) -> ReadOrder {
