Proxy: tokens are counted by the configuration that a request is served by

Cause: the tokens of an event were looked up after the body was read, in the newest configuration; a service that this one lacks counted one token an event.

Before the change a_turn_is_counted_by_the_configuration_at_its_arrival failed: a turn was admitted with 20 of 50 tokens left. Leases and counts held: without the change of configuration the budget holds.

Change: the tokens of an event come from the configuration in which the route is found. No request reads the configuration a second time.

--- a/crates/gatekeeper/src/proxy/handler.rs
+++ b/crates/gatekeeper/src/proxy/handler.rs
@@ -109,6 +109,7 @@
         remove_connection_headers(&mut head.headers);
         let uri = head.uri.path_and_query().cloned().map(Into::into);
         let service = route.choose_service(fastrand::f64()).to_owned();
+        let event_tokens = configuration.service(&service).map_or(1, |service| service.chunk_tokens());
         Ok(ForwardedRequest {
             method: head.method,
             uri: uri.ok_or_else(|| answer::without_body(StatusCode::BAD_REQUEST))?,
@@ -116,6 +117,7 @@
             body: body.bytes.into(),
             parameters,
             service,
+            event_tokens,
             route,
             received_at,
             deadline,
--- a/crates/gatekeeper/src/proxy/request.rs
+++ b/crates/gatekeeper/src/proxy/request.rs
@@ -31,6 +31,9 @@
     pub route: Arc<Route>,
     /// Service whose workers answer the request.
     pub service: String,
+    /// Tokens in each event of the answer. They are those of the configuration in which the route was found: the service may
+    /// be missing from newer ones.
+    pub event_tokens: u64,
     /// When the head of the request was received.
     pub received_at: Instant,
     /// When the answer must be complete, according to the client's `Deadline-Ms` and the route's time-out.
--- a/crates/gatekeeper/src/proxy/turn_lifecycle.rs
+++ b/crates/gatekeeper/src/proxy/turn_lifecycle.rs
@@ -42,7 +42,7 @@
         }
         let (chain, lease) = tokio::join!(self.chain(request), self.lease(request));
         let (chain, lease) = (chain?, lease?);
-        let event_units = self.chunk_tokens(&request.service);
+        let event_units = request.event_tokens;
         if !route.retained {
             request.turn = Turn { lease, event_units, retained: None };
             return Ok(());
@@ -85,12 +85,6 @@
         })
     }
 
-    fn chunk_tokens(&self, service: &str) -> u64 {
-        let configuration = self.configuration();
-        let service = configuration.as_ref().and_then(|configuration| configuration.service(service));
-        service.map_or(1, |service| service.chunk_tokens())
-    }
-
     /// Stores a turn whose answer is complete, before the end of the answer is sent to the client. Does nothing for a
     /// turn that is not retained.
     ///
--- a/crates/gatekeeper/tests/proxy/programs.rs
+++ b/crates/gatekeeper/tests/proxy/programs.rs
@@ -2,11 +2,12 @@
 
 use crate::{
     fakes::{
-        Behaviour, FakeWorker, Gatekeeper, LAST_CHUNK, Message, event, events, not_executed, request, run,
-        stream_head,
+        Behaviour, FakeWorker, Gatekeeper, LAST_CHUNK, Message, Reader, event, events, not_executed, request,
+        run, stream_head,
     },
     stores::Stores,
 };
+use tokio::io::AsyncWriteExt;
 
 pub const ROUTES: &str = r#"{"generation":GENERATION,"routes":[
 {"name":"kept","host":"h.example","path_prefix":"/kept/","route_type":"streaming","timeout_ms":5000,
@@ -142,3 +143,28 @@
         assert_eq!(worker.count(), 0);
     });
 }
+
+/// Guards against a program that gets more than its budget when a configuration moves its route to another service while the
+/// body of a turn is being received: each event counted as one token.
+#[test]
+fn a_turn_is_counted_by_the_configuration_at_its_arrival() {
+    run(async {
+        let stores = Stores::start().await;
+        let worker = FakeWorker::start("w1", vec![complete_stream(10)]).await;
+        let gatekeeper = gatekeeper(&stores, &[&worker]).await;
+        let headers = "Program: p1\r\nSession: s1\r\nBudget: 50\r\nToken-Usage: 100,30\r\n";
+        let slow = request("POST", "/free/a", "slow", headers, "input");
+        let (head, rest) = slow.split_at(slow.len() - 4);
+        let mut socket = gatekeeper.connect().await;
+        socket.write_all(head.as_bytes()).await.expect("the proxy reads");
+        // The proxy has read the head by the time it has answered a later request.
+        let missing = gatekeeper.call(&request("GET", "/missing/a", "other", "", "")).await;
+        assert_eq!(missing.expect("an answer").status(), 404);
+        gatekeeper.configure(3, &ROUTES.replace("\"s\"", "\"t\""));
+        socket.write_all(rest.as_bytes()).await.expect("the proxy reads");
+        let answer = Reader::new(&mut socket).message().await.expect("a complete answer");
+        assert_eq!((answer.status(), worker.count()), (200, 1), "the service at its arrival runs the turn");
+        let next = turn(&gatekeeper, "/free/a", "next", 50, None, "x").await.expect("an answer");
+        assert_eq!(next.status(), 402, "20 of 50 tokens are left after 10 events of 3 tokens");
+    });
+}
