Proxy: the output of a retained turn is within the budget of turns

By reading, not seen in service; the new test failed before (an answer of 2.4 MB with 2 MB for turns was complete).

Change: the output is reserved from the budget of turns as it grows, cached turns give way, and the answer is cut off where nothing is left: it could not be stored within the memory, and its client tries again.

--- a/crates/gatekeeper/src/memory.rs
+++ b/crates/gatekeeper/src/memory.rs
@@ -24,11 +24,17 @@
     /// # Errors
     /// Fewer are left.
     pub fn reserve(&self, bytes: usize) -> Result<MemoryReservation, BudgetExhausted> {
-        let mut reservation = MemoryReservation { budget: self.clone(), bytes: 0 };
+        let mut reservation = self.empty_reservation();
         reservation.grow(bytes)?;
         Ok(reservation)
     }
 
+    /// Returns a reservation without bytes, which can grow.
+    #[must_use]
+    pub fn empty_reservation(&self) -> MemoryReservation {
+        MemoryReservation { budget: self.clone(), bytes: 0 }
+    }
+
     /// Returns the number of bytes that are left.
     #[must_use]
     pub fn available(&self) -> usize {
--- a/crates/gatekeeper/src/proxy/body.rs
+++ b/crates/gatekeeper/src/proxy/body.rs
@@ -53,7 +53,7 @@
     if declared > max_bytes as u64 {
         return Err(BodyError::TooLong);
     }
-    let mut reservation = memory.reserve(0)?;
+    let mut reservation = memory.empty_reservation();
     let mut first: Option<Bytes> = None;
     let mut joined = BytesMut::new();
     let mut length = 0;
--- a/crates/gatekeeper/src/proxy/failed_requests.rs
+++ b/crates/gatekeeper/src/proxy/failed_requests.rs
@@ -39,7 +39,7 @@
     BudgetUnavailable,
     /// The stores did not return the earlier turns in time.
     TurnsUnavailable,
-    /// No memory was left for the earlier turns.
+    /// No memory was left for the earlier turns, or for the turn's own output.
     NoTurnMemory,
     /// A worker answered with a server error.
     WorkerFailed,
--- a/crates/gatekeeper/src/proxy/stream.rs
+++ b/crates/gatekeeper/src/proxy/stream.rs
@@ -1,5 +1,6 @@
 //! Relays a worker's event stream to the client, and resumes it at another worker if the route allows that.
 
+use crate::memory::BudgetExhausted;
 use crate::proxy::{
     Proxy,
     answer::{self, Answer, forward},
@@ -175,8 +176,8 @@
     ) {
         loop {
             while let Some(event) = self.reader.next_event() {
-                if !self.forward_event(event, &events).await {
-                    return self.record_failure(FailureReason::ClientDisconnected, &attempts);
+                if let Err(reason) = self.forward_event(event, &events).await {
+                    return self.record_failure(reason, &attempts);
                 }
             }
             let deadline = self.event_deadline(&attempts);
@@ -202,18 +203,24 @@
     }
 
     /// Retains an event that was not received before, and forwards it to the client unless the client has it already.
-    /// Returns `false` when the client has closed its connection.
-    async fn forward_event(&mut self, event: Event, events: &mpsc::Sender<Chunk>) -> bool {
+    ///
+    /// # Errors
+    /// Why the answer can't go on: the client has closed its connection, or no memory is left for the turn's output.
+    async fn forward_event(
+        &mut self,
+        event: Event,
+        events: &mpsc::Sender<Chunk>,
+    ) -> Result<(), FailureReason> {
         if event.is_at_or_before(self.last_event_id) {
-            return true;
+            return Ok(());
         }
         self.last_event_id = event.id.or(self.last_event_id);
-        self.request.turn.retain_event(&event);
+        self.request.turn.retain_event(&event).map_err(|BudgetExhausted| FailureReason::NoTurnMemory)?;
         if event.is_at_or_before(self.request.parameters.last_event_id) {
-            return true;
+            return Ok(());
         }
         self.request.turn.count_event(&event);
-        events.send(Chunk::Data(event.raw)).await.is_ok()
+        events.send(Chunk::Data(event.raw)).await.map_err(|_| FailureReason::ClientDisconnected)
     }
 
     /// Finishes a complete answer: stores the turn, then sends the client the remaining bytes and the end of the answer.
--- a/crates/gatekeeper/src/proxy/turn.rs
+++ b/crates/gatekeeper/src/proxy/turn.rs
@@ -1,6 +1,11 @@
 //! State of a request that is a turn of a program: its reserved budget units, and the data to be stored.
 
-use crate::{lease::TurnLease, proxy::event_stream::Event, turns::Chain};
+use crate::{
+    lease::TurnLease,
+    memory::BudgetExhausted,
+    proxy::event_stream::Event,
+    turns::{Chain, TurnOutput},
+};
 use opalrun_store_client::StoreClient;
 use opalrun_transport::body::Segments;
 use std::{cell::RefCell, rc::Rc, time::Duration};
@@ -23,7 +28,7 @@
     /// Body of the client's request, without the earlier turns.
     pub(super) input: Segments,
     /// Data of the events received so far, from the first one of the turn on.
-    pub(super) output: RefCell<Vec<u8>>,
+    pub(super) output: RefCell<TurnOutput>,
     /// How long the stores are to retain the turn.
     pub(super) retention: Duration,
 }
@@ -39,10 +44,12 @@
     }
 
     /// Adds the data of an event to the output that is stored, whether or not the client has the event already.
-    pub fn retain_event(&self, event: &Event) {
-        if let Some(retained) = &self.retained {
-            event.append_data(&mut retained.output.borrow_mut());
-        }
+    ///
+    /// # Errors
+    /// No memory is left for it, so the turn can't be stored.
+    pub fn retain_event(&self, event: &Event) -> Result<(), BudgetExhausted> {
+        let Some(retained) = &self.retained else { return Ok(()) };
+        retained.output.borrow_mut().add(|data| event.append_data(data))
     }
 
     /// Returns the id of the worker that answered the previous turn.
--- a/crates/gatekeeper/src/proxy/turn_lifecycle.rs
+++ b/crates/gatekeeper/src/proxy/turn_lifecycle.rs
@@ -49,7 +49,12 @@
         }
         let input = request.body.clone();
         request.body = chain.body(&input);
-        let retained = Retained { chain, input, output: RefCell::default(), retention: route.retention };
+        let retained = Retained {
+            chain,
+            input,
+            output: RefCell::new(self.turns.begin_output()),
+            retention: route.retention,
+        };
         request.turn = Turn { lease, event_units, retained: Some(retained) };
         // Set again for a worker that resumes the stream; see `ForwardedRequest::first_worker_last_event_id`.
         request.headers.remove(LAST_EVENT_ID);
@@ -96,7 +101,7 @@
             id: id.to_owned(),
             ancestors: retained.chain.ancestors(),
             input: retained.input.to_vec(),
-            output: retained.output.take(),
+            output: retained.output.borrow_mut().take_data(),
             retention_ms: u64::try_from(retained.retention.as_millis()).unwrap_or(u64::MAX),
             worker: worker.to_owned(),
         };
--- a/crates/gatekeeper/src/turns/memory.rs
+++ b/crates/gatekeeper/src/turns/memory.rs
@@ -2,7 +2,7 @@
 //! however many requests need it, and all together stay within a budget.
 
 use super::{LoadedTurn, TurnCache};
-use crate::memory::{BudgetExhausted, MemoryBudget};
+use crate::memory::{BudgetExhausted, MemoryBudget, MemoryReservation};
 use opalrun_wire::store::Turn;
 use std::{
     collections::HashMap,
@@ -56,14 +56,33 @@
     /// # Errors
     /// The turns in use leave too little of the budget.
     pub fn insert(&mut self, turn: Turn) -> Result<Rc<LoadedTurn>, BudgetExhausted> {
-        let bytes = super::loaded_turn::size_in_bytes(&turn);
-        while self.budget.available() < bytes && self.cache.evict_least_recently_used() {}
+        self.make_room(super::loaded_turn::size_in_bytes(&turn));
         let turn = Rc::new(LoadedTurn::new(turn, &self.budget)?);
         self.in_use.insert(turn.id(), &turn);
         self.cache.insert(turn.clone());
         Ok(turn)
     }
 
+    /// Returns a reservation without bytes, for a turn that is still being answered.
+    #[must_use]
+    pub fn empty_reservation(&self) -> MemoryReservation {
+        self.budget.empty_reservation()
+    }
+
+    /// Reserves `bytes` more. Recently used turns that no request uses give way.
+    ///
+    /// # Errors
+    /// The turns in use leave too little of the budget.
+    pub fn grow(&mut self, reservation: &mut MemoryReservation, bytes: usize) -> Result<(), BudgetExhausted> {
+        self.make_room(bytes);
+        reservation.grow(bytes)
+    }
+
+    /// Removes recently used turns until `bytes` are left of the budget, or none are.
+    fn make_room(&mut self, bytes: usize) {
+        while self.budget.available() < bytes && self.cache.evict_least_recently_used() {}
+    }
+
     /// Returns the number of bytes that are left of the budget.
     #[must_use]
     pub fn available_bytes(&self) -> usize {
--- a/crates/gatekeeper/src/turns/mod.rs
+++ b/crates/gatekeeper/src/turns/mod.rs
@@ -9,6 +9,7 @@
 mod error;
 mod loaded_turn;
 mod memory;
+mod output;
 mod store;
 mod transfer_limit;
 
@@ -17,6 +18,7 @@
 pub use error::ChainError;
 pub use loaded_turn::LoadedTurn;
 pub use memory::TurnMemory;
+pub use output::TurnOutput;
 pub use store::{TurnStore, Turns};
 
 #[cfg(test)]
--- a/crates/gatekeeper/src/turns/store.rs
+++ b/crates/gatekeeper/src/turns/store.rs
@@ -1,7 +1,7 @@
 //! Reads the chains of turns from memory and the stores, and writes turns to the stores.
 
 use super::{
-    Chain, ChainError, LoadedTurn, TurnMemory,
+    Chain, ChainError, LoadedTurn, TurnMemory, TurnOutput,
     transfer_limit::{LongTransfers, ReadWindow},
 };
 use opalrun_store_client::{CachedTurns, StoreClient, TurnError};
@@ -95,6 +95,12 @@
         Ok(())
     }
 
+    /// Returns an empty output of a turn that is being answered.
+    #[must_use]
+    pub fn begin_output(&self) -> TurnOutput {
+        TurnOutput::new(self.reader.memory.clone())
+    }
+
     /// Returns the turns up to and including `last`, oldest first.
     async fn read_chain(&self, last: &str, deadline: Instant) -> Result<Vec<Rc<LoadedTurn>>, ChainError> {
         let mut window = ReadWindow::default();
--- a/crates/gatekeeper/tests/proxy/long_conversations.rs
+++ b/crates/gatekeeper/tests/proxy/long_conversations.rs
@@ -1,11 +1,11 @@
 //! Tests of conversations whose earlier turns take much of the proxy's memory.
 
 use crate::{
-    fakes::{Behaviour, FakeWorker, Gatekeeper, request, run, settings},
+    fakes::{Behaviour, FakeWorker, Gatekeeper, LAST_CHUNK, request, run, settings, stream_head},
     programs::{ROUTES, complete_stream, turn},
     stores::Stores,
 };
-use std::time::Instant;
+use std::{fmt::Write, time::Instant};
 use tokio::io::AsyncWriteExt;
 
 /// Memory of the proxy, of which a quarter is for turns, in megabytes.
@@ -73,3 +73,25 @@
         }
     });
 }
+
+/// Guards against a proxy that exceeds its memory by the answers of retained turns, which it keeps until they are stored.
+#[test]
+fn the_answer_of_a_turn_whose_output_exceeds_the_memory_for_turns_is_cut_off() {
+    run(async {
+        const EVENTS: u64 = 12;
+        const EVENT_BYTES: usize = 200_000;
+        let stores = Stores::start().await;
+        let data = "x".repeat(EVENT_BYTES);
+        let mut stream = stream_head();
+        for id in 1..=EVENTS {
+            let event = format!("id: {id}\ndata: {data}\n\n");
+            write!(stream, "{:x}\r\n{event}\r\n", event.len()).expect("a string takes all");
+        }
+        let long = Behaviour::Send(stream + LAST_CHUNK);
+        let worker = FakeWorker::start("w1", vec![long, complete_stream(1)]).await;
+        let gatekeeper = gatekeeper(&stores, &worker).await;
+        assert!(turn(&gatekeeper, "/kept/a", "t1", 1000, None, "x").await.is_none(), "the answer is cut off");
+        let next = turn(&gatekeeper, "/kept/a", "t2", 1000, None, "x").await.expect("an answer");
+        assert_eq!(next.status(), 200, "the memory of the turn is free again");
+    });
+}
