Stores: TurnRecord is the log record that holds a turn

StoredTurn stood beside RetainedTurn, which is the turn itself; a reader could not tell the two by their names.

--- a/crates/store/src/state/merge.rs
+++ b/crates/store/src/state/merge.rs
@@ -66,12 +66,12 @@
         now: Duration,
     ) -> Option<u64> {
         let data = &mut self.partitions[partition.position()];
-        let stored = data.stored_turn(id)?;
+        let record = data.turn_record(id)?;
         data.extend_turn(id, now + retention);
-        if stored.retention >= retention {
-            return Some(stored.record);
+        if record.retention >= retention {
+            return Some(record.number);
         }
-        match data.remove(stored.record) {
+        match data.remove(record.number) {
             Some(Item::Turn(retained)) => Some(self.write_turn(retained.turn, retained.expires, retention)),
             _ => None,
         }
--- a/crates/store/src/state/partition.rs
+++ b/crates/store/src/state/partition.rs
@@ -66,11 +66,11 @@
     pub stored_retention: Duration,
 }
 
-/// Where a turn is stored in the log.
+/// The log record that holds a turn's newest state.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct StoredTurn {
-    /// Number of the log record.
-    pub record: u64,
+pub struct TurnRecord {
+    /// Number of the record.
+    pub number: u64,
     /// Time for which the turn is retained after a restart, as the record states.
     pub retention: Duration,
 }
@@ -179,15 +179,13 @@
         }
     }
 
-    /// Returns the number of the log record of a turn and the retention that the record states. The turn may have expired,
+    /// Returns the log record of a turn. The turn may have expired,
     /// if it is not removed yet.
     #[must_use]
-    pub fn stored_turn(&self, id: &str) -> Option<StoredTurn> {
+    pub fn turn_record(&self, id: &str) -> Option<TurnRecord> {
         let number = *self.turns.get(id)?;
         match self.items.get(&number) {
-            Some(Item::Turn(retained)) => {
-                Some(StoredTurn { record: number, retention: retained.stored_retention })
-            }
+            Some(Item::Turn(retained)) => Some(TurnRecord { number, retention: retained.stored_retention }),
             _ => None,
         }
     }
--- a/crates/store/src/state/requests.rs
+++ b/crates/store/src/state/requests.rs
@@ -205,7 +205,7 @@
     /// Whether the log states less than `retention` of one of the turns.
     fn must_write(&self, partition: Partition, ids: &[String], retention: Duration) -> bool {
         let turns = &self.partitions[partition.position()];
-        ids.iter().filter_map(|id| turns.stored_turn(id)).any(|stored| stored.retention < retention)
+        ids.iter().filter_map(|id| turns.turn_record(id)).any(|record| record.retention < retention)
     }
 
     /// Returns the reply that rejects a write if the disk is full or the log has reached its size limit.
