--- a/crates/opalrun/tests/names/results.rs
+++ b/crates/opalrun/tests/names/results.rs
@@ -4,10 +4,10 @@
 use opalrun_wire::ResultCode;
 
 /// Every code except the last, in the order of `docs/results.md`.
-const CODES: [&str; 38] = [
+const CODES: [&str; 39] = [
     "E000", "E101", "E102", "E103", "E104", "E201", "E301", "E302", "E303", "E304", "E310", "E311", "E312",
     "E313", "E314", "E315", "E316", "E317", "E401", "E402", "E403", "E404", "E405", "E406", "E407", "E501",
-    "E502", "E503", "E504", "E505", "E510", "E511", "E512", "E601", "E602", "E603", "E604", "E605",
+    "E502", "E503", "E504", "E505", "E510", "E511", "E512", "E513", "E601", "E602", "E603", "E604", "E605",
 ];
 const LAST_CODE: &str = "E606";
 
@@ -56,6 +56,7 @@
         (ResultCode::TURN_TERMS_INVALID, "E510"),
         (ResultCode::UNKNOWN_TURN, "E511"),
         (ResultCode::CHAIN_UNAVAILABLE, "E512"),
+        (ResultCode::CHAIN_NO_MEMORY, "E513"),
         (ResultCode::DISK_FULL, "E601"),
         (ResultCode::DISK_CORRUPT, "E602"),
         (ResultCode::DISK_NEWER, "E603"),
