Proxy: stored turns leave memory for the outputs of turns in progress

Chains could take the whole budget of turns, and the next event of each running turn then cut its answer off: a rejected request was worth less than a turn that has run. Found by reading the change before it landed.

Change: an eighth of the budget is left to outputs, so a chain is rejected before it runs, and running turns go on. The new test fails without it (the output finds no memory).

--- a/crates/gatekeeper/src/turns/memory.rs
+++ b/crates/gatekeeper/src/turns/memory.rs
@@ -16,10 +16,16 @@
 /// Number of entries of a table of weak references from which on it is searched for dropped ones.
 const MIN_PRUNED_ENTRIES: usize = 64;
 
+/// Part of the budget that stored turns leave to the outputs of turns which are being answered: a turn that can't be loaded
+/// is rejected before it runs, while one whose output finds no memory is cut off.
+const OUTPUT_SHARE: usize = 8;
+
 /// Turns in memory, by id.
 #[derive(Debug)]
 pub struct TurnMemory {
     budget: MemoryBudget,
+    /// Bytes of the budget that stored turns do not take.
+    reserved_for_outputs: usize,
     cache: TurnCache,
     in_use: WeakTable<LoadedTurn>,
     reads: WeakTable<SharedRead>,
@@ -31,6 +37,7 @@
     pub fn new(budget_bytes: usize, cache_bytes: usize) -> Self {
         Self {
             budget: MemoryBudget::new(budget_bytes),
+            reserved_for_outputs: budget_bytes / OUTPUT_SHARE,
             cache: TurnCache::new(cache_bytes),
             in_use: WeakTable::default(),
             reads: WeakTable::default(),
@@ -56,7 +63,11 @@
     /// # Errors
     /// The turns in use leave too little of the budget.
     pub fn insert(&mut self, turn: Turn) -> Result<Rc<LoadedTurn>, BudgetExhausted> {
-        self.make_room(super::loaded_turn::size_in_bytes(&turn));
+        let required = super::loaded_turn::size_in_bytes(&turn) + self.reserved_for_outputs;
+        self.make_room(required);
+        if self.budget.available() < required {
+            return Err(BudgetExhausted);
+        }
         let turn = Rc::new(LoadedTurn::new(turn, &self.budget)?);
         self.in_use.insert(turn.id(), &turn);
         self.cache.insert(turn.clone());
--- a/crates/gatekeeper/src/turns/tests.rs
+++ b/crates/gatekeeper/src/turns/tests.rs
@@ -1,7 +1,7 @@
 //! Tests of the turn cache, of reading chains and of storing turns, against fake stores in paused time.
 
 use super::{Chain, ChainError, LoadedTurn, TurnCache, TurnMemory, TurnStore, Turns};
-use crate::memory::MemoryBudget;
+use crate::memory::{BudgetExhausted, MemoryBudget};
 use bytes::Bytes;
 use opalrun_store_client::{CachedTurns, TurnError};
 use opalrun_wire::store::Turn;
@@ -284,6 +284,28 @@
         .await;
 }
 
+/// Guards against running turns that are cut off since the chains of others take all memory.
+#[tokio::test(start_paused = true)]
+async fn chains_leave_memory_for_the_outputs_of_turns_in_progress() {
+    let store = FakeTurnStore::default();
+    let mut chains = Vec::new();
+    let turns = Turns::new(store.clone(), TurnMemory::new(8 * LONG_INPUT_BYTES, 0));
+    LocalSet::new()
+        .run_until(async {
+            for number in 0..6 {
+                let last = store_long_conversation(&store, &format!("c{number}"), 1).await;
+                chains.push(turns.chain(&last, deadline()).await.expect("memory for a chain"));
+            }
+            let last = store_long_conversation(&store, "rejected", 1).await;
+            assert_eq!(turns.chain(&last, deadline()).await.err(), Some(ChainError::NoMemory));
+            let mut output = turns.begin_output();
+            output.add(|data| data.resize(LONG_INPUT_BYTES, 0)).expect("memory for an output");
+            let exhausting = output.add(|data| data.resize(3 * LONG_INPUT_BYTES, 0));
+            assert_eq!(exhausting, Err(BudgetExhausted));
+        })
+        .await;
+}
+
 /// Guards against a chain of long turns that is read at once, so that its replies exceed a store's send queue.
 #[tokio::test(start_paused = true)]
 async fn long_turns_of_a_chain_are_read_one_after_the_other_and_short_ones_at_once() {
